--- /dev/null
+++ b/Parsleystair/Core/EventLoop.cpp
@@ -0,0 +1,103 @@
+#include "Parsleystair/Core/EventLoop.h"
+
+#include "Parsleystair/Core/Error.h"
+
+#include <event2/event.h>
+#include <sys/time.h>
+
+namespace parsleystair {
+
+namespace {
+
+timeval ToTimeval(duration aDuration)
+{
+  constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
+  timeval value{};
+  value.tv_sec = aDuration.count() / kMicrosecondsPerSecond;
+  value.tv_usec = aDuration.count() % kMicrosecondsPerSecond;
+  return value;
+}
+
+} // namespace
+
+event_loop::event_loop()
+  : mBase(event_base_new())
+{
+  if (mBase == nullptr) {
+    throw system_error("libevent could not create an event loop");
+  }
+}
+
+event_loop::~event_loop()
+{
+  event_base_free(mBase);
+}
+
+void event_loop::Run()
+{
+  event_base_loop(mBase, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void event_loop::Stop()
+{
+  event_base_loopbreak(mBase);
+}
+
+struct timer::state
+{
+  event* mEvent = nullptr;
+  callback mCallback;
+
+  ~state()
+  {
+    if (mEvent != nullptr) {
+      event_free(mEvent);
+    }
+  }
+};
+
+timer::timer() = default;
+timer::~timer() = default;
+
+void timer::StartRepeating(event_loop& aLoop,
+                           duration aInterval,
+                           callback aCallback)
+{
+  Start(aLoop, aInterval, EV_PERSIST, std::move(aCallback));
+}
+
+void timer::StartOnce(event_loop& aLoop, duration aDelay, callback aCallback)
+{
+  Start(aLoop, aDelay, 0, std::move(aCallback));
+}
+
+void timer::Start(event_loop& aLoop,
+                  duration aInterval,
+                  short aFlags,
+                  callback aCallback)
+{
+  mState = std::make_unique<state>();
+  mState->mCallback = std::move(aCallback);
+  mState->mEvent = event_new(
+    aLoop.Base(),
+    -1,
+    aFlags,
+    [](evutil_socket_t, short, void* aArgument) {
+      // The callback may replace or cancel its own timer, so a copy is called.
+      const callback function = static_cast<state*>(aArgument)->mCallback;
+      function();
+    },
+    mState.get());
+  if (mState->mEvent == nullptr) {
+    throw system_error("libevent could not create a timer");
+  }
+  const timeval interval = ToTimeval(aInterval);
+  event_add(mState->mEvent, &interval);
+}
+
+void timer::Cancel()
+{
+  mState.reset();
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Core/EventLoop.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Parsleystair/Core/Time.h"
+
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace parsleystair {
+
+/// One libevent loop, run by the one task that owns it.
+class event_loop
+{
+public:
+  /// Throws `system_error` when libevent can't make a loop.
+  event_loop();
+  ~event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+
+  [[nodiscard]] event_base* Base() const { return mBase; }
+
+  /// Runs until `Stop` is called on this task.
+  void Run();
+  void Stop();
+
+private:
+  event_base* mBase;
+};
+
+/// Calls a function again and again, or once, on the loop that owns it.
+/// The call ends when the timer object does.
+class timer
+{
+public:
+  using callback = std::function<void()>;
+
+  timer();
+  ~timer();
+  timer(const timer&) = delete;
+  timer& operator=(const timer&) = delete;
+
+  /// Starts calls at a fixed interval. Replaces an earlier start.
+  void StartRepeating(event_loop& aLoop, duration aInterval, callback aCallback);
+
+  /// Starts one call after a delay. Replaces an earlier start.
+  void StartOnce(event_loop& aLoop, duration aDelay, callback aCallback);
+
+  void Cancel();
+
+private:
+  struct state;
+
+  void Start(event_loop& aLoop,
+             duration aInterval,
+             short aFlags,
+             callback aCallback);
+
+  std::unique_ptr<state> mState;
+};
+
+} // namespace parsleystair
