--- /dev/null
+++ b/Daemons/Router.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+  return 0;
+}
--- a/Parsleystair/Core/EventLoop.h
+++ b/Parsleystair/Core/EventLoop.h
@@ -42,7 +42,9 @@
   timer& operator=(const timer&) = delete;
 
   /// Starts calls at a fixed interval. Replaces an earlier start.
-  void StartRepeating(event_loop& aLoop, duration aInterval, callback aCallback);
+  void StartRepeating(event_loop& aLoop,
+                      duration aInterval,
+                      callback aCallback);
 
   /// Starts one call after a delay. Replaces an earlier start.
   void StartOnce(event_loop& aLoop, duration aDelay, callback aCallback);
--- a/Parsleystair/Core/Log.cpp
+++ b/Parsleystair/Core/Log.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
--- /dev/null
+++ b/Parsleystair/Ownership/GrantMessage.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Parsleystair/Ownership/GroupRecord.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace parsleystair {
+
+/// A slot that a target may serve, with the fence of its ownership.
+struct granted_slot
+{
+  slot_id mSlot;
+  fence mFence;
+
+  bool operator==(const granted_slot&) const = default;
+};
+
+/// The slots of one group that a target may serve.
+struct group_grant
+{
+  group_index mGroup;
+  store_revision mRevision;
+  /// Not set in a renewal of a revision that the target accepted before.
+  std::optional<std::vector<granted_slot>> mSlots;
+
+  bool operator==(const group_grant&) const = default;
+};
+
+/// Body of `POST /grants`. The grants end at `mBaseMs + mTtlMs` on the target's
+/// clock.
+struct grant_message
+{
+  vm_name mVm;
+  /// `mClockMs` of the target's last reply; 0 when there is none.
+  uint64_t mBaseMs = 0;
+  /// `mBoot` of the target's last reply; 0 when there is none.
+  uint64_t mBoot = 0;
+  uint32_t mTtlMs = 0;
+  std::vector<group_grant> mGroups;
+
+  bool operator==(const grant_message&) const = default;
+};
+
+struct accepted_grant
+{
+  group_index mGroup;
+  store_revision mRevision;
+
+  bool operator==(const accepted_grant&) const = default;
+};
+
+/// Slots that the target no longer owns but still runs requests of.
+struct busy_slots
+{
+  group_index mGroup;
+  std::vector<slot_id> mSlots;
+
+  bool operator==(const busy_slots&) const = default;
+};
+
+/// Reply to `POST /grants`.
+struct grant_reply
+{
+  /// Monotonic clock of the target, in ms; above 0.
+  uint64_t mClockMs = 0;
+  /// One life of the target's process; random, above 0.
+  uint64_t mBoot = 0;
+  std::vector<accepted_grant> mAccepted;
+  /// Groups for which the target has a higher revision.
+  std::vector<group_index> mStale;
+  /// Groups renewed at a revision whose slots the target doesn't have.
+  std::vector<group_index> mUnknown;
+  std::vector<busy_slots> mBusy;
+
+  bool operator==(const grant_reply&) const = default;
+};
+
+std::string EncodeGrantMessage(const grant_message& aMessage);
+/// Throws `parse_error`.
+grant_message DecodeGrantMessage(const std::string& aText);
+
+std::string EncodeGrantReply(const grant_reply& aReply);
+/// Throws `parse_error`.
+grant_reply DecodeGrantReply(const std::string& aText);
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Request/Outcome.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace parsleystair {
+
+/// Header of an HTTP message.
+struct http_header
+{
+  std::string mName;
+  std::string mValue;
+
+  bool operator==(const http_header&) const = default;
+};
+
+/// A whole answer; one that was cut short is never stored in this type.
+struct http_answer
+{
+  uint32_t mStatus = 0;
+  std::vector<http_header> mHeaders;
+  std::string mBody;
+
+  bool operator==(const http_answer&) const = default;
+};
+
+/// Why a request was refused. The text forms are part of the callers' protocol.
+enum class refusal_reason
+{
+  kBadRequest,
+  kUnknownService,
+  kMethodNotAllowed,
+  kMissingIdempotencyKey,
+  kBadIdempotencyKey,
+  kIdempotencyKeyReused,
+  kIdempotencyKeyExpired,
+  kDuplicateInProgress,
+  kRecordsUnavailable,
+  kRecordsFull,
+  kNoOwner,
+  kOwnerUnreachable,
+  kNoAuthority,
+  kOverloaded,
+  kDeadlineExceeded,
+  kCrashingRequest,
+  kIncompleteAnswer,
+  kShuttingDown,
+};
+
+/// The target's whole answer.
+struct answered
+{
+  http_answer mAnswer;
+  /// The answer was recorded for an earlier try of the same request.
+  bool mRepeated = false;
+
+  bool operator==(const answered&) const = default;
+};
+
+/// No target ran the request, and none will.
+struct refused_not_run
+{
+  refusal_reason mReason = refusal_reason::kBadRequest;
+  std::string mDetail;
+  /// When another try may succeed, in ms; 0 when that is not known.
+  uint32_t mRetryAfterMs = 0;
+
+  bool operator==(const refused_not_run&) const = default;
+};
+
+/// A target may have run the request, or may still be running it.
+struct refused_may_have_run
+{
+  refusal_reason mReason = refusal_reason::kIncompleteAnswer;
+  std::string mDetail;
+
+  bool operator==(const refused_may_have_run&) const = default;
+};
+
+/// How a request ends; each request has exactly one.
+using request_outcome =
+  std::variant<answered, refused_not_run, refused_may_have_run>;
+
+} // namespace parsleystair
