Add the Http module: server and client connection over evhttp

Cause: router, stand-ins, platform client and operators' command all speak HTTP. Change: http_server with size limits, refusal of ambiguous body lengths and SO_REUSEPORT; http_connection that tells 'not sent' from 'no answer' and never reports a cut answer as whole. http_answer moves to Http. Figures: 5 tests pass, with induced cut answers, refused connections, timeouts and malformed requests. Conclusion: headers over the limit get 400 from evhttp, not 431; open.

--- a/Parsleystair/Core/EventLoop.cpp
+++ b/Parsleystair/Core/EventLoop.cpp
@@ -7,8 +7,6 @@
 
 namespace parsleystair {
 
-namespace {
-
 timeval ToTimeval(duration aDuration)
 {
   constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
@@ -18,8 +16,6 @@
   return value;
 }
 
-} // namespace
-
 event_loop::event_loop()
   : mBase(event_base_new())
 {
--- a/Parsleystair/Core/EventLoop.h
+++ b/Parsleystair/Core/EventLoop.h
@@ -6,9 +6,13 @@
 #include <memory>
 
 struct event_base;
+struct timeval;
 
 namespace parsleystair {
 
+/// Same length of time as the system's type.
+timeval ToTimeval(duration aDuration);
+
 /// One libevent loop, run by the one task that owns it.
 class event_loop
 {
--- /dev/null
+++ b/Parsleystair/Http/HttpServer.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Parsleystair/Core/EventLoop.h"
+#include "Parsleystair/Core/Ids.h"
+#include "Parsleystair/Http/HttpMessage.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace parsleystair {
+
+/// Names one request that a server has open.
+using exchange_id = strong_id<struct exchange_tag, uint64_t>;
+
+struct http_server_settings
+{
+  /// Longest request line and headers, in bytes.
+  uint32_t mMaxHeaderBytes = 16 * 1024;
+  /// Longest body, in bytes.
+  uint32_t mMaxBodyBytes = 1024 * 1024;
+  /// Longest silence of a connection while it sends or waits.
+  duration mIdleTimeout = 60s;
+  /// Lets several listeners share the port.
+  bool mReusePort = false;
+};
+
+/// HTTP/1.1 server on one event loop.
+class http_server
+{
+public:
+  /// Gets each whole request; `Respond` is called once for each id, at once or
+  /// later.
+  using handler = std::function<void(exchange_id, http_request)>;
+  /// Tells that the connection of an open request has gone.
+  using close_handler = std::function<void(exchange_id)>;
+
+  http_server(event_loop& aLoop,
+              const http_server_settings& aSettings,
+              handler aHandler);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  void OnClose(close_handler aHandler);
+
+  /// Listens on an IP address; port 0 takes a free one. Throws `system_error`.
+  void Listen(const std::string& aHost, uint16_t aPort);
+
+  /// Port of the listener.
+  [[nodiscard]] uint16_t Port() const;
+
+  /// Closes the listener; open connections go on.
+  void StopListening();
+
+  /// Answers a request. Does nothing when its connection has gone.
+  void Respond(exchange_id aExchange, const http_answer& aAnswer);
+
+  /// Closes the connection of a request without an answer.
+  void Drop(exchange_id aExchange);
+
+  /// Requests that have no answer yet.
+  [[nodiscard]] size_t OpenRequests() const;
+
+  /// From now on each answer asks the sender to close its connection.
+  void CloseAfterAnswers();
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
+
+} // namespace parsleystair
--- a/Parsleystair/Request/Outcome.h
+++ b/Parsleystair/Request/Outcome.h
@@ -1,32 +1,13 @@
 #pragma once
 
+#include "Parsleystair/Http/HttpMessage.h"
+
 #include <cstdint>
 #include <string>
-#include <utility>
 #include <variant>
-#include <vector>
 
 namespace parsleystair {
 
-/// Header of an HTTP message.
-struct http_header
-{
-  std::string mName;
-  std::string mValue;
-
-  bool operator==(const http_header&) const = default;
-};
-
-/// A whole answer; one that was cut short is never stored in this type.
-struct http_answer
-{
-  uint32_t mStatus = 0;
-  std::vector<http_header> mHeaders;
-  std::string mBody;
-
-  bool operator==(const http_answer&) const = default;
-};
-
 /// Why a request was refused. The text forms are part of the callers' protocol.
 enum class refusal_reason
 {
--- /dev/null
+++ b/UnitTests/Http/HttpTest.cpp
@@ -0,0 +1,209 @@
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Http/HttpConnection.h"
+#include "Parsleystair/Http/HttpServer.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace parsleystair {
+
+namespace {
+
+/// A port on which nothing listens: bound but not listening.
+class closed_port
+{
+public:
+  closed_port()
+    : mSocket(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    socklen_t length = sizeof(address);
+    getsockname(mSocket, reinterpret_cast<sockaddr*>(&address), &length);
+    mPort = ntohs(address.sin_port);
+  }
+  ~closed_port() { close(mSocket); }
+
+  int mSocket;
+  uint16_t mPort = 0;
+};
+
+/// Answers one connection with fixed bytes and closes it.
+class raw_server
+{
+public:
+  explicit raw_server(std::string aBytes)
+  {
+    listen(mPort.mSocket, 1);
+    mThread = std::thread([this, bytes = std::move(aBytes)] {
+      const int client = accept(mPort.mSocket, nullptr, nullptr);
+      char buffer[4096];
+      [[maybe_unused]] auto got = read(client, buffer, sizeof(buffer));
+      [[maybe_unused]] auto sent = write(client, bytes.data(), bytes.size());
+      close(client);
+    });
+  }
+  ~raw_server() { mThread.join(); }
+
+  closed_port mPort;
+  std::thread mThread;
+};
+
+http_result CallOnce(event_loop& aLoop, uint16_t aPort, duration aTimeout)
+{
+  http_connection connection(aLoop, "127.0.0.1", aPort);
+  http_result result;
+  http_request request;
+  request.mMethod = "GET";
+  request.mPath = "/";
+  connection.Call(request, aTimeout, [&](http_result aResult) {
+    result = std::move(aResult);
+    aLoop.Stop();
+  });
+  aLoop.Run();
+  return result;
+}
+
+/// Sends bytes and returns all that comes back until the server closes.
+std::string SendRaw(uint16_t aPort, const std::string& aBytes)
+{
+  const int client = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  [[maybe_unused]] auto sent = write(client, aBytes.data(), aBytes.size());
+  std::string received;
+  char buffer[4096];
+  for (;;) {
+    const auto got = read(client, buffer, sizeof(buffer));
+    if (got <= 0) {
+      break;
+    }
+    received.append(buffer, static_cast<size_t>(got));
+  }
+  close(client);
+  return received;
+}
+
+} // namespace
+
+// Guards against a request that is lost or answered with another's body.
+TEST(Http, CarriesRequestAndAnswerWhole)
+{
+  event_loop loop;
+  http_server server(loop, {}, [&](exchange_id aId, http_request aRequest) {
+    server.Respond(aId,
+                   { 200,
+                     { { "X-Echo", aRequest.mPath } },
+                     aRequest.mQuery + aRequest.mBody });
+  });
+  server.Listen("127.0.0.1", 0);
+  http_connection connection(loop, "127.0.0.1", server.Port());
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/orders/elm";
+  request.mQuery = "a=b";
+  request.mBody = std::string(100'000, 'x');
+  http_result result;
+  connection.Call(request, 5s, [&](http_result aResult) {
+    result = std::move(aResult);
+    loop.Stop();
+  });
+  loop.Run();
+  EXPECT_EQ(result.mStatus, http_status::kAnswered);
+  EXPECT_EQ(result.mAnswer.mBody, "a=b" + request.mBody);
+  EXPECT_EQ(FindHeader(result.mAnswer.mHeaders, "x-echo"), "/orders/elm");
+}
+
+// Guards against a refused connection that counts as possibly run.
+TEST(Http, RefusedConnectionIsNotSent)
+{
+  event_loop loop;
+  const closed_port port;
+  EXPECT_EQ(CallOnce(loop, port.mPort, 5s).mStatus, http_status::kNotSent);
+}
+
+// Guards against a cut answer that is passed on as whole.
+TEST(Http, CutAnswerIsNoAnswer)
+{
+  for (const char* bytes :
+       { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+         "HTTP/1.1 200 OK\r\n\r\nno length",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n5\r\nhel",
+         "HTTP/1.1 2",
+         "" }) {
+    event_loop loop;
+    const raw_server server(bytes);
+    EXPECT_EQ(CallOnce(loop, server.mPort.mPort, 5s).mStatus,
+              http_status::kNoAnswer)
+      << bytes;
+  }
+}
+
+// Guards against a call that waits for ever on a server that never answers.
+TEST(Http, TimesOutAndSaysSo)
+{
+  event_loop loop;
+  http_server server(loop, {}, [](exchange_id, const http_request&) {});
+  server.Listen("127.0.0.1", 0);
+  const http_result result = CallOnce(loop, server.Port(), 20ms);
+  EXPECT_EQ(result.mStatus, http_status::kNoAnswer);
+  EXPECT_TRUE(result.mTimedOut);
+}
+
+// Guards against request smuggling by two lengths, and against a crash on
+// requests that are malformed or too large.
+TEST(Http, RefusesBadRequests)
+{
+  event_loop loop;
+  http_server_settings settings;
+  settings.mMaxBodyBytes = 1000;
+  settings.mMaxHeaderBytes = 1000;
+  int handled = 0;
+  http_server server(loop, settings, [&](exchange_id aId, const http_request&) {
+    ++handled;
+    server.Respond(aId, { 200, {}, "" });
+  });
+  server.Listen("127.0.0.1", 0);
+
+  const std::string ambiguous =
+    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n0\r\n\r\n";
+  const std::string twoLengths =
+    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+    "3\r\nContent-Length: 3\r\n\r\nabc";
+  const std::string garbage = "\x01\x02 nonsense\r\n\r\n";
+  const std::string longBody =
+    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n" +
+    std::string(2000, 'x');
+  const std::string longHeader =
+    "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(3000, 'x') + "\r\n\r\n";
+  std::vector<std::string> replies;
+  std::thread client([&] {
+    for (const auto& bytes :
+         { ambiguous, twoLengths, garbage, longBody, longHeader }) {
+      replies.push_back(SendRaw(server.Port(), bytes));
+    }
+    loop.Stop();
+  });
+  timer poll;
+  poll.StartRepeating(loop, 5ms, [] {});
+  loop.Run();
+  client.join();
+
+  EXPECT_EQ(handled, 0);
+  EXPECT_EQ(replies[0].substr(9, 3), "400");
+  EXPECT_EQ(replies[1].substr(9, 3), "400");
+  EXPECT_EQ(replies[3].substr(9, 3), "413");
+}
+
+} // namespace parsleystair
