Check results of socket calls in the Http tests

Cause: the linter reports ignored results and a literal that looks like a missing comma. Change: the calls are checked and the answers are listed one a line.

--- a/UnitTests/Http/HttpTest.cpp
+++ b/UnitTests/Http/HttpTest.cpp
@@ -23,7 +23,9 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    EXPECT_EQ(
+      ::bind(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+      0);
     socklen_t length = sizeof(address);
     getsockname(mSocket, reinterpret_cast<sockaddr*>(&address), &length);
     mPort = ntohs(address.sin_port);
@@ -78,7 +80,8 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(aPort);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  EXPECT_EQ(
+    connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
   [[maybe_unused]] auto sent = write(client, aBytes.data(), aBytes.size());
   std::string received;
   char buffer[4096];
@@ -134,13 +137,15 @@
 // Guards against a cut answer that is passed on as whole.
 TEST(Http, CutAnswerIsNoAnswer)
 {
-  for (const char* bytes :
-       { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
-         "HTTP/1.1 200 OK\r\n\r\nno length",
-         "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
-         "chunked\r\n\r\n5\r\nhel",
-         "HTTP/1.1 2",
-         "" }) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::string> cutAnswers = {
+    ok + "Content-Length: 9\r\n\r\nshort",
+    ok + "\r\nno length",
+    ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel",
+    "HTTP/1.1 2",
+    "",
+  };
+  for (const std::string& bytes : cutAnswers) {
     event_loop loop;
     const raw_server server(bytes);
     EXPECT_EQ(CallOnce(loop, server.mPort.mPort, 5s).mStatus,
