--- a/Parsleystair/Http/HttpMessage.h
+++ b/Parsleystair/Http/HttpMessage.h
@@ -40,6 +40,8 @@
   std::string mBody;
   /// IP address of the sender; not set in requests that are made here.
   std::string mRemoteHost;
+  /// TCP port of the sender; with the address it names the connection.
+  uint16_t mRemotePort = 0;
 
   bool operator==(const http_request&) const = default;
 };
--- a/Parsleystair/Http/HttpServer.cpp
+++ b/Parsleystair/Http/HttpServer.cpp
@@ -52,6 +52,7 @@
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   evhttp_connection_get_peer(connection, &host, &port);
   request.mRemoteHost = host != nullptr ? host : "";
+  request.mRemotePort = port;
   return request;
 }
 
--- /dev/null
+++ b/Parsleystair/Tasks/RequestFlow.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Parsleystair/Core/Time.h"
+#include "Parsleystair/Http/HttpServer.h"
+#include "Parsleystair/Request/Classify.h"
+#include "Parsleystair/Tasks/Messages.h"
+
+#include <optional>
+#include <string>
+
+namespace parsleystair {
+
+/// One request on its way through a worker.
+struct request_flow
+{
+  flow_id mId;
+  exchange_id mExchange;
+  http_request mRequest;
+  std::string mRequestId;
+  classified_request mClassified;
+  time_point mArrived;
+  time_point mDeadline;
+  /// Set once an attempt with a record at the holders may run.
+  std::optional<begin_message> mBegun;
+  /// An earlier try may have run the request.
+  bool mMayHaveRun = false;
+  /// Tries sent to a target so far.
+  uint32_t mTries = 0;
+  /// Target of the last try, and the fence it was sent with.
+  target_name mTarget;
+  fence mFence;
+  /// End of the longest time in the queue of a target.
+  std::optional<time_point> mQueueUntil;
+  uint64_t mFingerprint = 0;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Tasks/WorkerCounters.cpp
@@ -0,0 +1,29 @@
+#include "Parsleystair/Tasks/WorkerCounters.h"
+
+namespace parsleystair {
+
+void worker_counters::Count(const request_outcome& aOutcome)
+{
+  if (const auto* whole = std::get_if<answered>(&aOutcome)) {
+    ++mAnswered;
+    mRepeated += whole->mRepeated ? 1 : 0;
+  } else if (const auto* notRun = std::get_if<refused_not_run>(&aOutcome)) {
+    ++mNotRun[notRun->mReason];
+  } else {
+    ++mMayHaveRun[std::get<refused_may_have_run>(aOutcome).mReason];
+  }
+}
+
+uint64_t worker_counters::Outcomes() const
+{
+  uint64_t total = mAnswered;
+  for (const auto& [reason, count] : mNotRun) {
+    total += count;
+  }
+  for (const auto& [reason, count] : mMayHaveRun) {
+    total += count;
+  }
+  return total;
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Tasks/WorkerCounters.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Parsleystair/Core/Time.h"
+#include "Parsleystair/Request/Outcome.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace parsleystair {
+
+/// What a worker has counted since its start.
+struct worker_counters
+{
+  uint64_t mReceived = 0;
+  uint64_t mAnswered = 0;
+  uint64_t mRepeated = 0;
+  std::map<refusal_reason, uint64_t> mNotRun;
+  std::map<refusal_reason, uint64_t> mMayHaveRun;
+  uint64_t mTries = 0;
+  uint64_t mRetries = 0;
+  /// Answers to requests that had been given up; dropped.
+  uint64_t mLateAnswers = 0;
+  uint64_t mSilentConnections = 0;
+  uint64_t mSuspectedCrashes = 0;
+
+  /// Counts the outcome of one request.
+  void Count(const request_outcome& aOutcome);
+
+  /// Requests that had an outcome.
+  [[nodiscard]] uint64_t Outcomes() const;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/UnitTests/Tasks/WorkerTest.cpp
@@ -0,0 +1,207 @@
+#include "Parsleystair/Tasks/Worker.h"
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Http/HttpConnection.h"
+#include "Parsleystair/Request/Problem.h"
+#include "StandIns/standin_target/TargetServer.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace parsleystair {
+
+namespace {
+
+/// Keeps the messages of a worker; lets every attempt run at once.
+class recording_inbox : public control_inbox
+{
+public:
+  void Send(control_message aMessage) override
+  {
+    if (const auto* query = std::get_if<begin_query>(&aMessage)) {
+      mWorker->Handle(begin_verdict{ query->mFlow, std::nullopt });
+    }
+    mMessages.push_back(std::move(aMessage));
+  }
+
+  template<typename Message>
+  size_t Count() const
+  {
+    size_t count = 0;
+    for (const auto& message : mMessages) {
+      count += std::holds_alternative<Message>(message) ? 1 : 0;
+    }
+    return count;
+  }
+
+  worker* mWorker = nullptr;
+  std::vector<control_message> mMessages;
+};
+
+/// A worker, a target that owns every slot, and a caller, on one loop.
+class worker_test : public testing::Test
+{
+protected:
+  worker_test()
+    : mTarget(mLoop, TargetSettings())
+    , mWorker(mLoop, worker_index(0), RouterSettings(), 1, mControl)
+  {
+    mControl.mWorker = &mWorker;
+    mWorker.Handle(snapshot_update{ Snapshot(mTarget.Port()) });
+  }
+
+  static target_server_settings TargetSettings()
+  {
+    target_server_settings settings;
+    settings.mChecksGrants = false;
+    return settings;
+  }
+
+  static router_settings RouterSettings()
+  {
+    router_settings settings;
+    settings.mCallers.mHost = "127.0.0.1";
+    return settings;
+  }
+
+  static std::shared_ptr<const routing_snapshot> Snapshot(uint16_t aPort)
+  {
+    request_rule read{ rule_name("read"), "GET", "/orders/{school}" };
+    read.mKeyName = "school";
+    request_rule confirm{ rule_name("confirm"), "POST", "/orders/{school}" };
+    confirm.mKeyName = "school";
+    confirm.mIdempotent = false;
+    target_configuration target{ target_name("orders-1"), "127.0.0.1", aPort };
+    service_configuration service;
+    service.mName = service_name("orders");
+    service.mTargets = { target };
+    service.mRules = { read, confirm };
+    auto all = std::make_shared<configuration>();
+    all->mRevision = configuration_revision(1);
+    all->mServices = { service };
+    auto snapshot = std::make_shared<routing_snapshot>();
+    snapshot->mConfiguration = all;
+    snapshot->mRoutes = { std::vector<slot_route>(TotalSlots(service),
+                                                  slot_route{ 0, fence(7) }) };
+    snapshot->mAuthorityUntil.assign(all->mGroupCount, time_point::max());
+    return snapshot;
+  }
+
+  http_answer Call(const std::string& aMethod,
+                   const std::string& aPath,
+                   std::vector<http_header> aHeaders = {})
+  {
+    http_connection caller(mLoop, "127.0.0.1", mWorker.Port());
+    http_request request;
+    request.mMethod = aMethod;
+    request.mPath = aPath;
+    request.mHeaders = std::move(aHeaders);
+    http_result result;
+    caller.Call(request, 10s, [&](http_result aResult) {
+      result = std::move(aResult);
+      mLoop.Stop();
+    });
+    mLoop.Run();
+    EXPECT_EQ(result.mStatus, http_status::kAnswered);
+    return result.mAnswer;
+  }
+
+  static std::string Member(const http_answer& aAnswer, const char* aName)
+  {
+    return nlohmann::json::parse(aAnswer.mBody).value(aName, "");
+  }
+
+  event_loop mLoop;
+  recording_inbox mControl;
+  target_server mTarget;
+  worker mWorker;
+};
+
+} // namespace
+
+// Guards against an answer that is not the caller's own or not whole.
+TEST_F(worker_test, ReturnsTheOwnersAnswer)
+{
+  const http_answer answer =
+    Call("GET", "/orders/elm%20street", { { "Request-Id", "r-17" } });
+  EXPECT_EQ(answer.mStatus, 200U);
+  EXPECT_EQ(Member(answer, "path"), "/orders/elm%20street");
+  EXPECT_EQ(FindHeader(answer.mHeaders, "request-id"), "r-17");
+}
+
+// Guards against bad input that reaches a target or ends without a reason.
+TEST_F(worker_test, RefusesBadInputAsNotRun)
+{
+  const http_answer unknown = Call("GET", "/nothing/here");
+  EXPECT_EQ(unknown.mStatus, 404U);
+  EXPECT_EQ(Call("DELETE", "/orders/elm").mStatus, 405U);
+  EXPECT_EQ(Call("GET", "/orders/%00").mStatus, 400U);
+  EXPECT_EQ(
+    Call("GET", "/orders/elm", { { "Request-Deadline-Ms", "soon" } }).mStatus,
+    400U);
+  EXPECT_EQ(Call("POST", "/orders/elm").mStatus, 400U);
+  EXPECT_EQ(Member(unknown, "outcome"), "not-run");
+  EXPECT_EQ(mTarget.TotalExecutions(), 0U);
+}
+
+// Guards against a request that is run again after it may have run.
+TEST_F(worker_test, TellsTheTruthWhenTheAnswerIsCut)
+{
+  target_faults faults;
+  faults.mIgnoreFences = true;
+  faults.mCutAnswers = true;
+  mTarget.SetFaults(faults);
+  const http_answer answer =
+    Call("POST", "/orders/elm", { { "Idempotency-Key", "k-1" } });
+  EXPECT_EQ(answer.mStatus, 502U);
+  EXPECT_EQ(Member(answer, "outcome"), "may-have-run");
+  EXPECT_EQ(mTarget.Executions("k-1"), 1U);
+  EXPECT_EQ(mControl.Count<attempt_finished>(), 1U);
+  EXPECT_EQ(mControl.Count<attempt_withdrawn>(), 0U);
+}
+
+// Guards against a target that is drained but still gets the request run, and
+// against a refusal that does not say that nothing ran.
+TEST_F(worker_test, RefusalOfTheTargetIsNotRun)
+{
+  target_faults faults;
+  faults.mDrain = true;
+  mTarget.SetFaults(faults);
+  const http_answer answer =
+    Call("POST", "/orders/elm", { { "Idempotency-Key", "k-2" } });
+  EXPECT_EQ(answer.mStatus, 503U);
+  EXPECT_EQ(Member(answer, "outcome"), "not-run");
+  EXPECT_EQ(FindHeader(answer.mHeaders, "retry-after"), "1");
+  EXPECT_EQ(mTarget.Executions("k-2"), 0U);
+  EXPECT_EQ(mControl.Count<attempt_withdrawn>(), 1U);
+}
+
+// Guards against requests that hang until their deadline on a connection that
+// has lost its path while new ones work.
+TEST_F(worker_test, FindsSilentConnections)
+{
+  EXPECT_EQ(Call("GET", "/orders/elm").mStatus, 200U);
+  target_faults faults;
+  faults.mIgnoreFences = true;
+  faults.mSilenceOpenConnections = true;
+  mTarget.SetFaults(faults);
+  const http_answer answer =
+    Call("POST", "/orders/elm", { { "Idempotency-Key", "k-3" } });
+  EXPECT_EQ(answer.mStatus, 200U);
+  EXPECT_EQ(mTarget.Executions("k-3"), 1U);
+}
+
+// Guards against a target without grant checks that gets requests from a router
+// whose table may be out of date.
+TEST_F(worker_test, RefusesWithoutAuthority)
+{
+  auto snapshot = std::make_shared<routing_snapshot>(*Snapshot(mTarget.Port()));
+  snapshot->mAuthorityUntil.assign(snapshot->mConfiguration->mGroupCount,
+                                   MonotonicNow());
+  mWorker.Handle(snapshot_update{ snapshot });
+  const http_answer answer =
+    Call("GET", "/orders/elm", { { "Request-Deadline-Ms", "100" } });
+  EXPECT_EQ(Member(answer, "reason"), "no-authority");
+  EXPECT_EQ(mTarget.TotalExecutions(), 0U);
+}
+
+} // namespace parsleystair
