--- a/Parsleystair/Settings/Configuration.cpp
+++ b/Parsleystair/Settings/Configuration.cpp
@@ -42,7 +42,7 @@
 {
   PARSLEYSTAIR_INVARIANT(aService.mSlotCount > 0);
   for (uint32_t i = 0; i < aService.mNamedKeys.size(); ++i) {
-    if (aService.mNamedKeys[i] == aKey) {
+    if (!aKey.empty() && aService.mNamedKeys[i] == aKey) {
       return slot_index(aService.mSlotCount + i);
     }
   }
--- a/Parsleystair/Settings/Configuration.h
+++ b/Parsleystair/Settings/Configuration.h
@@ -100,7 +100,9 @@
   ownership_mode mOwnership = ownership_mode::kExclusive;
   /// 1 to 65,536; never changes for a service.
   uint32_t mSlotCount = 256;
-  /// Hot keys with a slot of their own, from `mSlotCount` on, in this order.
+  /// Hot keys with a slot of their own, from `mSlotCount` on, in this order. An
+  /// empty text keeps the place of a key that was withdrawn, so that the slots
+  /// of the others stay the same.
   std::vector<std::string> mNamedKeys;
   /// Retries as a share of first tries, in percent.
   uint32_t mRetryBudgetPercent = 10;
