--- /dev/null
+++ b/Parsleystair/Ownership/GrantSender.cpp
@@ -0,0 +1,219 @@
+#include "Parsleystair/Ownership/GrantSender.h"
+
+#include "Parsleystair/Core/Invariant.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+namespace {
+
+/// The first and the second router in line renew.
+constexpr size_t kRenewers = 2;
+
+/// Slots that the target may serve under this record; a slot that is moving is
+/// never among them. Without value when the target owns none, moving or not.
+std::optional<std::vector<granted_slot>> SlotsOf(const group_record& aRecord,
+                                                 const target_id& aTarget)
+{
+  std::optional<std::vector<granted_slot>> slots;
+  const slot_id first{ aTarget.mService, slot_index() };
+  for (auto slot = aRecord.mSlots.lower_bound(first);
+       slot != aRecord.mSlots.end() && slot->first.mService == aTarget.mService;
+       ++slot) {
+    if (slot->second.mOwner != aTarget.mTarget) {
+      continue;
+    }
+    if (!slots) {
+      slots.emplace();
+    }
+    if (!slot->second.mMove) {
+      slots->push_back({ slot->first, slot->second.mFence });
+    }
+  }
+  return slots;
+}
+
+bool ChecksGrants(const configuration& aConfiguration, const target_id& aTarget)
+{
+  const service_configuration* service =
+    aConfiguration.FindService(aTarget.mService);
+  const target_configuration* target =
+    service == nullptr ? nullptr : FindTarget(*service, aTarget.mTarget);
+  return target != nullptr && target->mChecksGrants;
+}
+
+} // namespace
+
+grant_sender::grant_sender(vm_name aSelf, const ownership_settings& aSettings)
+  : mSelf(std::move(aSelf))
+  , mSettings(aSettings)
+{
+}
+
+void grant_sender::SetTargets(group_index aGroup, const group_record& aRecord)
+{
+  std::set<target_id> targets;
+  for (const auto& [slot, ownership] : aRecord.mSlots) {
+    if (ownership.mOwner != target_name()) {
+      targets.insert({ slot.mService, ownership.mOwner });
+    }
+    // The new owner's clock is learned before its first grant.
+    if (ownership.mMove && ownership.mMove->mTo != target_name()) {
+      targets.insert({ slot.mService, ownership.mMove->mTo });
+    }
+  }
+  std::set<target_id>& known = mTargetsOfGroup[aGroup];
+  for (const target_id& target : known) {
+    mGroupsOfTarget[target].erase(aGroup);
+  }
+  known = std::move(targets);
+  for (const target_id& target : known) {
+    mGroupsOfTarget[target].insert(aGroup);
+    const auto session = mSessions.find(target);
+    if (session != mSessions.end()) {
+      session->second.MakeDue();
+    }
+  }
+}
+
+bool grant_sender::IsRenewed(const target_id& aTarget,
+                             const groups& aGroups) const
+{
+  const std::set<group_index>& named = mGroupsOfTarget.at(aTarget);
+  return std::any_of(named.begin(), named.end(), [&](const auto& aGroup) {
+    return aGroups.at(aGroup).mRank < kRenewers;
+  });
+}
+
+void grant_sender::Send(const groups& aGroups,
+                        const configuration& aConfiguration,
+                        time_point aNow,
+                        ownership_actions& aActions)
+{
+  for (const auto& [target, named] : mGroupsOfTarget) {
+    const auto known = mSessions.find(target);
+    if (known != mSessions.end() && !known->second.IsDue(aNow)) {
+      continue;
+    }
+    if (!IsRenewed(target, aGroups)) {
+      mSessions.erase(target);
+      continue;
+    }
+    target_session& session =
+      mSessions.try_emplace(target, mSettings).first->second;
+    if (ChecksGrants(aConfiguration, target)) {
+      SendTo(target, session, aGroups, aNow, aActions);
+    } else {
+      aActions.emplace_back(probe_target{ target });
+    }
+    session.HandleSent(aNow);
+  }
+}
+
+void grant_sender::SendTo(const target_id& aTarget,
+                          target_session& aSession,
+                          const groups& aGroups,
+                          time_point aNow,
+                          ownership_actions& aActions)
+{
+  send_grants action;
+  action.mTarget = aTarget;
+  action.mMessage.mVm = mSelf;
+  action.mMessage.mBaseMs = aSession.ClockMs();
+  action.mMessage.mBoot = aSession.Boot();
+  action.mMessage.mTtlMs =
+    static_cast<uint32_t>(mSettings.mGrant / std::chrono::milliseconds(1));
+  action.mValidUntil = aNow + mSettings.mRenew;
+  aSession.mWithheld = false;
+  for (const group_index& group : mGroupsOfTarget.at(aTarget)) {
+    const group_state& state = aGroups.at(group);
+    auto slots = SlotsOf(state.Record(), aTarget);
+    if (state.mRank >= kRenewers || !slots) {
+      continue;
+    }
+    // A process that started after the proof may replace one that gave up
+    // slots since, and would not know that.
+    const bool hasAuthority = aNow < state.AuthorityUntil() &&
+                              aSession.Boot() != 0 &&
+                              *state.ProvenAt() >= aSession.BootSeenAt();
+    if (!hasAuthority) {
+      aSession.mWithheld = true;
+      continue;
+    }
+    PARSLEYSTAIR_INVARIANT(state.NewestSeen() == state.Record().mRevision);
+    action.mValidUntil = std::min(action.mValidUntil, state.AuthorityUntil());
+    const group_revision revision{ group, state.Record().mRevision };
+    if (aSession.HasAccepted(revision)) {
+      slots.reset();
+    }
+    action.mMessage.mGroups.push_back(
+      { group, revision.mRevision, std::move(slots) });
+  }
+  aActions.emplace_back(std::move(action));
+}
+
+void grant_sender::HandleNewAuthority()
+{
+  for (auto& [target, session] : mSessions) {
+    if (session.mWithheld) {
+      session.MakeDue();
+    }
+  }
+}
+
+bool grant_sender::HandleReply(const target_id& aTarget,
+                               const grant_reply& aReply,
+                               time_point aSentAt,
+                               time_point aNow)
+{
+  const auto found = mSessions.find(aTarget);
+  if (found == mSessions.end()) {
+    return false;
+  }
+  target_session& session = found->second;
+  // The grants of the answered message lasted too briefly or were not taken.
+  const bool wasUseless = session.HasOldClock(aNow) ||
+                          session.Boot() != aReply.mBoot ||
+                          !aReply.mUnknown.empty();
+  const bool isNew = session.HandleReply(aReply, aSentAt, aNow);
+  if (isNew && wasUseless) {
+    session.MakeDue();
+  }
+  return isNew;
+}
+
+void grant_sender::HandleEvidence(const target_id& aTarget,
+                                  time_point aSentAt,
+                                  time_point aNow)
+{
+  const auto found = mSessions.find(aTarget);
+  if (found != mSessions.end()) {
+    found->second.HandleEvidence(aSentAt, aNow);
+  }
+}
+
+void grant_sender::RestartSuspicion(time_point aNow)
+{
+  for (auto& [target, session] : mSessions) {
+    session.RestartSuspicion(aNow);
+  }
+}
+
+std::set<target_id> grant_sender::Lost(time_point aNow) const
+{
+  std::set<target_id> lost;
+  for (const auto& [target, session] : mSessions) {
+    if (session.IsLost(aNow)) {
+      lost.insert(target);
+    }
+  }
+  return lost;
+}
+
+bool grant_sender::IsCutOff(const std::set<target_id>& aLost) const
+{
+  return aLost.size() * 2 > mSessions.size();
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Ownership/GroupState.cpp
@@ -0,0 +1,299 @@
+#include "Parsleystair/Ownership/GroupState.h"
+
+#include "Parsleystair/Core/Invariant.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+namespace {
+
+/// A slot whose owner did not change kept its fence; fences are never used
+/// twice.
+bool IsSameMove(const slot_ownership& aOld, const slot_ownership& aNew)
+{
+  return aOld.mMove && aNew.mMove && aOld.mOwner == aNew.mOwner &&
+         aOld.mFence == aNew.mFence;
+}
+
+void CheckFences(const group_record& aOld, const group_record& aNew)
+{
+  for (const auto& [slot, ownership] : aNew.mSlots) {
+    const auto old = aOld.mSlots.find(slot);
+    if (old == aOld.mSlots.end()) {
+      continue;
+    }
+    PARSLEYSTAIR_INVARIANT(ownership.mFence >= old->second.mFence);
+    PARSLEYSTAIR_INVARIANT(ownership.mFence > old->second.mFence ||
+                           ownership.mOwner == old->second.mOwner);
+  }
+}
+
+} // namespace
+
+size_t Quorum(const group_record& aRecord)
+{
+  const auto joining = static_cast<size_t>(std::count_if(
+    aRecord.mHolders.begin(), aRecord.mHolders.end(), [](const auto& aHolder) {
+      return aHolder.mJoining;
+    }));
+  if (joining > 0) {
+    return aRecord.mHolders.size() - joining;
+  }
+  return aRecord.mHolders.size() / 2 + 1;
+}
+
+group_state::group_state(group_index aGroup,
+                         const ownership_settings& aSettings)
+  : mSettings(aSettings)
+{
+  mRecord.mGroup = aGroup;
+}
+
+bool group_state::Learn(const group_record& aRecord, time_point aNow)
+{
+  PARSLEYSTAIR_INVARIANT(aRecord.mGroup == mRecord.mGroup);
+  if (aRecord.mRevision <= mRecord.mRevision) {
+    return false;
+  }
+  CheckFences(mRecord, aRecord);
+  // Progress stays with slots that were moving before, as the move can't have
+  // ended and begun again in between.
+  std::map<slot_id, move_progress> progress;
+  for (const auto& [slot, ownership] : aRecord.mSlots) {
+    if (!ownership.mMove || ownership.mOwner == target_name()) {
+      continue;
+    }
+    const auto old = mRecord.mSlots.find(slot);
+    const bool isKnown =
+      old != mRecord.mSlots.end() && IsSameMove(old->second, ownership);
+    progress[slot] = isKnown
+                       ? mProgress.at(slot)
+                       : move_progress{ aRecord.mRevision, aNow, {}, false };
+  }
+  mProgress.swap(progress);
+  mRecord = aRecord;
+  mNewestSeen = std::max(mNewestSeen, aRecord.mRevision);
+  mWorkSince.reset();
+  mAnnouncedAt = time_point::min();
+  return true;
+}
+
+void group_state::NoteUnreadable(store_revision aRevision)
+{
+  mNewestSeen = std::max(mNewestSeen, aRevision);
+}
+
+void group_state::ProveByStore(time_point aAskedAt)
+{
+  mReady = true;
+  mStoreProofAt = std::max(mStoreProofAt.value_or(aAskedAt), aAskedAt);
+}
+
+void group_state::HandleConfirmed(const vm_name& aHolder,
+                                  store_revision aRevision,
+                                  time_point aAskedAt)
+{
+  auto& confirm = mConfirms[aHolder];
+  if (aRevision > confirm.first) {
+    confirm = { aRevision, aAskedAt };
+  } else if (aRevision == confirm.first) {
+    confirm.second = std::max(confirm.second, aAskedAt);
+  }
+}
+
+void group_state::HandleAck(const vm_name& aHolder,
+                            store_revision aRevision,
+                            time_point aSentAt)
+{
+  auto& known = mAcks[aHolder];
+  known = std::max(known, { aRevision, aSentAt });
+}
+
+bool group_state::HasAck(const vm_name& aHolder,
+                         store_revision aRevision,
+                         duration aLife,
+                         time_point aNow) const
+{
+  const auto ack = mAcks.find(aHolder);
+  return ack != mAcks.end() && ack->second.first >= aRevision &&
+         aNow - ack->second.second <= aLife;
+}
+
+void group_state::HandleFetched(const vm_name& aVm)
+{
+  mFetchedFrom.insert(aVm);
+}
+
+std::vector<vm_name> group_state::ReadyHolders() const
+{
+  std::vector<vm_name> holders;
+  for (const group_holder& holder : mRecord.mHolders) {
+    if (!holder.mJoining) {
+      holders.push_back(holder.mVm);
+    }
+  }
+  return holders;
+}
+
+void group_state::UpdateReady(const vm_name& aSelf)
+{
+  // A joining holder counts too: it may be the only other one that knows a
+  // record that this router acknowledged before it restarted.
+  const auto& holders = mRecord.mHolders;
+  const bool hasAllOthers =
+    std::all_of(holders.begin(), holders.end(), [&](const auto& aHolder) {
+      return aHolder.mVm == aSelf || mFetchedFrom.count(aHolder.mVm) != 0;
+    });
+  mReady = mReady || (Exists() && hasAllOthers);
+}
+
+void group_state::UpdateProof(const vm_name& aSelf, time_point aNow)
+{
+  std::vector<time_point> confirmed;
+  for (const vm_name& holder : ReadyHolders()) {
+    if (holder == aSelf) {
+      if (mReady) {
+        confirmed.push_back(aNow);
+      }
+      continue;
+    }
+    const auto found = mConfirms.find(holder);
+    if (found != mConfirms.end() && found->second.first == mRecord.mRevision) {
+      confirmed.push_back(found->second.second);
+    }
+  }
+  // The proof is as old as the oldest of the newest answers that decide.
+  const size_t quorum = Quorum(mRecord);
+  if (quorum == 0 || confirmed.size() < quorum) {
+    return;
+  }
+  std::sort(confirmed.begin(), confirmed.end(), std::greater<>());
+  const time_point proof = confirmed[quorum - 1];
+  mConfirmProofAt = std::max(mConfirmProofAt.value_or(proof), proof);
+}
+
+void group_state::Update(const router_table& aRouters, time_point aNow)
+{
+  const vm_name& self = aRouters.Self().mVm.mName;
+  UpdateReady(self);
+  UpdateProof(self, aNow);
+  for (auto& [slot, progress] : mProgress) {
+    if (!progress.mAckedAt && IsAcked(progress.mRevision, aRouters, aNow)) {
+      progress.mAckedAt = aNow;
+    }
+  }
+}
+
+std::optional<time_point> group_state::ProvenAt() const
+{
+  return std::max(mStoreProofAt, mConfirmProofAt);
+}
+
+time_point group_state::AuthorityUntil() const
+{
+  const auto proof = ProvenAt();
+  if (!proof || !Exists() || mNewestSeen != mRecord.mRevision) {
+    return time_point::min();
+  }
+  return *proof + mSettings.mAuthority;
+}
+
+std::vector<vm_name> group_state::Unacknowledged(const router_table& aRouters,
+                                                 time_point aNow) const
+{
+  std::vector<vm_name> missing;
+  for (const group_holder& holder : mRecord.mHolders) {
+    const bool isAcked =
+      holder.mVm == aRouters.Self().mVm.mName ||
+      HasAck(holder.mVm, mRecord.mRevision, mSettings.mAckLife / 2, aNow);
+    if (!isAcked && aRouters.FindLive(holder.mVm) != nullptr) {
+      missing.push_back(holder.mVm);
+    }
+  }
+  return missing;
+}
+
+bool group_state::IsAcked(store_revision aRevision,
+                          const router_table& aRouters,
+                          time_point aNow) const
+{
+  size_t acked = 0;
+  for (const vm_name& holder : ReadyHolders()) {
+    // A VM that has ended can't confirm older records either.
+    if (holder == aRouters.Self().mVm.mName ||
+        HasAck(holder, aRevision, mSettings.mAckLife, aNow) ||
+        aRouters.IsGone(holder, mSettings.mGone, aNow)) {
+      ++acked;
+    }
+  }
+  const size_t quorum = Quorum(mRecord);
+  return quorum > 0 && acked >= quorum;
+}
+
+void group_state::HandleAccepted(const target_id& aTarget,
+                                 store_revision aRevision,
+                                 const std::vector<slot_id>& aBusy,
+                                 time_point aSentAt)
+{
+  for (auto& [slot, progress] : mProgress) {
+    const slot_ownership& ownership = mRecord.mSlots.at(slot);
+    if (slot.mService != aTarget.mService ||
+        ownership.mOwner != aTarget.mTarget) {
+      continue;
+    }
+    // Before enough holders knew the record, a router could have got the older
+    // one confirmed and granted it to the target's next process.
+    const bool isProven = progress.mAckedAt && aSentAt >= *progress.mAckedAt &&
+                          aRevision >= progress.mRevision;
+    const bool isBusy =
+      std::find(aBusy.begin(), aBusy.end(), slot) != aBusy.end();
+    progress.mReleased = progress.mReleased || (isProven && !isBusy);
+  }
+}
+
+bool group_state::MayFinish(const slot_id& aSlot,
+                            duration aExtraWait,
+                            time_point aNow) const
+{
+  const auto ownership = mRecord.mSlots.find(aSlot);
+  if (ownership == mRecord.mSlots.end() || !ownership->second.mMove) {
+    return false;
+  }
+  // Nobody can act for a slot that never had an owner.
+  if (ownership->second.mOwner == target_name()) {
+    return true;
+  }
+  const move_progress& progress = mProgress.at(aSlot);
+  if (progress.mReleased) {
+    return true;
+  }
+  if (!progress.mAckedAt) {
+    return false;
+  }
+  const time_point start = std::max(progress.mSeenAt, *progress.mAckedAt);
+  return aNow - start >= mSettings.ExclusionWait() + aExtraWait;
+}
+
+void group_state::CheckNext(const group_record& aNext, time_point aNow) const
+{
+  CheckFences(mRecord, aNext);
+  for (const auto& [slot, ownership] : aNext.mSlots) {
+    const auto old = mRecord.mSlots.find(slot);
+    if (old == mRecord.mSlots.end()) {
+      PARSLEYSTAIR_INVARIANT(ownership.mOwner == target_name());
+      continue;
+    }
+    const bool isChanged = ownership.mFence != old->second.mFence &&
+                           old->second.mOwner != target_name();
+    PARSLEYSTAIR_INVARIANT(!isChanged ||
+                           MayFinish(slot, duration::zero(), aNow));
+    // A move never just ends: a router that missed it in between would take
+    // the next one for the same.
+    const bool isCancelled = old->second.mMove && !ownership.mMove &&
+                             ownership.mFence == old->second.mFence;
+    PARSLEYSTAIR_INVARIANT(!isCancelled);
+  }
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Ownership/OwnershipController.cpp
@@ -0,0 +1,385 @@
+#include "Parsleystair/Ownership/OwnershipController.h"
+
+#include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Core/Invariant.h"
+#include "Parsleystair/Core/Log.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace parsleystair {
+
+namespace {
+
+void LogOwnerChanges(const group_record& aOld, const group_record& aNew)
+{
+  size_t changes = 0;
+  for (const auto& [slot, ownership] : aNew.mSlots) {
+    const auto old = aOld.mSlots.find(slot);
+    changes +=
+      old != aOld.mSlots.end() && old->second.mOwner != ownership.mOwner ? 1
+                                                                         : 0;
+  }
+  if (changes > 0) {
+    log_line(log_severity::kInfo, "owners_changed")
+      .Add("group", uint64_t{ aNew.mGroup.Value() })
+      .Add("revision", aNew.mRevision.Value())
+      .Add("slots", uint64_t{ changes });
+  }
+}
+
+} // namespace
+
+ownership_controller::ownership_controller(live_router aSelf,
+                                           const ownership_settings& aSettings,
+                                           time_point aNow)
+  : mSettings(aSettings)
+  , mRouters(std::move(aSelf))
+  , mStartedAt(aNow)
+  , mSender(mRouters.Self().mVm.mName, aSettings)
+{
+}
+
+group_state& ownership_controller::State(group_index aGroup)
+{
+  const auto [found, added] = mGroups.try_emplace(aGroup, aGroup, mSettings);
+  if (added) {
+    UpdateLine(found->second);
+  }
+  return found->second;
+}
+
+ownership_actions ownership_controller::HandleConfiguration(
+  std::shared_ptr<const configuration> aConfiguration,
+  time_point aNow)
+{
+  if (mConfiguration &&
+      aConfiguration->mRevision <= mConfiguration->mRevision) {
+    return {};
+  }
+  PARSLEYSTAIR_INVARIANT(!mConfiguration || aConfiguration->mGroupCount ==
+                                              mConfiguration->mGroupCount);
+  mConfiguration = std::move(aConfiguration);
+  mConfigurationSince = aNow;
+  mSlotsOfGroup.clear();
+  for (const service_configuration& service : mConfiguration->mServices) {
+    // Requests under an earlier configuration may still run.
+    duration& longest = mDeadlines[service.mName];
+    for (const request_rule& rule : service.mRules) {
+      longest = std::max(longest, rule.mDeadline);
+    }
+    if (service.mOwnership != ownership_mode::kExclusive) {
+      continue;
+    }
+    for (uint32_t i = 0; i < TotalSlots(service); ++i) {
+      const group_index group =
+        GroupOf(service.mName, slot_index(i), mConfiguration->mGroupCount);
+      mSlotsOfGroup[group].push_back({ service.mName, slot_index(i) });
+    }
+  }
+  for (uint32_t i = 0; i < mConfiguration->mGroupCount; ++i) {
+    State(group_index(i));
+    mChanged.insert(group_index(i));
+  }
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleRouters(const router_view& aView,
+                                                      time_point aNow)
+{
+  mRouters.SetView(aView, aNow);
+  for (auto& [group, state] : mGroups) {
+    UpdateLine(state);
+    mChanged.insert(group);
+  }
+  return Finish(aNow, {});
+}
+
+range_request ownership_controller::NextPoll() const
+{
+  range_request request;
+  request.mFrom = kPollFrom;
+  request.mTo = kPollTo;
+  if (mPolledTo > store_revision()) {
+    request.mMinModRevision = store_revision(mPolledTo.Value() + 1);
+  }
+  return request;
+}
+
+ownership_actions ownership_controller::HandlePollReply(
+  const range_reply& aReply,
+  time_point aAskedAt,
+  time_point aNow)
+{
+  PARSLEYSTAIR_INVARIANT(aAskedAt <= aNow);
+  if (aReply.mStatus != store_status::kAnswered) {
+    return {};
+  }
+  for (const store_entry& entry : aReply.mEntries) {
+    LearnEntry(entry, aNow);
+  }
+  mPolledTo = std::max(mPolledTo, aReply.mHead);
+  mPollProofAt = std::max(mPollProofAt.value_or(aAskedAt), aAskedAt);
+  for (auto& [group, state] : mGroups) {
+    state.ProveByStore(aAskedAt);
+    SettleReadBack(state, aAskedAt);
+  }
+  mSender.HandleNewAuthority();
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleGroupRead(
+  group_index aGroup,
+  const range_reply& aReply,
+  time_point aAskedAt,
+  time_point aNow)
+{
+  PARSLEYSTAIR_INVARIANT(aAskedAt <= aNow);
+  if (aReply.mStatus != store_status::kAnswered) {
+    return {};
+  }
+  for (const store_entry& entry : aReply.mEntries) {
+    LearnEntry(entry, aNow);
+  }
+  group_state& state = State(aGroup);
+  state.ProveByStore(aAskedAt);
+  SettleReadBack(state, aAskedAt);
+  mChanged.insert(aGroup);
+  return Finish(aNow, {});
+}
+
+void ownership_controller::SettleReadBack(group_state& aState,
+                                          time_point aAskedAt)
+{
+  if (aState.mReadBackSince && aAskedAt >= *aState.mReadBackSince) {
+    aState.mReadBackSince.reset();
+  }
+}
+
+void ownership_controller::LearnEntry(const store_entry& aEntry,
+                                      time_point aNow)
+{
+  const std::string prefix = kGroupPrefix;
+  if (aEntry.mKey.compare(0, prefix.size(), prefix) != 0) {
+    return;
+  }
+  try {
+    const group_record record =
+      DecodeGroupRecord(aEntry.mValue, aEntry.mModRevision);
+    if (GroupKey(record.mGroup) != aEntry.mKey) {
+      throw parse_error("group record: stored under the key of another group");
+    }
+    if (State(record.mGroup).Record().mRevision > record.mRevision) {
+      ++mCounters.mStaleStoreEntries;
+    }
+    Learn(record, aNow);
+  } catch (const parse_error& failure) {
+    ++mCounters.mUnreadableRecords;
+    log_line(log_severity::kError, "group_record_unreadable")
+      .Add("key", aEntry.mKey)
+      .Add("error", failure.what());
+    // Nothing may be renewed on the strength of the record before.
+    const std::string number = aEntry.mKey.substr(prefix.size());
+    uint32_t group = 0;
+    const char* end = number.data() + number.size();
+    if (std::from_chars(number.data(), end, group).ptr == end) {
+      State(group_index(group)).NoteUnreadable(aEntry.mModRevision);
+    }
+  }
+}
+
+void ownership_controller::Learn(const group_record& aRecord, time_point aNow)
+{
+  group_state& state = State(aRecord.mGroup);
+  const group_record old = state.Record();
+  if (!state.Learn(aRecord, aNow)) {
+    return;
+  }
+  LogOwnerChanges(old, aRecord);
+  ForgetPlan(aRecord);
+  state.mCopied = state.mCopied && IsJoining(state);
+  UpdateLine(state);
+  mSender.SetTargets(aRecord.mGroup, aRecord);
+  mChanged.insert(aRecord.mGroup);
+}
+
+void ownership_controller::ForgetPlan(const group_record& aRecord)
+{
+  std::erase_if(mPlanned, [&](const auto& aEntry) {
+    const auto slot = aRecord.mSlots.find(aEntry.first);
+    const bool isMoving =
+      slot != aRecord.mSlots.end() && slot->second.mMove.has_value();
+    if (isMoving) {
+      mPlannedUntil.erase(aEntry.first);
+    }
+    return isMoving;
+  });
+}
+
+void ownership_controller::UpdateLine(group_state& aState)
+{
+  aState.mRank = mRouters.RankOfSelf(aState.Record());
+}
+
+ownership_actions ownership_controller::HandleWriteReply(
+  group_index aGroup,
+  const transaction_reply& aReply,
+  time_point aNow)
+{
+  group_state& state = State(aGroup);
+  if (!state.mWrite) {
+    ++mCounters.mStaleWriteReplies;
+    return {};
+  }
+  pending_write write = std::move(*state.mWrite);
+  state.mWrite.reset();
+  mChanged.insert(aGroup);
+  if (aReply.mStatus == store_status::kAnswered && aReply.mSucceeded) {
+    PARSLEYSTAIR_INVARIANT(aReply.mHead > write.mExpected);
+    write.mRecord.mRevision = aReply.mHead;
+    Learn(write.mRecord, aNow);
+    return Finish(aNow, {});
+  }
+  // Whatever happened, the store is asked before the next write.
+  state.mReadBackSince = aNow;
+  state.mReadSentAt = time_point::min();
+  if (aReply.mStatus == store_status::kUnknown) {
+    ++mCounters.mUnknownWrites;
+  } else if (aReply.mStatus == store_status::kAnswered) {
+    ++mCounters.mLostWrites;
+  }
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleConfirmReply(
+  const vm_name& aHolder,
+  const group_revision& aRevision,
+  confirm_result aResult,
+  time_point aAskedAt,
+  time_point aNow)
+{
+  PARSLEYSTAIR_INVARIANT(aAskedAt <= aNow);
+  group_state& state = State(aRevision.mGroup);
+  if (aRevision.mRevision != state.Record().mRevision) {
+    ++mCounters.mStaleConfirms;
+    return {};
+  }
+  if (aResult != confirm_result::kConfirmed) {
+    return {};
+  }
+  state.HandleConfirmed(aHolder, aRevision.mRevision, aAskedAt);
+  state.Update(mRouters, aNow);
+  mSender.HandleNewAuthority();
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleAnnounceAck(
+  const vm_name& aHolder,
+  const group_revision& aRevision,
+  time_point aSentAt,
+  time_point aNow)
+{
+  group_state& state = State(aRevision.mGroup);
+  if (aRevision.mRevision < state.Record().mRevision) {
+    ++mCounters.mStaleAcks;
+  }
+  state.HandleAck(aHolder, aRevision.mRevision, aSentAt);
+  mChanged.insert(aRevision.mGroup);
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleAnnounce(
+  const group_record& aRecord,
+  time_point aNow)
+{
+  if (aRecord.mRevision < State(aRecord.mGroup).Record().mRevision) {
+    ++mCounters.mStaleAnnouncements;
+  }
+  Learn(aRecord, aNow);
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleFetchedGroups(
+  const vm_name& aVm,
+  const groups_reply& aReply,
+  time_point aAskedAt,
+  time_point aNow)
+{
+  for (const group_record& record : aReply.mRecords) {
+    Learn(record, aNow);
+    if (aAskedAt >= mStartedAt + mSettings.RecoveryDelay()) {
+      State(record.mGroup).HandleFetched(aVm);
+    }
+    mChanged.insert(record.mGroup);
+  }
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleRecordsCopied(group_index aGroup,
+                                                            time_point aNow)
+{
+  group_state& state = State(aGroup);
+  state.mCopied = IsJoining(state);
+  mChanged.insert(aGroup);
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleGrantReply(
+  const target_id& aTarget,
+  const grant_reply& aReply,
+  time_point aSentAt,
+  time_point aNow)
+{
+  mCounters.mRefusedByTargets += aReply.mStale.size();
+  if (!mSender.HandleReply(aTarget, aReply, aSentAt, aNow)) {
+    ++mCounters.mStaleGrantReplies;
+    return Finish(aNow, {});
+  }
+  for (const accepted_grant& grant : aReply.mAccepted) {
+    std::vector<slot_id> busySlots;
+    for (const busy_slots& busy : aReply.mBusy) {
+      if (busy.mGroup == grant.mGroup) {
+        busySlots = busy.mSlots;
+      }
+    }
+    group_state& state = State(grant.mGroup);
+    if (!state.Progress().empty()) {
+      state.HandleAccepted(aTarget, grant.mRevision, busySlots, aSentAt);
+      mChanged.insert(grant.mGroup);
+    }
+  }
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleGrantFailure(
+  const target_id& /*aTarget*/,
+  time_point aNow)
+{
+  ++mCounters.mFailedGrants;
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandleAnswered(const target_id& aTarget,
+                                                       time_point aSentAt,
+                                                       time_point aNow)
+{
+  mSender.HandleEvidence(aTarget, aSentAt, aNow);
+  return Finish(aNow, {});
+}
+
+ownership_actions ownership_controller::HandlePlannedMoves(
+  const std::vector<planned_move>& aMoves,
+  time_point aNow)
+{
+  for (const planned_move& move : aMoves) {
+    mPlanned[move.mSlot] = move;
+    mPlannedUntil[move.mSlot] = aNow + mSettings.mPlannedMoveLife;
+    if (mConfiguration) {
+      mChanged.insert(GroupOf(
+        move.mSlot.mService, move.mSlot.mSlot, mConfiguration->mGroupCount));
+    }
+  }
+  return Finish(aNow, {});
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Ownership/OwnershipControllerDuties.cpp
@@ -0,0 +1,345 @@
+// What an ownership_controller does of its own accord: read back, announce,
+// write, renew, ask for proof.
+#include "Parsleystair/Ownership/OwnershipController.h"
+
+#include "Parsleystair/Core/Invariant.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+namespace {
+
+constexpr size_t kRenewers = 2;
+/// Renewers and the third holder take over duties.
+constexpr size_t kWriters = 3;
+/// Interval between attempts to get records from other routers.
+constexpr duration kFetchInterval = 500ms;
+
+} // namespace
+
+ownership_actions ownership_controller::Tick(time_point aNow, wall_time aWall)
+{
+  mWall = aWall;
+  // After a pause of this process, answers wait unread in its sockets.
+  if (mTickAt && aNow - *mTickAt > mSettings.mSuspect / 2) {
+    mSender.RestartSuspicion(aNow);
+  }
+  mTickAt = aNow;
+  mLost = mSender.Lost(aNow);
+  std::erase_if(mPlanned, [&](const auto& aEntry) {
+    return mPlannedUntil.at(aEntry.first) <= aNow;
+  });
+  std::erase_if(mPlannedUntil,
+                [&](const auto& aEntry) { return aEntry.second <= aNow; });
+  for (const auto& [group, state] : mGroups) {
+    mChanged.insert(group);
+  }
+  ownership_actions actions;
+  AskHolders(aNow, actions);
+  AskRecords(aNow, actions);
+  return Finish(aNow, std::move(actions));
+}
+
+ownership_actions ownership_controller::Finish(time_point aNow,
+                                               ownership_actions aActions)
+{
+  std::set<group_index> changed;
+  changed.swap(mChanged);
+  for (const group_index& group : changed) {
+    group_state& state = State(group);
+    state.Update(mRouters, aNow);
+    Advance(state, aNow, aActions);
+  }
+  if (mConfiguration) {
+    mSender.Send(mGroups, *mConfiguration, aNow, aActions);
+  }
+  return aActions;
+}
+
+void ownership_controller::Advance(group_state& aState,
+                                   time_point aNow,
+                                   ownership_actions& aActions)
+{
+  const bool isConcerned = aState.mRank < kWriters || IsJoining(aState);
+  if (!mConfiguration || !isConcerned) {
+    return;
+  }
+  if (aState.mReadBackSince) {
+    ReadBack(aState, aNow, aActions);
+    return;
+  }
+  Announce(aState, aNow, aActions);
+  if (!aState.mWrite) {
+    Write(aState, aNow, aActions);
+  }
+}
+
+void ownership_controller::ReadBack(group_state& aState,
+                                    time_point aNow,
+                                    ownership_actions& aActions) const
+{
+  if (aNow < aState.mReadSentAt + mSettings.mPoll) {
+    return;
+  }
+  aState.mReadSentAt = aNow;
+  aActions.emplace_back(read_group{ aState.Record().mGroup });
+}
+
+void ownership_controller::Announce(group_state& aState,
+                                    time_point aNow,
+                                    ownership_actions& aActions) const
+{
+  const group_record& record = aState.Record();
+  const bool isJoining = IsJoining(aState);
+  const bool hasJoining =
+    std::any_of(record.mHolders.begin(),
+                record.mHolders.end(),
+                [](const auto& aHolder) { return aHolder.mJoining; });
+  const auto& progress = aState.Progress();
+  const bool hasUnacked =
+    std::any_of(progress.begin(), progress.end(), [](const auto& aEntry) {
+      return !aEntry.second.mAckedAt.has_value();
+    });
+  // The third holder only announces once it has taken over.
+  const bool isInLine = aState.mRank < kRenewers || isJoining;
+  if (!isInLine || !(hasUnacked || hasJoining) ||
+      aNow < aState.mAnnouncedAt + mSettings.mAnnounceRetry) {
+    return;
+  }
+  aState.mAnnouncedAt = aNow;
+  for (const vm_name& holder : aState.Unacknowledged(mRouters, aNow)) {
+    aActions.emplace_back(announce_record{ holder, record });
+  }
+  if (isJoining && !aState.mCopied) {
+    copy_group_records copy{ record, {} };
+    for (const group_holder& holder : record.mHolders) {
+      if (!holder.mJoining) {
+        copy.mHolders.push_back(holder.mVm);
+      }
+    }
+    aActions.emplace_back(std::move(copy));
+  }
+}
+
+std::optional<group_record> ownership_controller::NextRecord(
+  const group_state& aState,
+  time_point aNow) const
+{
+  static const std::vector<slot_id> kNoSlots;
+  const auto slots = mSlotsOfGroup.find(aState.Record().mGroup);
+  const edit_context context{
+    mSettings,
+    *mConfiguration,
+    mRouters,
+    slots == mSlotsOfGroup.end() ? kNoSlots : slots->second,
+    mLost,
+    mPlanned,
+    mDeadlines,
+    !mSender.IsCutOff(mLost),
+    aNow >= mConfigurationSince + mSettings.mConfigurationSettle,
+    WallMs(aNow),
+    aNow
+  };
+  return record_editor(aState, context).Edit();
+}
+
+void ownership_controller::Write(group_state& aState,
+                                 time_point aNow,
+                                 ownership_actions& aActions)
+{
+  // A write needs a record that is fresh from the store.
+  if (!HasPollWithin(mSettings.mAuthority, aNow) ||
+      WritesInFlight() >= mSettings.mWritesInFlight ||
+      aState.NewestSeen() != aState.Record().mRevision) {
+    return;
+  }
+  auto next = NextRecord(aState, aNow);
+  if (!next) {
+    aState.mWorkSince.reset();
+    return;
+  }
+  // Leave the work to the routers before this one in line for a while. A
+  // joining router alone knows when it is ready.
+  aState.mWorkSince = aState.mWorkSince.value_or(aNow);
+  const auto delay = mSettings.mStandby * static_cast<int64_t>(aState.mRank);
+  if (!IsJoining(aState) && aNow - *aState.mWorkSince < delay) {
+    return;
+  }
+  if (aState.Exists()) {
+    aState.CheckNext(*next, aNow);
+  }
+  const store_revision expected = aState.Record().mRevision;
+  aState.mWrite = pending_write{ expected, *next, aNow };
+  aActions.emplace_back(write_group{ expected, std::move(*next) });
+}
+
+void ownership_controller::AskHolders(time_point aNow,
+                                      ownership_actions& aActions)
+{
+  if (HasPollWithin(mSettings.mStoreSilence, aNow) ||
+      aNow < mAskedHoldersAt + mSettings.mRenew) {
+    return;
+  }
+  mAskedHoldersAt = aNow;
+  std::map<vm_name, ask_confirm> questions;
+  for (const auto& [group, state] : mGroups) {
+    const group_record& record = state.Record();
+    // Requests to targets that don't check grants need authority everywhere.
+    if (!state.Exists() ||
+        (state.mRank >= kRenewers && !HasUncheckedOwner(record))) {
+      continue;
+    }
+    for (const group_holder& holder : record.mHolders) {
+      const bool isOther = holder.mVm != mRouters.Self().mVm.mName;
+      if (isOther && !holder.mJoining &&
+          mRouters.FindLive(holder.mVm) != nullptr) {
+        ask_confirm& question = questions[holder.mVm];
+        question.mHolder = holder.mVm;
+        question.mGroups.push_back({ group, record.mRevision });
+      }
+    }
+  }
+  for (auto& [holder, question] : questions) {
+    aActions.emplace_back(std::move(question));
+  }
+}
+
+void ownership_controller::AskRecords(time_point aNow,
+                                      ownership_actions& aActions)
+{
+  const bool isMissing =
+    std::any_of(mGroups.begin(), mGroups.end(), [](const auto& aEntry) {
+      return !aEntry.second.IsReady();
+    });
+  if (HasPollWithin(mSettings.mStoreSilence, aNow) ||
+      aNow < mAskedRecordsAt + kFetchInterval ||
+      (!isMissing && !mGroups.empty())) {
+    return;
+  }
+  mAskedRecordsAt = aNow;
+  for (const auto& [name, router] : mRouters.Live()) {
+    if (name != mRouters.Self().mVm.mName) {
+      aActions.emplace_back(fetch_groups{ name });
+    }
+  }
+}
+
+confirm_result ownership_controller::HandleConfirm(
+  const confirm_message& aMessage) const
+{
+  const auto found = mGroups.find(aMessage.mGroup);
+  if (found == mGroups.end() || !found->second.IsReady()) {
+    return confirm_result::kNotReady;
+  }
+  return found->second.NewestSeen() > aMessage.mRevision
+           ? confirm_result::kNewer
+           : confirm_result::kConfirmed;
+}
+
+groups_reply ownership_controller::HandleFetchGroups() const
+{
+  groups_reply reply;
+  for (const auto& [group, state] : mGroups) {
+    if (state.Exists() && state.IsReady()) {
+      reply.mRecords.push_back(state.Record());
+    }
+  }
+  return reply;
+}
+
+const group_record* ownership_controller::FindRecord(group_index aGroup) const
+{
+  const auto found = mGroups.find(aGroup);
+  return found == mGroups.end() || !found->second.Exists()
+           ? nullptr
+           : &found->second.Record();
+}
+
+bool ownership_controller::HasAuthority(group_index aGroup,
+                                        time_point aNow) const
+{
+  const auto found = mGroups.find(aGroup);
+  return found != mGroups.end() && aNow < found->second.AuthorityUntil();
+}
+
+size_t ownership_controller::Rank(group_index aGroup) const
+{
+  const auto found = mGroups.find(aGroup);
+  return found == mGroups.end() ? mRouters.Live().size() : found->second.mRank;
+}
+
+bool ownership_controller::IsRenewer(group_index aGroup) const
+{
+  return Rank(aGroup) < kRenewers;
+}
+
+ownership_dump ownership_controller::Dump(time_point aNow) const
+{
+  ownership_dump dump;
+  dump.mSelf = mRouters.Self().mVm;
+  dump.mIsStoreAnswering = HasPollWithin(mSettings.mAuthority, aNow);
+  dump.mIsCutOff = mSender.IsCutOff(mLost);
+  dump.mCounters = mCounters;
+  for (const auto& [group, state] : mGroups) {
+    dump.mGroups.push_back({ state.Record(),
+                             state.mRank,
+                             state.IsReady(),
+                             aNow < state.AuthorityUntil(),
+                             state.mWrite.has_value(),
+                             state.Progress() });
+  }
+  for (const auto& [target, session] : mSender.Sessions()) {
+    dump.mTargets.push_back({ target,
+                              session.IsLost(aNow),
+                              session.Boot(),
+                              session.LastEvidenceAt() });
+  }
+  return dump;
+}
+
+bool ownership_controller::IsJoining(const group_state& aState) const
+{
+  const vm_identity& self = mRouters.Self().mVm;
+  const auto& holders = aState.Record().mHolders;
+  return std::any_of(holders.begin(), holders.end(), [&](const auto& aHolder) {
+    return aHolder.mJoining && aHolder.mVm == self.mName &&
+           aHolder.mIncarnation == self.mIncarnation;
+  });
+}
+
+size_t ownership_controller::WritesInFlight() const
+{
+  return static_cast<size_t>(
+    std::count_if(mGroups.begin(), mGroups.end(), [](const auto& aEntry) {
+      return aEntry.second.mWrite.has_value();
+    }));
+}
+
+bool ownership_controller::HasPollWithin(duration aTime, time_point aNow) const
+{
+  return mPollProofAt && aNow - *mPollProofAt < aTime;
+}
+
+bool ownership_controller::HasUncheckedOwner(const group_record& aRecord) const
+{
+  for (const auto& [slot, ownership] : aRecord.mSlots) {
+    const service_configuration* service =
+      mConfiguration ? mConfiguration->FindService(slot.mService) : nullptr;
+    const target_configuration* target =
+      service == nullptr ? nullptr : FindTarget(*service, ownership.mOwner);
+    if (target != nullptr && !target->mChecksGrants) {
+      return true;
+    }
+  }
+  return false;
+}
+
+uint64_t ownership_controller::WallMs(time_point aNow) const
+{
+  const duration sinceTick = mTickAt ? aNow - *mTickAt : duration::zero();
+  return static_cast<uint64_t>((mWall.time_since_epoch() + sinceTick) /
+                               std::chrono::milliseconds(1));
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Ownership/RouterTable.cpp
@@ -0,0 +1,230 @@
+#include "Parsleystair/Ownership/RouterTable.h"
+
+#include "Parsleystair/Core/Hash.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+namespace {
+
+constexpr size_t kHolders = 3;
+
+uint64_t Weight(group_index aGroup, const std::string& aName)
+{
+  std::string bytes = std::to_string(aGroup.Value());
+  bytes += '\0';
+  bytes += aName;
+  return Hash64(bytes);
+}
+
+bool HasElapsed(const std::map<vm_name, time_point>& aSince,
+                const vm_name& aVm,
+                const std::optional<time_point>& aDefault,
+                duration aTime,
+                time_point aNow)
+{
+  const auto found = aSince.find(aVm);
+  if (found != aSince.end()) {
+    return aNow - found->second >= aTime;
+  }
+  return aDefault && aNow - *aDefault >= aTime;
+}
+
+} // namespace
+
+router_table::router_table(live_router aSelf)
+  : mSelf(std::move(aSelf))
+{
+  mLive.emplace(mSelf.mVm.mName, mSelf);
+  mDomains[mSelf.mVm.mName] = mSelf.mFailureDomain;
+}
+
+void router_table::SetView(const router_view& aView, time_point aNow)
+{
+  std::map<vm_name, live_router> live;
+  for (const live_router& router : aView.mLive) {
+    live[router.mVm.mName] = router;
+    mDomains[router.mVm.mName] = router.mFailureDomain;
+  }
+  // A router knows best whether it leaves, but never calls itself lost.
+  const auto self = live.find(mSelf.mVm.mName);
+  if (self != live.end() && self->second.mVm == mSelf.mVm) {
+    mSelf.mLeaving = self->second.mLeaving;
+  }
+  live[mSelf.mVm.mName] = mSelf;
+  mLive.swap(live);
+  for (const auto& [name, router] : live) {
+    if (mLive.count(name) == 0) {
+      mAbsentSince.emplace(name, aNow);
+    }
+  }
+  UpdateAbsent(aNow);
+  UpdateListed(aView.mListed, aNow);
+}
+
+void router_table::UpdateAbsent(time_point aNow)
+{
+  if (!mFirstViewAt) {
+    mFirstViewAt = aNow;
+  }
+  std::erase_if(mAbsentSince, [&](const auto& aEntry) {
+    return mLive.count(aEntry.first) != 0;
+  });
+}
+
+void router_table::UpdateListed(const std::set<vm_name>& aListed,
+                                time_point aNow)
+{
+  if (aListed.empty()) {
+    return;
+  }
+  if (!mFirstListAt) {
+    mFirstListAt = aNow;
+  }
+  for (const vm_name& name : mListed) {
+    if (aListed.count(name) == 0) {
+      mUnlistedSince.emplace(name, aNow);
+    }
+  }
+  mListed = aListed;
+  std::erase_if(mUnlistedSince, [&](const auto& aEntry) {
+    return mListed.count(aEntry.first) != 0;
+  });
+}
+
+const live_router* router_table::FindLive(const vm_name& aVm) const
+{
+  const auto found = mLive.find(aVm);
+  return found == mLive.end() ? nullptr : &found->second;
+}
+
+bool router_table::IsAbsentFor(const vm_name& aVm,
+                               duration aTime,
+                               time_point aNow) const
+{
+  return mLive.count(aVm) == 0 &&
+         HasElapsed(mAbsentSince, aVm, mFirstViewAt, aTime, aNow);
+}
+
+bool router_table::IsGone(const vm_name& aVm,
+                          duration aTime,
+                          time_point aNow) const
+{
+  return !mListed.empty() && mListed.count(aVm) == 0 && mLive.count(aVm) == 0 &&
+         HasElapsed(mUnlistedSince, aVm, mFirstListAt, aTime, aNow);
+}
+
+size_t router_table::RankOfSelf(const group_record& aRecord) const
+{
+  // Live holders come first, leaving ones after them.
+  std::vector<vm_name> line;
+  for (const bool leaving : { false, true }) {
+    for (const group_holder& holder : aRecord.mHolders) {
+      const live_router* router = FindLive(holder.mVm);
+      if (router != nullptr && router->mLeaving == leaving) {
+        line.push_back(holder.mVm);
+      }
+    }
+  }
+  // Others only matter when fewer holders than renewers are live.
+  if (line.size() < kHolders) {
+    for (const live_router& router : ByRendezvous(aRecord.mGroup)) {
+      if (std::find(line.begin(), line.end(), router.mVm.mName) == line.end()) {
+        line.push_back(router.mVm.mName);
+      }
+    }
+  }
+  return static_cast<size_t>(
+    std::find(line.begin(), line.end(), mSelf.mVm.mName) - line.begin());
+}
+
+std::vector<live_router> router_table::ByRendezvous(group_index aGroup) const
+{
+  std::vector<std::pair<uint64_t, const live_router*>> weighted;
+  for (const auto& [name, router] : mLive) {
+    if (!router.mLeaving) {
+      weighted.emplace_back(Weight(aGroup, name.Value()), &router);
+    }
+  }
+  std::sort(weighted.begin(), weighted.end(), std::greater<>());
+  std::vector<live_router> routers;
+  routers.reserve(weighted.size());
+  for (const auto& [weight, router] : weighted) {
+    routers.push_back(*router);
+  }
+  return routers;
+}
+
+failure_domain_name router_table::DomainOf(const vm_name& aVm) const
+{
+  const auto found = mDomains.find(aVm);
+  return found == mDomains.end() ? failure_domain_name() : found->second;
+}
+
+std::vector<group_holder> router_table::ChooseHolders(
+  group_index aGroup,
+  const configuration& aConfiguration) const
+{
+  std::vector<group_holder> holders;
+  while (holders.size() < kHolders) {
+    const auto holder = ChooseHolder(aGroup, holders, aConfiguration);
+    if (!holder) {
+      break;
+    }
+    holders.push_back(*holder);
+    holders.back().mJoining = false;
+  }
+  return holders;
+}
+
+std::optional<group_holder> router_table::ChooseHolder(
+  group_index aGroup,
+  const std::vector<group_holder>& aOthers,
+  const configuration& aConfiguration) const
+{
+  // Count what the other holders cover already.
+  const region_name home = HomeRegion(aGroup, aConfiguration);
+  std::set<failure_domain_name> domains;
+  size_t atHome = 0;
+  for (const group_holder& other : aOthers) {
+    const failure_domain_name domain = DomainOf(other.mVm);
+    domains.insert(domain);
+    atHome += aConfiguration.RegionOf(domain) == home ? 1 : 0;
+  }
+  // Prefer the region that lacks a holder; take any other domain without.
+  constexpr size_t kHoldersAtHome = 2;
+  const bool wantsHome = atHome < kHoldersAtHome;
+  const live_router* second = nullptr;
+  const std::vector<live_router> candidates = ByRendezvous(aGroup);
+  for (const live_router& router : candidates) {
+    if (domains.count(router.mFailureDomain) != 0) {
+      continue;
+    }
+    const bool isHome = aConfiguration.RegionOf(router.mFailureDomain) == home;
+    if (isHome == wantsHome) {
+      return group_holder{ router.mVm.mName, router.mVm.mIncarnation, true };
+    }
+    second = second == nullptr ? &router : second;
+  }
+  if (second == nullptr) {
+    return std::nullopt;
+  }
+  return group_holder{ second->mVm.mName, second->mVm.mIncarnation, true };
+}
+
+region_name HomeRegion(group_index aGroup, const configuration& aConfiguration)
+{
+  region_name home;
+  uint64_t best = 0;
+  for (const auto& domain : aConfiguration.mFailureDomains) {
+    const uint64_t weight = Weight(aGroup, domain.mRegion.Value());
+    if (home == region_name() || weight > best) {
+      home = domain.mRegion;
+      best = weight;
+    }
+  }
+  return home;
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Ownership/TargetSession.cpp
@@ -0,0 +1,85 @@
+#include "Parsleystair/Ownership/TargetSession.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+bool target_session::HandleReply(const grant_reply& aReply,
+                                 time_point aSentAt,
+                                 time_point aNow)
+{
+  HandleEvidence(aSentAt, aNow);
+  if (mBoot != 0 && aSentAt < mReplySentAt) {
+    return false;
+  }
+  // A restarted target has forgotten which revisions it accepted.
+  if (aReply.mBoot != mBoot) {
+    mAccepted.clear();
+    mBootSeenAt = aNow;
+  }
+  mBoot = aReply.mBoot;
+  mClockMs = aReply.mClockMs;
+  mClockSeenAt = aNow;
+  mReplySentAt = aSentAt;
+  for (const accepted_grant& grant : aReply.mAccepted) {
+    mAccepted[grant.mGroup] = grant.mRevision;
+  }
+  for (const group_index& group : aReply.mUnknown) {
+    mAccepted.erase(group);
+  }
+  return true;
+}
+
+void target_session::HandleEvidence(time_point aSentAt, time_point aNow)
+{
+  // An answer that was long on its way says nothing of the present.
+  if (aNow - aSentAt >= mSettings.mSuspect) {
+    return;
+  }
+  mEvidenceAt = aNow;
+  mUnansweredSince.reset();
+}
+
+void target_session::RestartSuspicion(time_point aNow)
+{
+  if (mUnansweredSince) {
+    mUnansweredSince = aNow;
+  }
+  mEvidenceAt = aNow;
+}
+
+void target_session::HandleSent(time_point aNow)
+{
+  mSentAt = aNow;
+  mDueAt = aNow + mSettings.mRenew;
+  if (!mUnansweredSince) {
+    mUnansweredSince = aNow;
+  }
+}
+
+bool target_session::IsLost(time_point aNow) const
+{
+  if (!mUnansweredSince) {
+    return false;
+  }
+  const duration unanswered = aNow - *mUnansweredSince;
+  if (!mEvidenceAt) {
+    return unanswered >= mSettings.mSuspect;
+  }
+  // The message may have followed the last evidence by up to one renewal.
+  return aNow - *mEvidenceAt >= mSettings.mSuspect &&
+         unanswered >= mSettings.mSuspect - mSettings.mRenew;
+}
+
+bool target_session::HasOldClock(time_point aNow) const
+{
+  return !mClockSeenAt || aNow - *mClockSeenAt >= mSettings.mGrant / 2;
+}
+
+bool target_session::HasAccepted(const group_revision& aRevision) const
+{
+  const auto found = mAccepted.find(aRevision.mGroup);
+  return found != mAccepted.end() && found->second == aRevision.mRevision;
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Ownership/TargetSession.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Parsleystair/Ownership/OwnershipActions.h"
+#include "Parsleystair/Ownership/OwnershipSettings.h"
+
+#include <map>
+#include <optional>
+
+namespace parsleystair {
+
+/// What this router knows of one target: its clock, what it accepted and
+/// whether it still answers.
+class target_session
+{
+public:
+  explicit target_session(const ownership_settings& aSettings)
+    : mSettings(aSettings)
+  {
+  }
+
+  /// Notes a reply to a message sent at `aSentAt`. False when a reply to a
+  /// later message came before; then nothing but evidence of life is taken.
+  bool HandleReply(const grant_reply& aReply,
+                   time_point aSentAt,
+                   time_point aNow);
+
+  /// The target answered something that was sent at `aSentAt`.
+  void HandleEvidence(time_point aSentAt, time_point aNow);
+
+  /// Forgets the silence so far, because it may be this router's own.
+  void RestartSuspicion(time_point aNow);
+
+  /// Notes that something was sent that the target should answer.
+  void HandleSent(time_point aNow);
+
+  /// True when the target left everything unanswered for the suspicion time.
+  [[nodiscard]] bool IsLost(time_point aNow) const;
+
+  /// True when something was sent recently enough to judge the target.
+  [[nodiscard]] bool IsWatched() const { return mSentAt.has_value(); }
+
+  [[nodiscard]] bool IsDue(time_point aNow) const { return aNow >= mDueAt; }
+  void MakeDue() { mDueAt = time_point::min(); }
+
+  /// True when a message sent now would expire soon after its arrival.
+  [[nodiscard]] bool HasOldClock(time_point aNow) const;
+
+  /// Group at this revision with or without its slots, as the target needs.
+  [[nodiscard]] bool HasAccepted(const group_revision& aRevision) const;
+
+  [[nodiscard]] uint64_t ClockMs() const { return mClockMs; }
+  [[nodiscard]] uint64_t Boot() const { return mBoot; }
+  /// When this router first heard from the target's present process.
+  [[nodiscard]] time_point BootSeenAt() const { return mBootSeenAt; }
+  [[nodiscard]] std::optional<time_point> LastEvidenceAt() const
+  {
+    return mEvidenceAt;
+  }
+
+  /// A grant was held back for lack of authority.
+  bool mWithheld = false;
+
+private:
+  ownership_settings mSettings;
+  uint64_t mClockMs = 0;
+  uint64_t mBoot = 0;
+  time_point mBootSeenAt;
+  std::optional<time_point> mClockSeenAt;
+  time_point mReplySentAt;
+  std::optional<time_point> mEvidenceAt;
+  std::optional<time_point> mSentAt;
+  /// First message since the last evidence of life.
+  std::optional<time_point> mUnansweredSince;
+  time_point mDueAt = time_point::min();
+  std::map<group_index, store_revision> mAccepted;
+};
+
+} // namespace parsleystair
