--- /dev/null
+++ b/UnitTests/Request/AtMostOnceStateTest.cpp
@@ -0,0 +1,573 @@
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+#include <rapidcheck/state.h>
+
+#include "Parsleystair/Request/BeginAttempt.h"
+#include "Parsleystair/Request/RequestRecordTable.h"
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <memory>
+
+namespace parsleystair {
+
+namespace {
+
+constexpr int kNodes = 4;
+constexpr int kKeys = 2;
+constexpr duration kDeadline = 30s;
+const group_index kGroup(7);
+
+/// What the runs of all cases reached, to show that the test isn't empty.
+struct totals
+{
+  int mRuns = 0;
+  int mRepeats = 0;
+  int mNotRun = 0;
+  int mReplacements = 0;
+  int mForced = 0;
+};
+totals sTotals;
+
+struct node
+{
+  vm_identity mVm;
+  std::unique_ptr<request_record_table> mTable;
+  group_record mKnown;
+};
+
+struct tried_attempt
+{
+  begin_attempt mBegin;
+  size_t mKey = 0;
+  time_point mDeadline;
+  std::optional<begin_verdict> mVerdict;
+  bool mSent = false;
+  /// Finished, or withdrawn after a verdict that would have let it run.
+  bool mClosed = false;
+};
+
+struct tried_key
+{
+  request_key mKey;
+  uint64_t mTimeMs = 0;
+  std::vector<time_point> mRuns;
+};
+
+struct packet
+{
+  size_t mTo = 0;
+  vm_identity mFrom;
+  size_t mAttempt = 0;
+  store_revision mRevision;
+  std::variant<begin_message,
+               withdraw_message,
+               finish_message,
+               copy_records_message,
+               begin_reply,
+               copy_records_reply>
+    mBody;
+};
+
+http_answer AnswerOf(const request_key& aKey)
+{
+  return { 200, {}, "answer of " + aKey.mKey };
+}
+
+/// Routers that are entry routers and holders, the store's group record and the
+/// messages between them. All arguments are raw choices, taken modulo what
+/// there is.
+class world
+{
+public:
+  world()
+  {
+    mStore.mGroup = kGroup;
+    mStore.mRevision = store_revision(1);
+    for (int i = 0; i < kNodes; ++i) {
+      mNodes.push_back(MakeNode(i));
+    }
+    for (int i = 0; i < 3; ++i) {
+      mStore.mHolders.push_back(
+        { mNodes[i].mVm.mName, mNodes[i].mVm.mIncarnation, false });
+    }
+    for (node& router : mNodes) {
+      router.mKnown = mStore;
+      router.mTable->UpdateGroup(mStore, true);
+    }
+    for (int i = 0; i < kKeys; ++i) {
+      ReplaceKey(i, i);
+    }
+  }
+
+  void Begin(uint32_t aNode, uint32_t aKey)
+  {
+    const size_t key = aKey % kKeys;
+    begin_message message;
+    message.mGroup = kGroup;
+    message.mKey = mKeys[key].mKey;
+    message.mAttempt = attempt_id(std::to_string(mAttempts.size() + 1));
+    message.mFingerprint = 1;
+    message.mKeyTimeMs = mKeys[key].mTimeMs;
+    const group_record& known = mNodes[aNode % kNodes].mKnown;
+    const time_point deadline = mNow + kDeadline;
+    mAttempts.push_back(
+      { begin_attempt(known, message, 0, deadline), key, deadline, {} });
+    tried_attempt& attempt = mAttempts.back();
+    attempt.mVerdict = attempt.mBegin.CheckHolders();
+    if (!attempt.mVerdict) {
+      SendTo(attempt.mBegin.Holders(), attempt.mBegin.Message());
+    }
+  }
+
+  void Deliver(uint32_t aPacket, uint32_t aKeep)
+  {
+    if (mPackets.empty()) {
+      return;
+    }
+    // Mostly one of the oldest packets, so that attempts come to an end.
+    const size_t choices =
+      aKeep % 5 == 0 ? mPackets.size() : std::min<size_t>(4, mPackets.size());
+    const size_t index = aPacket % choices;
+    const packet taken = mPackets[index];
+    if (aKeep % 16 != 0) {
+      mPackets.erase(mPackets.begin() + static_cast<long>(index));
+    }
+    std::visit([&](const auto& aBody) { Handle(taken, aBody); }, taken.mBody);
+  }
+
+  void Drop(uint32_t aPacket, uint32_t = 0)
+  {
+    if (!mPackets.empty()) {
+      mPackets.erase(mPackets.begin() +
+                     static_cast<long>(aPacket % mPackets.size()));
+    }
+  }
+
+  void TimeOut(uint32_t aAttempt, uint32_t aHolder)
+  {
+    if (mAttempts.empty()) {
+      return;
+    }
+    const size_t recent = std::min<size_t>(4, mAttempts.size());
+    const size_t index = mAttempts.size() - 1 - aAttempt % recent;
+    const auto holders = mAttempts[index].mBegin.Holders();
+    TakeResult(index, holders[aHolder % holders.size()], {});
+  }
+
+  void Send(uint32_t aAttempt, uint32_t = 0)
+  {
+    tried_attempt* attempt = FindRunning(aAttempt, false);
+    if (attempt == nullptr || mNow >= attempt->mDeadline) {
+      return;
+    }
+    attempt->mSent = true;
+    tried_key& key = mKeys[attempt->mKey];
+    if (key.mKey != attempt->mBegin.Message().mKey) {
+      return;
+    }
+    // Keys without a time are recognised for the record time only.
+    for (const time_point run : key.mRuns) {
+      RC_ASSERT(key.mTimeMs == 0);
+      RC_ASSERT(mNow - run >= 600s);
+    }
+    key.mRuns.push_back(mNow);
+    ++sTotals.mRuns;
+  }
+
+  void Finish(uint32_t aAttempt, uint32_t aWithAnswer)
+  {
+    tried_attempt* attempt = FindRunning(aAttempt, true);
+    if (attempt == nullptr) {
+      return;
+    }
+    attempt->mClosed = true;
+    std::optional<http_answer> answer;
+    if (aWithAnswer % 4 != 0) {
+      answer = AnswerOf(attempt->mBegin.Message().mKey);
+    }
+    SendTo(attempt->mBegin.Holders(), attempt->mBegin.FinishMessage(answer));
+  }
+
+  void Abandon(uint32_t aAttempt, uint32_t = 0)
+  {
+    tried_attempt* attempt = FindRunning(aAttempt, false);
+    if (attempt != nullptr) {
+      attempt->mClosed = true;
+      Withdraw(*attempt);
+    }
+  }
+
+  void Learn(uint32_t aNode, uint32_t = 0)
+  {
+    node& router = mNodes[aNode % kNodes];
+    router.mKnown = mStore;
+    router.mTable->UpdateGroup(mStore, false);
+  }
+
+  void Restart(uint32_t aNode, uint32_t = 0)
+  {
+    const size_t index = aNode % kNodes;
+    group_record known = mNodes[index].mKnown;
+    mNodes[index] = MakeNode(index);
+    mNodes[index].mKnown = std::move(known);
+  }
+
+  /// Puts a router that isn't a holder, or a restarted one, in a holder's
+  /// place.
+  void Replace(uint32_t aHolder, uint32_t aNode)
+  {
+    if (Joining() != nullptr) {
+      return;
+    }
+    group_holder& replaced = mStore.mHolders[aHolder % mStore.mHolders.size()];
+    const node& added = mNodes[aNode % kNodes];
+    for (const group_holder& holder : mStore.mHolders) {
+      if (&holder != &replaced && holder.mVm == added.mVm.mName) {
+        return;
+      }
+    }
+    replaced = { added.mVm.mName, added.mVm.mIncarnation, true };
+    Write();
+    Learn(aNode);
+    ++sTotals.mReplacements;
+  }
+
+  void Copy(uint32_t, uint32_t)
+  {
+    const group_holder* joining = Joining();
+    if (joining == nullptr) {
+      return;
+    }
+    mCopies.clear();
+    for (const group_holder& holder : mStore.mHolders) {
+      if (!holder.mJoining) {
+        packet request{ IndexOf(holder.mVm), {}, 0, mStore.mRevision, {} };
+        request.mFrom = { joining->mVm, joining->mIncarnation };
+        request.mBody = copy_records_message{ mStore };
+        mPackets.push_back(std::move(request));
+      }
+    }
+  }
+
+  /// Forces the joining holder when each other holder is gone or has moved to
+  /// the newest record.
+  void Force(uint32_t, uint32_t)
+  {
+    const group_holder* joining = Joining();
+    if (joining == nullptr) {
+      return;
+    }
+    bool gone = false;
+    for (const group_holder& holder : mStore.mHolders) {
+      const bool isGone = MemoryIsGone(holder);
+      gone = gone || isGone;
+      if (!holder.mJoining && !isGone && !mCopies.contains(holder.mVm)) {
+        return;
+      }
+    }
+    node& router = mNodes[IndexOf(joining->mVm)];
+    if (!gone || MemoryIsGone(*joining)) {
+      return;
+    }
+    router.mTable->UpdateGroup(mStore, false);
+    router.mTable->MarkReadySince(kGroup, WallNow(), mNow);
+    ++sTotals.mForced;
+  }
+
+  void ClearJoining(uint32_t, uint32_t)
+  {
+    const group_holder* joining = Joining();
+    if (joining == nullptr || MemoryIsGone(*joining)) {
+      return;
+    }
+    if (mNodes[IndexOf(joining->mVm)].mTable->IsReady(kGroup)) {
+      for (group_holder& holder : mStore.mHolders) {
+        holder.mJoining = false;
+      }
+      Write();
+    }
+  }
+
+  void Advance(uint32_t aAmount, uint32_t = 0)
+  {
+    const duration longest = aAmount % 12 == 0 ? duration(700s) : duration(2s);
+    mNow += duration(aAmount * 7919LL % longest.count());
+  }
+
+  void ReplaceKey(uint32_t aKey, uint32_t aKind)
+  {
+    tried_key& key = mKeys[aKey % kKeys];
+    key = {};
+    key.mKey = { service_name("orders"), rule_name("release"), {} };
+    key.mKey.mKey = "key-" + std::to_string(++mMadeKeys);
+    if (aKind % 3 != 0) {
+      // From 9 minutes old to one minute ahead.
+      const auto age = std::chrono::milliseconds(aKind * 331LL % 600'000);
+      key.mTimeMs = static_cast<uint64_t>(
+        (WallNow() + 60s - age).time_since_epoch().count());
+    }
+  }
+
+private:
+  node MakeNode(size_t aIndex)
+  {
+    const vm_identity vm{ vm_name(
+                            std::string(1, static_cast<char>('a' + aIndex))),
+                          incarnation(++mIncarnations) };
+    return { vm,
+             std::make_unique<request_record_table>(vm,
+                                                    request_record_limits{}),
+             {} };
+  }
+
+  [[nodiscard]] wall_time WallNow() const
+  {
+    return wall_time(1'800'000'000s) +
+           std::chrono::duration_cast<std::chrono::milliseconds>(
+             mNow.time_since_epoch());
+  }
+
+  size_t IndexOf(const vm_name& aName) { return aName.Value()[0] - 'a'; }
+
+  bool MemoryIsGone(const group_holder& aHolder)
+  {
+    return mNodes[IndexOf(aHolder.mVm)].mVm.mIncarnation !=
+           aHolder.mIncarnation;
+  }
+
+  const group_holder* Joining()
+  {
+    for (const group_holder& holder : mStore.mHolders) {
+      if (holder.mJoining) {
+        return &holder;
+      }
+    }
+    return nullptr;
+  }
+
+  void Write()
+  {
+    mStore.mRevision = store_revision(mStore.mRevision.Value() + 1);
+    mCopies.clear();
+  }
+
+  template<typename Message>
+  void SendTo(const std::vector<vm_identity>& aHolders, const Message& aMessage)
+  {
+    for (const vm_identity& holder : aHolders) {
+      mPackets.push_back(
+        { IndexOf(holder.mName), holder, mAttempts.size() - 1, {}, aMessage });
+    }
+  }
+
+  void Withdraw(const tried_attempt& aAttempt)
+  {
+    SendTo(aAttempt.mBegin.PossibleAcceptors(),
+           aAttempt.mBegin.WithdrawMessage());
+  }
+
+  tried_attempt* FindRunning(uint32_t aAttempt, bool aSent)
+  {
+    std::vector<tried_attempt*> found;
+    for (tried_attempt& attempt : mAttempts) {
+      const bool mayRun = attempt.mVerdict &&
+                          std::holds_alternative<begin_run>(*attempt.mVerdict);
+      if (mayRun && !attempt.mClosed && attempt.mSent == aSent) {
+        found.push_back(&attempt);
+      }
+    }
+    return found.empty() ? nullptr : found[aAttempt % found.size()];
+  }
+
+  void TakeResult(size_t aAttempt,
+                  const vm_identity& aHolder,
+                  const peer_result<begin_reply>& aResult)
+  {
+    tried_attempt& attempt = mAttempts[aAttempt];
+    const auto verdict =
+      attempt.mBegin.HandleResult(aHolder, aResult, mNow, mRandom);
+    if (!verdict) {
+      return;
+    }
+    RC_ASSERT(!attempt.mVerdict.has_value());
+    RC_ASSERT(!attempt.mSent);
+    attempt.mVerdict = verdict;
+    if (const auto* repeat = std::get_if<begin_repeat>(&*verdict)) {
+      const tried_key& key = mKeys[attempt.mKey];
+      if (key.mKey == attempt.mBegin.Message().mKey) {
+        RC_ASSERT(!key.mRuns.empty());
+        RC_ASSERT(repeat->mAnswer == AnswerOf(key.mKey));
+      }
+      ++sTotals.mRepeats;
+    }
+    sTotals.mNotRun += std::holds_alternative<refused_not_run>(*verdict);
+    if (!std::holds_alternative<begin_run>(*verdict)) {
+      Withdraw(attempt);
+    }
+  }
+
+  void Handle(const packet& aPacket, const begin_message& aMessage)
+  {
+    node& router = mNodes[aPacket.mTo];
+    packet reply = aPacket;
+    reply.mBody =
+      router.mTable->HandleBegin(aMessage, router.mKnown, mNow, WallNow());
+    reply.mAttempt = std::stoul(aMessage.mAttempt.Value()) - 1;
+    mPackets.push_back(std::move(reply));
+  }
+
+  void Handle(const packet& aPacket, const withdraw_message& aMessage)
+  {
+    mNodes[aPacket.mTo].mTable->HandleWithdraw(aMessage, mNow);
+  }
+
+  void Handle(const packet& aPacket, const finish_message& aMessage)
+  {
+    mNodes[aPacket.mTo].mTable->HandleFinish(aMessage, mNow);
+  }
+
+  void Handle(const packet& aPacket, const copy_records_message& aMessage)
+  {
+    node& router = mNodes[aPacket.mTo];
+    packet reply = aPacket;
+    reply.mBody =
+      router.mTable->HandleCopyRecords(aMessage, router.mKnown, mNow);
+    reply.mTo = IndexOf(aPacket.mFrom.mName);
+    reply.mFrom = router.mVm;
+    mPackets.push_back(std::move(reply));
+  }
+
+  void Handle(const packet& aPacket, const begin_reply& aReply)
+  {
+    TakeResult(
+      aPacket.mAttempt, aPacket.mFrom, { peer_status::kAnswered, aReply });
+  }
+
+  void Handle(const packet& aPacket, const copy_records_reply& aReply)
+  {
+    const group_holder* joining = Joining();
+    if (joining == nullptr || aPacket.mRevision != mStore.mRevision ||
+        MemoryIsGone(*joining) || IndexOf(joining->mVm) != aPacket.mTo) {
+      return;
+    }
+    mCopies[aPacket.mFrom.mName] = aReply;
+    if (mCopies.size() == mStore.mHolders.size() - 1) {
+      std::vector<copy_records_reply> copies;
+      for (const auto& [name, copy] : mCopies) {
+        copies.push_back(copy);
+      }
+      mNodes[aPacket.mTo].mTable->InstallCopies(mStore, copies, mNow);
+    }
+  }
+
+  group_record mStore;
+  time_point mNow{ 1h };
+  uint64_t mIncarnations = 0;
+  int mMadeKeys = 0;
+  std::vector<node> mNodes;
+  tried_key mKeys[kKeys];
+  std::vector<tried_attempt> mAttempts;
+  std::vector<packet> mPackets;
+  /// Complete copies that the joining holder has, by sender.
+  std::map<vm_name, copy_records_reply> mCopies;
+  std::mt19937_64 mRandom{ 1 };
+};
+
+struct no_model
+{};
+
+using action = void (world::*)(uint32_t, uint32_t);
+
+struct weighted_action
+{
+  const char* mName;
+  size_t mWeight;
+  action mAction;
+};
+
+const std::vector<weighted_action> kActions = {
+  { "deliver", 100, &world::Deliver }, { "begin", 10, &world::Begin },
+  { "send", 10, &world::Send },        { "finish", 3, &world::Finish },
+  { "abandon", 1, &world::Abandon },   { "drop", 3, &world::Drop },
+  { "timeout", 3, &world::TimeOut },   { "learn", 10, &world::Learn },
+  { "replace", 3, &world::Replace },   { "copy", 4, &world::Copy },
+  { "force", 2, &world::Force },       { "clear", 5, &world::ClearJoining },
+  { "restart", 2, &world::Restart },   { "advance", 2, &world::Advance },
+  { "key", 2, &world::ReplaceKey },
+};
+
+class step : public rc::state::Command<no_model, world>
+{
+public:
+  step(size_t aAction, uint32_t aFirst, uint32_t aSecond)
+    : mAction(aAction)
+    , mFirst(aFirst)
+    , mSecond(aSecond)
+  {
+  }
+
+  void run(const no_model&, world& aWorld) const override
+  {
+    (aWorld.*kActions[mAction].mAction)(mFirst, mSecond);
+  }
+
+  void show(std::ostream& aStream) const override
+  {
+    aStream << kActions[mAction].mName << "(" << mFirst << "," << mSecond
+            << ")";
+  }
+
+private:
+  size_t mAction;
+  uint32_t mFirst;
+  uint32_t mSecond;
+};
+
+rc::Gen<std::shared_ptr<const rc::state::Command<no_model, world>>> AnyStep()
+{
+  return rc::gen::noShrink(rc::gen::exec([] {
+    std::vector<size_t> choices;
+    for (size_t i = 0; i < kActions.size(); ++i) {
+      choices.insert(choices.end(), kActions[i].mWeight, i);
+    }
+    const size_t chosen = *rc::gen::elementOf(choices);
+    const auto first = *rc::gen::inRange<uint32_t>(0, 1'000'000);
+    const auto second = *rc::gen::inRange<uint32_t>(0, 1'000'000);
+    return std::shared_ptr<const rc::state::Command<no_model, world>>(
+      std::make_shared<step>(chosen, first, second));
+  }));
+}
+
+} // namespace
+
+// Guards against a request that runs twice, and against a "not run" or repeated
+// answer that is wrong, while holders are replaced, restarted and forced and
+// messages are lost, late or repeated.
+TEST(AtMostOnceState, EachRequestRunsAtMostOnce)
+{
+  // Several worlds a case reach the rare rules with the default of 100 cases.
+  constexpr int kWorlds = 10;
+  EXPECT_TRUE(rc::check([] {
+    for (int i = 0; i < kWorlds; ++i) {
+      world sut;
+      const auto steps = *rc::gen::scale(
+        10.0, rc::state::gen::commands(no_model(), [](const no_model&) {
+          return AnyStep();
+        }));
+      rc::state::runAll(steps, no_model(), sut);
+    }
+  }));
+  std::cout << "runs " << sTotals.mRuns << ", repeats " << sTotals.mRepeats
+            << ", not run " << sTotals.mNotRun << ", replacements "
+            << sTotals.mReplacements << ", forced " << sTotals.mForced << "\n";
+  // The cases reach what the test is made for.
+  EXPECT_GT(sTotals.mRuns, 0);
+  EXPECT_GT(sTotals.mRepeats, 0);
+  EXPECT_GT(sTotals.mNotRun, 0);
+  EXPECT_GT(sTotals.mForced, 0);
+}
+
+} // namespace parsleystair
