Add the request queue, concurrency limits, crash table and outlier tracker

Cause: targets run 4 to 6 requests at a time for 12 routers, one request may crash every target, and a target may fail alone. Change: request_queue orders by priority, turn of the caller and deadline, and sheds early; fixed_limit and adaptive_limit decide on slots; crash_table refuses content after two crashes and merges peers' notices without counting one crash twice; outlier_tracker ejects at most a third of the targets. State tests share UnitTests/Support/RandomActions.h.

--- /dev/null
+++ b/Parsleystair/Limits/ConcurrencyLimit.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "Parsleystair/Core/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+
+namespace parsleystair {
+
+/// How one request at a target ended.
+struct limit_sample
+{
+  /// From the send to the end of the answer.
+  duration mLatency{};
+  /// Requests in flight at the send, this one included.
+  uint32_t mInFlight = 0;
+  /// The target refused the request because of load, or did not answer in time.
+  bool mOverloaded = false;
+};
+
+/// Decides how many requests one router may have in flight at one target.
+class concurrency_limit
+{
+public:
+  virtual ~concurrency_limit() = default;
+
+  /// Tells if one more request may start.
+  [[nodiscard]] virtual bool Allows(uint32_t aInFlight,
+                                    time_point aNow) const = 0;
+  virtual void HandleStart(time_point aNow) = 0;
+  virtual void HandleEnd(const limit_sample& aSample, time_point aNow) = 0;
+  /// Requests in flight that the limit aims at; may be below 1.
+  [[nodiscard]] virtual double Value() const = 0;
+};
+
+/// The same limit at all times.
+class fixed_limit : public concurrency_limit
+{
+public:
+  /// `aLimit` is at least 1.
+  explicit fixed_limit(uint32_t aLimit);
+
+  [[nodiscard]] bool Allows(uint32_t aInFlight, time_point aNow) const override;
+  void HandleStart(time_point aNow) override;
+  void HandleEnd(const limit_sample& aSample, time_point aNow) override;
+  [[nodiscard]] double Value() const override;
+
+private:
+  uint32_t mLimit;
+};
+
+/// Follows the ratio of the lowest latency seen to the present one. Below one
+/// request in flight it spaces starts out, because many routers share a target
+/// that runs fewer requests at a time than there are routers.
+class adaptive_limit : public concurrency_limit
+{
+public:
+  /// `aMax` is at least 1, `aStart` from `kMin` to `aMax`.
+  adaptive_limit(double aStart, double aMax);
+
+  /// Lowest value of the limit.
+  static constexpr double kMin = 0.05;
+
+  [[nodiscard]] bool Allows(uint32_t aInFlight, time_point aNow) const override;
+  void HandleStart(time_point aNow) override;
+  void HandleEnd(const limit_sample& aSample, time_point aNow) override;
+  [[nodiscard]] double Value() const override;
+
+private:
+  struct baseline
+  {
+    time_point mFrom;
+    duration mLowest;
+  };
+
+  void EndWindow(time_point aNow);
+  void AddBaseline(duration aMean, time_point aNow);
+  [[nodiscard]] duration Baseline() const;
+
+  double mLimit;
+  double mMax;
+  duration mLatencySum{};
+  int64_t mSamples = 0;
+  uint32_t mMostInFlight = 0;
+  bool mOverloaded = false;
+  /// Earliest next start while the limit is below 1.
+  time_point mNextStart = time_point::min();
+  duration mMeanLatency{};
+  std::deque<baseline> mBaselines;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Limits/OutlierTracker.cpp
@@ -0,0 +1,74 @@
+#include "Parsleystair/Limits/OutlierTracker.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+namespace {
+
+constexpr uint32_t kFailuresToEject = 5;
+/// Part of the targets that may be ejected at a time.
+constexpr size_t kEjectedDivisor = 3;
+constexpr duration kFirstEjection = 2s;
+constexpr uint32_t kMaxDoublings = 4;
+
+} // namespace
+
+void outlier_tracker::SetTargets(const std::vector<target_name>& aTargets)
+{
+  std::map<target_name, target_health> targets;
+  for (const target_name& name : aTargets) {
+    targets[name] = mTargets[name];
+  }
+  mTargets = std::move(targets);
+}
+
+void outlier_tracker::HandleResult(const target_name& aTarget,
+                                   bool aFailed,
+                                   time_point aNow)
+{
+  const auto found = mTargets.find(aTarget);
+  if (found == mTargets.end()) {
+    return;
+  }
+  target_health& health = found->second;
+  // Results of requests from before the ejection say nothing new.
+  if (aNow < health.mEjectedUntil) {
+    return;
+  }
+  if (!aFailed) {
+    health = target_health();
+    return;
+  }
+
+  // After an ejection the next failure ejects again, for longer.
+  health.mFailures += 1;
+  const bool repeated = health.mEjections > 0;
+  if (health.mFailures < kFailuresToEject && !repeated) {
+    return;
+  }
+  if ((EjectedCount(aNow) + 1) * kEjectedDivisor > mTargets.size()) {
+    return;
+  }
+  const uint32_t doublings = std::min(health.mEjections, kMaxDoublings);
+  health.mEjectedUntil = aNow + kFirstEjection * (1u << doublings);
+  health.mEjections += 1;
+  health.mFailures = 0;
+}
+
+bool outlier_tracker::IsEjected(const target_name& aTarget,
+                                time_point aNow) const
+{
+  const auto found = mTargets.find(aTarget);
+  return found != mTargets.end() && aNow < found->second.mEjectedUntil;
+}
+
+size_t outlier_tracker::EjectedCount(time_point aNow) const
+{
+  return static_cast<size_t>(
+    std::count_if(mTargets.begin(), mTargets.end(), [&](const auto& aTarget) {
+      return aNow < aTarget.second.mEjectedUntil;
+    }));
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Limits/RequestQueue.cpp
@@ -0,0 +1,219 @@
+#include "Parsleystair/Limits/RequestQueue.h"
+
+#include "Parsleystair/Core/Invariant.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace parsleystair {
+
+namespace {
+
+/// Weight of one sample in the moving average of slot times.
+constexpr int64_t kSlotTimeDivisor = 16;
+constexpr uint32_t kMaxRetryAfterMs = 30'000;
+
+} // namespace
+
+request_queue::request_queue(std::unique_ptr<concurrency_limit> aLimit,
+                             size_t aMaxLength)
+  : mLimit(std::move(aLimit))
+  , mMaxLength(aMaxLength)
+{
+  PARSLEYSTAIR_INVARIANT(mLimit != nullptr);
+  PARSLEYSTAIR_INVARIANT(aMaxLength > 0);
+}
+
+offer_result request_queue::Offer(const queued_request& aRequest,
+                                  time_point aNow)
+{
+  if (aNow >= aRequest.mDeadline) {
+    return { false, Shed(aRequest, refusal_reason::kDeadlineExceeded) };
+  }
+  if (mWaiting.empty() && mLimit->Allows(mInFlight, aNow)) {
+    Start(aNow);
+    return { true, {} };
+  }
+
+  // Is the turn of the request expected in time?
+  waiting_request waiting;
+  waiting.mRequest = aRequest;
+  waiting.mUntil = std::min(aRequest.mDeadline, aNow + aRequest.mMaxWait);
+  waiting.mTurn = NextTurn(aRequest.mCaller);
+  const duration wait = ExpectedWait(CountAhead(waiting));
+  const bool late = aNow + wait >= waiting.mUntil ||
+                    aNow + wait + mSlotTime >= aRequest.mDeadline;
+  if (late) {
+    return { false, Shed(aRequest, refusal_reason::kOverloaded) };
+  }
+
+  // A full queue may take it in the place of a less urgent one.
+  offer_result result;
+  if (mWaiting.size() >= mMaxLength) {
+    const std::optional<size_t> victim = FindVictim(waiting);
+    if (!victim) {
+      return { false, Shed(aRequest, refusal_reason::kOverloaded) };
+    }
+    result.mShed =
+      Shed(mWaiting[*victim].mRequest, refusal_reason::kOverloaded);
+    Erase(*victim);
+  }
+  mWaiting.push_back(std::move(waiting));
+  PARSLEYSTAIR_INVARIANT(mWaiting.size() <= mMaxLength);
+  return result;
+}
+
+std::optional<queue_ticket> request_queue::TakeNext(time_point aNow)
+{
+  if (!mLimit->Allows(mInFlight, aNow)) {
+    return std::nullopt;
+  }
+  std::optional<size_t> next;
+  for (size_t i = 0; i < mWaiting.size(); ++i) {
+    if (aNow >= mWaiting[i].mUntil) {
+      continue;
+    }
+    const auto order = [](const waiting_request& aWaiting) {
+      return std::tuple(aWaiting.mRequest.mPriority,
+                        aWaiting.mTurn,
+                        aWaiting.mRequest.mDeadline);
+    };
+    if (!next || order(mWaiting[i]) < order(mWaiting[*next])) {
+      next = i;
+    }
+  }
+  if (!next) {
+    return std::nullopt;
+  }
+
+  const queue_ticket ticket = mWaiting[*next].mRequest.mTicket;
+  mTurn = std::max(mTurn, mWaiting[*next].mTurn);
+  Erase(*next);
+  Start(aNow);
+  return ticket;
+}
+
+std::vector<shed_request> request_queue::TakeExpired(time_point aNow)
+{
+  std::vector<shed_request> expired;
+  for (size_t i = 0; i < mWaiting.size();) {
+    const waiting_request& waiting = mWaiting[i];
+    if (aNow < waiting.mUntil) {
+      ++i;
+      continue;
+    }
+    const bool atDeadline = aNow >= waiting.mRequest.mDeadline;
+    expired.push_back(Shed(waiting.mRequest,
+                           atDeadline ? refusal_reason::kDeadlineExceeded
+                                      : refusal_reason::kOverloaded));
+    Erase(i);
+  }
+  return expired;
+}
+
+bool request_queue::Remove(queue_ticket aTicket)
+{
+  for (size_t i = 0; i < mWaiting.size(); ++i) {
+    if (mWaiting[i].mRequest.mTicket == aTicket) {
+      Erase(i);
+      return true;
+    }
+  }
+  return false;
+}
+
+void request_queue::HandleEnd(const limit_sample& aSample, time_point aNow)
+{
+  PARSLEYSTAIR_INVARIANT(mInFlight > 0);
+  mInFlight -= 1;
+  mLimit->HandleEnd(aSample, aNow);
+  if (mSlotTime == duration::zero()) {
+    mSlotTime = aSample.mLatency;
+    return;
+  }
+  mSlotTime += (aSample.mLatency - mSlotTime) / kSlotTimeDivisor;
+}
+
+duration request_queue::ExpectedWait(size_t aAhead) const
+{
+  const double requests = static_cast<double>(aAhead) + 1;
+  const double slotTime = static_cast<double>(mSlotTime.count());
+  return duration(static_cast<int64_t>(requests * slotTime / mLimit->Value()));
+}
+
+void request_queue::Start(time_point aNow)
+{
+  mInFlight += 1;
+  mLimit->HandleStart(aNow);
+}
+
+size_t request_queue::CountAhead(const waiting_request& aRequest) const
+{
+  const auto order = [](const waiting_request& aWaiting) {
+    return std::tuple(
+      aWaiting.mRequest.mPriority, aWaiting.mTurn, aWaiting.mRequest.mDeadline);
+  };
+  return static_cast<size_t>(
+    std::count_if(mWaiting.begin(), mWaiting.end(), [&](const auto& aWaiting) {
+      return order(aWaiting) <= order(aRequest);
+    }));
+}
+
+/// Start-time fair queueing with equal weights: the first waiting request of
+/// each caller has the present turn, its second the next, and so on.
+uint64_t request_queue::NextTurn(const caller_name& aCaller) const
+{
+  uint64_t turn = mTurn;
+  for (const waiting_request& waiting : mWaiting) {
+    if (waiting.mRequest.mCaller == aCaller) {
+      turn = std::max(turn, waiting.mTurn + 1);
+    }
+  }
+  return turn;
+}
+
+size_t request_queue::CountOf(const caller_name& aCaller) const
+{
+  return static_cast<size_t>(
+    std::count_if(mWaiting.begin(), mWaiting.end(), [&](const auto& aWaiting) {
+      return aWaiting.mRequest.mCaller == aCaller;
+    }));
+}
+
+/// The last request in order, if it has a lower priority than the new one, or
+/// the same priority and a later turn, so that one caller can't fill the queue.
+std::optional<size_t> request_queue::FindVictim(
+  const waiting_request& aRequest) const
+{
+  const auto order = [](const waiting_request& aWaiting) {
+    return std::pair(aWaiting.mRequest.mPriority, aWaiting.mTurn);
+  };
+  const auto last =
+    std::max_element(mWaiting.begin(),
+                     mWaiting.end(),
+                     [&](const auto& aLeft, const auto& aRight) {
+                       return order(aLeft) < order(aRight);
+                     });
+  if (last == mWaiting.end() || order(*last) <= order(aRequest)) {
+    return std::nullopt;
+  }
+  return static_cast<size_t>(last - mWaiting.begin());
+}
+
+shed_request request_queue::Shed(const queued_request& aRequest,
+                                 refusal_reason aReason) const
+{
+  const duration drained = ExpectedWait(mWaiting.size());
+  const auto drainedMs =
+    std::chrono::ceil<std::chrono::milliseconds>(drained).count();
+  const auto retryAfterMs = std::clamp<int64_t>(drainedMs, 1, kMaxRetryAfterMs);
+  return { aRequest.mTicket, aReason, static_cast<uint32_t>(retryAfterMs) };
+}
+
+void request_queue::Erase(size_t aIndex)
+{
+  PARSLEYSTAIR_INVARIANT(aIndex < mWaiting.size());
+  mWaiting.erase(mWaiting.begin() + static_cast<std::ptrdiff_t>(aIndex));
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/UnitTests/Limits/LimitsTest.cpp
@@ -0,0 +1,113 @@
+#include "Parsleystair/Limits/ConcurrencyLimit.h"
+#include "Parsleystair/Limits/CrashTable.h"
+#include "Parsleystair/Limits/OutlierTracker.h"
+
+#include <gtest/gtest.h>
+
+namespace parsleystair {
+
+namespace {
+
+const time_point kStart{ 1h };
+const vm_name kPeer("p");
+
+void Feed(adaptive_limit& aLimit, int aCount, limit_sample aSample)
+{
+  for (int i = 0; i < aCount; ++i) {
+    aLimit.HandleEnd(aSample, kStart);
+  }
+}
+
+} // namespace
+
+// Guards against a limit that stays high while the target's queue grows, or
+// never rises again.
+TEST(AdaptiveLimit, FollowsLatency)
+{
+  adaptive_limit limit(4, 6);
+  Feed(limit, 100, { 20ms, 4, false });
+  EXPECT_GT(limit.Value(), 4.0);
+  Feed(limit, 200, { 200ms, 4, false });
+  EXPECT_LT(limit.Value(), 1.0);
+  EXPECT_GE(limit.Value(), adaptive_limit::kMin);
+  limit.HandleStart(kStart);
+  EXPECT_FALSE(limit.Allows(0, kStart + 19ms));
+  Feed(limit, 2000, { 20ms, 6, false });
+  EXPECT_EQ(limit.Value(), 6.0);
+}
+
+// Guards against content that is refused after one crash, or not after two at
+// different routers, or for more than 300 s.
+TEST(CrashTable, RefusesAfterTwoCrashes)
+{
+  crash_table table(2);
+  table.HandleCrash(1, kStart);
+  EXPECT_FALSE(table.RefusedFor(1, kStart));
+  table.Merge(kPeer, { 1, 1, 300'000 }, kStart);
+  EXPECT_EQ(table.RefusedFor(1, kStart), 300s);
+  EXPECT_FALSE(table.RefusedFor(2, kStart));
+  EXPECT_FALSE(table.RefusedFor(1, kStart + 300s));
+
+  // A full table drops single crashes, but no refusal.
+  table.HandleCrash(2, kStart);
+  table.HandleCrash(3, kStart);
+  EXPECT_EQ(table.Size(), 2u);
+  EXPECT_TRUE(table.RefusedFor(1, kStart));
+}
+
+// Guards against one crash that comes back from peers as a second, and against
+// two routers that extend each other's refusals for ever.
+TEST(CrashTable, IgnoresEchoes)
+{
+  crash_table one(10);
+  crash_table other(10);
+  one.HandleCrash(1, kStart);
+  time_point now = kStart;
+  const auto exchange =
+    [&](const char* aName, crash_table& aFrom, crash_table& aTo) {
+      for (const crash_notice& notice : aFrom.Notices(now)) {
+        now += 12ms;
+        aTo.Merge(vm_name(aName), notice, now);
+      }
+    };
+  for (int i = 0; i < 10; ++i) {
+    exchange("one", one, other);
+    exchange("other", other, one);
+  }
+  EXPECT_FALSE(one.RefusedFor(1, now));
+  one.HandleCrash(1, now);
+  const time_point last = now;
+  while (other.RefusedFor(1, now) || now < last + 1s) {
+    exchange("one", one, other);
+    exchange("other", other, one);
+    now += 200ms;
+  }
+  EXPECT_LE(now, last + 306s);
+}
+
+// Guards against a fault common to all targets that takes away the service.
+TEST(OutlierTracker, EjectsAtMostAThird)
+{
+  outlier_tracker tracker;
+  std::vector<target_name> targets;
+  for (const char* name : { "a", "b", "c", "d", "e", "f", "g" }) {
+    targets.emplace_back(name);
+  }
+  tracker.SetTargets(targets);
+  for (int i = 0; i < 10; ++i) {
+    for (const target_name& target : targets) {
+      tracker.HandleResult(target, true, kStart);
+    }
+  }
+  EXPECT_EQ(tracker.EjectedCount(kStart), 2u);
+  EXPECT_TRUE(tracker.IsEjected(targets[0], kStart + 1s));
+  EXPECT_FALSE(tracker.IsEjected(targets[0], kStart + 2s));
+  // A target that still fails is ejected at once, and for longer.
+  tracker.HandleResult(targets[0], true, kStart + 2s);
+  EXPECT_TRUE(tracker.IsEjected(targets[0], kStart + 5s));
+  tracker.HandleResult(targets[0], false, kStart + 7s);
+  tracker.HandleResult(targets[0], true, kStart + 7s);
+  EXPECT_FALSE(tracker.IsEjected(targets[0], kStart + 7s));
+}
+
+} // namespace parsleystair
--- a/UnitTests/Request/AtMostOnceStateTest.cpp
+++ b/UnitTests/Request/AtMostOnceStateTest.cpp
@@ -1,7 +1,4 @@
-#include <gtest/gtest.h>
-
-#include <rapidcheck/gtest.h>
-#include <rapidcheck/state.h>
+#include "UnitTests/Support/RandomActions.h"
 
 #include "Parsleystair/Request/BeginAttempt.h"
 #include "Parsleystair/Request/RequestRecordTable.h"
@@ -476,19 +473,7 @@
   std::mt19937_64 mRandom{ 1 };
 };
 
-struct no_model
-{};
-
-using action = void (world::*)(uint32_t, uint32_t);
-
-struct weighted_action
-{
-  const char* mName;
-  size_t mWeight;
-  action mAction;
-};
-
-const std::vector<weighted_action> kActions = {
+const std::vector<weighted_action<world>> kActions = {
   { "deliver", 100, &world::Deliver }, { "begin", 10, &world::Begin },
   { "send", 10, &world::Send },        { "finish", 3, &world::Finish },
   { "abandon", 1, &world::Abandon },   { "drop", 3, &world::Drop },
@@ -499,48 +484,6 @@
   { "key", 2, &world::ReplaceKey },
 };
 
-class step : public rc::state::Command<no_model, world>
-{
-public:
-  step(size_t aAction, uint32_t aFirst, uint32_t aSecond)
-    : mAction(aAction)
-    , mFirst(aFirst)
-    , mSecond(aSecond)
-  {
-  }
-
-  void run(const no_model&, world& aWorld) const override
-  {
-    (aWorld.*kActions[mAction].mAction)(mFirst, mSecond);
-  }
-
-  void show(std::ostream& aStream) const override
-  {
-    aStream << kActions[mAction].mName << "(" << mFirst << "," << mSecond
-            << ")";
-  }
-
-private:
-  size_t mAction;
-  uint32_t mFirst;
-  uint32_t mSecond;
-};
-
-rc::Gen<std::shared_ptr<const rc::state::Command<no_model, world>>> AnyStep()
-{
-  return rc::gen::noShrink(rc::gen::exec([] {
-    std::vector<size_t> choices;
-    for (size_t i = 0; i < kActions.size(); ++i) {
-      choices.insert(choices.end(), kActions[i].mWeight, i);
-    }
-    const size_t chosen = *rc::gen::elementOf(choices);
-    const auto first = *rc::gen::inRange<uint32_t>(0, 1'000'000);
-    const auto second = *rc::gen::inRange<uint32_t>(0, 1'000'000);
-    return std::shared_ptr<const rc::state::Command<no_model, world>>(
-      std::make_shared<step>(chosen, first, second));
-  }));
-}
-
 } // namespace
 
 // Guards against a request that runs twice, and against a "not run" or repeated
@@ -553,11 +496,7 @@
   EXPECT_TRUE(rc::check([] {
     for (int i = 0; i < kWorlds; ++i) {
       world sut;
-      const auto steps = *rc::gen::scale(
-        10.0, rc::state::gen::commands(no_model(), [](const no_model&) {
-          return AnyStep();
-        }));
-      rc::state::runAll(steps, no_model(), sut);
+      RunRandomActions(sut, kActions, 10.0);
     }
   }));
   std::cout << "runs " << sTotals.mRuns << ", repeats " << sTotals.mRepeats
