--- a/Parsleystair/Limits/ConcurrencyLimit.cpp
+++ b/Parsleystair/Limits/ConcurrencyLimit.cpp
@@ -11,9 +11,9 @@
 
 /// Samples of one step. Fewer follow load faster, but follow the scatter of
 /// single requests as well.
-constexpr int64_t kWindowSamples = 10;
+constexpr int64_t kWindowSamples = 20;
 /// Latency up to this multiple of the lowest is taken as normal scatter.
-constexpr double kTolerance = 1.5;
+constexpr double kTolerance = 2.0;
 /// Largest reduction in one step.
 constexpr double kLowestGradient = 0.7;
 /// Reduction in a step in which the target refused or timed out.
@@ -57,8 +57,10 @@
 
 bool adaptive_limit::Allows(uint32_t aInFlight, time_point aNow) const
 {
+  // Rounded to the nearest whole number: rounded down, a limit that settles
+  // just below 2 would leave half of the capacity unused.
   if (mLimit >= 1) {
-    return static_cast<double>(aInFlight) + 1 <= mLimit;
+    return static_cast<double>(aInFlight) + 1 <= mLimit + 0.5;
   }
   return aInFlight == 0 && aNow >= mNextStart;
 }
