--- a/Parsleystair/Ownership/OwnershipController.h
+++ b/Parsleystair/Ownership/OwnershipController.h
@@ -109,6 +109,10 @@
 
   [[nodiscard]] bool HasAuthority(group_index aGroup, time_point aNow) const;
 
+  /// Time until which this router's record of the group is proven to be the
+  /// newest.
+  [[nodiscard]] time_point AuthorityUntil(group_index aGroup) const;
+
   /// Place in line for the group's duties: 0 is the first renewer, 1 the
   /// second.
   [[nodiscard]] size_t Rank(group_index aGroup) const;
--- a/Parsleystair/Ownership/OwnershipControllerDuties.cpp
+++ b/Parsleystair/Ownership/OwnershipControllerDuties.cpp
@@ -258,9 +258,15 @@
 
 bool ownership_controller::HasAuthority(group_index aGroup,
                                         time_point aNow) const
+{
+  return aNow < AuthorityUntil(aGroup);
+}
+
+time_point ownership_controller::AuthorityUntil(group_index aGroup) const
 {
   const auto found = mGroups.find(aGroup);
-  return found != mGroups.end() && aNow < found->second.AuthorityUntil();
+  return found == mGroups.end() ? time_point::min()
+                                : found->second.AuthorityUntil();
 }
 
 size_t ownership_controller::Rank(group_index aGroup) const
--- a/Parsleystair/Request/RoutingSnapshot.cpp
+++ b/Parsleystair/Request/RoutingSnapshot.cpp
@@ -38,7 +38,7 @@
 {
   const auto& service = aSnapshot.mConfiguration->mServices[aServiceIndex];
   PARSLEYSTAIR_INVARIANT(service.mOwnership == ownership_mode::kExclusive);
-  const auto& routes = aSnapshot.mRoutes[aServiceIndex];
+  const auto& routes = (*aSnapshot.mRoutes)[aServiceIndex];
   if (aSlot.Value() >= routes.size() ||
       !routes[aSlot.Value()].mTarget.has_value()) {
     return route_failure::kNoOwner;
@@ -74,11 +74,10 @@
   return near.empty() ? usable : near;
 }
 
-std::vector<std::vector<slot_route>> BuildRoutes(
-  const configuration& aConfiguration,
-  const std::vector<const group_record*>& aRecords)
+route_table BuildRoutes(const configuration& aConfiguration,
+                        const std::vector<const group_record*>& aRecords)
 {
-  std::vector<std::vector<slot_route>> routes(aConfiguration.mServices.size());
+  route_table routes(aConfiguration.mServices.size());
   for (size_t i = 0; i < routes.size(); ++i) {
     const service_configuration& service = aConfiguration.mServices[i];
     if (service.mOwnership == ownership_mode::kExclusive) {
--- a/Parsleystair/Request/RoutingSnapshot.h
+++ b/Parsleystair/Request/RoutingSnapshot.h
@@ -23,13 +23,15 @@
   bool operator==(const slot_route&) const = default;
 };
 
+/// Routes by service, in the configuration's order, and slot; empty for shared
+/// services.
+using route_table = std::vector<std::vector<slot_route>>;
+
 /// All that a worker needs to route, as one immutable value.
 struct routing_snapshot
 {
   std::shared_ptr<const configuration> mConfiguration;
-  /// By service, in the configuration's order, and slot; empty for shared
-  /// services.
-  std::vector<std::vector<slot_route>> mRoutes;
+  std::shared_ptr<const route_table> mRoutes;
   /// Time until which this router's table of a group is proven to be current.
   std::vector<time_point> mAuthorityUntil;
   /// Targets that get no new work: leaving or lost.
@@ -65,9 +67,8 @@
   const routing_snapshot& aSnapshot,
   size_t aServiceIndex);
 
-/// Fills the routes of a snapshot from the configuration and group records.
-std::vector<std::vector<slot_route>> BuildRoutes(
-  const configuration& aConfiguration,
-  const std::vector<const group_record*>& aRecords);
+/// Routes that follow from the configuration and group records.
+route_table BuildRoutes(const configuration& aConfiguration,
+                        const std::vector<const group_record*>& aRecords);
 
 } // namespace parsleystair
--- a/UnitTests/Tasks/WorkerTest.cpp
+++ b/UnitTests/Tasks/WorkerTest.cpp
@@ -80,8 +80,9 @@
     all->mServices = { service };
     auto snapshot = std::make_shared<routing_snapshot>();
     snapshot->mConfiguration = all;
-    snapshot->mRoutes = { std::vector<slot_route>(TotalSlots(service),
-                                                  slot_route{ 0, fence(7) }) };
+    const std::vector<slot_route> routes(TotalSlots(service),
+                                         slot_route{ 0, fence(7) });
+    snapshot->mRoutes = std::make_shared<route_table>(1, routes);
     snapshot->mAuthorityUntil.assign(all->mGroupCount, time_point::max());
     return snapshot;
   }
