Add Cap'n Proto RPC between routers inside the libevent loop

Routers need calls to each other from the control task without a second loop or thread. rpc_loop runs kj's promises from a libevent event, bufferevent_stream carries the bytes, capnp_peer_client and peer_server are the two ends.

--- a/Parsleystair/Peers/RpcLoop.h
+++ b/Parsleystair/Peers/RpcLoop.h
@@ -13,7 +13,8 @@
 {
 public:
   /// Call on the task that owns `aLoop`, which outlives this object. Throws
-  /// `system_error` when libevent can't create an event.
+  /// `system_error` when libevent can't create an event. Makes the process
+  /// ignore SIGPIPE.
   explicit rpc_loop(event_loop& aLoop);
   ~rpc_loop();
   rpc_loop(const rpc_loop&) = delete;
--- /dev/null
+++ b/Parsleystair/Peers/WireValues.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Parsleystair/Core/Error.h"
+
+#include <capnp/blob.h>
+#include <cstdint>
+#include <string>
+
+// Included by source files of this folder only, since it brings in Cap'n
+// Proto's headers.
+
+namespace parsleystair {
+
+inline std::string ToString(capnp::Text::Reader aText)
+{
+  return { aText.begin(), aText.size() };
+}
+
+/// Converts an enumerator whose values are the same on both sides.
+template<typename Result, typename Value>
+Result ConvertEnum(Value aValue, Result aLast, const char* aName)
+{
+  const auto number = static_cast<uint32_t>(aValue);
+  if (number > static_cast<uint32_t>(aLast)) {
+    throw parse_error(std::string(aName) +
+                      " out of range: " + std::to_string(number));
+  }
+  return static_cast<Result>(number);
+}
+
+} // namespace parsleystair
