Silence a false report of clang-tidy 14 on the ids' comparison

Cause: clang-tidy 14 reports modernize-use-nullptr inside the comparison that the compiler makes, in each file that puts an id into an ordered map. Change: NOLINT on that line. Figures: lint of StandIns fails before, passes after.

--- a/Parsleystair/Core/Ids.h
+++ b/Parsleystair/Core/Ids.h
@@ -23,7 +23,8 @@
 
   [[nodiscard]] const Rep& Value() const { return mValue; }
 
-  auto operator<=>(const strong_id&) const = default;
+  // clang-tidy 14 takes the compiler's own comparison with 0 for a pointer.
+  auto operator<=>(const strong_id&) const = default; // NOLINT
 
   friend std::ostream& operator<<(std::ostream& aStream, const strong_id& aId)
   {
