Add chunked answers to http_server

Cause: the stand-in of the platform answers watches by a stream. Change: StartStream, SendChunk, EndStream; a test of order and end.

--- a/Parsleystair/Http/HttpServer.cpp
+++ b/Parsleystair/Http/HttpServer.cpp
@@ -244,6 +244,44 @@
   }
 }
 
+void http_server::StartStream(exchange_id aExchange, const http_answer& aHead)
+{
+  const auto found = mState->mOpen.find(aExchange);
+  if (found == mState->mOpen.end()) {
+    return;
+  }
+  evkeyvalq* headers = evhttp_request_get_output_headers(found->second);
+  for (const http_header& header : aHead.mHeaders) {
+    evhttp_add_header(headers, header.mName.c_str(), header.mValue.c_str());
+  }
+  evhttp_send_reply_start(
+    found->second, static_cast<int>(aHead.mStatus), nullptr);
+}
+
+void http_server::SendChunk(exchange_id aExchange, const std::string& aChunk)
+{
+  const auto found = mState->mOpen.find(aExchange);
+  // A chunk of length 0 would end the stream.
+  if (found == mState->mOpen.end() || aChunk.empty()) {
+    return;
+  }
+  evbuffer* buffer = evbuffer_new();
+  if (buffer == nullptr) {
+    throw system_error("libevent could not create a buffer");
+  }
+  evbuffer_add(buffer, aChunk.data(), aChunk.size());
+  evhttp_send_reply_chunk(found->second, buffer);
+  evbuffer_free(buffer);
+}
+
+void http_server::EndStream(exchange_id aExchange)
+{
+  evhttp_request* request = mState->Take(aExchange);
+  if (request != nullptr) {
+    evhttp_send_reply_end(request);
+  }
+}
+
 size_t http_server::OpenRequests() const
 {
   return mState->mOpen.size();
--- a/Parsleystair/Http/HttpServer.h
+++ b/Parsleystair/Http/HttpServer.h
@@ -59,6 +59,12 @@
   /// Closes the connection of a request without an answer.
   void Drop(exchange_id aExchange);
 
+  /// Starts a chunked answer, whose request stays open until `EndStream`.
+  /// Does nothing when the connection has gone; so do the next two.
+  void StartStream(exchange_id aExchange, const http_answer& aHead);
+  void SendChunk(exchange_id aExchange, const std::string& aChunk);
+  void EndStream(exchange_id aExchange);
+
   /// Requests that have no answer yet.
   [[nodiscard]] size_t OpenRequests() const;
 
--- a/UnitTests/Http/HttpTest.cpp
+++ b/UnitTests/Http/HttpTest.cpp
@@ -123,6 +123,42 @@
   EXPECT_EQ(FindHeader(result.mAnswer.mHeaders, "x-echo"), "/orders/elm");
 }
 
+// Guards against chunks of a stream that are lost or come out of order, and
+// against a stream that counts as whole before its end.
+TEST(Http, StreamsChunksUntilTheEnd)
+{
+  event_loop loop;
+  exchange_id exchange;
+  http_server server(loop, {}, [&](exchange_id aId, const http_request&) {
+    exchange = aId;
+    server.StartStream(aId, { 200, { { "X-Kind", "stream" } }, "" });
+    server.SendChunk(aId, "one ");
+    server.SendChunk(aId, "");
+  });
+  server.Listen("127.0.0.1", 0);
+  http_connection connection(loop, "127.0.0.1", server.Port());
+  http_request request;
+  request.mMethod = "GET";
+  request.mPath = "/";
+  http_result result;
+  connection.Call(request, 5s, [&](http_result aResult) {
+    result = std::move(aResult);
+    loop.Stop();
+  });
+  timer end;
+  end.StartOnce(loop, 20ms, [&] {
+    EXPECT_TRUE(connection.IsBusy());
+    EXPECT_EQ(server.OpenRequests(), 1u);
+    server.SendChunk(exchange, "two");
+    server.EndStream(exchange);
+  });
+  loop.Run();
+  EXPECT_EQ(result.mStatus, http_status::kAnswered);
+  EXPECT_EQ(result.mAnswer.mBody, "one two");
+  EXPECT_EQ(FindHeader(result.mAnswer.mHeaders, "x-kind"), "stream");
+  EXPECT_EQ(server.OpenRequests(), 0u);
+}
+
 // Guards against a refused connection that counts as possibly run.
 TEST(Http, RefusedConnectionIsNotSent)
 {
