--- a/Parsleystair/Platform/BackoffGate.cpp
+++ b/Parsleystair/Platform/BackoffGate.cpp
@@ -46,12 +46,17 @@
 void backoff_gate::OnFailure(time_point aStartedAt, time_point aNow)
 {
   // Calls that were open together fail together and count as one failure.
-  if (IsFailing() && aStartedAt < mLastFailure) {
+  const bool wasFailing = IsFailing();
+  if (wasFailing && aStartedAt < mLastFailure) {
     return;
   }
   mLastFailure = aNow;
   mFailures = std::min(mFailures + 1, kMaxDoublings);
-  DelayNext(aNow);
+  // Later failures don't move the next start: the time-out of a call from
+  // before the recovery would otherwise delay finding the recovered store.
+  if (!wasFailing) {
+    DelayNext(aNow);
+  }
 }
 
 void backoff_gate::DelayNext(time_point aNow)
