--- a/Parsleystair/Tasks/Worker.cpp
+++ b/Parsleystair/Tasks/Worker.cpp
@@ -547,6 +547,7 @@
   PARSLEYSTAIR_INVARIANT(!node.empty());
   const request_flow& flow = node.mapped();
   mCounters.Count(aOutcome);
+  mLatency.Add(MonotonicNow() - flow.mArrived);
   if (flow.mBegun) {
     const begin_message& begun = *flow.mBegun;
     if (std::holds_alternative<refused_not_run>(aOutcome)) {
@@ -653,6 +654,7 @@
   report.mOpenRequests = mFlows.size();
   report.mDrained = mDraining && mFlows.empty();
   report.mCounters = mCounters;
+  report.mCounters.mLatency = mLatency.Buckets();
   mControl.Send(std::move(report));
 }
 
--- a/Parsleystair/Tasks/Worker.h
+++ b/Parsleystair/Tasks/Worker.h
@@ -94,6 +94,7 @@
   std::unordered_map<uint64_t, time_point> mRefusedContent;
   std::map<std::pair<target_name, slot_id>, uint64_t> mTraffic;
   worker_counters mCounters;
+  latency_histogram mLatency;
   bool mDraining = false;
   http_server mServer;
   timer mTick;
--- a/Parsleystair/Tasks/WorkerCounters.cpp
+++ b/Parsleystair/Tasks/WorkerCounters.cpp
@@ -14,6 +14,25 @@
   }
 }
 
+void worker_counters::Add(const worker_counters& aOther)
+{
+  mReceived += aOther.mReceived;
+  mAnswered += aOther.mAnswered;
+  mRepeated += aOther.mRepeated;
+  for (const auto& [reason, count] : aOther.mNotRun) {
+    mNotRun[reason] += count;
+  }
+  for (const auto& [reason, count] : aOther.mMayHaveRun) {
+    mMayHaveRun[reason] += count;
+  }
+  mTries += aOther.mTries;
+  mRetries += aOther.mRetries;
+  mLateAnswers += aOther.mLateAnswers;
+  mSilentConnections += aOther.mSilentConnections;
+  mSuspectedCrashes += aOther.mSuspectedCrashes;
+  mLatency = AddBuckets(mLatency, aOther.mLatency);
+}
+
 uint64_t worker_counters::Outcomes() const
 {
   uint64_t total = mAnswered;
--- a/Parsleystair/Tasks/WorkerCounters.h
+++ b/Parsleystair/Tasks/WorkerCounters.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "Parsleystair/Core/Time.h"
+#include "Parsleystair/Dump/LatencyHistogram.h"
 #include "Parsleystair/Request/Outcome.h"
 
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace parsleystair {
 
@@ -23,6 +25,11 @@
   uint64_t mLateAnswers = 0;
   uint64_t mSilentConnections = 0;
   uint64_t mSuspectedCrashes = 0;
+  /// Times from a request's arrival to its outcome.
+  std::vector<latency_bucket> mLatency;
+
+  /// Adds another worker's counts.
+  void Add(const worker_counters& aOther);
 
   /// Counts the outcome of one request.
   void Count(const request_outcome& aOutcome);
