--- a/Parsleystair/Tasks/Messages.h
+++ b/Parsleystair/Tasks/Messages.h
@@ -18,8 +18,7 @@
 /// Index of a worker task, from 0.
 using worker_index = strong_id<struct worker_tag, uint32_t>;
 
-/// Asks the control task whether an attempt of a non-idempotent request may
-/// run.
+/// Asks the control task whether a non-idempotent request may run.
 struct begin_query
 {
   worker_index mWorker;
@@ -28,16 +27,21 @@
   time_point mDeadline;
 };
 
-/// Tells the control task how an attempt that was allowed to run has ended.
+/// Tells the control task that a request that was allowed to run was sent, with
+/// the whole answer, or none when its outcome will stay unknown.
 struct attempt_finished
 {
-  finish_message mFinish;
+  worker_index mWorker;
+  flow_id mFlow;
+  std::optional<http_answer> mAnswer;
 };
 
-/// Tells the control task that an attempt did not run and never will.
+/// Tells the control task that a request that was allowed to run did not run
+/// and never will.
 struct attempt_withdrawn
 {
-  withdraw_message mWithdraw;
+  worker_index mWorker;
+  flow_id mFlow;
 };
 
 /// Requests of one slot that a target answered.
@@ -82,8 +86,8 @@
   std::shared_ptr<const routing_snapshot> mSnapshot;
 };
 
-/// Lets an attempt run, or gives its outcome.
-struct begin_verdict
+/// Lets a request run, or gives its outcome.
+struct attempt_verdict
 {
   flow_id mFlow;
   /// None: the attempt may run.
@@ -109,7 +113,7 @@
 {};
 
 using worker_message = std::variant<snapshot_update,
-                                    begin_verdict,
+                                    attempt_verdict,
                                     crash_update,
                                     drain_order,
                                     report_order,
--- /dev/null
+++ b/Parsleystair/Tasks/RecordDriver.cpp
@@ -0,0 +1,290 @@
+#include "Parsleystair/Tasks/RecordDriver.h"
+
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Log.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+namespace {
+
+constexpr duration kNoRecordDelay = 20ms;
+constexpr uint32_t kRetryAfterMs = 1000;
+
+} // namespace
+
+record_driver::record_driver(event_loop& aLoop,
+                             vm_identity aSelf,
+                             uint64_t aSeed,
+                             const ownership_controller& aController,
+                             peer_client& aPeers,
+                             peer_resolver aResolver,
+                             verdict_handler aHandler)
+  : mLoop(aLoop)
+  , mSelf(std::move(aSelf))
+  , mRandom(aSeed)
+  , mController(aController)
+  , mPeers(aPeers)
+  , mResolver(std::move(aResolver))
+  , mHandler(std::move(aHandler))
+  , mTable(mSelf, {})
+{
+}
+
+std::string record_driver::MakeAttemptId()
+{
+  return std::to_string(mSelf.mIncarnation.Value()) + "-" +
+         std::to_string(mRandom()) + std::to_string(mRandom());
+}
+
+bool record_driver::IsSelf(const vm_identity& aVm) const
+{
+  return aVm == mSelf;
+}
+
+bool record_driver::IsReadyHolder(const group_record& aRecord) const
+{
+  // A process that is listed under its own incarnation, and not as joining, has
+  // seen every request since it was listed: it was there when the group was
+  // created, or it copied the records before it stopped joining.
+  return std::any_of(aRecord.mHolders.begin(),
+                     aRecord.mHolders.end(),
+                     [&](const group_holder& aHolder) {
+                       return aHolder.mVm == mSelf.mName &&
+                              aHolder.mIncarnation == mSelf.mIncarnation &&
+                              !aHolder.mJoining;
+                     });
+}
+
+void record_driver::UpdateGroup(const group_record& aRecord)
+{
+  mTable.UpdateGroup(aRecord, IsReadyHolder(aRecord));
+}
+
+void record_driver::Handle(const begin_query& aQuery)
+{
+  const attempt_key key(aQuery.mWorker, aQuery.mFlow);
+  open_attempt& opened = mAttempts[key];
+  opened.mBegin = aQuery.mBegin;
+  opened.mDeadline = aQuery.mDeadline;
+  StartRound(key);
+}
+
+void record_driver::StartRound(const attempt_key& aKey)
+{
+  open_attempt& opened = mAttempts.at(aKey);
+  const group_record* record = mController.FindRecord(opened.mBegin.mGroup);
+  if (record == nullptr) {
+    RunAgain(aKey, { begin_again::reason::kRefreshRecord, kNoRecordDelay });
+    return;
+  }
+  // Each round has an attempt id of its own, since holders may still have the
+  // last one when its withdrawal is late.
+  opened.mBegin.mAttempt = attempt_id(MakeAttemptId());
+  const uint32_t round = opened.mRound;
+  opened.mAttempt = std::make_unique<begin_attempt>(
+    *record, opened.mBegin, round, opened.mDeadline);
+  if (const auto verdict = opened.mAttempt->CheckHolders()) {
+    Decide(aKey, *verdict);
+    return;
+  }
+  const begin_message message = opened.mAttempt->Message();
+  for (const vm_identity& holder : opened.mAttempt->Holders()) {
+    // An answer of this router itself may have decided already.
+    const auto found = mAttempts.find(aKey);
+    if (found == mAttempts.end() || found->second.mRound != round ||
+        found->second.mRunning) {
+      return;
+    }
+    if (IsSelf(holder)) {
+      HandleResult(
+        aKey, round, holder, { peer_status::kAnswered, HandleBegin(message) });
+      continue;
+    }
+    const auto address = mResolver(holder.mName);
+    if (!address) {
+      HandleResult(aKey, round, holder, { peer_status::kNotSent, {} });
+      continue;
+    }
+    mPeers.Begin(
+      *address,
+      message,
+      [this, aKey, round, holder](const peer_result<begin_reply>& aResult) {
+        HandleResult(aKey, round, holder, aResult);
+      });
+  }
+}
+
+void record_driver::HandleResult(const attempt_key& aKey,
+                                 uint32_t aRound,
+                                 const vm_identity& aHolder,
+                                 const peer_result<begin_reply>& aResult)
+{
+  const auto found = mAttempts.find(aKey);
+  const bool isCurrent = found != mAttempts.end() &&
+                         found->second.mRound == aRound &&
+                         found->second.mAttempt != nullptr;
+  if (!isCurrent) {
+    return;
+  }
+  const auto verdict = found->second.mAttempt->HandleResult(
+    aHolder, aResult, MonotonicNow(), mRandom);
+  if (verdict) {
+    Decide(aKey, *verdict);
+  }
+}
+
+void record_driver::Decide(const attempt_key& aKey,
+                           const begin_verdict& aVerdict)
+{
+  open_attempt& opened = mAttempts.at(aKey);
+  if (std::holds_alternative<begin_run>(aVerdict)) {
+    opened.mRunning = true;
+    mHandler(aKey.first, { aKey.second, std::nullopt });
+    return;
+  }
+  SendWithdrawals(*opened.mAttempt);
+  if (const auto* again = std::get_if<begin_again>(&aVerdict)) {
+    RunAgain(aKey, *again);
+  } else if (const auto* repeat = std::get_if<begin_repeat>(&aVerdict)) {
+    End(aKey, answered{ repeat->mAnswer, true });
+  } else if (const auto* notRun = std::get_if<refused_not_run>(&aVerdict)) {
+    End(aKey, *notRun);
+  } else {
+    End(aKey, std::get<refused_may_have_run>(aVerdict));
+  }
+}
+
+void record_driver::RunAgain(const attempt_key& aKey, const begin_again& aAgain)
+{
+  open_attempt& opened = mAttempts.at(aKey);
+  if (MonotonicNow() + aAgain.mDelay >= opened.mDeadline) {
+    End(aKey,
+        refused_not_run{ refusal_reason::kRecordsUnavailable,
+                         "the routers that keep the request's record did not "
+                         "agree in time",
+                         kRetryAfterMs });
+    return;
+  }
+  ++opened.mRound;
+  opened.mAttempt.reset();
+  opened.mAgain.StartOnce(
+    mLoop, aAgain.mDelay, [this, aKey] { StartRound(aKey); });
+}
+
+void record_driver::End(const attempt_key& aKey,
+                        std::optional<request_outcome> aOutcome)
+{
+  mAttempts.erase(aKey);
+  mHandler(aKey.first, { aKey.second, std::move(aOutcome) });
+}
+
+void record_driver::Handle(const attempt_finished& aFinished)
+{
+  auto node = mAttempts.extract({ aFinished.mWorker, aFinished.mFlow });
+  if (!node.empty() && node.mapped().mRunning) {
+    SendFinish(*node.mapped().mAttempt, aFinished.mAnswer);
+  }
+}
+
+void record_driver::Handle(const attempt_withdrawn& aWithdrawn)
+{
+  auto node = mAttempts.extract({ aWithdrawn.mWorker, aWithdrawn.mFlow });
+  if (!node.empty() && node.mapped().mAttempt != nullptr) {
+    SendWithdrawals(*node.mapped().mAttempt);
+  }
+}
+
+void record_driver::SendWithdrawals(const begin_attempt& aAttempt)
+{
+  const withdraw_message message = aAttempt.WithdrawMessage();
+  for (const vm_identity& holder : aAttempt.PossibleAcceptors()) {
+    if (IsSelf(holder)) {
+      HandleWithdraw(message);
+    } else if (const auto address = mResolver(holder.mName)) {
+      mPeers.Withdraw(
+        *address, message, [](const peer_result<acknowledgement>&) {});
+    }
+  }
+}
+
+void record_driver::SendFinish(const begin_attempt& aAttempt,
+                               const std::optional<http_answer>& aAnswer)
+{
+  const finish_message message = aAttempt.FinishMessage(aAnswer);
+  for (const vm_identity& holder : aAttempt.Holders()) {
+    if (IsSelf(holder)) {
+      HandleFinish(message);
+    } else if (const auto address = mResolver(holder.mName)) {
+      mPeers.Finish(
+        *address, message, [](const peer_result<acknowledgement>&) {});
+    }
+  }
+}
+
+begin_reply record_driver::HandleBegin(const begin_message& aMessage)
+{
+  const group_record* record = mController.FindRecord(aMessage.mGroup);
+  if (record == nullptr) {
+    return { begin_result::kNotReady, {}, std::nullopt };
+  }
+  UpdateGroup(*record);
+  return mTable.HandleBegin(aMessage, *record, MonotonicNow(), WallNow());
+}
+
+void record_driver::HandleFinish(const finish_message& aMessage)
+{
+  mTable.HandleFinish(aMessage, MonotonicNow());
+}
+
+void record_driver::HandleWithdraw(const withdraw_message& aMessage)
+{
+  mTable.HandleWithdraw(aMessage, MonotonicNow());
+}
+
+copy_records_reply record_driver::HandleCopyRecords(
+  const copy_records_message& aMessage)
+{
+  const group_record* record = mController.FindRecord(aMessage.mRecord.mGroup);
+  if (record == nullptr) {
+    return {};
+  }
+  return mTable.HandleCopyRecords(aMessage, *record, MonotonicNow());
+}
+
+void record_driver::CopyRecords(const copy_group_records& aRequest,
+                                std::function<void()> aComplete)
+{
+  UpdateGroup(aRequest.mRecord);
+  struct copy_state
+  {
+    std::vector<copy_records_reply> mReplies;
+    size_t mMissing = 0;
+  };
+  const auto state = std::make_shared<copy_state>();
+  state->mMissing = aRequest.mHolders.size();
+  const group_record record = aRequest.mRecord;
+  for (const vm_name& holder : aRequest.mHolders) {
+    const auto address = mResolver(holder);
+    if (!address) {
+      return;
+    }
+    mPeers.CopyRecords(
+      *address,
+      { record },
+      [this, state, record, aComplete](
+        const peer_result<copy_records_reply>& aResult) {
+        if (aResult.mStatus == peer_status::kAnswered) {
+          state->mReplies.push_back(aResult.mReply);
+        }
+        --state->mMissing;
+        if (state->mMissing == 0 &&
+            mTable.InstallCopies(record, state->mReplies, MonotonicNow())) {
+          aComplete();
+        }
+      });
+  }
+}
+
+} // namespace parsleystair
--- a/Parsleystair/Tasks/RequestFlow.h
+++ b/Parsleystair/Tasks/RequestFlow.h
@@ -20,8 +20,9 @@
   classified_request mClassified;
   time_point mArrived;
   time_point mDeadline;
-  /// Set once an attempt with a record at the holders may run.
-  std::optional<begin_message> mBegun;
+  /// The control task has been asked if the request may run, and is told how
+  /// it ended.
+  bool mHasAttempt = false;
   /// An earlier try may have run the request.
   bool mMayHaveRun = false;
   /// Tries sent to a target so far.
--- a/Parsleystair/Tasks/Worker.cpp
+++ b/Parsleystair/Tasks/Worker.cpp
@@ -1,10 +1,12 @@
 #include "Parsleystair/Tasks/Worker.h"
 
 #include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Hash.h"
 #include "Parsleystair/Core/Invariant.h"
 #include "Parsleystair/Core/Log.h"
 #include "Parsleystair/Request/Deadline.h"
+#include "Parsleystair/Request/IdempotencyKey.h"
 #include "Parsleystair/Request/Problem.h"
 
 #include <array>
@@ -201,15 +203,25 @@
     return;
   }
   begin_message begin;
+  try {
+    const idempotency_key parsed =
+      ParseIdempotencyKey(*key, rule.mKeyFormat, WallNow());
+    begin.mKey = { aFlow.mClassified.Service().mName,
+                   rule.mName,
+                   parsed.mText };
+    begin.mKeyTimeMs = parsed.mTimeMs;
+  } catch (const value_error& exception) {
+    Refuse(aFlow, { refusal_reason::kBadIdempotencyKey, exception.what(), 0 });
+    return;
+  }
   begin.mGroup = aFlow.mClassified.mGroup;
-  begin.mKey = { aFlow.mClassified.Service().mName, rule.mName, *key };
   begin.mAttempt = attempt_id(MakeId());
   begin.mFingerprint = aFlow.mFingerprint;
-  aFlow.mBegun = begin;
+  aFlow.mHasAttempt = true;
   mControl.Send(begin_query{ mIndex, aFlow.mId, begin, aFlow.mDeadline });
 }
 
-void worker::Apply(const begin_verdict& aVerdict)
+void worker::Apply(const attempt_verdict& aVerdict)
 {
   const auto found = mFlows.find(aVerdict.mFlow);
   if (found == mFlows.end()) {
@@ -220,7 +232,7 @@
     return;
   }
   // The control task has withdrawn the attempt, so there is nothing to report.
-  found->second.mBegun.reset();
+  found->second.mHasAttempt = false;
   Finish(aVerdict.mFlow, *aVerdict.mOutcome);
 }
 
@@ -548,21 +560,7 @@
   const request_flow& flow = node.mapped();
   mCounters.Count(aOutcome);
   mLatency.Add(MonotonicNow() - flow.mArrived);
-  if (flow.mBegun) {
-    const begin_message& begun = *flow.mBegun;
-    if (std::holds_alternative<refused_not_run>(aOutcome)) {
-      mControl.Send(
-        attempt_withdrawn{ { begun.mGroup, begun.mKey, begun.mAttempt } });
-    } else {
-      finish_message finish{
-        begun.mGroup, begun.mKey, begun.mAttempt, std::nullopt
-      };
-      if (const auto* whole = std::get_if<answered>(&aOutcome)) {
-        finish.mAnswer = whole->mAnswer;
-      }
-      mControl.Send(attempt_finished{ std::move(finish) });
-    }
-  }
+  ReportAttempt(flow, aOutcome);
   if (!std::holds_alternative<answered>(aOutcome)) {
     const http_answer refusal = ToHttpAnswer(aOutcome, flow.mRequestId);
     log_line(log_severity::kInfo, "refused")
@@ -576,6 +574,23 @@
   mServer.Respond(flow.mExchange, ToHttpAnswer(aOutcome, flow.mRequestId));
 }
 
+void worker::ReportAttempt(const request_flow& aFlow,
+                           const request_outcome& aOutcome)
+{
+  if (!aFlow.mHasAttempt) {
+    return;
+  }
+  if (std::holds_alternative<refused_not_run>(aOutcome)) {
+    mControl.Send(attempt_withdrawn{ mIndex, aFlow.mId });
+    return;
+  }
+  attempt_finished finished{ mIndex, aFlow.mId, std::nullopt };
+  if (const auto* whole = std::get_if<answered>(&aOutcome)) {
+    finished.mAnswer = whole->mAnswer;
+  }
+  mControl.Send(std::move(finished));
+}
+
 void worker::Tick(time_point aNow)
 {
   WakeParked(aNow);
--- a/Parsleystair/Tasks/Worker.h
+++ b/Parsleystair/Tasks/Worker.h
@@ -41,6 +41,8 @@
   void SendTo(request_flow& aFlow, target_lane& aLane, time_point aNow);
   void HandleTry(flow_id aFlow, target_lane& aLane, try_result aResult);
   void Finish(flow_id aFlow, const request_outcome& aOutcome);
+  void ReportAttempt(const request_flow& aFlow,
+                     const request_outcome& aOutcome);
 
   // Outcomes of tries.
   void HandleNotRun(request_flow& aFlow,
@@ -59,7 +61,7 @@
 
   // Messages of the control task.
   void Apply(snapshot_update aUpdate);
-  void Apply(const begin_verdict& aVerdict);
+  void Apply(const attempt_verdict& aVerdict);
   void Apply(const crash_update& aUpdate);
   void Apply(const drain_order& aOrder);
   void Apply(const report_order& aOrder);
--- a/UnitTests/Tasks/WorkerTest.cpp
+++ b/UnitTests/Tasks/WorkerTest.cpp
@@ -18,7 +18,7 @@
   void Send(control_message aMessage) override
   {
     if (const auto* query = std::get_if<begin_query>(&aMessage)) {
-      mWorker->Handle(begin_verdict{ query->mFlow, std::nullopt });
+      mWorker->Handle(attempt_verdict{ query->mFlow, std::nullopt });
     }
     mMessages.push_back(std::move(aMessage));
   }
@@ -70,6 +70,7 @@
     request_rule confirm{ rule_name("confirm"), "POST", "/orders/{school}" };
     confirm.mKeyName = "school";
     confirm.mIdempotent = false;
+    confirm.mKeyFormat = key_format::kAny;
     target_configuration target{ target_name("orders-1"), "127.0.0.1", aPort };
     service_configuration service;
     service.mName = service_name("orders");
