--- a/Parsleystair/Settings/ConfigurationCheck.cpp
+++ b/Parsleystair/Settings/ConfigurationCheck.cpp
@@ -82,6 +82,17 @@
     }
   }
 
+  /// Reports two places that hold what only one may hold, at both of them, so
+  /// that whoever changed either of them finds the problem there.
+  void AddCollision(const std::string& aPath,
+                    const std::string& aOtherPath,
+                    const std::string& aValue,
+                    const std::string& aAllowed)
+  {
+    Add(aPath, aValue, aAllowed + " other than that of " + aOtherPath);
+    Add(aOtherPath, aValue, aAllowed + " other than that of " + aPath);
+  }
+
   /// Checks a name and that it is in no earlier place.
   void CheckUniqueName(const std::string& aPath,
                        const std::string& aName,
@@ -90,7 +101,7 @@
     CheckName(aPath, aName);
     const auto [place, inserted] = aSeen.emplace(aName, aPath);
     if (!inserted) {
-      Add(aPath, Quoted(aName), "a name other than that of " + place->second);
+      AddCollision(aPath, place->second, Quoted(aName), "a name");
     }
   }
 
@@ -179,15 +190,7 @@
     if (!IsIpAddress(aTarget.mHost)) {
       AddMember(aPath, aTarget, "host", kHostAllowed);
     }
-    const std::string address =
-      aTarget.mHost + " " + std::to_string(aTarget.mPort);
-    const auto [place, inserted] = mAddresses.emplace(address, aPath);
-    if (!inserted) {
-      AddMember(aPath,
-                aTarget,
-                "port",
-                "an address and port other than that of " + place->second);
-    }
+    CheckAddress(aPath, aTarget);
     if (mConfiguration.RegionOf(aTarget.mFailureDomain).Value().empty()) {
       AddMember(aPath, aTarget, "failureDomain", "a name in failureDomains");
     }
@@ -201,6 +204,18 @@
     }
   }
 
+  /// A target gets one list of grants, so no two targets are one server.
+  void CheckAddress(const std::string& aPath,
+                    const target_configuration& aTarget)
+  {
+    const std::string address =
+      aTarget.mHost + ":" + std::to_string(aTarget.mPort);
+    const auto [place, inserted] = mAddresses.emplace(address, aPath + ".port");
+    if (!inserted) {
+      AddCollision(aPath + ".port", place->second, address, "a host and port");
+    }
+  }
+
   void CheckRules(const std::string& aPath,
                   const service_configuration& aService)
   {
@@ -270,14 +285,20 @@
     for (size_t i = 0; i < mRules.size(); ++i) {
       for (size_t j = 0; j < i; ++j) {
         if (Overlap(mRules[i].mPattern, mRules[j].mPattern)) {
-          Add(mRules[i].mPath + ".path",
-              "a path that shares requests with rule " + mRules[j].mName,
-              "a method and path that no request shares with another rule");
+          AddOverlap(mRules[i], mRules[j]);
+          AddOverlap(mRules[j], mRules[i]);
         }
       }
     }
   }
 
+  void AddOverlap(const placed_rule& aRule, const placed_rule& aOther)
+  {
+    Add(aRule.mPath + ".path",
+        "a path that shares requests with rule " + aOther.mName,
+        "a method and path that no request shares with another rule");
+  }
+
   const configuration& mConfiguration;
   std::vector<value_problem> mProblems;
   std::map<std::string, std::string> mTargetNames;
--- a/UnitTests/Settings/ConfigurationCodecTest.cpp
+++ b/UnitTests/Settings/ConfigurationCodecTest.cpp
@@ -170,7 +170,11 @@
   json second = document["services"][0];
   document["services"].push_back(second);
   EXPECT_EQ(ProblemPaths(document),
-            (paths{ "services[1].name",
+            (paths{ "services[0].name",
+                    "services[0].targets[0].name",
+                    "services[0].targets[0].port",
+                    "services[0].rules[0].path",
+                    "services[1].name",
                     "services[1].targets[0].name",
                     "services[1].targets[0].port",
                     "services[1].rules[0].path" }));
@@ -181,7 +185,9 @@
   document["services"][1] = second;
   EXPECT_EQ(ProblemPaths(document), paths{});
   document["services"][1]["rules"][0]["path"] = "/{school}/today";
-  EXPECT_EQ(ProblemPaths(document), paths{ "services[1].rules[0].path" });
+  EXPECT_EQ(
+    ProblemPaths(document),
+    (paths{ "services[0].rules[0].path", "services[1].rules[0].path" }));
 }
 
 } // namespace parsleystair
