--- a/Parsleystair/Peers/PeerServer.cpp
+++ b/Parsleystair/Peers/PeerServer.cpp
@@ -1,7 +1,3 @@
-// g++ 12 sees the default argument of `getResults` as uninitialized when it
-// inlines it with sanitizers on.
-#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
-
 #include "Parsleystair/Peers/PeerServer.h"
 
 #include "Parsleystair/Core/Error.h"
@@ -38,75 +34,70 @@
 
   kj::Promise<void> heartbeat(HeartbeatContext aContext) override
   {
-    return Answer(aContext, [&] {
-      const auto message = Decode(aContext.getParams().getMessage());
-      Encode(mHandler.HandleHeartbeat(message),
-             aContext.getResults().initReply());
+    return Answer(aContext, [this](auto aParams, auto aResults) {
+      const auto message = Decode(aParams.getMessage());
+      Encode(mHandler.HandleHeartbeat(message), aResults.initReply());
     });
   }
 
   kj::Promise<void> confirm(ConfirmContext aContext) override
   {
-    return Answer(aContext, [&] {
-      const auto params = aContext.getParams();
-      const confirm_message message{ group_index(params.getGroup()),
-                                     store_revision(params.getRevision()) };
-      aContext.getResults().setResult(ToWire(mHandler.HandleConfirm(message)));
+    return Answer(aContext, [this](auto aParams, auto aResults) {
+      const confirm_message message{ group_index(aParams.getGroup()),
+                                     store_revision(aParams.getRevision()) };
+      aResults.setResult(ToWire(mHandler.HandleConfirm(message)));
     });
   }
 
   kj::Promise<void> announce(AnnounceContext aContext) override
   {
-    return Answer(aContext, [&] {
-      mHandler.HandleAnnounce({ Decode(aContext.getParams().getRecord()) });
+    return Answer(aContext, [this](auto aParams, auto) {
+      mHandler.HandleAnnounce({ Decode(aParams.getRecord()) });
     });
   }
 
   kj::Promise<void> begin(BeginContext aContext) override
   {
-    return Answer(aContext, [&] {
-      const auto message = Decode(aContext.getParams().getMessage());
-      Encode(mHandler.HandleBegin(message), aContext.getResults().initReply());
+    return Answer(aContext, [this](auto aParams, auto aResults) {
+      const auto message = Decode(aParams.getMessage());
+      Encode(mHandler.HandleBegin(message), aResults.initReply());
     });
   }
 
   kj::Promise<void> finish(FinishContext aContext) override
   {
-    return Answer(aContext, [&] {
-      mHandler.HandleFinish(Decode(aContext.getParams().getMessage()));
+    return Answer(aContext, [this](auto aParams, auto) {
+      mHandler.HandleFinish(Decode(aParams.getMessage()));
     });
   }
 
   kj::Promise<void> withdraw(WithdrawContext aContext) override
   {
-    return Answer(aContext, [&] {
-      mHandler.HandleWithdraw(Decode(aContext.getParams().getMessage()));
+    return Answer(aContext, [this](auto aParams, auto) {
+      mHandler.HandleWithdraw(Decode(aParams.getMessage()));
     });
   }
 
   kj::Promise<void> copyRecords(CopyRecordsContext aContext) override
   {
-    return Answer(aContext, [&] {
-      const copy_records_message message{ Decode(
-        aContext.getParams().getRecord()) };
-      Encode(mHandler.HandleCopyRecords(message),
-             aContext.getResults().initReply());
+    return Answer(aContext, [this](auto aParams, auto aResults) {
+      const copy_records_message message{ Decode(aParams.getRecord()) };
+      Encode(mHandler.HandleCopyRecords(message), aResults.initReply());
     });
   }
 
   kj::Promise<void> fetchConfiguration(
     FetchConfigurationContext aContext) override
   {
-    return Answer(aContext, [&] {
-      Encode(mHandler.HandleFetchConfiguration(),
-             aContext.getResults().initReply());
+    return Answer(aContext, [this](auto, auto aResults) {
+      Encode(mHandler.HandleFetchConfiguration(), aResults.initReply());
     });
   }
 
   kj::Promise<void> fetchGroups(FetchGroupsContext aContext) override
   {
-    return Answer(aContext, [&] {
-      Encode(mHandler.HandleFetchGroups(), aContext.getResults().initReply());
+    return Answer(aContext, [this](auto, auto aResults) {
+      Encode(mHandler.HandleFetchGroups(), aResults.initReply());
     });
   }
 
@@ -116,9 +107,11 @@
   template<typename Context, typename Function>
   kj::Promise<void> Answer(Context& aContext, Function aFunction)
   {
+    constexpr capnp::MessageSize kSizeHint{ 64, 0 };
     try {
-      aFunction();
-      if (aContext.getResults().totalSize().wordCount > kMaxSentWords) {
+      auto results = aContext.getResults(kSizeHint);
+      aFunction(aContext.getParams(), results);
+      if (results.totalSize().wordCount > kMaxSentWords) {
         throw error("the reply is too large");
       }
       return kj::READY_NOW;
