--- a/PerformanceTest/measure_peer_rpc/Main.cpp
+++ b/PerformanceTest/measure_peer_rpc/Main.cpp
@@ -117,6 +117,7 @@
       { "failed", mFailed },
       { "callsPerSecond", calls * 1e6 / static_cast<double>(mElapsed.count()) },
       { "cpuMicrosecondsPerCall", static_cast<double>(mCpu.count()) / calls },
+      { "bytesPerCall", static_cast<double>(mWritten) / calls },
       { "medianMicroseconds", quantile(500) },
       { "p99Microseconds", quantile(990) }
     };
