Carry knowledge of other attempts into the next round of a begin

Cause: a round that saw another attempt could be followed by one that reached no holder, and its refusal then said not-run although the request may have run. Change: begin_attempt takes OtherSeen of the round before; the limit test feeds 4,000 samples instead of 2,000. Conclusion: drivers must pass OtherSeen to the next round.

--- a/Parsleystair/Request/BeginAttempt.cpp
+++ b/Parsleystair/Request/BeginAttempt.cpp
@@ -35,10 +35,12 @@
 begin_attempt::begin_attempt(const group_record& aRecord,
                              begin_message aMessage,
                              uint32_t aRound,
-                             time_point aDeadline)
+                             time_point aDeadline,
+                             bool aOtherSeen)
   : mMessage(std::move(aMessage))
   , mRound(aRound)
   , mDeadline(aDeadline)
+  , mOtherSeen(aOtherSeen)
 {
   PARSLEYSTAIR_INVARIANT(mMessage.mGroup == aRecord.mGroup);
   PARSLEYSTAIR_INVARIANT(!mMessage.mAttempt.Value().empty());
@@ -69,9 +71,9 @@
   }
   PARSLEYSTAIR_INVARIANT(!mDecided);
   mDecided = true;
-  return refused_not_run{ refusal_reason::kRecordsUnavailable,
-                          "the group has too few holders",
-                          kUnavailableRetryAfterMs };
+  return Refuse({ refusal_reason::kRecordsUnavailable,
+                  "the group has too few holders",
+                  kUnavailableRetryAfterMs });
 }
 
 std::optional<begin_verdict> begin_attempt::HandleResult(
@@ -94,6 +96,12 @@
   return verdict;
 }
 
+bool begin_attempt::OtherSeen() const
+{
+  return mOtherSeen || HasResult(begin_result::kDuplicate) ||
+         HasResult(begin_result::kFinished);
+}
+
 std::vector<vm_identity> begin_attempt::PossibleAcceptors() const
 {
   std::vector<vm_identity> acceptors;
@@ -212,27 +220,35 @@
     };
   }
   if (HasResult(begin_result::kFingerprintMismatch)) {
-    return refused_not_run{ refusal_reason::kIdempotencyKeyReused,
-                            "the key was used with other content",
-                            0 };
+    return Refuse({ refusal_reason::kIdempotencyKeyReused,
+                    "the key was used with other content",
+                    0 });
   }
   if (HasResult(begin_result::kStaleRevision)) {
-    return AgainOr(
-      begin_again::reason::kRefreshRecord,
-      refused_not_run{ refusal_reason::kRecordsUnavailable,
-                       "the group's holders changed until the deadline",
-                       kUnavailableRetryAfterMs },
-      aNow,
-      aRandom);
+    return AgainOr(begin_again::reason::kRefreshRecord,
+                   Refuse({ refusal_reason::kRecordsUnavailable,
+                            "the group's holders changed until the deadline",
+                            kUnavailableRetryAfterMs }),
+                   aNow,
+                   aRandom);
   }
   if (HasResult(begin_result::kFull)) {
-    return refused_not_run{ refusal_reason::kRecordsFull,
-                            "the record table is full",
-                            kFullRetryAfterMs };
+    return Refuse({ refusal_reason::kRecordsFull,
+                    "the record table is full",
+                    kFullRetryAfterMs });
+  }
+  return Refuse({ refusal_reason::kRecordsUnavailable,
+                  "too few holders accepted the attempt",
+                  kUnavailableRetryAfterMs });
+}
+
+begin_verdict begin_attempt::Refuse(refused_not_run aRefusal) const
+{
+  if (OtherSeen()) {
+    return refused_may_have_run{ refusal_reason::kDuplicateInProgress,
+                                 aRefusal.mDetail };
   }
-  return refused_not_run{ refusal_reason::kRecordsUnavailable,
-                          "too few holders accepted the attempt",
-                          kUnavailableRetryAfterMs };
+  return aRefusal;
 }
 
 begin_verdict begin_attempt::AgainOr(begin_again::reason aReason,
--- a/Parsleystair/Request/BeginAttempt.h
+++ b/Parsleystair/Request/BeginAttempt.h
@@ -57,11 +57,13 @@
 public:
   /// `aRound` counts the rounds of one request from 0. Each round needs an
   /// attempt id that was never used before. `aMessage.mRevision` is set to the
-  /// record's. `aDeadline` is the end of the request.
+  /// record's. `aDeadline` is the end of the request. `aOtherSeen` is
+  /// `OtherSeen` of the round before.
   begin_attempt(const group_record& aRecord,
                 begin_message aMessage,
                 uint32_t aRound,
-                time_point aDeadline);
+                time_point aDeadline,
+                bool aOtherSeen = false);
 
   /// To be sent to each of `Holders`.
   [[nodiscard]] const begin_message& Message() const { return mMessage; }
@@ -78,6 +80,10 @@
     time_point aNow,
     std::mt19937_64& aRandom);
 
+  /// A holder of this or an earlier round knew another attempt of the request,
+  /// so a refusal doesn't say that the request did not run.
+  [[nodiscard]] bool OtherSeen() const;
+
   /// Holders that may have accepted the attempt. They get `WithdrawMessage`
   /// after every verdict but `begin_run`, and after that one when the request
   /// was never sent. A call without a result counts as accepted.
@@ -104,6 +110,8 @@
                                                     std::mt19937_64& aRandom);
   [[nodiscard]] begin_verdict DecideWithoutMajority(time_point aNow,
                                                     std::mt19937_64& aRandom);
+  /// Refusal of this attempt, with regard to other attempts.
+  [[nodiscard]] begin_verdict Refuse(refused_not_run aRefusal) const;
   [[nodiscard]] begin_verdict AgainOr(begin_again::reason aReason,
                                       begin_verdict aAtDeadline,
                                       time_point aNow,
@@ -112,6 +120,7 @@
   begin_message mMessage;
   uint32_t mRound;
   time_point mDeadline;
+  bool mOtherSeen;
   std::vector<holder_state> mHolders;
   bool mDecided = false;
 };
--- a/UnitTests/Limits/LimitsTest.cpp
+++ b/UnitTests/Limits/LimitsTest.cpp
@@ -32,7 +32,7 @@
   EXPECT_GE(limit.Value(), adaptive_limit::kMin);
   limit.HandleStart(kStart);
   EXPECT_FALSE(limit.Allows(0, kStart + 19ms));
-  Feed(limit, 2000, { 20ms, 6, false });
+  Feed(limit, 4000, { 20ms, 6, false });
   EXPECT_EQ(limit.Value(), 6.0);
 }
 
--- a/UnitTests/Request/AtMostOnceStateTest.cpp
+++ b/UnitTests/Request/AtMostOnceStateTest.cpp
@@ -4,6 +4,7 @@
 #include "Parsleystair/Request/RequestRecordTable.h"
 
 #include <algorithm>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -17,6 +18,8 @@
 constexpr duration kDeadline = 30s;
 const group_index kGroup(7);
 
+using packet = std::function<void()>;
+
 /// What the runs of all cases reached, to show that the test isn't empty.
 struct totals
 {
@@ -53,21 +56,6 @@
   std::vector<time_point> mRuns;
 };
 
-struct packet
-{
-  size_t mTo = 0;
-  vm_identity mFrom;
-  size_t mAttempt = 0;
-  store_revision mRevision;
-  std::variant<begin_message,
-               withdraw_message,
-               finish_message,
-               copy_records_message,
-               begin_reply,
-               copy_records_reply>
-    mBody;
-};
-
 http_answer AnswerOf(const request_key& aKey)
 {
   return { 200, {}, "answer of " + aKey.mKey };
@@ -114,8 +102,8 @@
       { begin_attempt(known, message, 0, deadline), key, deadline, {} });
     tried_attempt& attempt = mAttempts.back();
     attempt.mVerdict = attempt.mBegin.CheckHolders();
-    if (!attempt.mVerdict) {
-      SendTo(attempt.mBegin.Holders(), attempt.mBegin.Message());
+    for (const vm_identity& holder : attempt.mBegin.Holders()) {
+      SendBegin(mAttempts.size() - 1, holder);
     }
   }
 
@@ -132,15 +120,7 @@
     if (aKeep % 16 != 0) {
       mPackets.erase(mPackets.begin() + static_cast<long>(index));
     }
-    std::visit([&](const auto& aBody) { Handle(taken, aBody); }, taken.mBody);
-  }
-
-  void Drop(uint32_t aPacket, uint32_t = 0)
-  {
-    if (!mPackets.empty()) {
-      mPackets.erase(mPackets.begin() +
-                     static_cast<long>(aPacket % mPackets.size()));
-    }
+    taken();
   }
 
   void TimeOut(uint32_t aAttempt, uint32_t aHolder)
@@ -185,7 +165,12 @@
     if (aWithAnswer % 4 != 0) {
       answer = AnswerOf(attempt->mBegin.Message().mKey);
     }
-    SendTo(attempt->mBegin.Holders(), attempt->mBegin.FinishMessage(answer));
+    const finish_message message = attempt->mBegin.FinishMessage(answer);
+    for (const vm_identity& holder : attempt->mBegin.Holders()) {
+      mPackets.emplace_back([this, holder, message] {
+        NodeOf(holder.mName).mTable->HandleFinish(message, mNow);
+      });
+    }
   }
 
   void Abandon(uint32_t aAttempt, uint32_t = 0)
@@ -239,12 +224,17 @@
       return;
     }
     mCopies.clear();
+    const vm_name joiner = joining->mVm;
     for (const group_holder& holder : mStore.mHolders) {
       if (!holder.mJoining) {
-        packet request{ IndexOf(holder.mVm), {}, 0, mStore.mRevision, {} };
-        request.mFrom = { joining->mVm, joining->mIncarnation };
-        request.mBody = copy_records_message{ mStore };
-        mPackets.push_back(std::move(request));
+        mPackets.emplace_back(
+          [this, joiner, from = holder.mVm, asked = mStore] {
+            node& router = NodeOf(from);
+            const copy_records_reply reply =
+              router.mTable->HandleCopyRecords({ asked }, router.mKnown, mNow);
+            mPackets.emplace_back(
+              [=, this] { TakeCopy(joiner, from, asked.mRevision, reply); });
+          });
       }
     }
   }
@@ -265,7 +255,7 @@
         return;
       }
     }
-    node& router = mNodes[IndexOf(joining->mVm)];
+    node& router = NodeOf(joining->mVm);
     if (!gone || MemoryIsGone(*joining)) {
       return;
     }
@@ -280,7 +270,7 @@
     if (joining == nullptr || MemoryIsGone(*joining)) {
       return;
     }
-    if (mNodes[IndexOf(joining->mVm)].mTable->IsReady(kGroup)) {
+    if (NodeOf(joining->mVm).mTable->IsReady(kGroup)) {
       for (group_holder& holder : mStore.mHolders) {
         holder.mJoining = false;
       }
@@ -327,12 +317,11 @@
              mNow.time_since_epoch());
   }
 
-  size_t IndexOf(const vm_name& aName) { return aName.Value()[0] - 'a'; }
+  node& NodeOf(const vm_name& aName) { return mNodes[aName.Value()[0] - 'a']; }
 
   bool MemoryIsGone(const group_holder& aHolder)
   {
-    return mNodes[IndexOf(aHolder.mVm)].mVm.mIncarnation !=
-           aHolder.mIncarnation;
+    return NodeOf(aHolder.mVm).mVm.mIncarnation != aHolder.mIncarnation;
   }
 
   const group_holder* Joining()
@@ -351,19 +340,26 @@
     mCopies.clear();
   }
 
-  template<typename Message>
-  void SendTo(const std::vector<vm_identity>& aHolders, const Message& aMessage)
+  void SendBegin(size_t aAttempt, const vm_identity& aHolder)
   {
-    for (const vm_identity& holder : aHolders) {
-      mPackets.push_back(
-        { IndexOf(holder.mName), holder, mAttempts.size() - 1, {}, aMessage });
-    }
+    mPackets.emplace_back([=, this] {
+      node& router = NodeOf(aHolder.mName);
+      const begin_reply reply = router.mTable->HandleBegin(
+        mAttempts[aAttempt].mBegin.Message(), router.mKnown, mNow, WallNow());
+      mPackets.emplace_back([=, this] {
+        TakeResult(aAttempt, aHolder, { peer_status::kAnswered, reply });
+      });
+    });
   }
 
   void Withdraw(const tried_attempt& aAttempt)
   {
-    SendTo(aAttempt.mBegin.PossibleAcceptors(),
-           aAttempt.mBegin.WithdrawMessage());
+    const withdraw_message message = aAttempt.mBegin.WithdrawMessage();
+    for (const vm_identity& holder : aAttempt.mBegin.PossibleAcceptors()) {
+      mPackets.emplace_back([this, holder, message] {
+        NodeOf(holder.mName).mTable->HandleWithdraw(message, mNow);
+      });
+    }
   }
 
   tried_attempt* FindRunning(uint32_t aAttempt, bool aSent)
@@ -406,57 +402,23 @@
     }
   }
 
-  void Handle(const packet& aPacket, const begin_message& aMessage)
-  {
-    node& router = mNodes[aPacket.mTo];
-    packet reply = aPacket;
-    reply.mBody =
-      router.mTable->HandleBegin(aMessage, router.mKnown, mNow, WallNow());
-    reply.mAttempt = std::stoul(aMessage.mAttempt.Value()) - 1;
-    mPackets.push_back(std::move(reply));
-  }
-
-  void Handle(const packet& aPacket, const withdraw_message& aMessage)
-  {
-    mNodes[aPacket.mTo].mTable->HandleWithdraw(aMessage, mNow);
-  }
-
-  void Handle(const packet& aPacket, const finish_message& aMessage)
-  {
-    mNodes[aPacket.mTo].mTable->HandleFinish(aMessage, mNow);
-  }
-
-  void Handle(const packet& aPacket, const copy_records_message& aMessage)
-  {
-    node& router = mNodes[aPacket.mTo];
-    packet reply = aPacket;
-    reply.mBody =
-      router.mTable->HandleCopyRecords(aMessage, router.mKnown, mNow);
-    reply.mTo = IndexOf(aPacket.mFrom.mName);
-    reply.mFrom = router.mVm;
-    mPackets.push_back(std::move(reply));
-  }
-
-  void Handle(const packet& aPacket, const begin_reply& aReply)
-  {
-    TakeResult(
-      aPacket.mAttempt, aPacket.mFrom, { peer_status::kAnswered, aReply });
-  }
-
-  void Handle(const packet& aPacket, const copy_records_reply& aReply)
+  void TakeCopy(const vm_name& aJoiner,
+                const vm_name& aFrom,
+                store_revision aRevision,
+                const copy_records_reply& aReply)
   {
     const group_holder* joining = Joining();
-    if (joining == nullptr || aPacket.mRevision != mStore.mRevision ||
-        MemoryIsGone(*joining) || IndexOf(joining->mVm) != aPacket.mTo) {
+    if (joining == nullptr || aRevision != mStore.mRevision ||
+        MemoryIsGone(*joining) || joining->mVm != aJoiner) {
       return;
     }
-    mCopies[aPacket.mFrom.mName] = aReply;
+    mCopies[aFrom] = aReply;
     if (mCopies.size() == mStore.mHolders.size() - 1) {
       std::vector<copy_records_reply> copies;
       for (const auto& [name, copy] : mCopies) {
         copies.push_back(copy);
       }
-      mNodes[aPacket.mTo].mTable->InstallCopies(mStore, copies, mNow);
+      NodeOf(aJoiner).mTable->InstallCopies(mStore, copies, mNow);
     }
   }
 
@@ -474,14 +436,13 @@
 };
 
 const std::vector<weighted_action<world>> kActions = {
-  { "deliver", 100, &world::Deliver }, { "begin", 10, &world::Begin },
-  { "send", 10, &world::Send },        { "finish", 3, &world::Finish },
-  { "abandon", 1, &world::Abandon },   { "drop", 3, &world::Drop },
-  { "timeout", 3, &world::TimeOut },   { "learn", 10, &world::Learn },
-  { "replace", 3, &world::Replace },   { "copy", 4, &world::Copy },
-  { "force", 2, &world::Force },       { "clear", 5, &world::ClearJoining },
-  { "restart", 2, &world::Restart },   { "advance", 2, &world::Advance },
-  { "key", 2, &world::ReplaceKey },
+  { "deliver", 100, &world::Deliver },  { "begin", 10, &world::Begin },
+  { "send", 10, &world::Send },         { "finish", 3, &world::Finish },
+  { "abandon", 1, &world::Abandon },    { "timeout", 3, &world::TimeOut },
+  { "learn", 10, &world::Learn },       { "replace", 3, &world::Replace },
+  { "copy", 4, &world::Copy },          { "force", 2, &world::Force },
+  { "clear", 5, &world::ClearJoining }, { "restart", 2, &world::Restart },
+  { "advance", 2, &world::Advance },    { "key", 2, &world::ReplaceKey },
 };
 
 } // namespace
--- a/UnitTests/Request/BeginAttemptTest.cpp
+++ b/UnitTests/Request/BeginAttemptTest.cpp
@@ -101,6 +101,13 @@
     Verdict({ begin_result::kFinished, begin_result::kDuplicate, kUnknown });
   EXPECT_EQ(Reason<refused_may_have_run>(unknown),
             refusal_reason::kIncompleteAnswer);
+  begin_attempt next(mRecord, mAttempt->Message(), 1, kStart, true);
+  std::optional<begin_verdict> lost;
+  for (const vm_identity& holder : next.Holders()) {
+    lost = next.HandleResult(holder, {}, kStart, mRandom);
+  }
+  EXPECT_EQ(Reason<refused_may_have_run>(lost),
+            refusal_reason::kDuplicateInProgress);
   mAnswer = http_answer{ 201, {}, "x" };
   EXPECT_EQ(Verdict({ begin_result::kFinished }),
             begin_verdict(begin_repeat{ *mAnswer }));
