--- a/UnitTests/Request/AtMostOnceStateTest.cpp
+++ b/UnitTests/Request/AtMostOnceStateTest.cpp
@@ -452,7 +452,9 @@
 // messages are lost, late or repeated.
 TEST(AtMostOnceState, EachRequestRunsAtMostOnce)
 {
-  // Several worlds a case reach the rare rules with the default of 100 cases.
+  // Several worlds a case reach the rare rules with the default of 100 cases. A
+  // failure may take minutes to shrink; RC_PARAMS="noshrink=1" shows it at
+  // once.
   constexpr int kWorlds = 10;
   EXPECT_TRUE(rc::check([] {
     for (int i = 0; i < kWorlds; ++i) {
