--- a/Parsleystair/Ownership/GroupRecord.cpp
+++ b/Parsleystair/Ownership/GroupRecord.cpp
@@ -219,6 +219,7 @@
     ReadNumber(body.at("group"), std::numeric_limits<uint32_t>::max())));
   record.mRevision = aRevision;
   record.mHolders = DecodeHolders(body.at("holders"));
+  record.mRecordsLostUntilMs = ReadNumber(body.at("recordsLostUntilMs"));
   for (const json& service : body.at("services")) {
     DecodeService(service, record);
   }
@@ -232,6 +233,7 @@
   const json body = { { "version", kFormatVersion },
                       { "group", aRecord.mGroup.Value() },
                       { "holders", EncodeHolders(aRecord.mHolders) },
+                      { "recordsLostUntilMs", aRecord.mRecordsLostUntilMs },
                       { "services", EncodeServices(aRecord) } };
   const std::string bodyText = body.dump();
   std::string text =
--- a/Parsleystair/Ownership/GroupRecord.h
+++ b/Parsleystair/Ownership/GroupRecord.h
@@ -70,6 +70,9 @@
   /// the stored value.
   store_revision mRevision;
   std::vector<group_holder> mHolders;
+  /// Calendar time, in ms since 1970, up to which the holders may have lost
+  /// at-most-once records; 0 when none were lost.
+  uint64_t mRecordsLostUntilMs = 0;
   std::map<slot_id, slot_ownership> mSlots;
 
   bool operator==(const group_record&) const = default;
--- a/Parsleystair/Ownership/GroupState.h
+++ b/Parsleystair/Ownership/GroupState.h
@@ -133,6 +133,9 @@
   time_point mAnnouncedAt = time_point::min();
   /// At-most-once records were copied since this router began to join.
   bool mCopied = false;
+  /// Time up to which records could not be copied, since their holders were
+  /// lost.
+  std::optional<wall_time> mRecordsLostUntil;
   size_t mRank = 0;
 
 private:
--- a/Parsleystair/Ownership/OwnershipController.cpp
+++ b/Parsleystair/Ownership/OwnershipController.cpp
@@ -315,11 +315,14 @@
   return Finish(aNow, {});
 }
 
-ownership_actions ownership_controller::HandleRecordsCopied(group_index aGroup,
-                                                            time_point aNow)
+ownership_actions ownership_controller::HandleRecordsCopied(
+  group_index aGroup,
+  std::optional<wall_time> aLostUntil,
+  time_point aNow)
 {
   group_state& state = State(aGroup);
   state.mCopied = IsJoining(state);
+  state.mRecordsLostUntil = aLostUntil;
   mChanged.insert(aGroup);
   return Finish(aNow, {});
 }
--- a/Parsleystair/Ownership/OwnershipController.h
+++ b/Parsleystair/Ownership/OwnershipController.h
@@ -70,8 +70,15 @@
                                         time_point aAskedAt,
                                         time_point aNow);
 
-  /// The at-most-once records of a group that this router joins are complete.
-  ownership_actions HandleRecordsCopied(group_index aGroup, time_point aNow);
+  /// The at-most-once records of a group that this router joins were copied.
+  /// `aLostUntil`: time up to which some were lost with their holders.
+  ownership_actions HandleRecordsCopied(group_index aGroup,
+                                        std::optional<wall_time> aLostUntil,
+                                        time_point aNow);
+
+  /// True when a VM has been off the platform's list for so long that no
+  /// process of it runs.
+  [[nodiscard]] bool IsGone(const vm_name& aVm, time_point aNow) const;
 
   /// Reply to `send_grants`.
   ownership_actions HandleGrantReply(const target_id& aTarget,
--- a/Parsleystair/Ownership/OwnershipControllerDuties.cpp
+++ b/Parsleystair/Ownership/OwnershipControllerDuties.cpp
@@ -275,6 +275,11 @@
   return found == mGroups.end() ? mRouters.Live().size() : found->second.mRank;
 }
 
+bool ownership_controller::IsGone(const vm_name& aVm, time_point aNow) const
+{
+  return mRouters.IsGone(aVm, mSettings.mGone, aNow);
+}
+
 bool ownership_controller::IsRenewer(group_index aGroup) const
 {
   return Rank(aGroup) < kRenewers;
--- a/Parsleystair/Ownership/RecordEditor.cpp
+++ b/Parsleystair/Ownership/RecordEditor.cpp
@@ -255,7 +255,10 @@
   if (areAllGone) {
     const auto chosen =
       mContext.mRouters.ChooseHolders(mNext.mGroup, mContext.mConfiguration);
-    holders = chosen.empty() ? holders : chosen;
+    if (!chosen.empty()) {
+      holders = chosen;
+      mNext.mRecordsLostUntilMs = mContext.mWallMs;
+    }
     return;
   }
   if (FinishJoining()) {
@@ -283,6 +286,10 @@
     if (holder.mJoining && isSelf && mState.mCopied &&
         mState.IsAcked(mNext.mRevision, mContext.mRouters, mContext.mNow)) {
       holder.mJoining = false;
+      if (mState.mRecordsLostUntil) {
+        mNext.mRecordsLostUntilMs = static_cast<uint64_t>(
+          mState.mRecordsLostUntil->time_since_epoch().count());
+      }
       return true;
     }
   }
@@ -300,6 +307,7 @@
     // Nobody is left to copy records from, so there is nothing to join.
     if (hasRestarted) {
       holder = { holder.mVm, router->mVm.mIncarnation, false };
+      mNext.mRecordsLostUntilMs = mContext.mWallMs;
     }
     return hasRestarted;
   }
--- a/Parsleystair/Peers/GroupRecordCodec.cpp
+++ b/Parsleystair/Peers/GroupRecordCodec.cpp
@@ -72,6 +72,7 @@
 {
   aWire.setGroup(aValue.mGroup.Value());
   aWire.setRevision(aValue.mRevision.Value());
+  aWire.setRecordsLostUntilMs(aValue.mRecordsLostUntilMs);
   auto holders = aWire.initHolders(aValue.mHolders.size());
   for (unsigned i = 0; i < holders.size(); ++i) {
     holders[i].setVm(aValue.mHolders[i].mVm.Value());
@@ -96,6 +97,7 @@
   group_record value;
   value.mGroup = group_index(aWire.getGroup());
   value.mRevision = store_revision(aWire.getRevision());
+  value.mRecordsLostUntilMs = aWire.getRecordsLostUntilMs();
   for (const auto holder : aWire.getHolders()) {
     value.mHolders.push_back({ vm_name(ToString(holder.getVm())),
                                incarnation(holder.getIncarnation()),
--- a/Parsleystair/Peers/Messages.h
+++ b/Parsleystair/Peers/Messages.h
@@ -192,6 +192,9 @@
   /// False when the holder has no complete records itself.
   bool mReady = false;
   std::vector<request_record> mRecords;
+  /// The group's record lists an earlier process on this VM, whose records are
+  /// lost for good.
+  bool mLost = false;
 
   bool operator==(const copy_records_reply&) const = default;
 };
--- a/Parsleystair/Peers/Peer.capnp
+++ b/Parsleystair/Peers/Peer.capnp
@@ -63,6 +63,7 @@
   holders @2 :List(Holder);
   names @3 :List(Text);
   slots @4 :List(Slot);
+  recordsLostUntilMs @5 :UInt64;
 }
 
 enum ConfirmResult {
@@ -139,6 +140,7 @@
 struct CopyRecordsReply {
   ready @0 :Bool;
   records @1 :List(RequestRecord);
+  lost @2 :Bool;
 }
 
 struct ConfigurationReply {
--- a/Parsleystair/Peers/Peer.capnp.h
+++ b/Parsleystair/Peers/Peer.capnp.h
@@ -7,13 +7,13 @@
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
 #include <capnp/capability.h>
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error                                                                         \
-  "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -24,8 +24,7 @@
 CAPNP_DECLARE_SCHEMA(cb8c8bedb34f3d75);
 CAPNP_DECLARE_SCHEMA(b2ec9b1ee8ad964c);
 CAPNP_DECLARE_SCHEMA(89d9a4eb344f825e);
-enum class MoveReason_89d9a4eb344f825e : uint16_t
-{
+enum class MoveReason_89d9a4eb344f825e: uint16_t {
   INITIAL,
   TARGET_LOST,
   TARGET_LEAVING,
@@ -36,8 +35,7 @@
 CAPNP_DECLARE_SCHEMA(fa1b3835112b6d07);
 CAPNP_DECLARE_SCHEMA(b3aa7ab0716f98dd);
 CAPNP_DECLARE_SCHEMA(e7eccb8d37035978);
-enum class ConfirmResult_e7eccb8d37035978 : uint16_t
-{
+enum class ConfirmResult_e7eccb8d37035978: uint16_t {
   CONFIRMED,
   NEWER,
   NOT_READY,
@@ -48,8 +46,7 @@
 CAPNP_DECLARE_SCHEMA(b0ed1477f4758197);
 CAPNP_DECLARE_SCHEMA(d1adfeb78ab66889);
 CAPNP_DECLARE_SCHEMA(fcaf8466ca7bab03);
-enum class BeginResult_fcaf8466ca7bab03 : uint16_t
-{
+enum class BeginResult_fcaf8466ca7bab03: uint16_t {
   ACCEPTED,
   DUPLICATE,
   FINISHED,
@@ -87,366 +84,280 @@
 CAPNP_DECLARE_SCHEMA(bf884a12f66f6913);
 CAPNP_DECLARE_SCHEMA(88fda2464d202907);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace parsleystair {
 namespace wire {
 
-struct Member
-{
+struct Member {
   Member() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fbfe720235716060, 4, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct CrashNotice
-{
+struct CrashNotice {
   CrashNotice() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e6b5053b594c5dbc, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Heartbeat
-{
+struct Heartbeat {
   Heartbeat() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cb8c8bedb34f3d75, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Holder
-{
+struct Holder {
   Holder() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b2ec9b1ee8ad964c, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 typedef ::capnp::schemas::MoveReason_89d9a4eb344f825e MoveReason;
 
-struct Slot
-{
+struct Slot {
   Slot() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fa1b3835112b6d07, 4, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct GroupRecord
-{
+struct GroupRecord {
   GroupRecord() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
-    CAPNP_DECLARE_STRUCT_HEADER(b3aa7ab0716f98dd, 2, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b3aa7ab0716f98dd, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 typedef ::capnp::schemas::ConfirmResult_e7eccb8d37035978 ConfirmResult;
 
-struct RequestKey
-{
+struct RequestKey {
   RequestKey() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f8df7411fdf706fe, 0, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Header
-{
+struct Header {
   Header() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c437cba301189299, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Answer
-{
+struct Answer {
   Answer() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b0ed1477f4758197, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct BeginMessage
-{
+struct BeginMessage {
   BeginMessage() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d1adfeb78ab66889, 4, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 typedef ::capnp::schemas::BeginResult_fcaf8466ca7bab03 BeginResult;
 
-struct BeginReply
-{
+struct BeginReply {
   BeginReply() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(efc7c2b2e37041e7, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct FinishMessage
-{
+struct FinishMessage {
   FinishMessage() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(be595b7e00695aee, 1, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct WithdrawMessage
-{
+struct WithdrawMessage {
   WithdrawMessage() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ef266cda92d2ec37, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct RequestRecord
-{
+struct RequestRecord {
   RequestRecord() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8de6a280e059f0f4, 2, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct CopyRecordsReply
-{
+struct CopyRecordsReply {
   CopyRecordsReply() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a6cb3dc1b2c51fa5, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct ConfigurationReply
-{
+struct ConfigurationReply {
   ConfigurationReply() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(af5dfe66a953a027, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct GroupsReply
-{
+struct GroupsReply {
   GroupsReply() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(93f88f3aa0493c99, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer
-{
+struct Peer {
   Peer() = delete;
 
 #if !CAPNP_LITE
   class Client;
   class Server;
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   struct HeartbeatParams;
   struct HeartbeatResults;
@@ -467,2562 +378,2008 @@
   struct FetchGroupsParams;
   struct FetchGroupsResults;
 
-#if !CAPNP_LITE
-  struct _capnpPrivate
-  {
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(e401b2c4ba9c3b6a)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
-struct Peer::HeartbeatParams
-{
+struct Peer::HeartbeatParams {
   HeartbeatParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cc9e3a596d7d125a, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::HeartbeatResults
-{
+struct Peer::HeartbeatResults {
   HeartbeatResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(86f86b18fbc18ebc, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::ConfirmParams
-{
+struct Peer::ConfirmParams {
   ConfirmParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e7f23367e9e4d7f5, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::ConfirmResults
-{
+struct Peer::ConfirmResults {
   ConfirmResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c802e7ec05903e4a, 1, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::AnnounceParams
-{
+struct Peer::AnnounceParams {
   AnnounceParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9bd6b554f5d0392c, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::AnnounceResults
-{
+struct Peer::AnnounceResults {
   AnnounceResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bc20688057e31ec2, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::BeginParams
-{
+struct Peer::BeginParams {
   BeginParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bd22cdecad06e489, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::BeginResults
-{
+struct Peer::BeginResults {
   BeginResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(80e4cb15777ab978, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::FinishParams
-{
+struct Peer::FinishParams {
   FinishParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(efd1913d933c30fd, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::FinishResults
-{
+struct Peer::FinishResults {
   FinishResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(eda483995511fdb5, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::WithdrawParams
-{
+struct Peer::WithdrawParams {
   WithdrawParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(889f941d6e15b861, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::WithdrawResults
-{
+struct Peer::WithdrawResults {
   WithdrawResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8e5d8810fa684ec2, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::CopyRecordsParams
-{
+struct Peer::CopyRecordsParams {
   CopyRecordsParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(dd3fa2d93a141ea3, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::CopyRecordsResults
-{
+struct Peer::CopyRecordsResults {
   CopyRecordsResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cf54451d7d45dafe, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::FetchConfigurationParams
-{
+struct Peer::FetchConfigurationParams {
   FetchConfigurationParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e15c0ed30e91bac0, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::FetchConfigurationResults
-{
+struct Peer::FetchConfigurationResults {
   FetchConfigurationResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b30a144254b27893, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::FetchGroupsParams
-{
+struct Peer::FetchGroupsParams {
   FetchGroupsParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bf884a12f66f6913, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::FetchGroupsResults
-{
+struct Peer::FetchGroupsResults {
   FetchGroupsResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(88fda2464d202907, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
-class Member::Reader
-{
+class Member::Reader {
 public:
   typedef Member Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline ::capnp::Text::Reader getName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
   inline bool hasHost() const;
-  inline ::capnp::Text::Reader getHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline ::uint16_t getPeerPort() const;
+  inline  ::uint16_t getPeerPort() const;
 
   inline bool hasFailureDomain() const;
-  inline ::capnp::Text::Reader getFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
 
   inline bool getLeaving() const;
 
-  inline ::uint32_t getAgeMs() const;
+  inline  ::uint32_t getAgeMs() const;
 
-  inline ::uint64_t getConfiguration() const;
+  inline  ::uint64_t getConfiguration() const;
 
-  inline ::uint32_t getInForceMs() const;
+  inline  ::uint32_t getInForceMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Member::Builder
-{
+class Member::Builder {
 public:
   typedef Member Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline ::capnp::Text::Builder getName();
-  inline void setName(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
   inline bool hasHost();
-  inline ::capnp::Text::Builder getHost();
-  inline void setHost(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline ::uint16_t getPeerPort();
-  inline void setPeerPort(::uint16_t value);
+  inline  ::uint16_t getPeerPort();
+  inline void setPeerPort( ::uint16_t value);
 
   inline bool hasFailureDomain();
-  inline ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
 
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
-  inline ::uint32_t getAgeMs();
-  inline void setAgeMs(::uint32_t value);
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
 
-  inline ::uint64_t getConfiguration();
-  inline void setConfiguration(::uint64_t value);
+  inline  ::uint64_t getConfiguration();
+  inline void setConfiguration( ::uint64_t value);
 
-  inline ::uint32_t getInForceMs();
-  inline void setInForceMs(::uint32_t value);
+  inline  ::uint32_t getInForceMs();
+  inline void setInForceMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Member::Pipeline
-{
+class Member::Pipeline {
 public:
   typedef Member Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class CrashNotice::Reader
-{
+class CrashNotice::Reader {
 public:
   typedef CrashNotice Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getFingerprint() const;
+  inline  ::uint64_t getFingerprint() const;
 
-  inline ::uint32_t getCrashes() const;
+  inline  ::uint32_t getCrashes() const;
 
-  inline ::uint32_t getRemainingMs() const;
+  inline  ::uint32_t getRemainingMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class CrashNotice::Builder
-{
+class CrashNotice::Builder {
 public:
   typedef CrashNotice Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getFingerprint();
-  inline void setFingerprint(::uint64_t value);
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
 
-  inline ::uint32_t getCrashes();
-  inline void setCrashes(::uint32_t value);
+  inline  ::uint32_t getCrashes();
+  inline void setCrashes( ::uint32_t value);
 
-  inline ::uint32_t getRemainingMs();
-  inline void setRemainingMs(::uint32_t value);
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class CrashNotice::Pipeline
-{
+class CrashNotice::Pipeline {
 public:
   typedef CrashNotice Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Heartbeat::Reader
-{
+class Heartbeat::Reader {
 public:
   typedef Heartbeat Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasMembers() const;
-  inline ::capnp::List<::parsleystair::wire::Member,
-                       ::capnp::Kind::STRUCT>::Reader
-  getMembers() const;
+  inline  ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
-  inline ::uint64_t getGroupDigest() const;
+  inline  ::uint64_t getGroupDigest() const;
 
   inline bool hasCrashes() const;
-  inline ::capnp::List<::parsleystair::wire::CrashNotice,
-                       ::capnp::Kind::STRUCT>::Reader
-  getCrashes() const;
+  inline  ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Heartbeat::Builder
-{
+class Heartbeat::Builder {
 public:
   typedef Heartbeat Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasMembers();
-  inline ::capnp::List<::parsleystair::wire::Member,
-                       ::capnp::Kind::STRUCT>::Builder
-  getMembers();
-  inline void setMembers(::capnp::List<::parsleystair::wire::Member,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::parsleystair::wire::Member,
-                       ::capnp::Kind::STRUCT>::Builder
-  initMembers(unsigned int size);
-  inline void adoptMembers(
-    ::capnp::Orphan<::capnp::List<::parsleystair::wire::Member,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>>
-  disownMembers();
-
-  inline ::uint64_t getGroupDigest();
-  inline void setGroupDigest(::uint64_t value);
+  inline  ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline  ::uint64_t getGroupDigest();
+  inline void setGroupDigest( ::uint64_t value);
 
   inline bool hasCrashes();
-  inline ::capnp::List<::parsleystair::wire::CrashNotice,
-                       ::capnp::Kind::STRUCT>::Builder
-  getCrashes();
-  inline void setCrashes(::capnp::List<::parsleystair::wire::CrashNotice,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::parsleystair::wire::CrashNotice,
-                       ::capnp::Kind::STRUCT>::Builder
-  initCrashes(unsigned int size);
-  inline void adoptCrashes(
-    ::capnp::Orphan<::capnp::List<::parsleystair::wire::CrashNotice,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::CrashNotice, ::capnp::Kind::STRUCT>>
-  disownCrashes();
+  inline  ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>> disownCrashes();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Heartbeat::Pipeline
-{
+class Heartbeat::Pipeline {
 public:
   typedef Heartbeat Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Holder::Reader
-{
+class Holder::Reader {
 public:
   typedef Holder Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasVm() const;
-  inline ::capnp::Text::Reader getVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
   inline bool getJoining() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Holder::Builder
-{
+class Holder::Builder {
 public:
   typedef Holder Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasVm();
-  inline ::capnp::Text::Builder getVm();
-  inline void setVm(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initVm(unsigned int size);
-  inline void adoptVm(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
   inline bool getJoining();
   inline void setJoining(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Holder::Pipeline
-{
+class Holder::Pipeline {
 public:
   typedef Holder Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Slot::Reader
-{
+class Slot::Reader {
 public:
   typedef Slot Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint16_t getService() const;
+  inline  ::uint16_t getService() const;
 
-  inline ::uint16_t getOwner() const;
+  inline  ::uint16_t getOwner() const;
 
-  inline ::uint32_t getSlot() const;
+  inline  ::uint32_t getSlot() const;
 
-  inline ::uint64_t getFence() const;
+  inline  ::uint64_t getFence() const;
 
-  inline ::uint64_t getSinceMs() const;
+  inline  ::uint64_t getSinceMs() const;
 
   inline bool getHasMove() const;
 
-  inline ::uint16_t getMoveTo() const;
+  inline  ::uint16_t getMoveTo() const;
 
-  inline ::parsleystair::wire::MoveReason getMoveReason() const;
+  inline  ::parsleystair::wire::MoveReason getMoveReason() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Slot::Builder
-{
+class Slot::Builder {
 public:
   typedef Slot Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint16_t getService();
-  inline void setService(::uint16_t value);
+  inline  ::uint16_t getService();
+  inline void setService( ::uint16_t value);
 
-  inline ::uint16_t getOwner();
-  inline void setOwner(::uint16_t value);
+  inline  ::uint16_t getOwner();
+  inline void setOwner( ::uint16_t value);
 
-  inline ::uint32_t getSlot();
-  inline void setSlot(::uint32_t value);
+  inline  ::uint32_t getSlot();
+  inline void setSlot( ::uint32_t value);
 
-  inline ::uint64_t getFence();
-  inline void setFence(::uint64_t value);
+  inline  ::uint64_t getFence();
+  inline void setFence( ::uint64_t value);
 
-  inline ::uint64_t getSinceMs();
-  inline void setSinceMs(::uint64_t value);
+  inline  ::uint64_t getSinceMs();
+  inline void setSinceMs( ::uint64_t value);
 
   inline bool getHasMove();
   inline void setHasMove(bool value);
 
-  inline ::uint16_t getMoveTo();
-  inline void setMoveTo(::uint16_t value);
+  inline  ::uint16_t getMoveTo();
+  inline void setMoveTo( ::uint16_t value);
 
-  inline ::parsleystair::wire::MoveReason getMoveReason();
-  inline void setMoveReason(::parsleystair::wire::MoveReason value);
+  inline  ::parsleystair::wire::MoveReason getMoveReason();
+  inline void setMoveReason( ::parsleystair::wire::MoveReason value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Slot::Pipeline
-{
+class Slot::Pipeline {
 public:
   typedef Slot Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class GroupRecord::Reader
-{
+class GroupRecord::Reader {
 public:
   typedef GroupRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup() const;
+  inline  ::uint32_t getGroup() const;
 
-  inline ::uint64_t getRevision() const;
+  inline  ::uint64_t getRevision() const;
 
   inline bool hasHolders() const;
-  inline ::capnp::List<::parsleystair::wire::Holder,
-                       ::capnp::Kind::STRUCT>::Reader
-  getHolders() const;
+  inline  ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>::Reader getHolders() const;
 
   inline bool hasNames() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getNames()
-    const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
 
   inline bool hasSlots() const;
-  inline ::capnp::List<::parsleystair::wire::Slot,
-                       ::capnp::Kind::STRUCT>::Reader
-  getSlots() const;
+  inline  ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>::Reader getSlots() const;
+
+  inline  ::uint64_t getRecordsLostUntilMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class GroupRecord::Builder
-{
+class GroupRecord::Builder {
 public:
   typedef GroupRecord Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup();
-  inline void setGroup(::uint32_t value);
+  inline  ::uint32_t getGroup();
+  inline void setGroup( ::uint32_t value);
 
-  inline ::uint64_t getRevision();
-  inline void setRevision(::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
   inline bool hasHolders();
-  inline ::capnp::List<::parsleystair::wire::Holder,
-                       ::capnp::Kind::STRUCT>::Builder
-  getHolders();
-  inline void setHolders(::capnp::List<::parsleystair::wire::Holder,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::parsleystair::wire::Holder,
-                       ::capnp::Kind::STRUCT>::Builder
-  initHolders(unsigned int size);
-  inline void adoptHolders(
-    ::capnp::Orphan<::capnp::List<::parsleystair::wire::Holder,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>>
-  disownHolders();
+  inline  ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>::Builder getHolders();
+  inline void setHolders( ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>::Builder initHolders(unsigned int size);
+  inline void adoptHolders(::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>> disownHolders();
 
   inline bool hasNames();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getNames();
-  inline void setNames(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setNames(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initNames(
-    unsigned int size);
-  inline void adoptNames(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownNames();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNames();
+  inline void setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNames(unsigned int size);
+  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
 
   inline bool hasSlots();
-  inline ::capnp::List<::parsleystair::wire::Slot,
-                       ::capnp::Kind::STRUCT>::Builder
-  getSlots();
-  inline void setSlots(::capnp::List<::parsleystair::wire::Slot,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::parsleystair::wire::Slot,
-                       ::capnp::Kind::STRUCT>::Builder
-  initSlots(unsigned int size);
-  inline void adoptSlots(
-    ::capnp::Orphan<::capnp::List<::parsleystair::wire::Slot,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>>
-  disownSlots();
+  inline  ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>::Builder getSlots();
+  inline void setSlots( ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>::Builder initSlots(unsigned int size);
+  inline void adoptSlots(::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>> disownSlots();
+
+  inline  ::uint64_t getRecordsLostUntilMs();
+  inline void setRecordsLostUntilMs( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class GroupRecord::Pipeline
-{
+class GroupRecord::Pipeline {
 public:
   typedef GroupRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class RequestKey::Reader
-{
+class RequestKey::Reader {
 public:
   typedef RequestKey Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
   inline bool hasRule() const;
-  inline ::capnp::Text::Reader getRule() const;
+  inline  ::capnp::Text::Reader getRule() const;
 
   inline bool hasKey() const;
-  inline ::capnp::Text::Reader getKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class RequestKey::Builder
-{
+class RequestKey::Builder {
 public:
   typedef RequestKey Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
   inline bool hasRule();
-  inline ::capnp::Text::Builder getRule();
-  inline void setRule(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRule(unsigned int size);
-  inline void adoptRule(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRule();
+  inline  ::capnp::Text::Builder getRule();
+  inline void setRule( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRule(unsigned int size);
+  inline void adoptRule(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRule();
 
   inline bool hasKey();
-  inline ::capnp::Text::Builder getKey();
-  inline void setKey(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class RequestKey::Pipeline
-{
+class RequestKey::Pipeline {
 public:
   typedef RequestKey Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Header::Reader
-{
+class Header::Reader {
 public:
   typedef Header Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline ::capnp::Text::Reader getName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
   inline bool hasValue() const;
-  inline ::capnp::Text::Reader getValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Header::Builder
-{
+class Header::Builder {
 public:
   typedef Header Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline ::capnp::Text::Builder getName();
-  inline void setName(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
   inline bool hasValue();
-  inline ::capnp::Text::Builder getValue();
-  inline void setValue(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Header::Pipeline
-{
+class Header::Pipeline {
 public:
   typedef Header Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Answer::Reader
-{
+class Answer::Reader {
 public:
   typedef Answer Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getStatus() const;
+  inline  ::uint32_t getStatus() const;
 
   inline bool hasHeaders() const;
-  inline ::capnp::List<::parsleystair::wire::Header,
-                       ::capnp::Kind::STRUCT>::Reader
-  getHeaders() const;
+  inline  ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Answer::Builder
-{
+class Answer::Builder {
 public:
   typedef Answer Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getStatus();
-  inline void setStatus(::uint32_t value);
+  inline  ::uint32_t getStatus();
+  inline void setStatus( ::uint32_t value);
 
   inline bool hasHeaders();
-  inline ::capnp::List<::parsleystair::wire::Header,
-                       ::capnp::Kind::STRUCT>::Builder
-  getHeaders();
-  inline void setHeaders(::capnp::List<::parsleystair::wire::Header,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::parsleystair::wire::Header,
-                       ::capnp::Kind::STRUCT>::Builder
-  initHeaders(unsigned int size);
-  inline void adoptHeaders(
-    ::capnp::Orphan<::capnp::List<::parsleystair::wire::Header,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>>
-  disownHeaders();
+  inline  ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Answer::Pipeline
-{
+class Answer::Pipeline {
 public:
   typedef Answer Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class BeginMessage::Reader
-{
+class BeginMessage::Reader {
 public:
   typedef BeginMessage Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup() const;
+  inline  ::uint32_t getGroup() const;
 
-  inline ::uint64_t getRevision() const;
+  inline  ::uint64_t getRevision() const;
 
   inline bool hasKey() const;
-  inline ::parsleystair::wire::RequestKey::Reader getKey() const;
+  inline  ::parsleystair::wire::RequestKey::Reader getKey() const;
 
   inline bool hasAttempt() const;
-  inline ::capnp::Text::Reader getAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
 
-  inline ::uint64_t getFingerprint() const;
+  inline  ::uint64_t getFingerprint() const;
 
-  inline ::uint64_t getKeyTimeMs() const;
+  inline  ::uint64_t getKeyTimeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class BeginMessage::Builder
-{
+class BeginMessage::Builder {
 public:
   typedef BeginMessage Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup();
-  inline void setGroup(::uint32_t value);
+  inline  ::uint32_t getGroup();
+  inline void setGroup( ::uint32_t value);
 
-  inline ::uint64_t getRevision();
-  inline void setRevision(::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
   inline bool hasKey();
-  inline ::parsleystair::wire::RequestKey::Builder getKey();
-  inline void setKey(::parsleystair::wire::RequestKey::Reader value);
-  inline ::parsleystair::wire::RequestKey::Builder initKey();
-  inline void adoptKey(
-    ::capnp::Orphan<::parsleystair::wire::RequestKey>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::RequestKey> disownKey();
+  inline  ::parsleystair::wire::RequestKey::Builder getKey();
+  inline void setKey( ::parsleystair::wire::RequestKey::Reader value);
+  inline  ::parsleystair::wire::RequestKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::parsleystair::wire::RequestKey>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::RequestKey> disownKey();
 
   inline bool hasAttempt();
-  inline ::capnp::Text::Builder getAttempt();
-  inline void setAttempt(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
 
-  inline ::uint64_t getFingerprint();
-  inline void setFingerprint(::uint64_t value);
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
 
-  inline ::uint64_t getKeyTimeMs();
-  inline void setKeyTimeMs(::uint64_t value);
+  inline  ::uint64_t getKeyTimeMs();
+  inline void setKeyTimeMs( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class BeginMessage::Pipeline
-{
+class BeginMessage::Pipeline {
 public:
   typedef BeginMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::RequestKey::Pipeline getKey();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::RequestKey::Pipeline getKey();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class BeginReply::Reader
-{
+class BeginReply::Reader {
 public:
   typedef BeginReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::parsleystair::wire::BeginResult getResult() const;
+  inline  ::parsleystair::wire::BeginResult getResult() const;
 
   inline bool hasWinner() const;
-  inline ::capnp::Text::Reader getWinner() const;
+  inline  ::capnp::Text::Reader getWinner() const;
 
   inline bool hasAnswer() const;
-  inline ::parsleystair::wire::Answer::Reader getAnswer() const;
+  inline  ::parsleystair::wire::Answer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class BeginReply::Builder
-{
+class BeginReply::Builder {
 public:
   typedef BeginReply Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::parsleystair::wire::BeginResult getResult();
-  inline void setResult(::parsleystair::wire::BeginResult value);
+  inline  ::parsleystair::wire::BeginResult getResult();
+  inline void setResult( ::parsleystair::wire::BeginResult value);
 
   inline bool hasWinner();
-  inline ::capnp::Text::Builder getWinner();
-  inline void setWinner(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initWinner(unsigned int size);
-  inline void adoptWinner(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownWinner();
+  inline  ::capnp::Text::Builder getWinner();
+  inline void setWinner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWinner(unsigned int size);
+  inline void adoptWinner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWinner();
 
   inline bool hasAnswer();
-  inline ::parsleystair::wire::Answer::Builder getAnswer();
-  inline void setAnswer(::parsleystair::wire::Answer::Reader value);
-  inline ::parsleystair::wire::Answer::Builder initAnswer();
-  inline void adoptAnswer(
-    ::capnp::Orphan<::parsleystair::wire::Answer>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::Answer> disownAnswer();
+  inline  ::parsleystair::wire::Answer::Builder getAnswer();
+  inline void setAnswer( ::parsleystair::wire::Answer::Reader value);
+  inline  ::parsleystair::wire::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::parsleystair::wire::Answer>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::Answer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class BeginReply::Pipeline
-{
+class BeginReply::Pipeline {
 public:
   typedef BeginReply Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::Answer::Pipeline getAnswer();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::Answer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class FinishMessage::Reader
-{
+class FinishMessage::Reader {
 public:
   typedef FinishMessage Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup() const;
+  inline  ::uint32_t getGroup() const;
 
   inline bool hasKey() const;
-  inline ::parsleystair::wire::RequestKey::Reader getKey() const;
+  inline  ::parsleystair::wire::RequestKey::Reader getKey() const;
 
   inline bool hasAttempt() const;
-  inline ::capnp::Text::Reader getAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
 
   inline bool hasAnswer() const;
-  inline ::parsleystair::wire::Answer::Reader getAnswer() const;
+  inline  ::parsleystair::wire::Answer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class FinishMessage::Builder
-{
+class FinishMessage::Builder {
 public:
   typedef FinishMessage Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup();
-  inline void setGroup(::uint32_t value);
+  inline  ::uint32_t getGroup();
+  inline void setGroup( ::uint32_t value);
 
   inline bool hasKey();
-  inline ::parsleystair::wire::RequestKey::Builder getKey();
-  inline void setKey(::parsleystair::wire::RequestKey::Reader value);
-  inline ::parsleystair::wire::RequestKey::Builder initKey();
-  inline void adoptKey(
-    ::capnp::Orphan<::parsleystair::wire::RequestKey>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::RequestKey> disownKey();
+  inline  ::parsleystair::wire::RequestKey::Builder getKey();
+  inline void setKey( ::parsleystair::wire::RequestKey::Reader value);
+  inline  ::parsleystair::wire::RequestKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::parsleystair::wire::RequestKey>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::RequestKey> disownKey();
 
   inline bool hasAttempt();
-  inline ::capnp::Text::Builder getAttempt();
-  inline void setAttempt(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
 
   inline bool hasAnswer();
-  inline ::parsleystair::wire::Answer::Builder getAnswer();
-  inline void setAnswer(::parsleystair::wire::Answer::Reader value);
-  inline ::parsleystair::wire::Answer::Builder initAnswer();
-  inline void adoptAnswer(
-    ::capnp::Orphan<::parsleystair::wire::Answer>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::Answer> disownAnswer();
+  inline  ::parsleystair::wire::Answer::Builder getAnswer();
+  inline void setAnswer( ::parsleystair::wire::Answer::Reader value);
+  inline  ::parsleystair::wire::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::parsleystair::wire::Answer>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::Answer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class FinishMessage::Pipeline
-{
+class FinishMessage::Pipeline {
 public:
   typedef FinishMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::RequestKey::Pipeline getKey();
-  inline ::parsleystair::wire::Answer::Pipeline getAnswer();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::RequestKey::Pipeline getKey();
+  inline  ::parsleystair::wire::Answer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class WithdrawMessage::Reader
-{
+class WithdrawMessage::Reader {
 public:
   typedef WithdrawMessage Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup() const;
+  inline  ::uint32_t getGroup() const;
 
   inline bool hasKey() const;
-  inline ::parsleystair::wire::RequestKey::Reader getKey() const;
+  inline  ::parsleystair::wire::RequestKey::Reader getKey() const;
 
   inline bool hasAttempt() const;
-  inline ::capnp::Text::Reader getAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class WithdrawMessage::Builder
-{
+class WithdrawMessage::Builder {
 public:
   typedef WithdrawMessage Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup();
-  inline void setGroup(::uint32_t value);
+  inline  ::uint32_t getGroup();
+  inline void setGroup( ::uint32_t value);
 
   inline bool hasKey();
-  inline ::parsleystair::wire::RequestKey::Builder getKey();
-  inline void setKey(::parsleystair::wire::RequestKey::Reader value);
-  inline ::parsleystair::wire::RequestKey::Builder initKey();
-  inline void adoptKey(
-    ::capnp::Orphan<::parsleystair::wire::RequestKey>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::RequestKey> disownKey();
+  inline  ::parsleystair::wire::RequestKey::Builder getKey();
+  inline void setKey( ::parsleystair::wire::RequestKey::Reader value);
+  inline  ::parsleystair::wire::RequestKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::parsleystair::wire::RequestKey>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::RequestKey> disownKey();
 
   inline bool hasAttempt();
-  inline ::capnp::Text::Builder getAttempt();
-  inline void setAttempt(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class WithdrawMessage::Pipeline
-{
+class WithdrawMessage::Pipeline {
 public:
   typedef WithdrawMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::RequestKey::Pipeline getKey();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::RequestKey::Pipeline getKey();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class RequestRecord::Reader
-{
+class RequestRecord::Reader {
 public:
   typedef RequestRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasKey() const;
-  inline ::parsleystair::wire::RequestKey::Reader getKey() const;
+  inline  ::parsleystair::wire::RequestKey::Reader getKey() const;
 
   inline bool hasAttempt() const;
-  inline ::capnp::Text::Reader getAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
 
-  inline ::uint64_t getFingerprint() const;
+  inline  ::uint64_t getFingerprint() const;
 
   inline bool getFinished() const;
 
   inline bool hasAnswer() const;
-  inline ::parsleystair::wire::Answer::Reader getAnswer() const;
+  inline  ::parsleystair::wire::Answer::Reader getAnswer() const;
 
-  inline ::uint32_t getAgeMs() const;
+  inline  ::uint32_t getAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class RequestRecord::Builder
-{
+class RequestRecord::Builder {
 public:
   typedef RequestRecord Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasKey();
-  inline ::parsleystair::wire::RequestKey::Builder getKey();
-  inline void setKey(::parsleystair::wire::RequestKey::Reader value);
-  inline ::parsleystair::wire::RequestKey::Builder initKey();
-  inline void adoptKey(
-    ::capnp::Orphan<::parsleystair::wire::RequestKey>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::RequestKey> disownKey();
+  inline  ::parsleystair::wire::RequestKey::Builder getKey();
+  inline void setKey( ::parsleystair::wire::RequestKey::Reader value);
+  inline  ::parsleystair::wire::RequestKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::parsleystair::wire::RequestKey>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::RequestKey> disownKey();
 
   inline bool hasAttempt();
-  inline ::capnp::Text::Builder getAttempt();
-  inline void setAttempt(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
 
-  inline ::uint64_t getFingerprint();
-  inline void setFingerprint(::uint64_t value);
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
 
   inline bool getFinished();
   inline void setFinished(bool value);
 
   inline bool hasAnswer();
-  inline ::parsleystair::wire::Answer::Builder getAnswer();
-  inline void setAnswer(::parsleystair::wire::Answer::Reader value);
-  inline ::parsleystair::wire::Answer::Builder initAnswer();
-  inline void adoptAnswer(
-    ::capnp::Orphan<::parsleystair::wire::Answer>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::Answer> disownAnswer();
+  inline  ::parsleystair::wire::Answer::Builder getAnswer();
+  inline void setAnswer( ::parsleystair::wire::Answer::Reader value);
+  inline  ::parsleystair::wire::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::parsleystair::wire::Answer>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::Answer> disownAnswer();
 
-  inline ::uint32_t getAgeMs();
-  inline void setAgeMs(::uint32_t value);
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class RequestRecord::Pipeline
-{
+class RequestRecord::Pipeline {
 public:
   typedef RequestRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::RequestKey::Pipeline getKey();
-  inline ::parsleystair::wire::Answer::Pipeline getAnswer();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::RequestKey::Pipeline getKey();
+  inline  ::parsleystair::wire::Answer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class CopyRecordsReply::Reader
-{
+class CopyRecordsReply::Reader {
 public:
   typedef CopyRecordsReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool getReady() const;
 
   inline bool hasRecords() const;
-  inline ::capnp::List<::parsleystair::wire::RequestRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getRecords() const;
+  inline  ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline bool getLost() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class CopyRecordsReply::Builder
-{
+class CopyRecordsReply::Builder {
 public:
   typedef CopyRecordsReply Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool getReady();
   inline void setReady(bool value);
 
   inline bool hasRecords();
-  inline ::capnp::List<::parsleystair::wire::RequestRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getRecords();
-  inline void setRecords(::capnp::List<::parsleystair::wire::RequestRecord,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::parsleystair::wire::RequestRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initRecords(unsigned int size);
-  inline void adoptRecords(
-    ::capnp::Orphan<::capnp::List<::parsleystair::wire::RequestRecord,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::RequestRecord, ::capnp::Kind::STRUCT>>
-  disownRecords();
+  inline  ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline bool getLost();
+  inline void setLost(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class CopyRecordsReply::Pipeline
-{
+class CopyRecordsReply::Pipeline {
 public:
   typedef CopyRecordsReply Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class ConfigurationReply::Reader
-{
+class ConfigurationReply::Reader {
 public:
   typedef ConfigurationReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRevision() const;
+  inline  ::uint64_t getRevision() const;
 
   inline bool hasText() const;
-  inline ::capnp::Text::Reader getText() const;
+  inline  ::capnp::Text::Reader getText() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class ConfigurationReply::Builder
-{
+class ConfigurationReply::Builder {
 public:
   typedef ConfigurationReply Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRevision();
-  inline void setRevision(::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
   inline bool hasText();
-  inline ::capnp::Text::Builder getText();
-  inline void setText(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ConfigurationReply::Pipeline
-{
+class ConfigurationReply::Pipeline {
 public:
   typedef ConfigurationReply Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class GroupsReply::Reader
-{
+class GroupsReply::Reader {
 public:
   typedef GroupsReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasRecords() const;
-  inline ::capnp::List<::parsleystair::wire::GroupRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getRecords() const;
+  inline  ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class GroupsReply::Builder
-{
+class GroupsReply::Builder {
 public:
   typedef GroupsReply Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasRecords();
-  inline ::capnp::List<::parsleystair::wire::GroupRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getRecords();
-  inline void setRecords(::capnp::List<::parsleystair::wire::GroupRecord,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::parsleystair::wire::GroupRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initRecords(unsigned int size);
-  inline void adoptRecords(
-    ::capnp::Orphan<::capnp::List<::parsleystair::wire::GroupRecord,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::GroupRecord, ::capnp::Kind::STRUCT>>
-  disownRecords();
+  inline  ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class GroupsReply::Pipeline
-{
+class GroupsReply::Pipeline {
 public:
   typedef GroupsReply Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::Client : public virtual ::capnp::Capability::Client
-{
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
   typedef Peer Calls;
   typedef Peer Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template<typename _t,
-           typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template<typename _t,
-           typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
