@@ -3030,4808 +2387,3612 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::parsleystair::wire::Peer::HeartbeatParams,
-                   ::parsleystair::wire::Peer::HeartbeatResults>
-  heartbeatRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::parsleystair::wire::Peer::ConfirmParams,
-                   ::parsleystair::wire::Peer::ConfirmResults>
-  confirmRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::parsleystair::wire::Peer::AnnounceParams,
-                   ::parsleystair::wire::Peer::AnnounceResults>
-  announceRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::parsleystair::wire::Peer::BeginParams,
-                   ::parsleystair::wire::Peer::BeginResults>
-  beginRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::parsleystair::wire::Peer::FinishParams,
-                   ::parsleystair::wire::Peer::FinishResults>
-  finishRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::parsleystair::wire::Peer::WithdrawParams,
-                   ::parsleystair::wire::Peer::WithdrawResults>
-  withdrawRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::parsleystair::wire::Peer::CopyRecordsParams,
-                   ::parsleystair::wire::Peer::CopyRecordsResults>
-  copyRecordsRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::parsleystair::wire::Peer::FetchConfigurationParams,
-                   ::parsleystair::wire::Peer::FetchConfigurationResults>
-  fetchConfigurationRequest(
-    ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::parsleystair::wire::Peer::FetchGroupsParams,
-                   ::parsleystair::wire::Peer::FetchGroupsResults>
-  fetchGroupsRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::parsleystair::wire::Peer::HeartbeatParams,  ::parsleystair::wire::Peer::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::parsleystair::wire::Peer::ConfirmParams,  ::parsleystair::wire::Peer::ConfirmResults> confirmRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::parsleystair::wire::Peer::AnnounceParams,  ::parsleystair::wire::Peer::AnnounceResults> announceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::parsleystair::wire::Peer::BeginParams,  ::parsleystair::wire::Peer::BeginResults> beginRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::parsleystair::wire::Peer::FinishParams,  ::parsleystair::wire::Peer::FinishResults> finishRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::parsleystair::wire::Peer::WithdrawParams,  ::parsleystair::wire::Peer::WithdrawResults> withdrawRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::parsleystair::wire::Peer::CopyRecordsParams,  ::parsleystair::wire::Peer::CopyRecordsResults> copyRecordsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::parsleystair::wire::Peer::FetchConfigurationParams,  ::parsleystair::wire::Peer::FetchConfigurationResults> fetchConfigurationRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::parsleystair::wire::Peer::FetchGroupsParams,  ::parsleystair::wire::Peer::FetchGroupsResults> fetchGroupsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
 };
 
-class Peer::Server : public virtual ::capnp::Capability::Server
-{
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
 public:
   typedef Peer Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-    uint64_t interfaceId,
-    uint16_t methodId,
-    ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
-    override;
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
 protected:
-  typedef ::parsleystair::wire::Peer::HeartbeatParams HeartbeatParams;
-  typedef ::parsleystair::wire::Peer::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults>
-    HeartbeatContext;
+  typedef  ::parsleystair::wire::Peer::HeartbeatParams HeartbeatParams;
+  typedef  ::parsleystair::wire::Peer::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
   virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef ::parsleystair::wire::Peer::ConfirmParams ConfirmParams;
-  typedef ::parsleystair::wire::Peer::ConfirmResults ConfirmResults;
+  typedef  ::parsleystair::wire::Peer::ConfirmParams ConfirmParams;
+  typedef  ::parsleystair::wire::Peer::ConfirmResults ConfirmResults;
   typedef ::capnp::CallContext<ConfirmParams, ConfirmResults> ConfirmContext;
   virtual ::kj::Promise<void> confirm(ConfirmContext context);
-  typedef ::parsleystair::wire::Peer::AnnounceParams AnnounceParams;
-  typedef ::parsleystair::wire::Peer::AnnounceResults AnnounceResults;
+  typedef  ::parsleystair::wire::Peer::AnnounceParams AnnounceParams;
+  typedef  ::parsleystair::wire::Peer::AnnounceResults AnnounceResults;
   typedef ::capnp::CallContext<AnnounceParams, AnnounceResults> AnnounceContext;
   virtual ::kj::Promise<void> announce(AnnounceContext context);
-  typedef ::parsleystair::wire::Peer::BeginParams BeginParams;
-  typedef ::parsleystair::wire::Peer::BeginResults BeginResults;
+  typedef  ::parsleystair::wire::Peer::BeginParams BeginParams;
+  typedef  ::parsleystair::wire::Peer::BeginResults BeginResults;
   typedef ::capnp::CallContext<BeginParams, BeginResults> BeginContext;
   virtual ::kj::Promise<void> begin(BeginContext context);
-  typedef ::parsleystair::wire::Peer::FinishParams FinishParams;
-  typedef ::parsleystair::wire::Peer::FinishResults FinishResults;
+  typedef  ::parsleystair::wire::Peer::FinishParams FinishParams;
+  typedef  ::parsleystair::wire::Peer::FinishResults FinishResults;
   typedef ::capnp::CallContext<FinishParams, FinishResults> FinishContext;
   virtual ::kj::Promise<void> finish(FinishContext context);
-  typedef ::parsleystair::wire::Peer::WithdrawParams WithdrawParams;
-  typedef ::parsleystair::wire::Peer::WithdrawResults WithdrawResults;
+  typedef  ::parsleystair::wire::Peer::WithdrawParams WithdrawParams;
+  typedef  ::parsleystair::wire::Peer::WithdrawResults WithdrawResults;
   typedef ::capnp::CallContext<WithdrawParams, WithdrawResults> WithdrawContext;
   virtual ::kj::Promise<void> withdraw(WithdrawContext context);
-  typedef ::parsleystair::wire::Peer::CopyRecordsParams CopyRecordsParams;
-  typedef ::parsleystair::wire::Peer::CopyRecordsResults CopyRecordsResults;
-  typedef ::capnp::CallContext<CopyRecordsParams, CopyRecordsResults>
-    CopyRecordsContext;
+  typedef  ::parsleystair::wire::Peer::CopyRecordsParams CopyRecordsParams;
+  typedef  ::parsleystair::wire::Peer::CopyRecordsResults CopyRecordsResults;
+  typedef ::capnp::CallContext<CopyRecordsParams, CopyRecordsResults> CopyRecordsContext;
   virtual ::kj::Promise<void> copyRecords(CopyRecordsContext context);
-  typedef ::parsleystair::wire::Peer::FetchConfigurationParams
-    FetchConfigurationParams;
-  typedef ::parsleystair::wire::Peer::FetchConfigurationResults
-    FetchConfigurationResults;
-  typedef ::capnp::CallContext<FetchConfigurationParams,
-                               FetchConfigurationResults>
-    FetchConfigurationContext;
-  virtual ::kj::Promise<void> fetchConfiguration(
-    FetchConfigurationContext context);
-  typedef ::parsleystair::wire::Peer::FetchGroupsParams FetchGroupsParams;
-  typedef ::parsleystair::wire::Peer::FetchGroupsResults FetchGroupsResults;
-  typedef ::capnp::CallContext<FetchGroupsParams, FetchGroupsResults>
-    FetchGroupsContext;
+  typedef  ::parsleystair::wire::Peer::FetchConfigurationParams FetchConfigurationParams;
+  typedef  ::parsleystair::wire::Peer::FetchConfigurationResults FetchConfigurationResults;
+  typedef ::capnp::CallContext<FetchConfigurationParams, FetchConfigurationResults> FetchConfigurationContext;
+  virtual ::kj::Promise<void> fetchConfiguration(FetchConfigurationContext context);
+  typedef  ::parsleystair::wire::Peer::FetchGroupsParams FetchGroupsParams;
+  typedef  ::parsleystair::wire::Peer::FetchGroupsResults FetchGroupsResults;
+  typedef ::capnp::CallContext<FetchGroupsParams, FetchGroupsResults> FetchGroupsContext;
   virtual ::kj::Promise<void> fetchGroups(FetchGroupsContext context);
 
-  inline ::parsleystair::wire::Peer::Client thisCap()
-  {
+  inline  ::parsleystair::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-      .template castAs<::parsleystair::wire::Peer>();
+        .template castAs< ::parsleystair::wire::Peer>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-    uint16_t methodId,
-    ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::HeartbeatParams::Reader
-{
+class Peer::HeartbeatParams::Reader {
 public:
   typedef HeartbeatParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasMessage() const;
-  inline ::parsleystair::wire::Heartbeat::Reader getMessage() const;
+  inline  ::parsleystair::wire::Heartbeat::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatParams::Builder
-{
+class Peer::HeartbeatParams::Builder {
 public:
   typedef HeartbeatParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasMessage();
-  inline ::parsleystair::wire::Heartbeat::Builder getMessage();
-  inline void setMessage(::parsleystair::wire::Heartbeat::Reader value);
-  inline ::parsleystair::wire::Heartbeat::Builder initMessage();
-  inline void adoptMessage(
-    ::capnp::Orphan<::parsleystair::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::Heartbeat> disownMessage();
+  inline  ::parsleystair::wire::Heartbeat::Builder getMessage();
+  inline void setMessage( ::parsleystair::wire::Heartbeat::Reader value);
+  inline  ::parsleystair::wire::Heartbeat::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::parsleystair::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::Heartbeat> disownMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatParams::Pipeline
-{
+class Peer::HeartbeatParams::Pipeline {
 public:
   typedef HeartbeatParams Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::Heartbeat::Pipeline getMessage();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::Heartbeat::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::HeartbeatResults::Reader
-{
+class Peer::HeartbeatResults::Reader {
 public:
   typedef HeartbeatResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline ::parsleystair::wire::Heartbeat::Reader getReply() const;
+  inline  ::parsleystair::wire::Heartbeat::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatResults::Builder
-{
+class Peer::HeartbeatResults::Builder {
 public:
   typedef HeartbeatResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline ::parsleystair::wire::Heartbeat::Builder getReply();
-  inline void setReply(::parsleystair::wire::Heartbeat::Reader value);
-  inline ::parsleystair::wire::Heartbeat::Builder initReply();
-  inline void adoptReply(
-    ::capnp::Orphan<::parsleystair::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::Heartbeat> disownReply();
+  inline  ::parsleystair::wire::Heartbeat::Builder getReply();
+  inline void setReply( ::parsleystair::wire::Heartbeat::Reader value);
+  inline  ::parsleystair::wire::Heartbeat::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::parsleystair::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::Heartbeat> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatResults::Pipeline
-{
+class Peer::HeartbeatResults::Pipeline {
 public:
   typedef HeartbeatResults Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::Heartbeat::Pipeline getReply();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::Heartbeat::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::ConfirmParams::Reader
-{
+class Peer::ConfirmParams::Reader {
 public:
   typedef ConfirmParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup() const;
+  inline  ::uint32_t getGroup() const;
 
-  inline ::uint64_t getRevision() const;
+  inline  ::uint64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfirmParams::Builder
-{
+class Peer::ConfirmParams::Builder {
 public:
   typedef ConfirmParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getGroup();
-  inline void setGroup(::uint32_t value);
+  inline  ::uint32_t getGroup();
+  inline void setGroup( ::uint32_t value);
 
-  inline ::uint64_t getRevision();
-  inline void setRevision(::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ConfirmParams::Pipeline
-{
+class Peer::ConfirmParams::Pipeline {
 public:
   typedef ConfirmParams Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::ConfirmResults::Reader
-{
+class Peer::ConfirmResults::Reader {
 public:
   typedef ConfirmResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::parsleystair::wire::ConfirmResult getResult() const;
+  inline  ::parsleystair::wire::ConfirmResult getResult() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfirmResults::Builder
-{
+class Peer::ConfirmResults::Builder {
 public:
   typedef ConfirmResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::parsleystair::wire::ConfirmResult getResult();
-  inline void setResult(::parsleystair::wire::ConfirmResult value);
+  inline  ::parsleystair::wire::ConfirmResult getResult();
+  inline void setResult( ::parsleystair::wire::ConfirmResult value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ConfirmResults::Pipeline
-{
+class Peer::ConfirmResults::Pipeline {
 public:
   typedef ConfirmResults Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::AnnounceParams::Reader
-{
+class Peer::AnnounceParams::Reader {
 public:
   typedef AnnounceParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasRecord() const;
-  inline ::parsleystair::wire::GroupRecord::Reader getRecord() const;
+  inline  ::parsleystair::wire::GroupRecord::Reader getRecord() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AnnounceParams::Builder
-{
+class Peer::AnnounceParams::Builder {
 public:
   typedef AnnounceParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasRecord();
-  inline ::parsleystair::wire::GroupRecord::Builder getRecord();
-  inline void setRecord(::parsleystair::wire::GroupRecord::Reader value);
-  inline ::parsleystair::wire::GroupRecord::Builder initRecord();
-  inline void adoptRecord(
-    ::capnp::Orphan<::parsleystair::wire::GroupRecord>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::GroupRecord> disownRecord();
+  inline  ::parsleystair::wire::GroupRecord::Builder getRecord();
+  inline void setRecord( ::parsleystair::wire::GroupRecord::Reader value);
+  inline  ::parsleystair::wire::GroupRecord::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::parsleystair::wire::GroupRecord>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::GroupRecord> disownRecord();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::AnnounceParams::Pipeline
-{
+class Peer::AnnounceParams::Pipeline {
 public:
   typedef AnnounceParams Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::GroupRecord::Pipeline getRecord();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::GroupRecord::Pipeline getRecord();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::AnnounceResults::Reader
-{
+class Peer::AnnounceResults::Reader {
 public:
   typedef AnnounceResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AnnounceResults::Builder
-{
+class Peer::AnnounceResults::Builder {
 public:
   typedef AnnounceResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::AnnounceResults::Pipeline
-{
+class Peer::AnnounceResults::Pipeline {
 public:
   typedef AnnounceResults Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::BeginParams::Reader
-{
+class Peer::BeginParams::Reader {
 public:
   typedef BeginParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasMessage() const;
-  inline ::parsleystair::wire::BeginMessage::Reader getMessage() const;
+  inline  ::parsleystair::wire::BeginMessage::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::BeginParams::Builder
-{
+class Peer::BeginParams::Builder {
 public:
   typedef BeginParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasMessage();
-  inline ::parsleystair::wire::BeginMessage::Builder getMessage();
-  inline void setMessage(::parsleystair::wire::BeginMessage::Reader value);
-  inline ::parsleystair::wire::BeginMessage::Builder initMessage();
-  inline void adoptMessage(
-    ::capnp::Orphan<::parsleystair::wire::BeginMessage>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::BeginMessage> disownMessage();
+  inline  ::parsleystair::wire::BeginMessage::Builder getMessage();
+  inline void setMessage( ::parsleystair::wire::BeginMessage::Reader value);
+  inline  ::parsleystair::wire::BeginMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::parsleystair::wire::BeginMessage>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::BeginMessage> disownMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::BeginParams::Pipeline
-{
+class Peer::BeginParams::Pipeline {
 public:
   typedef BeginParams Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::BeginMessage::Pipeline getMessage();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::BeginMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::BeginResults::Reader
-{
+class Peer::BeginResults::Reader {
 public:
   typedef BeginResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline ::parsleystair::wire::BeginReply::Reader getReply() const;
+  inline  ::parsleystair::wire::BeginReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::BeginResults::Builder
-{
+class Peer::BeginResults::Builder {
 public:
   typedef BeginResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline ::parsleystair::wire::BeginReply::Builder getReply();
-  inline void setReply(::parsleystair::wire::BeginReply::Reader value);
-  inline ::parsleystair::wire::BeginReply::Builder initReply();
-  inline void adoptReply(
-    ::capnp::Orphan<::parsleystair::wire::BeginReply>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::BeginReply> disownReply();
+  inline  ::parsleystair::wire::BeginReply::Builder getReply();
+  inline void setReply( ::parsleystair::wire::BeginReply::Reader value);
+  inline  ::parsleystair::wire::BeginReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::parsleystair::wire::BeginReply>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::BeginReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::BeginResults::Pipeline
-{
+class Peer::BeginResults::Pipeline {
 public:
   typedef BeginResults Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::BeginReply::Pipeline getReply();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::BeginReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::FinishParams::Reader
-{
+class Peer::FinishParams::Reader {
 public:
   typedef FinishParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasMessage() const;
-  inline ::parsleystair::wire::FinishMessage::Reader getMessage() const;
+  inline  ::parsleystair::wire::FinishMessage::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FinishParams::Builder
-{
+class Peer::FinishParams::Builder {
 public:
   typedef FinishParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasMessage();
-  inline ::parsleystair::wire::FinishMessage::Builder getMessage();
-  inline void setMessage(::parsleystair::wire::FinishMessage::Reader value);
-  inline ::parsleystair::wire::FinishMessage::Builder initMessage();
-  inline void adoptMessage(
-    ::capnp::Orphan<::parsleystair::wire::FinishMessage>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::FinishMessage> disownMessage();
+  inline  ::parsleystair::wire::FinishMessage::Builder getMessage();
+  inline void setMessage( ::parsleystair::wire::FinishMessage::Reader value);
+  inline  ::parsleystair::wire::FinishMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::parsleystair::wire::FinishMessage>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::FinishMessage> disownMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FinishParams::Pipeline
-{
+class Peer::FinishParams::Pipeline {
 public:
   typedef FinishParams Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::FinishMessage::Pipeline getMessage();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::FinishMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::FinishResults::Reader
-{
+class Peer::FinishResults::Reader {
 public:
   typedef FinishResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FinishResults::Builder
-{
+class Peer::FinishResults::Builder {
 public:
   typedef FinishResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FinishResults::Pipeline
-{
+class Peer::FinishResults::Pipeline {
 public:
   typedef FinishResults Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::WithdrawParams::Reader
-{
+class Peer::WithdrawParams::Reader {
 public:
   typedef WithdrawParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasMessage() const;
-  inline ::parsleystair::wire::WithdrawMessage::Reader getMessage() const;
+  inline  ::parsleystair::wire::WithdrawMessage::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::WithdrawParams::Builder
-{
+class Peer::WithdrawParams::Builder {
 public:
   typedef WithdrawParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasMessage();
-  inline ::parsleystair::wire::WithdrawMessage::Builder getMessage();
-  inline void setMessage(::parsleystair::wire::WithdrawMessage::Reader value);
-  inline ::parsleystair::wire::WithdrawMessage::Builder initMessage();
-  inline void adoptMessage(
-    ::capnp::Orphan<::parsleystair::wire::WithdrawMessage>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::WithdrawMessage> disownMessage();
+  inline  ::parsleystair::wire::WithdrawMessage::Builder getMessage();
+  inline void setMessage( ::parsleystair::wire::WithdrawMessage::Reader value);
+  inline  ::parsleystair::wire::WithdrawMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::parsleystair::wire::WithdrawMessage>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::WithdrawMessage> disownMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::WithdrawParams::Pipeline
-{
+class Peer::WithdrawParams::Pipeline {
 public:
   typedef WithdrawParams Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::WithdrawMessage::Pipeline getMessage();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::WithdrawMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::WithdrawResults::Reader
-{
+class Peer::WithdrawResults::Reader {
 public:
   typedef WithdrawResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::WithdrawResults::Builder
-{
+class Peer::WithdrawResults::Builder {
 public:
   typedef WithdrawResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::WithdrawResults::Pipeline
-{
+class Peer::WithdrawResults::Pipeline {
 public:
   typedef WithdrawResults Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::CopyRecordsParams::Reader
-{
+class Peer::CopyRecordsParams::Reader {
 public:
   typedef CopyRecordsParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasRecord() const;
-  inline ::parsleystair::wire::GroupRecord::Reader getRecord() const;
+  inline  ::parsleystair::wire::GroupRecord::Reader getRecord() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CopyRecordsParams::Builder
-{
+class Peer::CopyRecordsParams::Builder {
 public:
   typedef CopyRecordsParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasRecord();
-  inline ::parsleystair::wire::GroupRecord::Builder getRecord();
-  inline void setRecord(::parsleystair::wire::GroupRecord::Reader value);
-  inline ::parsleystair::wire::GroupRecord::Builder initRecord();
-  inline void adoptRecord(
-    ::capnp::Orphan<::parsleystair::wire::GroupRecord>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::GroupRecord> disownRecord();
+  inline  ::parsleystair::wire::GroupRecord::Builder getRecord();
+  inline void setRecord( ::parsleystair::wire::GroupRecord::Reader value);
+  inline  ::parsleystair::wire::GroupRecord::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::parsleystair::wire::GroupRecord>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::GroupRecord> disownRecord();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::CopyRecordsParams::Pipeline
-{
+class Peer::CopyRecordsParams::Pipeline {
 public:
   typedef CopyRecordsParams Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::GroupRecord::Pipeline getRecord();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::GroupRecord::Pipeline getRecord();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::CopyRecordsResults::Reader
-{
+class Peer::CopyRecordsResults::Reader {
 public:
   typedef CopyRecordsResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline ::parsleystair::wire::CopyRecordsReply::Reader getReply() const;
+  inline  ::parsleystair::wire::CopyRecordsReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CopyRecordsResults::Builder
-{
+class Peer::CopyRecordsResults::Builder {
 public:
   typedef CopyRecordsResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline ::parsleystair::wire::CopyRecordsReply::Builder getReply();
-  inline void setReply(::parsleystair::wire::CopyRecordsReply::Reader value);
-  inline ::parsleystair::wire::CopyRecordsReply::Builder initReply();
-  inline void adoptReply(
-    ::capnp::Orphan<::parsleystair::wire::CopyRecordsReply>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::CopyRecordsReply> disownReply();
+  inline  ::parsleystair::wire::CopyRecordsReply::Builder getReply();
+  inline void setReply( ::parsleystair::wire::CopyRecordsReply::Reader value);
+  inline  ::parsleystair::wire::CopyRecordsReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::parsleystair::wire::CopyRecordsReply>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::CopyRecordsReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::CopyRecordsResults::Pipeline
-{
+class Peer::CopyRecordsResults::Pipeline {
 public:
   typedef CopyRecordsResults Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::CopyRecordsReply::Pipeline getReply();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::CopyRecordsReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::FetchConfigurationParams::Reader
-{
+class Peer::FetchConfigurationParams::Reader {
 public:
   typedef FetchConfigurationParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchConfigurationParams::Builder
-{
+class Peer::FetchConfigurationParams::Builder {
 public:
   typedef FetchConfigurationParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FetchConfigurationParams::Pipeline
-{
+class Peer::FetchConfigurationParams::Pipeline {
 public:
   typedef FetchConfigurationParams Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::FetchConfigurationResults::Reader
-{
+class Peer::FetchConfigurationResults::Reader {
 public:
   typedef FetchConfigurationResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline ::parsleystair::wire::ConfigurationReply::Reader getReply() const;
+  inline  ::parsleystair::wire::ConfigurationReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchConfigurationResults::Builder
-{
+class Peer::FetchConfigurationResults::Builder {
 public:
   typedef FetchConfigurationResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline ::parsleystair::wire::ConfigurationReply::Builder getReply();
-  inline void setReply(::parsleystair::wire::ConfigurationReply::Reader value);
-  inline ::parsleystair::wire::ConfigurationReply::Builder initReply();
-  inline void adoptReply(
-    ::capnp::Orphan<::parsleystair::wire::ConfigurationReply>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::ConfigurationReply>
-  disownReply();
+  inline  ::parsleystair::wire::ConfigurationReply::Builder getReply();
+  inline void setReply( ::parsleystair::wire::ConfigurationReply::Reader value);
+  inline  ::parsleystair::wire::ConfigurationReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::parsleystair::wire::ConfigurationReply>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::ConfigurationReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FetchConfigurationResults::Pipeline
-{
+class Peer::FetchConfigurationResults::Pipeline {
 public:
   typedef FetchConfigurationResults Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::ConfigurationReply::Pipeline getReply();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::ConfigurationReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::FetchGroupsParams::Reader
-{
+class Peer::FetchGroupsParams::Reader {
 public:
   typedef FetchGroupsParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchGroupsParams::Builder
-{
+class Peer::FetchGroupsParams::Builder {
 public:
   typedef FetchGroupsParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FetchGroupsParams::Pipeline
-{
+class Peer::FetchGroupsParams::Pipeline {
 public:
   typedef FetchGroupsParams Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::FetchGroupsResults::Reader
-{
+class Peer::FetchGroupsResults::Reader {
 public:
   typedef FetchGroupsResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const
-  {
+  inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
   }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline ::parsleystair::wire::GroupsReply::Reader getReply() const;
+  inline  ::parsleystair::wire::GroupsReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchGroupsResults::Builder
-{
+class Peer::FetchGroupsResults::Builder {
 public:
   typedef FetchGroupsResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline ::parsleystair::wire::GroupsReply::Builder getReply();
-  inline void setReply(::parsleystair::wire::GroupsReply::Reader value);
-  inline ::parsleystair::wire::GroupsReply::Builder initReply();
-  inline void adoptReply(
-    ::capnp::Orphan<::parsleystair::wire::GroupsReply>&& value);
-  inline ::capnp::Orphan<::parsleystair::wire::GroupsReply> disownReply();
+  inline  ::parsleystair::wire::GroupsReply::Builder getReply();
+  inline void setReply( ::parsleystair::wire::GroupsReply::Reader value);
+  inline  ::parsleystair::wire::GroupsReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::parsleystair::wire::GroupsReply>&& value);
+  inline ::capnp::Orphan< ::parsleystair::wire::GroupsReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FetchGroupsResults::Pipeline
-{
+class Peer::FetchGroupsResults::Pipeline {
 public:
   typedef FetchGroupsResults Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-  inline ::parsleystair::wire::GroupsReply::Pipeline getReply();
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::parsleystair::wire::GroupsReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline bool Member::Reader::hasName() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Member::Builder::hasName()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader Member::Reader::getName() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Member::Builder::getName()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setName(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Member::Builder::initName(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Member::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Member::Builder::disownName()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline ::uint64_t Member::Reader::getIncarnation() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t Member::Builder::getIncarnation()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setIncarnation(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool Member::Reader::hasHost() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Member::Builder::hasHost()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader Member::Reader::getHost() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Member::Builder::getHost()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setHost(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Member::Builder::initHost(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Member::Builder::adoptHost(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Member::Builder::disownHost()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline ::uint16_t Member::Reader::getPeerPort() const
-{
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint16_t Member::Builder::getPeerPort()
-{
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<4>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setPeerPort(::uint16_t value)
-{
-  _builder.setDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool Member::Reader::hasFailureDomain() const
-{
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Member::Builder::hasFailureDomain()
-{
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader Member::Reader::getFailureDomain() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Member::Builder::getFailureDomain()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setFailureDomain(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Member::Builder::initFailureDomain(
-  unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline bool Member::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Member::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Member::Reader::getPeerPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getPeerPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setPeerPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Member::Builder::adoptFailureDomain(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-    kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Member::Builder::disownFailureDomain()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::getLeaving() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<80>() * ::capnp::ELEMENTS);
+inline bool Member::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
 
-inline bool Member::Builder::getLeaving()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<80>() *
-                                     ::capnp::ELEMENTS);
+inline bool Member::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setLeaving(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<80>() * ::capnp::ELEMENTS,
-                              value);
+inline void Member::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Member::Reader::getAgeMs() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Member::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Member::Builder::getAgeMs()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Member::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setAgeMs(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Member::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Member::Reader::getConfiguration() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Member::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Member::Builder::getConfiguration()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Member::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setConfiguration(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Member::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Member::Reader::getInForceMs() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Member::Reader::getInForceMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Member::Builder::getInForceMs()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Member::Builder::getInForceMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setInForceMs(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Member::Builder::setInForceMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t CrashNotice::Reader::getFingerprint() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t CrashNotice::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t CrashNotice::Builder::getFingerprint()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t CrashNotice::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CrashNotice::Builder::setFingerprint(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void CrashNotice::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t CrashNotice::Reader::getCrashes() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t CrashNotice::Reader::getCrashes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t CrashNotice::Builder::getCrashes()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t CrashNotice::Builder::getCrashes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CrashNotice::Builder::setCrashes(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void CrashNotice::Builder::setCrashes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t CrashNotice::Reader::getRemainingMs() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t CrashNotice::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t CrashNotice::Builder::getRemainingMs()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t CrashNotice::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CrashNotice::Builder::setRemainingMs(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void CrashNotice::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasMembers() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Heartbeat::Builder::hasMembers()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+inline bool Heartbeat::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::parsleystair::wire::Member,
-                     ::capnp::Kind::STRUCT>::Reader
-Heartbeat::Reader::getMembers() const
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool Heartbeat::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::parsleystair::wire::Member,
-                     ::capnp::Kind::STRUCT>::Builder
-Heartbeat::Builder::getMembers()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setMembers(
-  ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>::Reader
-    value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::parsleystair::wire::Member,
-                     ::capnp::Kind::STRUCT>::Builder
-Heartbeat::Builder::initMembers(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-         size);
+inline  ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setMembers( ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Heartbeat::Builder::adoptMembers(
-  ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
-}
-inline ::capnp::Orphan<
-  ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>>
-Heartbeat::Builder::disownMembers()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Member, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline ::uint64_t Heartbeat::Reader::getGroupDigest() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t Heartbeat::Builder::getGroupDigest()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setGroupDigest(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool Heartbeat::Reader::hasCrashes() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Heartbeat::Builder::hasCrashes()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::List<::parsleystair::wire::CrashNotice,
-                     ::capnp::Kind::STRUCT>::Reader
-Heartbeat::Reader::getCrashes() const
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::CrashNotice, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::parsleystair::wire::CrashNotice,
-                     ::capnp::Kind::STRUCT>::Builder
-Heartbeat::Builder::getCrashes()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::CrashNotice, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setCrashes(
-  ::capnp::List<::parsleystair::wire::CrashNotice,
-                ::capnp::Kind::STRUCT>::Reader value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::CrashNotice, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::parsleystair::wire::CrashNotice,
-                     ::capnp::Kind::STRUCT>::Builder
-Heartbeat::Builder::initCrashes(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::CrashNotice, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-         size);
+    ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getGroupDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getGroupDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setGroupDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setCrashes( ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Heartbeat::Builder::adoptCrashes(
-  ::capnp::Orphan<::capnp::List<::parsleystair::wire::CrashNotice,
-                                ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::CrashNotice, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          kj::mv(value));
-}
-inline ::capnp::Orphan<
-  ::capnp::List<::parsleystair::wire::CrashNotice, ::capnp::Kind::STRUCT>>
-Heartbeat::Builder::disownCrashes()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::CrashNotice, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::CrashNotice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Holder::Reader::hasVm() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+inline bool Holder::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Holder::Builder::hasVm()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+inline bool Holder::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Holder::Reader::getVm() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Holder::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Holder::Builder::getVm()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Holder::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Holder::Builder::setVm(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Holder::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Holder::Builder::initVm(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Holder::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Holder::Builder::adoptVm(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
+inline void Holder::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Holder::Builder::disownVm()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Holder::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Holder::Reader::getIncarnation() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Holder::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Holder::Builder::getIncarnation()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Holder::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Holder::Builder::setIncarnation(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Holder::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Holder::Reader::getJoining() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Holder::Reader::getJoining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool Holder::Builder::getJoining()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+inline bool Holder::Builder::getJoining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void Holder::Builder::setJoining(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+inline void Holder::Builder::setJoining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Slot::Reader::getService() const
-{
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t Slot::Reader::getService() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Slot::Builder::getService()
-{
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t Slot::Builder::getService() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Slot::Builder::setService(::uint16_t value)
-{
-  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Slot::Builder::setService( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Slot::Reader::getOwner() const
-{
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t Slot::Reader::getOwner() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Slot::Builder::getOwner()
-{
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t Slot::Builder::getOwner() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Slot::Builder::setOwner(::uint16_t value)
-{
-  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Slot::Builder::setOwner( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Slot::Reader::getSlot() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Slot::Reader::getSlot() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Slot::Builder::getSlot()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Slot::Builder::getSlot() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Slot::Builder::setSlot(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Slot::Builder::setSlot( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Slot::Reader::getFence() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Slot::Reader::getFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Slot::Builder::getFence()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Slot::Builder::getFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Slot::Builder::setFence(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Slot::Builder::setFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Slot::Reader::getSinceMs() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Slot::Reader::getSinceMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Slot::Builder::getSinceMs()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Slot::Builder::getSinceMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Slot::Builder::setSinceMs(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Slot::Builder::setSinceMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Slot::Reader::getHasMove() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<192>() *
-                                    ::capnp::ELEMENTS);
+inline bool Slot::Reader::getHasMove() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 
-inline bool Slot::Builder::getHasMove()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<192>() *
-                                     ::capnp::ELEMENTS);
+inline bool Slot::Builder::getHasMove() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
-inline void Slot::Builder::setHasMove(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<192>() * ::capnp::ELEMENTS,
-                              value);
+inline void Slot::Builder::setHasMove(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Slot::Reader::getMoveTo() const
-{
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<13>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t Slot::Reader::getMoveTo() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Slot::Builder::getMoveTo()
-{
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<13>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t Slot::Builder::getMoveTo() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
-inline void Slot::Builder::setMoveTo(::uint16_t value)
-{
-  _builder.setDataField<::uint16_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Slot::Builder::setMoveTo( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::parsleystair::wire::MoveReason Slot::Reader::getMoveReason() const
-{
-  return _reader.getDataField<::parsleystair::wire::MoveReason>(
-    ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline  ::parsleystair::wire::MoveReason Slot::Reader::getMoveReason() const {
+  return _reader.getDataField< ::parsleystair::wire::MoveReason>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
 
-inline ::parsleystair::wire::MoveReason Slot::Builder::getMoveReason()
-{
-  return _builder.getDataField<::parsleystair::wire::MoveReason>(
-    ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline  ::parsleystair::wire::MoveReason Slot::Builder::getMoveReason() {
+  return _builder.getDataField< ::parsleystair::wire::MoveReason>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
-inline void Slot::Builder::setMoveReason(::parsleystair::wire::MoveReason value)
-{
-  _builder.setDataField<::parsleystair::wire::MoveReason>(
-    ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+inline void Slot::Builder::setMoveReason( ::parsleystair::wire::MoveReason value) {
+  _builder.setDataField< ::parsleystair::wire::MoveReason>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t GroupRecord::Reader::getGroup() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t GroupRecord::Reader::getGroup() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t GroupRecord::Builder::getGroup()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t GroupRecord::Builder::getGroup() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GroupRecord::Builder::setGroup(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void GroupRecord::Builder::setGroup( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t GroupRecord::Reader::getRevision() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t GroupRecord::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GroupRecord::Builder::getRevision()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t GroupRecord::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GroupRecord::Builder::setRevision(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void GroupRecord::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupRecord::Reader::hasHolders() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool GroupRecord::Builder::hasHolders()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+inline bool GroupRecord::Reader::hasHolders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupRecord::Builder::hasHolders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>::Reader GroupRecord::Reader::getHolders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::parsleystair::wire::Holder,
-                     ::capnp::Kind::STRUCT>::Reader
-GroupRecord::Reader::getHolders() const
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>::Builder GroupRecord::Builder::getHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::parsleystair::wire::Holder,
-                     ::capnp::Kind::STRUCT>::Builder
-GroupRecord::Builder::getHolders()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void GroupRecord::Builder::setHolders( ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void GroupRecord::Builder::setHolders(
-  ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>::Reader
-    value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::parsleystair::wire::Holder,
-                     ::capnp::Kind::STRUCT>::Builder
-GroupRecord::Builder::initHolders(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-         size);
+inline  ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>::Builder GroupRecord::Builder::initHolders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void GroupRecord::Builder::adoptHolders(
-  ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
-}
-inline ::capnp::Orphan<
-  ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>>
-GroupRecord::Builder::disownHolders()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Holder, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool GroupRecord::Reader::hasNames() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool GroupRecord::Builder::hasNames()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-GroupRecord::Reader::getNames() const
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-GroupRecord::Builder::getNames()
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void GroupRecord::Builder::setNames(
-  ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
-{
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
-}
-inline void GroupRecord::Builder::setNames(
-  ::kj::ArrayPtr<const ::capnp::Text::Reader> value)
-{
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-GroupRecord::Builder::initNames(unsigned int size)
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+    ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>> GroupRecord::Builder::disownHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Holder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GroupRecord::Reader::hasNames() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupRecord::Builder::hasNames() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GroupRecord::Reader::getNames() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupRecord::Builder::getNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupRecord::Builder::setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void GroupRecord::Builder::setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupRecord::Builder::initNames(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void GroupRecord::Builder::adoptNames(
-  ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
-{
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-GroupRecord::Builder::disownNames()
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool GroupRecord::Reader::hasSlots() const
-{
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool GroupRecord::Builder::hasSlots()
-{
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>::Reader
-GroupRecord::Reader::getSlots() const
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>::Builder
-GroupRecord::Builder::getSlots()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void GroupRecord::Builder::setSlots(
-  ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>::Reader
-    value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>::Builder
-GroupRecord::Builder::initSlots(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-         size);
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GroupRecord::Builder::disownNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GroupRecord::Reader::hasSlots() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupRecord::Builder::hasSlots() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>::Reader GroupRecord::Reader::getSlots() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>::Builder GroupRecord::Builder::getSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GroupRecord::Builder::setSlots( ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>::Builder GroupRecord::Builder::initSlots(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void GroupRecord::Builder::adoptSlots(
-  ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          kj::mv(value));
-}
-inline ::capnp::Orphan<
-  ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>>
-GroupRecord::Builder::disownSlots()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Slot, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool RequestKey::Reader::hasService() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool RequestKey::Builder::hasService()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader RequestKey::Reader::getService() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder RequestKey::Builder::getService()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RequestKey::Builder::setService(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder RequestKey::Builder::initService(
-  unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>> GroupRecord::Builder::disownSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Slot,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t GroupRecord::Reader::getRecordsLostUntilMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupRecord::Builder::getRecordsLostUntilMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GroupRecord::Builder::setRecordsLostUntilMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RequestKey::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestKey::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RequestKey::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RequestKey::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RequestKey::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RequestKey::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void RequestKey::Builder::adoptService(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> RequestKey::Builder::disownService()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool RequestKey::Reader::hasRule() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool RequestKey::Builder::hasRule()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader RequestKey::Reader::getRule() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder RequestKey::Builder::getRule()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void RequestKey::Builder::setRule(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder RequestKey::Builder::initRule(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RequestKey::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RequestKey::Reader::hasRule() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestKey::Builder::hasRule() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RequestKey::Reader::getRule() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RequestKey::Builder::getRule() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RequestKey::Builder::setRule( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RequestKey::Builder::initRule(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void RequestKey::Builder::adoptRule(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> RequestKey::Builder::disownRule()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool RequestKey::Reader::hasKey() const
-{
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool RequestKey::Builder::hasKey()
-{
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader RequestKey::Reader::getKey() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder RequestKey::Builder::getKey()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void RequestKey::Builder::setKey(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder RequestKey::Builder::initKey(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RequestKey::Builder::disownRule() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RequestKey::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestKey::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RequestKey::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RequestKey::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RequestKey::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RequestKey::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void RequestKey::Builder::adoptKey(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> RequestKey::Builder::disownKey()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Header::Reader::hasName() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Header::Builder::hasName()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader Header::Reader::getName() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Header::Builder::getName()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Header::Builder::setName(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Header::Builder::initName(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Header::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownName()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Header::Reader::hasValue() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Header::Builder::hasValue()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader Header::Reader::getValue() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Header::Builder::getValue()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Header::Builder::setValue(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Header::Builder::initValue(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Header::Builder::adoptValue(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownValue()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline ::uint32_t Answer::Reader::getStatus() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t Answer::Builder::getStatus()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setStatus(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool Answer::Reader::hasHeaders() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Answer::Builder::hasHeaders()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::List<::parsleystair::wire::Header,
-                     ::capnp::Kind::STRUCT>::Reader
-Answer::Reader::getHeaders() const
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::parsleystair::wire::Header,
-                     ::capnp::Kind::STRUCT>::Builder
-Answer::Builder::getHeaders()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Answer::Builder::setHeaders(
-  ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>::Reader
-    value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::parsleystair::wire::Header,
-                     ::capnp::Kind::STRUCT>::Builder
-Answer::Builder::initHeaders(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-         size);
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RequestKey::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Answer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Answer::Builder::getStatus() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setStatus( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Answer::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>::Reader Answer::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Answer::Builder::setHeaders( ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Answer::Builder::adoptHeaders(
-  ::capnp::Orphan<
-    ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
-}
-inline ::capnp::Orphan<
-  ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>>
-Answer::Builder::disownHeaders()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::Header, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Answer::Reader::hasBody() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Answer::Builder::hasBody()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Data::Reader Answer::Reader::getBody() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder Answer::Builder::getBody()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Answer::Builder::setBody(::capnp::Data::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Data::Builder Answer::Builder::initBody(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Answer::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Data> Answer::Builder::disownBody()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline ::uint32_t BeginMessage::Reader::getGroup() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t BeginMessage::Builder::getGroup()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void BeginMessage::Builder::setGroup(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline ::uint64_t BeginMessage::Reader::getRevision() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t BeginMessage::Builder::getRevision()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void BeginMessage::Builder::setRevision(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool BeginMessage::Reader::hasKey() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool BeginMessage::Builder::hasKey()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::RequestKey::Reader BeginMessage::Reader::getKey()
-  const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::RequestKey::Builder BeginMessage::Builder::getKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>> Answer::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Answer::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Answer::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Answer::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Answer::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Answer::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Answer::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Answer::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Answer::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t BeginMessage::Reader::getGroup() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BeginMessage::Builder::getGroup() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BeginMessage::Builder::setGroup( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BeginMessage::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BeginMessage::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BeginMessage::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BeginMessage::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeginMessage::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::RequestKey::Reader BeginMessage::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::RequestKey::Builder BeginMessage::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::RequestKey::Pipeline
-BeginMessage::Pipeline::getKey()
-{
-  return ::parsleystair::wire::RequestKey::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void BeginMessage::Builder::setKey(
-  ::parsleystair::wire::RequestKey::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::RequestKey::Builder
-BeginMessage::Builder::initKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::RequestKey::Pipeline BeginMessage::Pipeline::getKey() {
+  return  ::parsleystair::wire::RequestKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void BeginMessage::Builder::setKey( ::parsleystair::wire::RequestKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::RequestKey::Builder BeginMessage::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void BeginMessage::Builder::adoptKey(
-  ::capnp::Orphan<::parsleystair::wire::RequestKey>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::RequestKey>
-BeginMessage::Builder::disownKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool BeginMessage::Reader::hasAttempt() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool BeginMessage::Builder::hasAttempt()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader BeginMessage::Reader::getAttempt() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder BeginMessage::Builder::getAttempt()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void BeginMessage::Builder::setAttempt(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder BeginMessage::Builder::initAttempt(
-  unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::parsleystair::wire::RequestKey>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::RequestKey> BeginMessage::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BeginMessage::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeginMessage::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BeginMessage::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BeginMessage::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BeginMessage::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BeginMessage::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void BeginMessage::Builder::adoptAttempt(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> BeginMessage::Builder::disownAttempt()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> BeginMessage::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t BeginMessage::Reader::getFingerprint() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t BeginMessage::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t BeginMessage::Builder::getFingerprint()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t BeginMessage::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void BeginMessage::Builder::setFingerprint(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void BeginMessage::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t BeginMessage::Reader::getKeyTimeMs() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t BeginMessage::Reader::getKeyTimeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t BeginMessage::Builder::getKeyTimeMs()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t BeginMessage::Builder::getKeyTimeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void BeginMessage::Builder::setKeyTimeMs(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void BeginMessage::Builder::setKeyTimeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::parsleystair::wire::BeginResult BeginReply::Reader::getResult() const
-{
-  return _reader.getDataField<::parsleystair::wire::BeginResult>(
-    ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::parsleystair::wire::BeginResult BeginReply::Reader::getResult() const {
+  return _reader.getDataField< ::parsleystair::wire::BeginResult>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::parsleystair::wire::BeginResult BeginReply::Builder::getResult()
-{
-  return _builder.getDataField<::parsleystair::wire::BeginResult>(
-    ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::parsleystair::wire::BeginResult BeginReply::Builder::getResult() {
+  return _builder.getDataField< ::parsleystair::wire::BeginResult>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BeginReply::Builder::setResult(
-  ::parsleystair::wire::BeginResult value)
-{
-  _builder.setDataField<::parsleystair::wire::BeginResult>(
-    ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void BeginReply::Builder::setResult( ::parsleystair::wire::BeginResult value) {
+  _builder.setDataField< ::parsleystair::wire::BeginResult>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BeginReply::Reader::hasWinner() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+inline bool BeginReply::Reader::hasWinner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool BeginReply::Builder::hasWinner()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+inline bool BeginReply::Builder::hasWinner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader BeginReply::Reader::getWinner() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader BeginReply::Reader::getWinner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder BeginReply::Builder::getWinner()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder BeginReply::Builder::getWinner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void BeginReply::Builder::setWinner(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void BeginReply::Builder::setWinner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder BeginReply::Builder::initWinner(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder BeginReply::Builder::initWinner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void BeginReply::Builder::adoptWinner(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> BeginReply::Builder::disownWinner()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool BeginReply::Reader::hasAnswer() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool BeginReply::Builder::hasAnswer()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::Answer::Reader BeginReply::Reader::getAnswer()
-  const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::Answer::Builder BeginReply::Builder::getAnswer()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BeginReply::Builder::disownWinner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BeginReply::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeginReply::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::Answer::Reader BeginReply::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::Answer::Builder BeginReply::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::Answer::Pipeline BeginReply::Pipeline::getAnswer()
-{
-  return ::parsleystair::wire::Answer::Pipeline(_typeless.getPointerField(1));
-}
-#endif // !CAPNP_LITE
-inline void BeginReply::Builder::setAnswer(
-  ::parsleystair::wire::Answer::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::Answer::Builder BeginReply::Builder::initAnswer()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::Answer::Pipeline BeginReply::Pipeline::getAnswer() {
+  return  ::parsleystair::wire::Answer::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void BeginReply::Builder::setAnswer( ::parsleystair::wire::Answer::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::Answer::Builder BeginReply::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void BeginReply::Builder::adoptAnswer(
-  ::capnp::Orphan<::parsleystair::wire::Answer>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::Answer>
-BeginReply::Builder::disownAnswer()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline ::uint32_t FinishMessage::Reader::getGroup() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t FinishMessage::Builder::getGroup()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void FinishMessage::Builder::setGroup(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool FinishMessage::Reader::hasKey() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool FinishMessage::Builder::hasKey()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::RequestKey::Reader FinishMessage::Reader::getKey()
-  const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::RequestKey::Builder
-FinishMessage::Builder::getKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::Answer>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::Answer> BeginReply::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t FinishMessage::Reader::getGroup() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FinishMessage::Builder::getGroup() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FinishMessage::Builder::setGroup( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FinishMessage::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FinishMessage::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::RequestKey::Reader FinishMessage::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::RequestKey::Builder FinishMessage::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::RequestKey::Pipeline
-FinishMessage::Pipeline::getKey()
-{
-  return ::parsleystair::wire::RequestKey::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void FinishMessage::Builder::setKey(
-  ::parsleystair::wire::RequestKey::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::RequestKey::Builder
-FinishMessage::Builder::initKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::RequestKey::Pipeline FinishMessage::Pipeline::getKey() {
+  return  ::parsleystair::wire::RequestKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void FinishMessage::Builder::setKey( ::parsleystair::wire::RequestKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::RequestKey::Builder FinishMessage::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void FinishMessage::Builder::adoptKey(
-  ::capnp::Orphan<::parsleystair::wire::RequestKey>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::RequestKey>
-FinishMessage::Builder::disownKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool FinishMessage::Reader::hasAttempt() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool FinishMessage::Builder::hasAttempt()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader FinishMessage::Reader::getAttempt() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder FinishMessage::Builder::getAttempt()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void FinishMessage::Builder::setAttempt(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder FinishMessage::Builder::initAttempt(
-  unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::parsleystair::wire::RequestKey>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::RequestKey> FinishMessage::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FinishMessage::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FinishMessage::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FinishMessage::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FinishMessage::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FinishMessage::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FinishMessage::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void FinishMessage::Builder::adoptAttempt(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> FinishMessage::Builder::disownAttempt()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool FinishMessage::Reader::hasAnswer() const
-{
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool FinishMessage::Builder::hasAnswer()
-{
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::Answer::Reader FinishMessage::Reader::getAnswer()
-  const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::get(
-    _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::Answer::Builder FinishMessage::Builder::getAnswer()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::get(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FinishMessage::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool FinishMessage::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool FinishMessage::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::Answer::Reader FinishMessage::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::Answer::Builder FinishMessage::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::Answer::Pipeline
-FinishMessage::Pipeline::getAnswer()
-{
-  return ::parsleystair::wire::Answer::Pipeline(_typeless.getPointerField(2));
-}
-#endif // !CAPNP_LITE
-inline void FinishMessage::Builder::setAnswer(
-  ::parsleystair::wire::Answer::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::set(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::Answer::Builder
-FinishMessage::Builder::initAnswer()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::init(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::Answer::Pipeline FinishMessage::Pipeline::getAnswer() {
+  return  ::parsleystair::wire::Answer::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void FinishMessage::Builder::setAnswer( ::parsleystair::wire::Answer::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::Answer::Builder FinishMessage::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void FinishMessage::Builder::adoptAnswer(
-  ::capnp::Orphan<::parsleystair::wire::Answer>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::adopt(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::Answer>
-FinishMessage::Builder::disownAnswer()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::disown(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline ::uint32_t WithdrawMessage::Reader::getGroup() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t WithdrawMessage::Builder::getGroup()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void WithdrawMessage::Builder::setGroup(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool WithdrawMessage::Reader::hasKey() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool WithdrawMessage::Builder::hasKey()
