-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::RequestKey::Reader
-WithdrawMessage::Reader::getKey() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::RequestKey::Builder
-WithdrawMessage::Builder::getKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::Answer>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::Answer> FinishMessage::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t WithdrawMessage::Reader::getGroup() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WithdrawMessage::Builder::getGroup() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WithdrawMessage::Builder::setGroup( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WithdrawMessage::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WithdrawMessage::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::RequestKey::Reader WithdrawMessage::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::RequestKey::Builder WithdrawMessage::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::RequestKey::Pipeline
-WithdrawMessage::Pipeline::getKey()
-{
-  return ::parsleystair::wire::RequestKey::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void WithdrawMessage::Builder::setKey(
-  ::parsleystair::wire::RequestKey::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::RequestKey::Builder
-WithdrawMessage::Builder::initKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::RequestKey::Pipeline WithdrawMessage::Pipeline::getKey() {
+  return  ::parsleystair::wire::RequestKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void WithdrawMessage::Builder::setKey( ::parsleystair::wire::RequestKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::RequestKey::Builder WithdrawMessage::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void WithdrawMessage::Builder::adoptKey(
-  ::capnp::Orphan<::parsleystair::wire::RequestKey>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::RequestKey>
-WithdrawMessage::Builder::disownKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool WithdrawMessage::Reader::hasAttempt() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool WithdrawMessage::Builder::hasAttempt()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader WithdrawMessage::Reader::getAttempt() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder WithdrawMessage::Builder::getAttempt()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void WithdrawMessage::Builder::setAttempt(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder WithdrawMessage::Builder::initAttempt(
-  unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::parsleystair::wire::RequestKey>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::RequestKey> WithdrawMessage::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool WithdrawMessage::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool WithdrawMessage::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WithdrawMessage::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WithdrawMessage::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WithdrawMessage::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WithdrawMessage::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void WithdrawMessage::Builder::adoptAttempt(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> WithdrawMessage::Builder::disownAttempt()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool RequestRecord::Reader::hasKey() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool RequestRecord::Builder::hasKey()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::RequestKey::Reader RequestRecord::Reader::getKey()
-  const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::RequestKey::Builder
-RequestRecord::Builder::getKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WithdrawMessage::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RequestRecord::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestRecord::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::RequestKey::Reader RequestRecord::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::RequestKey::Builder RequestRecord::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::RequestKey::Pipeline
-RequestRecord::Pipeline::getKey()
-{
-  return ::parsleystair::wire::RequestKey::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void RequestRecord::Builder::setKey(
-  ::parsleystair::wire::RequestKey::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::RequestKey::Builder
-RequestRecord::Builder::initKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::RequestKey::Pipeline RequestRecord::Pipeline::getKey() {
+  return  ::parsleystair::wire::RequestKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RequestRecord::Builder::setKey( ::parsleystair::wire::RequestKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::RequestKey::Builder RequestRecord::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RequestRecord::Builder::adoptKey(
-  ::capnp::Orphan<::parsleystair::wire::RequestKey>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::RequestKey>
-RequestRecord::Builder::disownKey()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::RequestKey>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool RequestRecord::Reader::hasAttempt() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool RequestRecord::Builder::hasAttempt()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader RequestRecord::Reader::getAttempt() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder RequestRecord::Builder::getAttempt()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void RequestRecord::Builder::setAttempt(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder RequestRecord::Builder::initAttempt(
-  unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::parsleystair::wire::RequestKey>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::RequestKey> RequestRecord::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::RequestKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RequestRecord::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestRecord::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RequestRecord::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RequestRecord::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RequestRecord::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RequestRecord::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void RequestRecord::Builder::adoptAttempt(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> RequestRecord::Builder::disownAttempt()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RequestRecord::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t RequestRecord::Reader::getFingerprint() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t RequestRecord::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RequestRecord::Builder::getFingerprint()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t RequestRecord::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RequestRecord::Builder::setFingerprint(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void RequestRecord::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RequestRecord::Reader::getFinished() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool RequestRecord::Reader::getFinished() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool RequestRecord::Builder::getFinished()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+inline bool RequestRecord::Builder::getFinished() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void RequestRecord::Builder::setFinished(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+inline void RequestRecord::Builder::setFinished(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RequestRecord::Reader::hasAnswer() const
-{
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
+inline bool RequestRecord::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RequestRecord::Builder::hasAnswer()
-{
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
+inline bool RequestRecord::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::parsleystair::wire::Answer::Reader RequestRecord::Reader::getAnswer()
-  const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::get(
-    _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::Answer::Reader RequestRecord::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::parsleystair::wire::Answer::Builder RequestRecord::Builder::getAnswer()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::get(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::Answer::Builder RequestRecord::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::Answer::Pipeline
-RequestRecord::Pipeline::getAnswer()
-{
-  return ::parsleystair::wire::Answer::Pipeline(_typeless.getPointerField(2));
-}
-#endif // !CAPNP_LITE
-inline void RequestRecord::Builder::setAnswer(
-  ::parsleystair::wire::Answer::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::set(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::Answer::Builder
-RequestRecord::Builder::initAnswer()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::init(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::Answer::Pipeline RequestRecord::Pipeline::getAnswer() {
+  return  ::parsleystair::wire::Answer::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void RequestRecord::Builder::setAnswer( ::parsleystair::wire::Answer::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::Answer::Builder RequestRecord::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void RequestRecord::Builder::adoptAnswer(
-  ::capnp::Orphan<::parsleystair::wire::Answer>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::adopt(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::Answer>
-RequestRecord::Builder::disownAnswer()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Answer>::disown(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline ::uint32_t RequestRecord::Reader::getAgeMs() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t RequestRecord::Builder::getAgeMs()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void RequestRecord::Builder::setAgeMs(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool CopyRecordsReply::Reader::getReady() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool CopyRecordsReply::Builder::getReady()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void CopyRecordsReply::Builder::setReady(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool CopyRecordsReply::Reader::hasRecords() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool CopyRecordsReply::Builder::hasRecords()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::List<::parsleystair::wire::RequestRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-CopyRecordsReply::Reader::getRecords() const
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::RequestRecord, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::parsleystair::wire::RequestRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-CopyRecordsReply::Builder::getRecords()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::RequestRecord, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void CopyRecordsReply::Builder::setRecords(
-  ::capnp::List<::parsleystair::wire::RequestRecord,
-                ::capnp::Kind::STRUCT>::Reader value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::RequestRecord, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::parsleystair::wire::RequestRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-CopyRecordsReply::Builder::initRecords(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::RequestRecord, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-         size);
+    ::capnp::Orphan< ::parsleystair::wire::Answer>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::Answer> RequestRecord::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Answer>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RequestRecord::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestRecord::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RequestRecord::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CopyRecordsReply::Reader::getReady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool CopyRecordsReply::Builder::getReady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CopyRecordsReply::Builder::setReady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CopyRecordsReply::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CopyRecordsReply::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>::Reader CopyRecordsReply::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>::Builder CopyRecordsReply::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CopyRecordsReply::Builder::setRecords( ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>::Builder CopyRecordsReply::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void CopyRecordsReply::Builder::adoptRecords(
-  ::capnp::Orphan<::capnp::List<::parsleystair::wire::RequestRecord,
-                                ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::RequestRecord, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
-}
-inline ::capnp::Orphan<
-  ::capnp::List<::parsleystair::wire::RequestRecord, ::capnp::Kind::STRUCT>>
-CopyRecordsReply::Builder::disownRecords()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::RequestRecord, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline ::uint64_t ConfigurationReply::Reader::getRevision() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t ConfigurationReply::Builder::getRevision()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void ConfigurationReply::Builder::setRevision(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool ConfigurationReply::Reader::hasText() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool ConfigurationReply::Builder::hasText()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader ConfigurationReply::Reader::getText() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder ConfigurationReply::Builder::getText()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ConfigurationReply::Builder::setText(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder ConfigurationReply::Builder::initText(
-  unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>> CopyRecordsReply::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::RequestRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CopyRecordsReply::Reader::getLost() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool CopyRecordsReply::Builder::getLost() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CopyRecordsReply::Builder::setLost(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigurationReply::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationReply::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationReply::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigurationReply::Reader::hasText() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationReply::Builder::hasText() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ConfigurationReply::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ConfigurationReply::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationReply::Builder::setText( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ConfigurationReply::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ConfigurationReply::Builder::adoptText(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> ConfigurationReply::Builder::disownText()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool GroupsReply::Reader::hasRecords() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool GroupsReply::Builder::hasRecords()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::List<::parsleystair::wire::GroupRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-GroupsReply::Reader::getRecords() const
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::GroupRecord, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::parsleystair::wire::GroupRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-GroupsReply::Builder::getRecords()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::GroupRecord, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void GroupsReply::Builder::setRecords(
-  ::capnp::List<::parsleystair::wire::GroupRecord,
-                ::capnp::Kind::STRUCT>::Reader value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::GroupRecord, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::parsleystair::wire::GroupRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-GroupsReply::Builder::initRecords(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::GroupRecord, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-         size);
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ConfigurationReply::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GroupsReply::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupsReply::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader GroupsReply::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder GroupsReply::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GroupsReply::Builder::setRecords( ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>::Builder GroupsReply::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void GroupsReply::Builder::adoptRecords(
-  ::capnp::Orphan<::capnp::List<::parsleystair::wire::GroupRecord,
-                                ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::GroupRecord, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
-}
-inline ::capnp::Orphan<
-  ::capnp::List<::parsleystair::wire::GroupRecord, ::capnp::Kind::STRUCT>>
-GroupsReply::Builder::disownRecords()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::parsleystair::wire::GroupRecord, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>> GroupsReply::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::parsleystair::wire::GroupRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
-  : ::capnp::Capability::Client(nullptr)
-{
-}
-inline Peer::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
-  : ::capnp::Capability::Client(::kj::mv(hook))
-{
-}
-template<typename _t, typename>
+    : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
 inline Peer::Client::Client(::kj::Own<_t>&& server)
-  : ::capnp::Capability::Client(::kj::mv(server))
-{
-}
-template<typename _t, typename>
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
 inline Peer::Client::Client(::kj::Promise<_t>&& promise)
-  : ::capnp::Capability::Client(::kj::mv(promise))
-{
-}
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Peer::Client::Client(::kj::Exception&& exception)
-  : ::capnp::Capability::Client(::kj::mv(exception))
-{
-}
-inline ::parsleystair::wire::Peer::Client& Peer::Client::operator=(
-  Client& other)
-{
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::parsleystair::wire::Peer::Client& Peer::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::parsleystair::wire::Peer::Client& Peer::Client::operator=(
-  Client&& other)
-{
+inline  ::parsleystair::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
-#endif // !CAPNP_LITE
-inline bool Peer::HeartbeatParams::Reader::hasMessage() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+#endif  // !CAPNP_LITE
+inline bool Peer::HeartbeatParams::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::HeartbeatParams::Builder::hasMessage()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+inline bool Peer::HeartbeatParams::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::parsleystair::wire::Heartbeat::Reader
-Peer::HeartbeatParams::Reader::getMessage() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::Heartbeat::Reader Peer::HeartbeatParams::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::parsleystair::wire::Heartbeat::Builder
-Peer::HeartbeatParams::Builder::getMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::Heartbeat::Builder Peer::HeartbeatParams::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::Heartbeat::Pipeline
-Peer::HeartbeatParams::Pipeline::getMessage()
-{
-  return ::parsleystair::wire::Heartbeat::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::HeartbeatParams::Builder::setMessage(
-  ::parsleystair::wire::Heartbeat::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::Heartbeat::Builder
-Peer::HeartbeatParams::Builder::initMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::Heartbeat::Pipeline Peer::HeartbeatParams::Pipeline::getMessage() {
+  return  ::parsleystair::wire::Heartbeat::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::HeartbeatParams::Builder::setMessage( ::parsleystair::wire::Heartbeat::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::Heartbeat::Builder Peer::HeartbeatParams::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::HeartbeatParams::Builder::adoptMessage(
-  ::capnp::Orphan<::parsleystair::wire::Heartbeat>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::Heartbeat>
-Peer::HeartbeatParams::Builder::disownMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::HeartbeatResults::Reader::hasReply() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::HeartbeatResults::Builder::hasReply()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::Heartbeat::Reader
-Peer::HeartbeatResults::Reader::getReply() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::Heartbeat::Builder
-Peer::HeartbeatResults::Builder::getReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::Heartbeat>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::Heartbeat> Peer::HeartbeatParams::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::HeartbeatResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HeartbeatResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::Heartbeat::Reader Peer::HeartbeatResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::Heartbeat::Builder Peer::HeartbeatResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::Heartbeat::Pipeline
-Peer::HeartbeatResults::Pipeline::getReply()
-{
-  return ::parsleystair::wire::Heartbeat::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::HeartbeatResults::Builder::setReply(
-  ::parsleystair::wire::Heartbeat::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::Heartbeat::Builder
-Peer::HeartbeatResults::Builder::initReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::Heartbeat::Pipeline Peer::HeartbeatResults::Pipeline::getReply() {
+  return  ::parsleystair::wire::Heartbeat::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::HeartbeatResults::Builder::setReply( ::parsleystair::wire::Heartbeat::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::Heartbeat::Builder Peer::HeartbeatResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::HeartbeatResults::Builder::adoptReply(
-  ::capnp::Orphan<::parsleystair::wire::Heartbeat>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
+    ::capnp::Orphan< ::parsleystair::wire::Heartbeat>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::parsleystair::wire::Heartbeat>
-Peer::HeartbeatResults::Builder::disownReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::Heartbeat>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::parsleystair::wire::Heartbeat> Peer::HeartbeatResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Peer::ConfirmParams::Reader::getGroup() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Peer::ConfirmParams::Reader::getGroup() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Peer::ConfirmParams::Builder::getGroup()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Peer::ConfirmParams::Builder::getGroup() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ConfirmParams::Builder::setGroup(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Peer::ConfirmParams::Builder::setGroup( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Peer::ConfirmParams::Reader::getRevision() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Peer::ConfirmParams::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Peer::ConfirmParams::Builder::getRevision()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Peer::ConfirmParams::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ConfirmParams::Builder::setRevision(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Peer::ConfirmParams::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::parsleystair::wire::ConfirmResult
-Peer::ConfirmResults::Reader::getResult() const
-{
-  return _reader.getDataField<::parsleystair::wire::ConfirmResult>(
-    ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::parsleystair::wire::ConfirmResult Peer::ConfirmResults::Reader::getResult() const {
+  return _reader.getDataField< ::parsleystair::wire::ConfirmResult>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::parsleystair::wire::ConfirmResult
-Peer::ConfirmResults::Builder::getResult()
-{
-  return _builder.getDataField<::parsleystair::wire::ConfirmResult>(
-    ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::parsleystair::wire::ConfirmResult Peer::ConfirmResults::Builder::getResult() {
+  return _builder.getDataField< ::parsleystair::wire::ConfirmResult>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ConfirmResults::Builder::setResult(
-  ::parsleystair::wire::ConfirmResult value)
-{
-  _builder.setDataField<::parsleystair::wire::ConfirmResult>(
-    ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::ConfirmResults::Builder::setResult( ::parsleystair::wire::ConfirmResult value) {
+  _builder.setDataField< ::parsleystair::wire::ConfirmResult>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::AnnounceParams::Reader::hasRecord() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+inline bool Peer::AnnounceParams::Reader::hasRecord() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::AnnounceParams::Builder::hasRecord()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
+inline bool Peer::AnnounceParams::Builder::hasRecord() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::parsleystair::wire::GroupRecord::Reader
-Peer::AnnounceParams::Reader::getRecord() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::GroupRecord::Reader Peer::AnnounceParams::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::parsleystair::wire::GroupRecord::Builder
-Peer::AnnounceParams::Builder::getRecord()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::GroupRecord::Builder Peer::AnnounceParams::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::GroupRecord::Pipeline
-Peer::AnnounceParams::Pipeline::getRecord()
-{
-  return ::parsleystair::wire::GroupRecord::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::AnnounceParams::Builder::setRecord(
-  ::parsleystair::wire::GroupRecord::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::GroupRecord::Builder
-Peer::AnnounceParams::Builder::initRecord()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::GroupRecord::Pipeline Peer::AnnounceParams::Pipeline::getRecord() {
+  return  ::parsleystair::wire::GroupRecord::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::AnnounceParams::Builder::setRecord( ::parsleystair::wire::GroupRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::GroupRecord::Builder Peer::AnnounceParams::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::AnnounceParams::Builder::adoptRecord(
-  ::capnp::Orphan<::parsleystair::wire::GroupRecord>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::GroupRecord>
-Peer::AnnounceParams::Builder::disownRecord()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::BeginParams::Reader::hasMessage() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::BeginParams::Builder::hasMessage()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::BeginMessage::Reader
-Peer::BeginParams::Reader::getMessage() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::BeginMessage>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::BeginMessage::Builder
-Peer::BeginParams::Builder::getMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::BeginMessage>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::GroupRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::GroupRecord> Peer::AnnounceParams::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::BeginParams::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::BeginParams::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::BeginMessage::Reader Peer::BeginParams::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::BeginMessage::Builder Peer::BeginParams::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::BeginMessage::Pipeline
-Peer::BeginParams::Pipeline::getMessage()
-{
-  return ::parsleystair::wire::BeginMessage::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::BeginParams::Builder::setMessage(
-  ::parsleystair::wire::BeginMessage::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::BeginMessage>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::BeginMessage::Builder
-Peer::BeginParams::Builder::initMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::BeginMessage>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::BeginMessage::Pipeline Peer::BeginParams::Pipeline::getMessage() {
+  return  ::parsleystair::wire::BeginMessage::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::BeginParams::Builder::setMessage( ::parsleystair::wire::BeginMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::BeginMessage::Builder Peer::BeginParams::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::BeginParams::Builder::adoptMessage(
-  ::capnp::Orphan<::parsleystair::wire::BeginMessage>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::BeginMessage>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::BeginMessage>
-Peer::BeginParams::Builder::disownMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::BeginMessage>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::BeginResults::Reader::hasReply() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::BeginResults::Builder::hasReply()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::BeginReply::Reader
-Peer::BeginResults::Reader::getReply() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::BeginReply>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::BeginReply::Builder
-Peer::BeginResults::Builder::getReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::BeginReply>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::BeginMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::BeginMessage> Peer::BeginParams::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::BeginResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::BeginResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::BeginReply::Reader Peer::BeginResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::BeginReply::Builder Peer::BeginResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::BeginReply::Pipeline
-Peer::BeginResults::Pipeline::getReply()
-{
-  return ::parsleystair::wire::BeginReply::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::BeginResults::Builder::setReply(
-  ::parsleystair::wire::BeginReply::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::BeginReply>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::BeginReply::Builder
-Peer::BeginResults::Builder::initReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::BeginReply>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::BeginReply::Pipeline Peer::BeginResults::Pipeline::getReply() {
+  return  ::parsleystair::wire::BeginReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::BeginResults::Builder::setReply( ::parsleystair::wire::BeginReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::BeginReply::Builder Peer::BeginResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::BeginResults::Builder::adoptReply(
-  ::capnp::Orphan<::parsleystair::wire::BeginReply>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::BeginReply>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::BeginReply>
-Peer::BeginResults::Builder::disownReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::BeginReply>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::FinishParams::Reader::hasMessage() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::FinishParams::Builder::hasMessage()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::FinishMessage::Reader
-Peer::FinishParams::Reader::getMessage() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::FinishMessage>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::FinishMessage::Builder
-Peer::FinishParams::Builder::getMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::FinishMessage>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::BeginReply>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::BeginReply> Peer::BeginResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::BeginReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FinishParams::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FinishParams::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::FinishMessage::Reader Peer::FinishParams::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::FinishMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::FinishMessage::Builder Peer::FinishParams::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::FinishMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::FinishMessage::Pipeline
-Peer::FinishParams::Pipeline::getMessage()
-{
-  return ::parsleystair::wire::FinishMessage::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::FinishParams::Builder::setMessage(
-  ::parsleystair::wire::FinishMessage::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::FinishMessage>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::FinishMessage::Builder
-Peer::FinishParams::Builder::initMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::FinishMessage>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::FinishMessage::Pipeline Peer::FinishParams::Pipeline::getMessage() {
+  return  ::parsleystair::wire::FinishMessage::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::FinishParams::Builder::setMessage( ::parsleystair::wire::FinishMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::FinishMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::FinishMessage::Builder Peer::FinishParams::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::FinishMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::FinishParams::Builder::adoptMessage(
-  ::capnp::Orphan<::parsleystair::wire::FinishMessage>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::FinishMessage>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::FinishMessage>
-Peer::FinishParams::Builder::disownMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::FinishMessage>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::WithdrawParams::Reader::hasMessage() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::WithdrawParams::Builder::hasMessage()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::WithdrawMessage::Reader
-Peer::WithdrawParams::Reader::getMessage() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::WithdrawMessage>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::WithdrawMessage::Builder
-Peer::WithdrawParams::Builder::getMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::WithdrawMessage>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::FinishMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::FinishMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::FinishMessage> Peer::FinishParams::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::FinishMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::WithdrawParams::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::WithdrawParams::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::WithdrawMessage::Reader Peer::WithdrawParams::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::WithdrawMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::WithdrawMessage::Builder Peer::WithdrawParams::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::WithdrawMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::WithdrawMessage::Pipeline
-Peer::WithdrawParams::Pipeline::getMessage()
-{
-  return ::parsleystair::wire::WithdrawMessage::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::WithdrawParams::Builder::setMessage(
-  ::parsleystair::wire::WithdrawMessage::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::WithdrawMessage>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::WithdrawMessage::Builder
-Peer::WithdrawParams::Builder::initMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::WithdrawMessage>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::WithdrawMessage::Pipeline Peer::WithdrawParams::Pipeline::getMessage() {
+  return  ::parsleystair::wire::WithdrawMessage::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::WithdrawParams::Builder::setMessage( ::parsleystair::wire::WithdrawMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::WithdrawMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::WithdrawMessage::Builder Peer::WithdrawParams::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::WithdrawMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::WithdrawParams::Builder::adoptMessage(
-  ::capnp::Orphan<::parsleystair::wire::WithdrawMessage>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::WithdrawMessage>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::WithdrawMessage>
-Peer::WithdrawParams::Builder::disownMessage()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::WithdrawMessage>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::CopyRecordsParams::Reader::hasRecord() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::CopyRecordsParams::Builder::hasRecord()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::GroupRecord::Reader
-Peer::CopyRecordsParams::Reader::getRecord() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::GroupRecord::Builder
-Peer::CopyRecordsParams::Builder::getRecord()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::WithdrawMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::WithdrawMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::WithdrawMessage> Peer::WithdrawParams::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::WithdrawMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::CopyRecordsParams::Reader::hasRecord() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::CopyRecordsParams::Builder::hasRecord() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::GroupRecord::Reader Peer::CopyRecordsParams::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::GroupRecord::Builder Peer::CopyRecordsParams::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::GroupRecord::Pipeline
-Peer::CopyRecordsParams::Pipeline::getRecord()
-{
-  return ::parsleystair::wire::GroupRecord::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::CopyRecordsParams::Builder::setRecord(
-  ::parsleystair::wire::GroupRecord::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::GroupRecord::Builder
-Peer::CopyRecordsParams::Builder::initRecord()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::GroupRecord::Pipeline Peer::CopyRecordsParams::Pipeline::getRecord() {
+  return  ::parsleystair::wire::GroupRecord::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::CopyRecordsParams::Builder::setRecord( ::parsleystair::wire::GroupRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::GroupRecord::Builder Peer::CopyRecordsParams::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::CopyRecordsParams::Builder::adoptRecord(
-  ::capnp::Orphan<::parsleystair::wire::GroupRecord>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::GroupRecord>
-Peer::CopyRecordsParams::Builder::disownRecord()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupRecord>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::CopyRecordsResults::Reader::hasReply() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::CopyRecordsResults::Builder::hasReply()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::CopyRecordsReply::Reader
-Peer::CopyRecordsResults::Reader::getReply() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::CopyRecordsReply>::
-    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::CopyRecordsReply::Builder
-Peer::CopyRecordsResults::Builder::getReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::CopyRecordsReply>::
-    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::GroupRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::GroupRecord> Peer::CopyRecordsParams::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::CopyRecordsResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::CopyRecordsResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::CopyRecordsReply::Reader Peer::CopyRecordsResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::CopyRecordsReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::CopyRecordsReply::Builder Peer::CopyRecordsResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::CopyRecordsReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::CopyRecordsReply::Pipeline
-Peer::CopyRecordsResults::Pipeline::getReply()
-{
-  return ::parsleystair::wire::CopyRecordsReply::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::CopyRecordsResults::Builder::setReply(
-  ::parsleystair::wire::CopyRecordsReply::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::CopyRecordsReply>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::CopyRecordsReply::Builder
-Peer::CopyRecordsResults::Builder::initReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::CopyRecordsReply>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::CopyRecordsReply::Pipeline Peer::CopyRecordsResults::Pipeline::getReply() {
+  return  ::parsleystair::wire::CopyRecordsReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::CopyRecordsResults::Builder::setReply( ::parsleystair::wire::CopyRecordsReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::CopyRecordsReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::CopyRecordsReply::Builder Peer::CopyRecordsResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::CopyRecordsReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::CopyRecordsResults::Builder::adoptReply(
-  ::capnp::Orphan<::parsleystair::wire::CopyRecordsReply>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::CopyRecordsReply>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::CopyRecordsReply>
-Peer::CopyRecordsResults::Builder::disownReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::CopyRecordsReply>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::FetchConfigurationResults::Reader::hasReply() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::FetchConfigurationResults::Builder::hasReply()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::ConfigurationReply::Reader
-Peer::FetchConfigurationResults::Reader::getReply() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::ConfigurationReply>::
-    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::ConfigurationReply::Builder
-Peer::FetchConfigurationResults::Builder::getReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::ConfigurationReply>::
-    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::CopyRecordsReply>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::CopyRecordsReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::CopyRecordsReply> Peer::CopyRecordsResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::CopyRecordsReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FetchConfigurationResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchConfigurationResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::ConfigurationReply::Reader Peer::FetchConfigurationResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::ConfigurationReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::ConfigurationReply::Builder Peer::FetchConfigurationResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::ConfigurationReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::ConfigurationReply::Pipeline
-Peer::FetchConfigurationResults::Pipeline::getReply()
-{
-  return ::parsleystair::wire::ConfigurationReply::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::FetchConfigurationResults::Builder::setReply(
-  ::parsleystair::wire::ConfigurationReply::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::ConfigurationReply>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::ConfigurationReply::Builder
-Peer::FetchConfigurationResults::Builder::initReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::ConfigurationReply>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::ConfigurationReply::Pipeline Peer::FetchConfigurationResults::Pipeline::getReply() {
+  return  ::parsleystair::wire::ConfigurationReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::FetchConfigurationResults::Builder::setReply( ::parsleystair::wire::ConfigurationReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::ConfigurationReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::ConfigurationReply::Builder Peer::FetchConfigurationResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::ConfigurationReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::FetchConfigurationResults::Builder::adoptReply(
-  ::capnp::Orphan<::parsleystair::wire::ConfigurationReply>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::ConfigurationReply>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::parsleystair::wire::ConfigurationReply>
-Peer::FetchConfigurationResults::Builder::disownReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::ConfigurationReply>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::FetchGroupsResults::Reader::hasReply() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::FetchGroupsResults::Builder::hasReply()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::parsleystair::wire::GroupsReply::Reader
-Peer::FetchGroupsResults::Reader::getReply() const
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupsReply>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::parsleystair::wire::GroupsReply::Builder
-Peer::FetchGroupsResults::Builder::getReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupsReply>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::parsleystair::wire::ConfigurationReply>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::ConfigurationReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::parsleystair::wire::ConfigurationReply> Peer::FetchConfigurationResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::ConfigurationReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FetchGroupsResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchGroupsResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::parsleystair::wire::GroupsReply::Reader Peer::FetchGroupsResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupsReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::parsleystair::wire::GroupsReply::Builder Peer::FetchGroupsResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupsReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::parsleystair::wire::GroupsReply::Pipeline
-Peer::FetchGroupsResults::Pipeline::getReply()
-{
-  return ::parsleystair::wire::GroupsReply::Pipeline(
-    _typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::FetchGroupsResults::Builder::setReply(
-  ::parsleystair::wire::GroupsReply::Reader value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::GroupsReply>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::parsleystair::wire::GroupsReply::Builder
-Peer::FetchGroupsResults::Builder::initReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupsReply>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::parsleystair::wire::GroupsReply::Pipeline Peer::FetchGroupsResults::Pipeline::getReply() {
+  return  ::parsleystair::wire::GroupsReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::FetchGroupsResults::Builder::setReply( ::parsleystair::wire::GroupsReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupsReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::parsleystair::wire::GroupsReply::Builder Peer::FetchGroupsResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupsReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::FetchGroupsResults::Builder::adoptReply(
-  ::capnp::Orphan<::parsleystair::wire::GroupsReply>&& value)
-{
-  ::capnp::_::PointerHelpers<::parsleystair::wire::GroupsReply>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
+    ::capnp::Orphan< ::parsleystair::wire::GroupsReply>&& value) {
+  ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupsReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::parsleystair::wire::GroupsReply>
-Peer::FetchGroupsResults::Builder::disownReply()
-{
-  return ::capnp::_::PointerHelpers<::parsleystair::wire::GroupsReply>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::parsleystair::wire::GroupsReply> Peer::FetchGroupsResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::parsleystair::wire::GroupsReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-} // namespace
-} // namespace
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/Parsleystair/Peers/PeerCodec.cpp
+++ b/Parsleystair/Peers/PeerCodec.cpp
@@ -232,6 +232,7 @@
             wire::CopyRecordsReply::Builder aWire)
 {
   aWire.setReady(aValue.mReady);
+  aWire.setLost(aValue.mLost);
   auto records = aWire.initRecords(aValue.mRecords.size());
   for (unsigned i = 0; i < records.size(); ++i) {
     Encode(aValue.mRecords[i], records[i]);
@@ -242,6 +243,7 @@
 {
   copy_records_reply value;
   value.mReady = aWire.getReady();
+  value.mLost = aWire.getLost();
   for (const auto record : aWire.getRecords()) {
     value.mRecords.push_back(Decode(record));
   }
--- a/Parsleystair/Request/RequestRecordTable.cpp
+++ b/Parsleystair/Request/RequestRecordTable.cpp
@@ -32,14 +32,25 @@
 }
 
 void request_record_table::UpdateGroup(const group_record& aRecord,
-                                       bool aCreated)
+                                       bool aComplete,
+                                       time_point aNow)
 {
   group_state& group = mGroups[aRecord.mGroup];
   if (aRecord.mRevision > group.mRevision) {
     TakeOver(group, aRecord);
   }
+  // Keys from before a loss are refused, as their requests may have run.
+  const wall_time lostUntil{ std::chrono::milliseconds(
+    aRecord.mRecordsLostUntilMs) };
+  if (aRecord.mRecordsLostUntilMs > 0 && lostUntil >= group.mForcedSince) {
+    if (lostUntil > group.mForcedSince) {
+      group.mForcedSince = lostUntil;
+      group.mForcedUntil = aNow + Retention();
+    }
+    group.mIsForcedLocally = false;
+  }
   // Readiness may come after a message that brought the same record.
-  if (aCreated && aRecord.mRevision == group.mRevision &&
+  if (aComplete && aRecord.mRevision == group.mRevision &&
       group.mRole == group_role::kHolder) {
     group.mReady = true;
   }
@@ -79,7 +90,7 @@
 {
   PARSLEYSTAIR_INVARIANT(aKnown.mGroup == aMessage.mGroup);
   ExpireRecords(aNow);
-  UpdateGroup(aKnown, false);
+  UpdateGroup(aKnown, false, aNow);
   group_state& group = mGroups[aMessage.mGroup];
 
   // Is this router a holder for the revision that the entry router knows?
@@ -168,6 +179,7 @@
   group.mReady = true;
   group.mForcedSince = std::max(aSince, group.mForcedSince);
   group.mForcedUntil = aNow + Retention();
+  group.mIsForcedLocally = true;
 }
 
 bool request_record_table::IsReady(group_index aGroup) const
--- a/Parsleystair/Request/RequestRecordTable.h
+++ b/Parsleystair/Request/RequestRecordTable.h
@@ -40,9 +40,12 @@
   request_record_table(vm_identity aSelf, request_record_limits aLimits);
 
   /// Takes over a group record that is newer than the known one. The holder is
-  /// ready at once when `aCreated` says that this record is the first version
-  /// of the group, so that no earlier request exists.
-  void UpdateGroup(const group_record& aRecord, bool aCreated);
+  /// ready at once when `aComplete` says that this process has seen all
+  /// requests since the group's holders were chosen, or since the time up to
+  /// which the record says that records were lost.
+  void UpdateGroup(const group_record& aRecord,
+                   bool aComplete,
+                   time_point aNow);
 
   /// Each handler first takes over `aKnown`, the caller's newest record of the
   /// group, as `UpdateGroup` does.
@@ -102,10 +105,12 @@
     std::vector<group_holder> mHolders;
     group_role mRole = group_role::kNone;
     bool mReady = false;
-    /// Set by `MarkReadySince`; in force until `mForcedUntil`, when records of
-    /// requests from before would have expired.
+    /// Set by `MarkReadySince` or the group's record; in force until
+    /// `mForcedUntil`, when records of requests from before would have expired.
     wall_time mForcedSince{};
     time_point mForcedUntil = time_point::min();
+    /// The group's record doesn't tell of this loss yet.
+    bool mIsForcedLocally = false;
     std::map<request_key, stored_record> mRecords;
   };
 
--- a/Parsleystair/Request/RequestRecordTableCopies.cpp
+++ b/Parsleystair/Request/RequestRecordTableCopies.cpp
@@ -27,12 +27,16 @@
   ExpireRecords(aNow);
   // The newer revision comes first: from here on no attempt of the older one is
   // accepted, so the copy misses none.
-  UpdateGroup(aKnown, false);
-  UpdateGroup(aMessage.mRecord, false);
+  UpdateGroup(aKnown, false, aNow);
+  UpdateGroup(aMessage.mRecord, false, aNow);
   const group_state& group = mGroups[aKnown.mGroup];
 
   copy_records_reply reply;
-  reply.mReady = group.mReady && aNow >= group.mForcedUntil;
+  // A loss that the record tells of is known to the receiver of the copies too.
+  const bool hasUnknownLoss =
+    group.mIsForcedLocally && aNow < group.mForcedUntil;
+  reply.mReady = group.mReady && !hasUnknownLoss;
+  reply.mLost = group.mRole == group_role::kEarlierProcess;
   for (const auto& [key, stored] : group.mRecords) {
     request_record record;
     record.mKey = key;
@@ -52,7 +56,7 @@
   time_point aNow)
 {
   ExpireRecords(aNow);
-  UpdateGroup(aRequested, false);
+  UpdateGroup(aRequested, false, aNow);
   group_state& group = mGroups[aRequested.mGroup];
   // Copies of an older revision may miss attempts of the holders in between.
   if (group.mRole != group_role::kHolder ||
--- a/Parsleystair/Tasks/ControlTask.cpp
+++ b/Parsleystair/Tasks/ControlTask.cpp
@@ -96,10 +96,11 @@
 {
   mOwnershipDriver.OnCopyRecords([this](const copy_group_records& aRequest) {
     const group_index group = aRequest.mRecord.mGroup;
-    mRecords.CopyRecords(aRequest, [this, group] {
-      mOwnershipDriver.Execute(
-        mState.mOwnership.HandleRecordsCopied(group, MonotonicNow()));
-    });
+    mRecords.CopyRecords(
+      aRequest, [this, group](std::optional<wall_time> aLostUntil) {
+        mOwnershipDriver.Execute(mState.mOwnership.HandleRecordsCopied(
+          group, aLostUntil, MonotonicNow()));
+      });
   });
   mReports.resize(aSettings.mWorkers);
   for (uint32_t i = 0; i < aSettings.mWorkers; ++i) {
--- a/Parsleystair/Tasks/RecordDriver.cpp
+++ b/Parsleystair/Tasks/RecordDriver.cpp
@@ -59,7 +59,7 @@
 
 void record_driver::UpdateGroup(const group_record& aRecord)
 {
-  mTable.UpdateGroup(aRecord, IsReadyHolder(aRecord));
+  mTable.UpdateGroup(aRecord, IsReadyHolder(aRecord), MonotonicNow());
 }
 
 void record_driver::Handle(const begin_query& aQuery)
@@ -254,37 +254,66 @@
 }
 
 void record_driver::CopyRecords(const copy_group_records& aRequest,
-                                std::function<void()> aComplete)
+                                copy_callback aCallback)
 {
   UpdateGroup(aRequest.mRecord);
-  struct copy_state
-  {
-    std::vector<copy_records_reply> mReplies;
-    size_t mMissing = 0;
-  };
-  const auto state = std::make_shared<copy_state>();
-  state->mMissing = aRequest.mHolders.size();
-  const group_record record = aRequest.mRecord;
+  const auto copy = std::make_shared<open_copy>();
+  copy->mRecord = aRequest.mRecord;
+  copy->mCallback = std::move(aCallback);
+  copy->mMissing = aRequest.mHolders.size();
   for (const vm_name& holder : aRequest.mHolders) {
     const auto address = mResolver(holder);
-    if (!address) {
-      return;
+    if (mController.IsGone(holder, MonotonicNow())) {
+      peer_result<copy_records_reply> gone{ peer_status::kAnswered, {} };
+      gone.mReply.mLost = true;
+      HandleCopy(*copy, gone);
+    } else if (!address) {
+      HandleCopy(*copy, { peer_status::kNotSent, {} });
+    } else {
+      mPeers.CopyRecords(
+        *address,
+        { copy->mRecord },
+        [this, copy](const peer_result<copy_records_reply>& aResult) {
+          HandleCopy(*copy, aResult);
+        });
     }
-    mPeers.CopyRecords(
-      *address,
-      { record },
-      [this, state, record, aComplete](
-        const peer_result<copy_records_reply>& aResult) {
-        if (aResult.mStatus == peer_status::kAnswered) {
-          state->mReplies.push_back(aResult.mReply);
-        }
-        --state->mMissing;
-        if (state->mMissing == 0 &&
-            mTable.InstallCopies(record, state->mReplies, MonotonicNow())) {
-          aComplete();
-        }
-      });
   }
 }
 
+void record_driver::HandleCopy(open_copy& aCopy,
+                               const peer_result<copy_records_reply>& aResult)
+{
+  const copy_records_reply& reply = aResult.mReply;
+  if (aResult.mStatus == peer_status::kAnswered && reply.mReady) {
+    aCopy.mCopies.push_back(reply);
+  } else if (aResult.mStatus == peer_status::kAnswered && reply.mLost) {
+    aCopy.mHasLoss = true;
+  } else {
+    aCopy.mHasFailure = true;
+  }
+  --aCopy.mMissing;
+  if (aCopy.mMissing == 0 && !aCopy.mHasFailure) {
+    FinishCopy(aCopy);
+  }
+}
+
+void record_driver::FinishCopy(open_copy& aCopy)
+{
+  const time_point now = MonotonicNow();
+  if (mTable.InstallCopies(aCopy.mRecord, aCopy.mCopies, now)) {
+    aCopy.mCallback(std::nullopt);
+    return;
+  }
+  if (!aCopy.mHasLoss) {
+    return;
+  }
+  // An attempt that only lost holders had accepted can't be found any more, so
+  // requests from before now are refused as possibly run.
+  log_line(log_severity::kWarning, "request_records_lost")
+    .Add("group", uint64_t{ aCopy.mRecord.mGroup.Value() });
+  const wall_time lostUntil = WallNow();
+  mTable.MarkReadySince(aCopy.mRecord.mGroup, lostUntil, now);
+  aCopy.mCallback(lostUntil);
+}
+
 } // namespace parsleystair
--- a/Parsleystair/Tasks/RecordDriver.h
+++ b/Parsleystair/Tasks/RecordDriver.h
@@ -45,10 +45,13 @@
   /// Takes over a record that the controller has learned.
   void UpdateGroup(const group_record& aRecord);
 
-  /// Copies the records of a group that this router joins; calls back when they
-  /// are complete.
-  void CopyRecords(const copy_group_records& aRequest,
-                   std::function<void()> aComplete);
+  /// Called with the time up to which records were lost for good with their
+  /// holders; none when the copy is complete.
+  using copy_callback = std::function<void(std::optional<wall_time>)>;
+
+  /// Copies the records of a group that this router joins. Without a callback
+  /// the copy has to be tried again.
+  void CopyRecords(const copy_group_records& aRequest, copy_callback aCallback);
 
   [[nodiscard]] const request_record_counts& Counts() const
   {
@@ -57,6 +60,21 @@
   [[nodiscard]] size_t OpenAttempts() const { return mAttempts.size(); }
 
 private:
+  /// Replies to the calls of one copy.
+  struct open_copy
+  {
+    group_record mRecord;
+    copy_callback mCallback;
+    std::vector<copy_records_reply> mCopies;
+    size_t mMissing = 0;
+    bool mHasLoss = false;
+    bool mHasFailure = false;
+  };
+
+  void HandleCopy(open_copy& aCopy,
+                  const peer_result<copy_records_reply>& aResult);
+  void FinishCopy(open_copy& aCopy);
+
   using attempt_key = std::pair<worker_index, flow_id>;
 
   struct open_attempt
--- a/UnitTests/Request/AtMostOnceStateTest.cpp
+++ b/UnitTests/Request/AtMostOnceStateTest.cpp
@@ -92,7 +92,7 @@
     }
     for (node& router : mNodes) {
       router.mKnown = mStore;
-      router.mTable->UpdateGroup(mStore, true);
+      router.mTable->UpdateGroup(mStore, true, mNow);
     }
     for (int i = 0; i < kKeys; ++i) {
       ReplaceKey(i, i);
@@ -201,7 +201,7 @@
   {
     node& router = mNodes[aNode % kNodes];
     router.mKnown = mStore;
-    router.mTable->UpdateGroup(mStore, false);
+    router.mTable->UpdateGroup(mStore, false, mNow);
   }
 
   void Restart(uint32_t aNode, uint32_t = 0)
@@ -269,7 +269,7 @@
     if (!gone || MemoryIsGone(*joining)) {
       return;
     }
-    router.mTable->UpdateGroup(mStore, false);
+    router.mTable->UpdateGroup(mStore, false, mNow);
     router.mTable->MarkReadySince(kGroup, WallNow(), mNow);
     ++sTotals.mForced;
   }
--- a/UnitTests/Request/RequestRecordTableTest.cpp
+++ b/UnitTests/Request/RequestRecordTableTest.cpp
@@ -40,7 +40,7 @@
 class request_record_table_test : public testing::Test
 {
 protected:
-  request_record_table_test() { mTable.UpdateGroup(mRecord, true); }
+  request_record_table_test() { mTable.UpdateGroup(mRecord, true, kStart); }
 
   begin_result Ask(const begin_message& aMessage, duration aLater = 0s)
   {
@@ -151,12 +151,31 @@
     restarted.HandleCopyRecords({ joining }, mRecord, kStart).mReady);
 }
 
+// Guards against requests from before a loss that the group's record tells of.
+TEST_F(request_record_table_test, LossInTheRecordRefusesOlderKeys)
+{
+  const int64_t startMs = kWallStart.time_since_epoch().count();
+  group_record lost = Record(2);
+  lost.mRecordsLostUntilMs = static_cast<uint64_t>(startMs) - 60'000;
+  mTable.UpdateGroup(lost, true, kStart);
+  begin_message older = Begin("old", "1");
+  older.mRevision = store_revision(2);
+  older.mKeyTimeMs = static_cast<uint64_t>(startMs) - 1;
+  begin_message newer = Begin("new", "2");
+  newer.mRevision = store_revision(2);
+  EXPECT_EQ(mTable.HandleBegin(older, lost, kStart, kWallStart).mResult,
+            begin_result::kExpired);
+  EXPECT_EQ(mTable.HandleBegin(newer, lost, kStart, kWallStart).mResult,
+            begin_result::kAccepted);
+  EXPECT_TRUE(mTable.HandleCopyRecords({ lost }, lost, kStart).mReady);
+}
+
 // Guards against requests from before the loss of two holders that run again.
 TEST_F(request_record_table_test, ForcedHolderRefusesOlderKeys)
 {
   request_record_table joiner(Vm("c"), mLimits);
   group_record joining = Record(1, "c");
-  joiner.UpdateGroup(joining, false);
+  joiner.UpdateGroup(joining, false, kStart);
   joiner.MarkReadySince(group_index(), kWallStart - 60s, kStart);
   const auto begin =
     [&](const char* aKey, int64_t aKeyTimeMs, duration aLater) {
