Test ownership against a simulated deployment

Cause: the controller's rules only show their worth when failures combine.

Change: fake store, fake targets with drifting clocks and a simulated network; a rapidcheck state test with twelve kinds of fault; focused tests. The tests led to three changes: a router that sees most targets fall silent one after the other starts no moves (and gives the rest time when they return); the routers in line for a group are ordered by hash instead of by the list, else the first router to start renewed everything; groups are created 2 s after the start, when the other routers are known.

--- a/Parsleystair/Ownership/GrantSender.cpp
+++ b/Parsleystair/Ownership/GrantSender.cpp
@@ -10,6 +10,9 @@
 
 /// The first and the second router in line renew.
 constexpr size_t kRenewers = 2;
+/// Longer than the way to a target and back, at most 26 ms between regions, so
+/// that what was on its way when a link broke is no sign of life.
+constexpr duration kMessagesInFlight = 30ms;
 
 /// Slots that the target may serve under this record; a slot that is moving is
 /// never among them. Without value when the target owns none, moving or not.
@@ -213,7 +216,24 @@
 
 bool grant_sender::IsCutOff(const std::set<target_id>& aLost) const
 {
-  return aLost.size() * 2 > mSessions.size();
+  // Targets that fell silent together pass the limit one after the other. So
+  // the others must have answered something that was sent after the last one
+  // did not; only then are they known to be better off.
+  std::optional<time_point> silentSince;
+  for (const target_id& target : aLost) {
+    const auto session = mSessions.find(target);
+    if (session != mSessions.end()) {
+      silentSince = std::max(silentSince, session->second.UnansweredSince());
+    }
+  }
+  if (!silentSince) {
+    return false;
+  }
+  const auto answering = static_cast<size_t>(
+    std::count_if(mSessions.begin(), mSessions.end(), [&](const auto& aEntry) {
+      return aEntry.second.HasAnsweredSince(*silentSince + kMessagesInFlight);
+    }));
+  return answering * 2 < mSessions.size();
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Ownership/GrantSender.h
+++ b/Parsleystair/Ownership/GrantSender.h
@@ -43,8 +43,8 @@
 
   [[nodiscard]] std::set<target_id> Lost(time_point aNow) const;
 
-  /// True when so many targets seem lost that this router is rather itself cut
-  /// off.
+  /// True when fewer than half of the targets have answered since the lost ones
+  /// fell silent, so that this router is rather itself cut off.
   [[nodiscard]] bool IsCutOff(const std::set<target_id>& aLost) const;
 
   [[nodiscard]] const std::map<target_id, target_session>& Sessions() const
--- a/Parsleystair/Ownership/GroupState.cpp
+++ b/Parsleystair/Ownership/GroupState.cpp
@@ -272,7 +272,8 @@
     return false;
   }
   const time_point start = std::max(progress.mSeenAt, *progress.mAckedAt);
-  return aNow - start >= mSettings.ExclusionWait() + aExtraWait;
+  // The deadline runs on another router's clock, too.
+  return aNow - start >= mSettings.ExclusionWait() + aExtraWait * 102 / 100;
 }
 
 void group_state::CheckNext(const group_record& aNext, time_point aNow) const
--- a/Parsleystair/Ownership/OwnershipController.cpp
+++ b/Parsleystair/Ownership/OwnershipController.cpp
@@ -2,7 +2,6 @@
 
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Invariant.h"
-#include "Parsleystair/Core/Log.h"
 
 #include <algorithm>
 #include <charconv>
@@ -11,21 +10,17 @@
 
 namespace {
 
-void LogOwnerChanges(const group_record& aOld, const group_record& aNew)
+/// Slots that have another fence in the newer record, so a new owner.
+size_t CountOwnerChanges(const group_record& aOld, const group_record& aNew)
 {
   size_t changes = 0;
   for (const auto& [slot, ownership] : aNew.mSlots) {
     const auto old = aOld.mSlots.find(slot);
-    changes +=
-      old != aOld.mSlots.end() && old->second.mOwner != ownership.mOwner ? 1
-                                                                         : 0;
-  }
-  if (changes > 0) {
-    log_line(log_severity::kInfo, "owners_changed")
-      .Add("group", uint64_t{ aNew.mGroup.Value() })
-      .Add("revision", aNew.mRevision.Value())
-      .Add("slots", uint64_t{ changes });
+    const bool isChanged =
+      old != aOld.mSlots.end() && old->second.mFence != ownership.mFence;
+    changes += isChanged ? 1 : 0;
   }
+  return changes;
 }
 
 } // namespace
@@ -173,11 +168,8 @@
       ++mCounters.mStaleStoreEntries;
     }
     Learn(record, aNow);
-  } catch (const parse_error& failure) {
+  } catch (const parse_error&) {
     ++mCounters.mUnreadableRecords;
-    log_line(log_severity::kError, "group_record_unreadable")
-      .Add("key", aEntry.mKey)
-      .Add("error", failure.what());
     // Nothing may be renewed on the strength of the record before.
     const std::string number = aEntry.mKey.substr(prefix.size());
     uint32_t group = 0;
@@ -191,11 +183,9 @@
 void ownership_controller::Learn(const group_record& aRecord, time_point aNow)
 {
   group_state& state = State(aRecord.mGroup);
-  const group_record old = state.Record();
   if (!state.Learn(aRecord, aNow)) {
     return;
   }
-  LogOwnerChanges(old, aRecord);
   ForgetPlan(aRecord);
   state.mCopied = state.mCopied && IsJoining(state);
   UpdateLine(state);
@@ -237,6 +227,7 @@
   if (aReply.mStatus == store_status::kAnswered && aReply.mSucceeded) {
     PARSLEYSTAIR_INVARIANT(aReply.mHead > write.mExpected);
     write.mRecord.mRevision = aReply.mHead;
+    mCounters.mOwnerChanges += CountOwnerChanges(state.Record(), write.mRecord);
     Learn(write.mRecord, aNow);
     return Finish(aNow, {});
   }
--- a/Parsleystair/Ownership/OwnershipController.h
+++ b/Parsleystair/Ownership/OwnershipController.h
@@ -157,6 +157,7 @@
   std::map<group_index, group_state> mGroups;
   grant_sender mSender;
   std::set<target_id> mLost;
+  bool mIsCutOff = false;
   std::map<slot_id, planned_move> mPlanned;
   std::map<slot_id, time_point> mPlannedUntil;
   /// Groups to look at before the present input ends.
--- a/Parsleystair/Ownership/OwnershipControllerDuties.cpp
+++ b/Parsleystair/Ownership/OwnershipControllerDuties.cpp
@@ -27,6 +27,14 @@
   }
   mTickAt = aNow;
   mLost = mSender.Lost(aNow);
+  // When a cut ends, half of the targets answer before the rest has had the
+  // time to.
+  const bool isCutOff = mSender.IsCutOff(mLost);
+  if (mIsCutOff && !isCutOff) {
+    mSender.RestartSuspicion(aNow);
+    mLost.clear();
+  }
+  mIsCutOff = isCutOff;
   std::erase_if(mPlanned, [&](const auto& aEntry) {
     return mPlannedUntil.at(aEntry.first) <= aNow;
   });
@@ -136,7 +144,7 @@
     mLost,
     mPlanned,
     mDeadlines,
-    !mSender.IsCutOff(mLost),
+    !mIsCutOff,
     aNow >= mConfigurationSince + mSettings.mConfigurationSettle,
     WallMs(aNow),
     aNow
@@ -151,7 +159,8 @@
   // A write needs a record that is fresh from the store.
   if (!HasPollWithin(mSettings.mAuthority, aNow) ||
       WritesInFlight() >= mSettings.mWritesInFlight ||
-      aState.NewestSeen() != aState.Record().mRevision) {
+      aState.NewestSeen() != aState.Record().mRevision ||
+      (!aState.Exists() && aNow < mStartedAt + mSettings.mCreate)) {
     return;
   }
   auto next = NextRecord(aState, aNow);
@@ -279,7 +288,7 @@
   ownership_dump dump;
   dump.mSelf = mRouters.Self().mVm;
   dump.mIsStoreAnswering = HasPollWithin(mSettings.mAuthority, aNow);
-  dump.mIsCutOff = mSender.IsCutOff(mLost);
+  dump.mIsCutOff = mIsCutOff;
   dump.mCounters = mCounters;
   for (const auto& [group, state] : mGroups) {
     dump.mGroups.push_back({ state.Record(),
--- a/Parsleystair/Ownership/OwnershipDump.h
+++ b/Parsleystair/Ownership/OwnershipDump.h
@@ -20,6 +20,7 @@
   uint64_t mLostWrites = 0;
   /// Writes that had to be read back.
   uint64_t mUnknownWrites = 0;
+  /// Slots that this router gave an owner.
   uint64_t mOwnerChanges = 0;
 
   bool operator==(const ownership_counters&) const = default;
--- a/Parsleystair/Ownership/OwnershipSettings.h
+++ b/Parsleystair/Ownership/OwnershipSettings.h
@@ -44,6 +44,9 @@
   /// Age of a configuration from which services and targets that it does not
   /// name count as withdrawn; other routers may have a newer one until then.
   duration mConfigurationSettle = 2s;
+  /// Age of this process from which it creates missing groups, so that it knows
+  /// the other routers and spreads the groups' holders over them.
+  duration mCreate = 2s;
   /// How long a planned move waits for its group to be free.
   duration mPlannedMoveLife = 5s;
   /// Writes that this router has under way at once; the store takes several
--- a/Parsleystair/Ownership/RouterTable.cpp
+++ b/Parsleystair/Ownership/RouterTable.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Core/Hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace parsleystair {
 
@@ -117,26 +118,26 @@
 
 size_t router_table::RankOfSelf(const group_record& aRecord) const
 {
-  // Live holders come first, leaving ones after them.
-  std::vector<vm_name> line;
-  for (const bool leaving : { false, true }) {
-    for (const group_holder& holder : aRecord.mHolders) {
-      const live_router* router = FindLive(holder.mVm);
-      if (router != nullptr && router->mLeaving == leaving) {
-        line.push_back(holder.mVm);
-      }
-    }
-  }
-  // Others only matter when fewer holders than renewers are live.
-  if (line.size() < kHolders) {
-    for (const live_router& router : ByRendezvous(aRecord.mGroup)) {
-      if (std::find(line.begin(), line.end(), router.mVm.mName) == line.end()) {
-        line.push_back(router.mVm.mName);
-      }
-    }
-  }
+  const auto isHolder = [&](const vm_name& aVm) {
+    return std::any_of(aRecord.mHolders.begin(),
+                       aRecord.mHolders.end(),
+                       [&](const auto& aHolder) { return aHolder.mVm == aVm; });
+  };
+  // Live holders come first, leaving ones after them. Others only matter when
+  // fewer holders than renewers are live. Within each part the hash decides,
+  // so that the routers share the duties evenly.
+  const auto placeOf = [&](const live_router& aRouter) {
+    const bool holds = isHolder(aRouter.mVm.mName);
+    const int part = holds ? (aRouter.mLeaving ? 1 : 0) : 2;
+    return std::make_tuple(part,
+                           ~Weight(aRecord.mGroup, aRouter.mVm.mName.Value()));
+  };
+  const auto self = placeOf(mSelf);
   return static_cast<size_t>(
-    std::find(line.begin(), line.end(), mSelf.mVm.mName) - line.begin());
+    std::count_if(mLive.begin(), mLive.end(), [&](const auto& aEntry) {
+      const bool counts = !aEntry.second.mLeaving || isHolder(aEntry.first);
+      return counts && placeOf(aEntry.second) < self;
+    }));
 }
 
 std::vector<live_router> router_table::ByRendezvous(group_index aGroup) const
--- a/Parsleystair/Ownership/TargetSession.cpp
+++ b/Parsleystair/Ownership/TargetSession.cpp
@@ -37,6 +37,7 @@
     return;
   }
   mEvidenceAt = aNow;
+  mAnsweredSentAt = std::max(mAnsweredSentAt.value_or(aSentAt), aSentAt);
   mUnansweredSince.reset();
 }
 
@@ -50,7 +51,6 @@
 
 void target_session::HandleSent(time_point aNow)
 {
-  mSentAt = aNow;
   mDueAt = aNow + mSettings.mRenew;
   if (!mUnansweredSince) {
     mUnansweredSince = aNow;
--- a/Parsleystair/Ownership/TargetSession.h
+++ b/Parsleystair/Ownership/TargetSession.h
@@ -36,8 +36,17 @@
   /// True when the target left everything unanswered for the suspicion time.
   [[nodiscard]] bool IsLost(time_point aNow) const;
 
-  /// True when something was sent recently enough to judge the target.
-  [[nodiscard]] bool IsWatched() const { return mSentAt.has_value(); }
+  /// When the first message was sent that has no answer, if any.
+  [[nodiscard]] std::optional<time_point> UnansweredSince() const
+  {
+    return mUnansweredSince;
+  }
+
+  /// True when the target answered a message sent at `aTime` or later.
+  [[nodiscard]] bool HasAnsweredSince(time_point aTime) const
+  {
+    return mAnsweredSentAt && *mAnsweredSentAt >= aTime;
+  }
 
   [[nodiscard]] bool IsDue(time_point aNow) const { return aNow >= mDueAt; }
   void MakeDue() { mDueAt = time_point::min(); }
@@ -68,7 +77,8 @@
   std::optional<time_point> mClockSeenAt;
   time_point mReplySentAt;
   std::optional<time_point> mEvidenceAt;
-  std::optional<time_point> mSentAt;
+  /// Latest message that was answered.
+  std::optional<time_point> mAnsweredSentAt;
   /// First message since the last evidence of life.
   std::optional<time_point> mUnansweredSince;
   time_point mDueAt = time_point::min();
--- /dev/null
+++ b/UnitTests/Ownership/GroupStateTest.cpp
@@ -0,0 +1,150 @@
+#include "Parsleystair/Ownership/GroupState.h"
+#include "Parsleystair/Core/Error.h"
+
+#include <gtest/gtest.h>
+
+namespace parsleystair {
+
+namespace {
+
+const slot_id kSlot{ service_name("orders"), slot_index(3) };
+const target_id kOwner{ kSlot.mService, target_name("old") };
+constexpr time_point kStart{ 100s };
+
+live_router Router(const char* aName)
+{
+  return { { vm_name(aName), incarnation(1) },
+           failure_domain_name(aName),
+           false };
+}
+
+/// Record of a group with holders a, b and c whose slot moves.
+group_record MovingRecord(uint64_t aRevision)
+{
+  group_record record{ group_index(0), store_revision(aRevision), {}, {} };
+  for (const char* name : { "a", "b", "c" }) {
+    record.mHolders.push_back({ vm_name(name), incarnation(1), false });
+  }
+  record.mSlots[kSlot] = { kOwner.mTarget,
+                           fence(1),
+                           slot_move{ target_name("new"),
+                                      move_reason::kBalance },
+                           0 };
+  return record;
+}
+
+/// State of holder a, which has just learned of the move at revision 10.
+class GroupStateTest : public testing::Test
+{
+protected:
+  GroupStateTest()
+  {
+    mRouters.SetView({ { Router("a"), Router("b"), Router("c") }, {} }, kStart);
+    mState.Learn(MovingRecord(10), kStart);
+  }
+
+  void Ack(const char* aHolder, time_point aSentAt, time_point aNow)
+  {
+    mState.HandleAck(vm_name(aHolder), store_revision(10), aSentAt);
+    mState.Update(mRouters, aNow);
+  }
+
+  [[nodiscard]] bool MayFinish(time_point aNow) const
+  {
+    return mState.MayFinish(kSlot, 0ms, aNow);
+  }
+
+  ownership_settings mSettings;
+  router_table mRouters{ Router("a") };
+  group_state mState{ group_index(0), mSettings };
+};
+
+} // namespace
+
+// Guards against a wait that starts before two holders know of the move.
+TEST_F(GroupStateTest, WaitsFromSecondAcknowledgement)
+{
+  EXPECT_FALSE(MayFinish(kStart + 10s));
+  Ack("b", kStart + 1s, kStart + 1s);
+  EXPECT_FALSE(MayFinish(kStart + 1s + mSettings.ExclusionWait() - 1us));
+  EXPECT_TRUE(MayFinish(kStart + 1s + mSettings.ExclusionWait()));
+  EXPECT_FALSE(mState.MayFinish(
+    kSlot, 500ms, kStart + 1s + mSettings.ExclusionWait() + 499ms));
+}
+
+// Guards against a release that the target's next process does not know of
+// while an older record could still be confirmed.
+TEST_F(GroupStateTest, TakesReleaseOnlyAfterAcknowledgement)
+{
+  const store_revision revision(10);
+  mState.HandleAccepted(kOwner, revision, {}, kStart);
+  Ack("b", kStart + 5ms, kStart + 10ms);
+  mState.HandleAccepted(kOwner, revision, {}, kStart + 9ms);
+  EXPECT_FALSE(MayFinish(kStart + 20ms));
+  // A target that still runs a request of the slot has not released it.
+  mState.HandleAccepted(kOwner, revision, { kSlot }, kStart + 11ms);
+  EXPECT_FALSE(MayFinish(kStart + 20ms));
+  mState.HandleAccepted(kOwner, store_revision(9), {}, kStart + 11ms);
+  EXPECT_FALSE(MayFinish(kStart + 20ms));
+  mState.HandleAccepted(kOwner, revision, {}, kStart + 11ms);
+  EXPECT_TRUE(MayFinish(kStart + 20ms));
+}
+
+// Guards against two acknowledgements of which the first was forgotten in a
+// restart before the second came.
+TEST_F(GroupStateTest, ForgetsOldAcknowledgements)
+{
+  group_record other = MovingRecord(11);
+  other.mHolders[0].mVm = vm_name("d");
+  mState.Learn(other, kStart);
+  mState.HandleAck(vm_name("b"), store_revision(11), kStart);
+  mState.HandleAck(vm_name("c"), store_revision(11), kStart + 1100ms);
+  mState.Update(mRouters, kStart + 1110ms);
+  EXPECT_FALSE(mState.Progress().at(kSlot).mAckedAt);
+  mState.HandleAck(vm_name("b"), store_revision(11), kStart + 1200ms);
+  mState.Update(mRouters, kStart + 1210ms);
+  EXPECT_TRUE(mState.Progress().at(kSlot).mAckedAt);
+}
+
+// Guards against authority from one holder, or from an older record.
+TEST_F(GroupStateTest, NeedsTwoHoldersThatConfirmTheNewestRecord)
+{
+  mState.HandleConfirmed(vm_name("b"), store_revision(10), kStart);
+  mState.Update(mRouters, kStart);
+  // This holder has not recovered its memory yet.
+  EXPECT_EQ(mState.AuthorityUntil(), time_point::min());
+  mState.HandleFetched(vm_name("b"));
+  mState.HandleFetched(vm_name("c"));
+  mState.Update(mRouters, kStart + 5ms);
+  EXPECT_EQ(mState.AuthorityUntil(), kStart + mSettings.mAuthority);
+  mState.NoteUnreadable(store_revision(12));
+  EXPECT_EQ(mState.AuthorityUntil(), time_point::min());
+}
+
+// Guards against deciding sets that do not overlap while a holder joins.
+TEST_F(GroupStateTest, NeedsBothOthersWhileOneJoins)
+{
+  group_record joining = MovingRecord(11);
+  joining.mHolders[2].mJoining = true;
+  EXPECT_EQ(Quorum(joining), 2U);
+  mState.Learn(joining, kStart);
+  mState.HandleAck(vm_name("c"), store_revision(11), kStart);
+  EXPECT_FALSE(mState.IsAcked(store_revision(11), mRouters, kStart));
+  mState.HandleAck(vm_name("b"), store_revision(11), kStart);
+  EXPECT_TRUE(mState.IsAcked(store_revision(11), mRouters, kStart));
+}
+
+// Guards against a change of owner that nothing proves to be safe.
+TEST_F(GroupStateTest, AssertsThatOwnersChangeSafely)
+{
+  group_record next = MovingRecord(10);
+  next.mSlots[kSlot] = { target_name("new"), fence(10), std::nullopt, 0 };
+  EXPECT_THROW(mState.CheckNext(next, kStart), invariant_error);
+  Ack("b", kStart, kStart);
+  EXPECT_NO_THROW(mState.CheckNext(next, kStart + mSettings.ExclusionWait()));
+  next.mSlots[kSlot].mFence = fence(0);
+  next.mRevision = store_revision(11);
+  EXPECT_THROW(mState.Learn(next, kStart), invariant_error);
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/UnitTests/Ownership/OwnershipStateTest.cpp
@@ -0,0 +1,150 @@
+#include "OwnershipWorld.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <rapidcheck/state.h>
+
+namespace parsleystair {
+
+namespace {
+
+enum class fault
+{
+  kNone,
+  kPauseRouter,
+  kRestartRouter,
+  kFreezeTarget,
+  kRestartTarget,
+  kCut,
+  kPartition,
+  kOneWayPartition,
+  kStoreDown,
+  kStoreSlow,
+  kStoreAnswersLost,
+  kPlannedMove,
+  kLeavingTarget,
+};
+
+constexpr int kFaults = static_cast<int>(fault::kLeavingTarget) + 1;
+
+/// The oracles are in the world; the model only numbers the commands.
+struct model
+{
+  int mCommands = 0;
+};
+
+/// One fault that lasts `mLast`, then `mRun` of simulated time.
+struct inject : rc::state::Command<model, ownership_world>
+{
+  fault mFault = static_cast<fault>(*rc::gen::inRange(0, kFaults));
+  /// Number of a router, target or slot, or a set of nodes as bits.
+  size_t mFirst = *rc::gen::inRange<size_t>(0, 1 << 16);
+  size_t mSecond = *rc::gen::inRange<size_t>(0, 1 << 16);
+  duration mLast = *rc::gen::inRange(1, 4000) * 1ms;
+  duration mRun = *rc::gen::inRange(0, 700) * 1ms;
+
+  void apply(model& aModel) const override { ++aModel.mCommands; }
+
+  void run(const model& /*aModel*/, ownership_world& aWorld) const override
+  {
+    Apply(aWorld);
+    aWorld.Run(mRun);
+  }
+
+  void show(std::ostream& aStream) const override
+  {
+    aStream << "fault " << static_cast<int>(mFault) << " on " << mFirst << ", "
+            << mSecond << " for " << mLast.count() << " us, then run "
+            << mRun.count() << " us";
+  }
+
+private:
+  void Apply(ownership_world& aWorld) const
+  {
+    const size_t router = mFirst % aWorld.Routers();
+    const size_t target = mFirst % aWorld.Targets().size();
+    switch (mFault) {
+      case fault::kNone:
+        return;
+      case fault::kPauseRouter:
+        return aWorld.PauseRouter(router, mLast);
+      case fault::kRestartRouter:
+        return aWorld.RestartRouter(router, mLast);
+      case fault::kFreezeTarget:
+        return aWorld.FreezeTarget(target, mLast);
+      case fault::kRestartTarget:
+        return aWorld.RestartTarget(target, mLast % 300ms);
+      case fault::kCut:
+        return aWorld.Cut(
+          mFirst % aWorld.Nodes(), mSecond % aWorld.Nodes(), mLast);
+      case fault::kPartition:
+        return Divide(aWorld, true);
+      case fault::kOneWayPartition:
+        return Divide(aWorld, false);
+      case fault::kStoreDown:
+        return aWorld.StopStore(mLast);
+      case fault::kStoreSlow:
+        return aWorld.SlowStore(mLast);
+      case fault::kStoreAnswersLost:
+        return aWorld.LoseStoreAnswers(mLast);
+      case fault::kPlannedMove:
+        return Plan(aWorld);
+      case fault::kLeavingTarget:
+        return Leave(aWorld);
+    }
+  }
+
+  void Divide(ownership_world& aWorld, bool aBothWays) const
+  {
+    for (size_t from = 0; from < aWorld.Nodes(); ++from) {
+      for (size_t to = 0; to < aWorld.Nodes(); ++to) {
+        const bool fromInside = (mFirst >> from) % 2 == 1;
+        const bool toInside = (mFirst >> to) % 2 == 1;
+        if (fromInside != toInside && (aBothWays || fromInside)) {
+          aWorld.Cut(from, to, mLast);
+        }
+      }
+    }
+  }
+
+  void Plan(ownership_world& aWorld) const
+  {
+    const auto& services = aWorld.Configuration().mServices;
+    const auto& service = services[mFirst % services.size()];
+    const auto& targets = service.mTargets;
+    const slot_index slot(static_cast<uint32_t>(mFirst % service.mSlotCount));
+    aWorld.Plan({ { service.mName, slot },
+                  targets[mSecond % targets.size()].mName,
+                  move_reason::kBalance });
+  }
+
+  void Leave(ownership_world& aWorld) const
+  {
+    configuration next = aWorld.Configuration();
+    next.mRevision = configuration_revision(next.mRevision.Value() + 1);
+    auto& targets = next.mServices[mFirst % next.mServices.size()].mTargets;
+    // Only one leaves at a time, so that others can take over.
+    for (size_t i = 0; i < targets.size(); ++i) {
+      targets[i].mLeaving = i == mSecond % (targets.size() + 1);
+    }
+    aWorld.SetConfiguration(next);
+  }
+};
+
+} // namespace
+
+// Guards against two targets that act for one slot, falling fences and slots
+// that stay without a server, whatever fails in whatever order.
+RC_GTEST_PROP(OwnershipState, HasAtMostOneActiveOwnerPerSlot, ())
+{
+  const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>());
+  ownership_world world(
+    seed, MakeConfiguration({ 4, 3 }, 1, 12, 4), world_settings());
+  world.Run(5s);
+  rc::state::check(model(), world, rc::state::gen::execOneOfWithArgs<inject>());
+  world.Calm();
+  world.Run(12s);
+  RC_ASSERT(world.UnservedSlots() == 0U);
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/UnitTests/Ownership/OwnershipWorldEvents.h
@@ -0,0 +1,275 @@
+#pragma once
+
+// Time, faults and oracles of ownership_world. Included by OwnershipWorld.h.
+
+namespace parsleystair {
+
+inline ownership_world::ownership_world(uint64_t aSeed,
+                                        configuration aConfiguration,
+                                        world_settings aSettings)
+  : mRandom(aSeed)
+  , mSettings(aSettings)
+{
+  const auto drift = [&] {
+    constexpr uint64_t kSteps = 200;
+    const auto step = static_cast<double>(Random(kSteps + 1));
+    // From 0.99 to 1.01 of real time.
+    return mSettings.mDrift ? 0.99 + step / (kSteps * 50) : 1.0;
+  };
+  const auto clock = [&] {
+    return drifting_clock{ drift(), 1s + duration(Random(100'000'000)) };
+  };
+  for (const service_configuration& service : aConfiguration.mServices) {
+    for (const target_configuration& target : service.mTargets) {
+      fake_target fake;
+      fake.mId = { service.mName, target.mName };
+      fake.mClock = clock();
+      fake.mChecksGrants = target.mChecksGrants;
+      mTargets.push_back(fake);
+    }
+  }
+  mTargetBacklogs.resize(mTargets.size());
+  mRouters.resize(mSettings.mRouters);
+  const auto& domains = aConfiguration.mFailureDomains;
+  for (size_t i = 0; i < mRouters.size(); ++i) {
+    mRouters[i].mIdentity = { { vm_name("router-" + std::to_string(i)), {} },
+                              domains[i % domains.size()].mName,
+                              false };
+    mRouters[i].mClock = clock();
+  }
+  mConfiguration =
+    std::make_shared<const configuration>(std::move(aConfiguration));
+  for (size_t i = 0; i < mRouters.size(); ++i) {
+    StartRouter(i);
+  }
+}
+
+inline void ownership_world::Run(duration aTime)
+{
+  const duration end = mNow + aTime;
+  while (!mQueue.empty() && mQueue.top().mAt <= end) {
+    const event next = mQueue.top();
+    mQueue.pop();
+    mNow = next.mAt;
+    next.mFunction();
+  }
+  mNow = end;
+}
+
+inline void ownership_world::After(duration aTime,
+                                   std::function<void()> aFunction)
+{
+  mQueue.push({ mNow + aTime, ++mEvents, std::move(aFunction) });
+}
+
+inline void ownership_world::OnRouter(size_t aRouter,
+                                      uint64_t aLife,
+                                      std::function<void()> aCall)
+{
+  fake_router& router = mRouters[aRouter];
+  if (!router.mController || router.mLife != aLife) {
+    return;
+  }
+  if (router.mIsPaused) {
+    router.mBacklog.push_back(std::move(aCall));
+    return;
+  }
+  aCall();
+}
+
+inline void ownership_world::OnTarget(size_t aTarget,
+                                      std::function<void()> aCall)
+{
+  if (mTargets[aTarget].mIsDown) {
+    return;
+  }
+  if (mTargets[aTarget].mIsFrozen) {
+    mTargetBacklogs[aTarget].push_back(std::move(aCall));
+    return;
+  }
+  aCall();
+}
+
+inline void ownership_world::StartRouter(size_t aRouter)
+{
+  fake_router& router = mRouters[aRouter];
+  const uint64_t life = ++router.mLife;
+  router.mIdentity.mVm.mIncarnation = incarnation(mRandom());
+  router.mHeard.clear();
+  router.mView = {};
+  router.mController = std::make_unique<ownership_controller>(
+    router.mIdentity, mSettings.mOwnership, Local(aRouter));
+  Perform(
+    aRouter,
+    router.mController->HandleConfiguration(mConfiguration, Local(aRouter)));
+  // Routers don't act in step.
+  After(duration(Random(20'000)), [=, this] { Tick(aRouter, life); });
+  After(duration(Random(100'000)), [=, this] { Poll(aRouter, life); });
+  After(duration(Random(50'000)), [=, this] { Heartbeat(aRouter, life); });
+}
+
+inline void ownership_world::Tick(size_t aRouter, uint64_t aLife)
+{
+  fake_router& router = mRouters[aRouter];
+  if (!router.mController || router.mLife != aLife) {
+    return;
+  }
+  if (!router.mIsPaused) {
+    Perform(aRouter, router.mController->Tick(Local(aRouter), wall_time(1s)));
+    CheckRouting(aRouter);
+  }
+  After(mSettings.mTick, [=, this] { Tick(aRouter, aLife); });
+}
+
+inline void ownership_world::Heartbeat(size_t aRouter, uint64_t aLife)
+{
+  fake_router& router = mRouters[aRouter];
+  if (!router.mController || router.mLife != aLife) {
+    return;
+  }
+  if (!router.mIsPaused) {
+    for (size_t i = 0; i < mRouters.size(); ++i) {
+      if (i == aRouter) {
+        continue;
+      }
+      Send(aRouter, i, [=, this, identity = router.mIdentity] {
+        mRouters[i].mHeard[aRouter] = { identity, mNow };
+      });
+    }
+    ShowRouters(aRouter);
+  }
+  After(200ms, [=, this] { Heartbeat(aRouter, aLife); });
+}
+
+inline void ownership_world::ShowRouters(size_t aRouter)
+{
+  fake_router& router = mRouters[aRouter];
+  router_view view;
+  view.mLive.push_back(router.mIdentity);
+  for (const auto& [index, heard] : router.mHeard) {
+    if (mNow - heard.second < 1500ms && mRouters[index].mIsListed) {
+      view.mLive.push_back(heard.first);
+    }
+  }
+  for (const fake_router& other : mRouters) {
+    if (other.mIsListed) {
+      view.mListed.insert(other.mIdentity.mVm.mName);
+    }
+  }
+  if (view != router.mView) {
+    router.mView = view;
+    Perform(aRouter, router.mController->HandleRouters(view, Local(aRouter)));
+  }
+}
+
+inline void ownership_world::PauseRouter(size_t aRouter, duration aTime)
+{
+  fake_router& router = mRouters[aRouter];
+  if (router.mIsPaused || !router.mController) {
+    return;
+  }
+  router.mIsPaused = true;
+  After(aTime, [=, this] {
+    mRouters[aRouter].mIsPaused = false;
+    std::vector<std::function<void()>> backlog;
+    backlog.swap(mRouters[aRouter].mBacklog);
+    for (const auto& call : backlog) {
+      call();
+    }
+  });
+}
+
+inline void ownership_world::RestartRouter(size_t aRouter, duration aTime)
+{
+  if (!mRouters[aRouter].mController) {
+    return;
+  }
+  mRouters[aRouter].mController.reset();
+  mRouters[aRouter].mBacklog.clear();
+  After(aTime, [=, this] { StartRouter(aRouter); });
+}
+
+inline void ownership_world::EndRouter(size_t aRouter)
+{
+  mRouters[aRouter].mController.reset();
+  mRouters[aRouter].mBacklog.clear();
+  After(5s, [=, this] { mRouters[aRouter].mIsListed = false; });
+}
+
+inline void ownership_world::FreezeTarget(size_t aTarget, duration aTime)
+{
+  if (mTargets[aTarget].mIsFrozen) {
+    return;
+  }
+  mTargets[aTarget].mIsFrozen = true;
+  After(aTime, [=, this] {
+    mTargets[aTarget].mIsFrozen = false;
+    std::vector<std::function<void()>> backlog;
+    backlog.swap(mTargetBacklogs[aTarget]);
+    for (auto& call : backlog) {
+      OnTarget(aTarget, std::move(call));
+    }
+  });
+}
+
+inline void ownership_world::EndTarget(size_t aTarget)
+{
+  mTargets[aTarget].mIsDown = true;
+  mTargets[aTarget].mLists.clear();
+  mTargetBacklogs[aTarget].clear();
+  for (auto& [slot, covered] : mCoverage) {
+    if (covered.mTarget == aTarget) {
+      covered.mUntil = std::min(covered.mUntil, mNow);
+    }
+  }
+}
+
+inline void ownership_world::RestartTarget(size_t aTarget, duration aTime)
+{
+  if (mTargets[aTarget].mIsDown) {
+    return;
+  }
+  EndTarget(aTarget);
+  After(aTime, [=, this] {
+    mTargets[aTarget].mIsDown = false;
+    ++mTargets[aTarget].mBoot;
+  });
+}
+
+inline void ownership_world::Cut(size_t aFrom, size_t aTo, duration aTime)
+{
+  mCuts[{ aFrom, aTo }] = mNow + aTime;
+}
+
+inline bool ownership_world::IsCut(size_t aFrom, size_t aTo) const
+{
+  const auto cut = mCuts.find({ aFrom, aTo });
+  return cut != mCuts.end() && mNow < cut->second;
+}
+
+inline void ownership_world::Plan(const planned_move& aMove)
+{
+  for (size_t i = 0; i < mRouters.size(); ++i) {
+    OnRouter(i, mRouters[i].mLife, [=, this] {
+      Perform(i,
+              mRouters[i].mController->HandlePlannedMoves({ aMove }, Local(i)));
+    });
+  }
+}
+
+inline void ownership_world::SetConfiguration(configuration aConfiguration)
+{
+  mConfiguration =
+    std::make_shared<const configuration>(std::move(aConfiguration));
+  // Routers take it over at different times.
+  for (size_t i = 0; i < mRouters.size(); ++i) {
+    After(duration(Random(500'000)), [=, this, config = mConfiguration] {
+      OnRouter(i, mRouters[i].mLife, [=, this] {
+        Perform(i,
+                mRouters[i].mController->HandleConfiguration(config, Local(i)));
+      });
+    });
+  }
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/UnitTests/Ownership/OwnershipWorldMessages.h
@@ -0,0 +1,289 @@
+#pragma once
+
+// Network, store calls and actions of ownership_world. Included by
+// OwnershipWorld.h.
+
+namespace parsleystair {
+
+inline region_name ownership_world::RegionOf(size_t aNode) const
+{
+  const auto& domains = mConfiguration->mFailureDomains;
+  if (aNode < mRouters.size()) {
+    return mConfiguration->RegionOf(mRouters[aNode].mIdentity.mFailureDomain);
+  }
+  // Targets are spread over the domains; the store is in the first region.
+  const size_t target = aNode - mRouters.size();
+  return target < mTargets.size() ? domains[target % domains.size()].mRegion
+                                  : domains.front().mRegion;
+}
+
+inline duration ownership_world::Delay(size_t aFrom, size_t aTo)
+{
+  duration delay = RegionOf(aFrom) == RegionOf(aTo) ? 1ms : 12ms;
+  delay += duration(Random(2'000));
+  if (Random(100) < mSettings.mLongDelayPercent) {
+    delay +=
+      duration(Random(static_cast<uint64_t>(mSettings.mLongDelay.count())));
+  }
+  return delay;
+}
+
+inline void ownership_world::Send(size_t aFrom,
+                                  size_t aTo,
+                                  std::function<void()> aDeliver)
+{
+  const bool isLost = Random(100) < mSettings.mLossPercent;
+  if (isLost || IsCut(aFrom, aTo)) {
+    return;
+  }
+  After(Delay(aFrom, aTo), std::move(aDeliver));
+}
+
+inline size_t ownership_world::IndexOf(const target_id& aTarget) const
+{
+  const auto found =
+    std::find_if(mTargets.begin(), mTargets.end(), [&](const auto& aFake) {
+      return aFake.mId == aTarget;
+    });
+  return static_cast<size_t>(found - mTargets.begin());
+}
+
+inline size_t ownership_world::IndexOf(const vm_name& aVm) const
+{
+  const auto found =
+    std::find_if(mRouters.begin(), mRouters.end(), [&](const auto& aFake) {
+      return aFake.mIdentity.mVm.mName == aVm;
+    });
+  return static_cast<size_t>(found - mRouters.begin());
+}
+
+inline void ownership_world::CallStore(
+  size_t aRouter,
+  const std::function<answer()>& aExecute,
+  const std::function<void(store_status)>& aFail)
+{
+  constexpr duration kTimeout = 300ms;
+  const uint64_t life = mRouters[aRouter].mLife;
+  const auto isOver = std::make_shared<bool>(false);
+  const auto end = [=, this](const answer& aAnswer) {
+    OnRouter(aRouter, life, [=] {
+      if (!*isOver) {
+        *isOver = true;
+        aAnswer();
+      }
+    });
+  };
+  After(kTimeout, [=] { end([=] { aFail(store_status::kUnknown); }); });
+  if (IsCut(aRouter, NodeOfStore())) {
+    After(1ms, [=] { end([=] { aFail(store_status::kNotSent); }); });
+    return;
+  }
+  const auto delay = [this, aRouter] {
+    const bool isSlow = mNow < mStoreSlowUntil;
+    return Delay(aRouter, NodeOfStore()) +
+           (isSlow ? duration(Random(400'000)) : 2ms);
+  };
+  After(delay(), [=, this] {
+    if (mNow < mStoreDownUntil) {
+      return;
+    }
+    const answer reply = aExecute();
+    if (mNow >= mAnswersLostUntil && !IsCut(NodeOfStore(), aRouter)) {
+      After(delay(), [=] { end(reply); });
+    }
+  });
+}
+
+inline void ownership_world::Poll(size_t aRouter, uint64_t aLife)
+{
+  fake_router& router = mRouters[aRouter];
+  if (!router.mController || router.mLife != aLife) {
+    return;
+  }
+  if (!router.mIsPaused) {
+    const time_point asked = Local(aRouter);
+    const range_request request = router.mController->NextPoll();
+    CallStore(
+      aRouter,
+      [=, this]() -> answer {
+        return [=, this, reply = mStore.Range(request)] {
+          Perform(aRouter,
+                  mRouters[aRouter].mController->HandlePollReply(
+                    reply, asked, Local(aRouter)));
+        };
+      },
+      [](store_status) {});
+  }
+  After(mSettings.mOwnership.mPoll, [=, this] { Poll(aRouter, aLife); });
+}
+
+inline void ownership_world::Perform(size_t aRouter,
+                                     const ownership_actions& aActions)
+{
+  for (const ownership_action& action : aActions) {
+    std::visit([&](const auto& aOne) { PerformOne(aRouter, aOne); }, action);
+  }
+}
+
+inline void ownership_world::Ask(size_t aRouter,
+                                 size_t aNode,
+                                 const std::function<answer()>& aExecute)
+{
+  const uint64_t life = mRouters[aRouter].mLife;
+  const auto handle = [=, this] {
+    const answer reply = aExecute();
+    Send(aNode, aRouter, [=, this] { OnRouter(aRouter, life, reply); });
+  };
+  Send(aRouter, aNode, [=, this] {
+    if (aNode < mRouters.size()) {
+      OnRouter(aNode, mRouters[aNode].mLife, handle);
+    } else {
+      OnTarget(aNode - mRouters.size(), handle);
+    }
+  });
+}
+
+inline void ownership_world::PerformOne(size_t aRouter,
+                                        const send_grants& aAction)
+{
+  ++mMessagesToTargets;
+  const size_t target = IndexOf(aAction.mTarget);
+  const time_point sent = Local(aRouter);
+  Ask(aRouter, NodeOfTarget(target), [=, this]() -> answer {
+    const grant_reply reply = mTargets[target].Handle(aAction.mMessage, mNow);
+    CheckGrants(target, reply);
+    return [=, this] {
+      Perform(aRouter,
+              mRouters[aRouter].mController->HandleGrantReply(
+                aAction.mTarget, reply, sent, Local(aRouter)));
+    };
+  });
+}
+
+inline void ownership_world::PerformOne(size_t aRouter,
+                                        const probe_target& aAction)
+{
+  ++mMessagesToTargets;
+  const time_point sent = Local(aRouter);
+  Ask(aRouter, NodeOfTarget(IndexOf(aAction.mTarget)), [=, this]() -> answer {
+    return [=, this] {
+      Perform(aRouter,
+              mRouters[aRouter].mController->HandleAnswered(
+                aAction.mTarget, sent, Local(aRouter)));
+    };
+  });
+}
+
+inline void ownership_world::PerformOne(size_t aRouter,
+                                        const write_group& aAction)
+{
+  const group_index group = aAction.mRecord.mGroup;
+  const auto handle = [=, this](const transaction_reply& aReply) {
+    Perform(aRouter,
+            mRouters[aRouter].mController->HandleWriteReply(
+              group, aReply, Local(aRouter)));
+  };
+  CallStore(
+    aRouter,
+    [=, this]() -> answer {
+      return [handle, reply = mStore.Write(aAction)] { handle(reply); };
+    },
+    [=](store_status aStatus) {
+      handle({ aStatus, false, {} });
+    });
+}
+
+inline void ownership_world::PerformOne(size_t aRouter,
+                                        const read_group& aAction)
+{
+  const time_point asked = Local(aRouter);
+  const std::string key = GroupKey(aAction.mGroup);
+  CallStore(
+    aRouter,
+    [=, this]() -> answer {
+      const range_request request{ key, key + '\0', {}, false };
+      return [=, this, reply = mStore.Range(request)] {
+        Perform(aRouter,
+                mRouters[aRouter].mController->HandleGroupRead(
+                  aAction.mGroup, reply, asked, Local(aRouter)));
+      };
+    },
+    [](store_status) {});
+}
+
+inline void ownership_world::PerformOne(size_t aRouter,
+                                        const ask_confirm& aAction)
+{
+  ++mMessagesToRouters;
+  const size_t holder = IndexOf(aAction.mHolder);
+  const time_point asked = Local(aRouter);
+  Ask(aRouter, holder, [=, this]() -> answer {
+    std::vector<confirm_result> results;
+    for (const group_revision& asks : aAction.mGroups) {
+      results.push_back(mRouters[holder].mController->HandleConfirm(
+        { asks.mGroup, asks.mRevision }));
+    }
+    return [=, this] {
+      for (size_t i = 0; i < results.size(); ++i) {
+        Perform(
+          aRouter,
+          mRouters[aRouter].mController->HandleConfirmReply(aAction.mHolder,
+                                                            aAction.mGroups[i],
+                                                            results[i],
+                                                            asked,
+                                                            Local(aRouter)));
+      }
+    };
+  });
+}
+
+inline void ownership_world::PerformOne(size_t aRouter,
+                                        const announce_record& aAction)
+{
+  ++mMessagesToRouters;
+  const size_t holder = IndexOf(aAction.mHolder);
+  const time_point sent = Local(aRouter);
+  const group_revision revision{ aAction.mRecord.mGroup,
+                                 aAction.mRecord.mRevision };
+  Ask(aRouter, holder, [=, this]() -> answer {
+    Perform(holder,
+            mRouters[holder].mController->HandleAnnounce(aAction.mRecord,
+                                                         Local(holder)));
+    return [=, this] {
+      Perform(aRouter,
+              mRouters[aRouter].mController->HandleAnnounceAck(
+                aAction.mHolder, revision, sent, Local(aRouter)));
+    };
+  });
+}
+
+inline void ownership_world::PerformOne(size_t aRouter,
+                                        const copy_group_records& aAction)
+{
+  // Copying itself is tested elsewhere; here it takes some time.
+  const uint64_t life = mRouters[aRouter].mLife;
+  After(50ms, [=, this] {
+    OnRouter(aRouter, life, [=, this] {
+      Perform(aRouter,
+              mRouters[aRouter].mController->HandleRecordsCopied(
+                aAction.mRecord.mGroup, Local(aRouter)));
+    });
+  });
+}
+
+inline void ownership_world::PerformOne(size_t aRouter,
+                                        const fetch_groups& aAction)
+{
+  ++mMessagesToRouters;
+  const size_t other = IndexOf(aAction.mVm);
+  const time_point asked = Local(aRouter);
+  Ask(aRouter, other, [=, this]() -> answer {
+    return [=, this, reply = mRouters[other].mController->HandleFetchGroups()] {
+      Perform(aRouter,
+              mRouters[aRouter].mController->HandleFetchedGroups(
+                aAction.mVm, reply, asked, Local(aRouter)));
+    };
+  });
+}
+
+} // namespace parsleystair
