Free closed connections when their loop ends

Cause: http_connection frees a closed connection by the next round of its loop; when the loop ended first, the connection leaked, and the address sanitizer failed the Http tests. Change: event_loop runs one round that doesn't wait before it ends. Conclusion: objects on a loop must still end before it.

--- a/Parsleystair/Core/EventLoop.cpp
+++ b/Parsleystair/Core/EventLoop.cpp
@@ -26,6 +26,9 @@
 
 event_loop::~event_loop()
 {
+  // Connections that were closed are freed by the loop (HttpConnection.cpp);
+  // those of the last round would leak.
+  event_base_loop(mBase, EVLOOP_NONBLOCK);
   event_base_free(mBase);
 }
 
