Use request queue, adaptive limit, retry policy and outlier tracker in workers

Cause: workers queued first come first served with a fixed limit and retried by a rule of their own. Change: each target has a request_queue with an adaptive limit; retries follow retry_policy and its budget; shared services avoid ejected targets. The records driver carries OtherSeen from round to round, so that a refusal after another attempt was seen no longer says not-run. Conclusion: load has not been measured with it yet.

--- a/Parsleystair/Limits/RequestQueue.cpp
+++ b/Parsleystair/Limits/RequestQueue.cpp
@@ -134,6 +134,12 @@
   mSlotTime += (aSample.mLatency - mSlotTime) / kSlotTimeDivisor;
 }
 
+void request_queue::GiveBack()
+{
+  PARSLEYSTAIR_INVARIANT(mInFlight > 0);
+  mInFlight -= 1;
+}
+
 duration request_queue::ExpectedWait(size_t aAhead) const
 {
   const double requests = static_cast<double>(aAhead) + 1;
--- a/Parsleystair/Limits/RequestQueue.h
+++ b/Parsleystair/Limits/RequestQueue.h
@@ -74,6 +74,10 @@
   /// Gives back the slot of a started request.
   void HandleEnd(const limit_sample& aSample, time_point aNow);
 
+  /// Gives back the slot of a started request that tells nothing of the
+  /// target's load, like one that was not sent after all.
+  void GiveBack();
+
   [[nodiscard]] uint32_t InFlight() const { return mInFlight; }
   [[nodiscard]] size_t Waiting() const { return mWaiting.size(); }
   [[nodiscard]] double Limit() const { return mLimit->Value(); }
--- a/Parsleystair/Tasks/RecordDriver.cpp
+++ b/Parsleystair/Tasks/RecordDriver.cpp
@@ -84,7 +84,7 @@
   opened.mBegin.mAttempt = attempt_id(MakeAttemptId());
   const uint32_t round = opened.mRound;
   opened.mAttempt = std::make_unique<begin_attempt>(
-    *record, opened.mBegin, round, opened.mDeadline);
+    *record, opened.mBegin, round, opened.mDeadline, opened.mOtherSeen);
   if (const auto verdict = opened.mAttempt->CheckHolders()) {
     Decide(aKey, *verdict);
     return;
@@ -159,12 +159,20 @@
 void record_driver::RunAgain(const attempt_key& aKey, const begin_again& aAgain)
 {
   open_attempt& opened = mAttempts.at(aKey);
+  if (opened.mAttempt != nullptr) {
+    opened.mOtherSeen = opened.mAttempt->OtherSeen();
+  }
   if (MonotonicNow() + aAgain.mDelay >= opened.mDeadline) {
-    End(aKey,
-        refused_not_run{ refusal_reason::kRecordsUnavailable,
-                         "the routers that keep the request's record did not "
-                         "agree in time",
-                         kRetryAfterMs });
+    const refused_not_run refusal{ refusal_reason::kRecordsUnavailable,
+                                   "the routers that keep the request's record "
+                                   "did not agree in time",
+                                   kRetryAfterMs };
+    // A request of which another attempt was seen may have run.
+    if (opened.mOtherSeen) {
+      End(aKey, refused_may_have_run{ refusal.mReason, refusal.mDetail });
+    } else {
+      End(aKey, refusal);
+    }
     return;
   }
   ++opened.mRound;
--- a/Parsleystair/Tasks/RecordDriver.h
+++ b/Parsleystair/Tasks/RecordDriver.h
@@ -82,7 +82,8 @@
     begin_message mBegin;
     time_point mDeadline;
     uint32_t mRound = 0;
-    /// Grows with each round, so that results of earlier rounds are told apart.
+    /// An earlier round saw another attempt of the request.
+    bool mOtherSeen = false;
     std::unique_ptr<begin_attempt> mAttempt;
     timer mAgain;
     bool mRunning = false;
--- a/Parsleystair/Tasks/RequestFlow.h
+++ b/Parsleystair/Tasks/RequestFlow.h
@@ -3,6 +3,7 @@
 #include "Parsleystair/Core/Time.h"
 #include "Parsleystair/Http/HttpServer.h"
 #include "Parsleystair/Request/Classify.h"
+#include "Parsleystair/Request/RetryPolicy.h"
 #include "Parsleystair/Tasks/Messages.h"
 
 #include <optional>
@@ -20,19 +21,20 @@
   classified_request mClassified;
   time_point mArrived;
   time_point mDeadline;
+  uint64_t mFingerprint = 0;
   /// The control task has been asked if the request may run, and is told how
   /// it ended.
   bool mHasAttempt = false;
+  std::optional<retry_policy> mRetry;
   /// An earlier try may have run the request.
   bool mMayHaveRun = false;
   /// Tries sent to a target so far.
   uint32_t mTries = 0;
-  /// Target of the last try, and the fence it was sent with.
+  /// Target of the last try, and what it was sent with.
   target_name mTarget;
   fence mFence;
-  /// End of the longest time in the queue of a target.
-  std::optional<time_point> mQueueUntil;
-  uint64_t mFingerprint = 0;
+  time_point mSentAt;
+  uint32_t mInFlightAtSend = 0;
 };
 
 } // namespace parsleystair
--- a/Parsleystair/Tasks/TargetLane.h
+++ b/Parsleystair/Tasks/TargetLane.h
@@ -1,31 +1,40 @@
 #pragma once
 
-#include "Parsleystair/Tasks/Messages.h"
+#include "Parsleystair/Limits/RequestQueue.h"
 #include "Parsleystair/Upstream/TargetPool.h"
 
-#include <deque>
+#include <algorithm>
 
 namespace parsleystair {
 
-/// A worker's way to one target: connections, a limit on requests at a time,
-/// and the requests that wait for it.
+/// A worker's way to one target: its connections, and the requests that run
+/// there or wait for it.
 struct target_lane
 {
-  target_lane(event_loop& aLoop,
-              const target_configuration& aTarget,
-              uint32_t aLimit)
+  /// Requests that wait for one target at most.
+  static constexpr size_t kMaxQueue = 1'000;
+
+  target_lane(event_loop& aLoop, const target_configuration& aTarget)
     : mTarget(aTarget)
-    , mLimit(aLimit)
-    , mPool(aLoop, aTarget.mHost, aTarget.mPort, aLimit)
+    , mPool(aLoop, aTarget.mHost, aTarget.mPort, Concurrency(aTarget))
+    , mQueue(std::make_unique<adaptive_limit>(1, Concurrency(aTarget)),
+             kMaxQueue)
+  {
+  }
+
+  static uint32_t Concurrency(const target_configuration& aTarget)
   {
+    return std::max<uint32_t>(1, aTarget.mConcurrency);
   }
 
-  [[nodiscard]] bool HasRoom() const { return mPool.InFlight() < mLimit; }
+  [[nodiscard]] size_t Load() const
+  {
+    return mQueue.InFlight() + mQueue.Waiting();
+  }
 
   target_configuration mTarget;
-  uint32_t mLimit;
   target_pool mPool;
-  std::deque<flow_id> mQueue;
+  request_queue mQueue;
 };
 
 } // namespace parsleystair
--- a/Parsleystair/Tasks/Worker.h
+++ b/Parsleystair/Tasks/Worker.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "Parsleystair/Core/EventLoop.h"
+#include "Parsleystair/Dump/LatencyHistogram.h"
 #include "Parsleystair/Http/HttpServer.h"
+#include "Parsleystair/Limits/OutlierTracker.h"
+#include "Parsleystair/Limits/RetryBudget.h"
 #include "Parsleystair/Settings/RouterSettings.h"
 #include "Parsleystair/Tasks/RequestFlow.h"
 #include "Parsleystair/Tasks/TargetLane.h"
@@ -32,19 +35,25 @@
   [[nodiscard]] uint16_t Port() const { return mServer.Port(); }
 
 private:
+  /// Lane to use, or why there is none now.
+  using lane_choice = std::variant<target_lane*, refused_not_run>;
+
   // The steps of the pipeline, in order.
   void Read(exchange_id aExchange, http_request aRequest);
   void Admit(request_flow& aFlow, time_point aNow);
   void FindDuplicate(request_flow& aFlow, time_point aNow);
   void Dispatch(request_flow& aFlow, time_point aNow);
-  void Enqueue(request_flow& aFlow, target_lane& aLane, time_point aNow);
+  void Offer(request_flow& aFlow, target_lane& aLane, time_point aNow);
   void SendTo(request_flow& aFlow, target_lane& aLane, time_point aNow);
   void HandleTry(flow_id aFlow, target_lane& aLane, try_result aResult);
   void Finish(flow_id aFlow, const request_outcome& aOutcome);
-  void ReportAttempt(const request_flow& aFlow,
-                     const request_outcome& aOutcome);
 
   // Outcomes of tries.
+  void RecordEnd(const request_flow& aFlow,
+                 target_lane& aLane,
+                 const try_result& aResult,
+                 time_point aNow);
+  void HandleNotSent(request_flow& aFlow, time_point aNow);
   void HandleNotRun(request_flow& aFlow,
                     const try_result& aResult,
                     time_point aNow);
@@ -52,12 +61,16 @@
                      target_lane& aLane,
                      const try_result& aResult,
                      time_point aNow);
-  void RetryOrGiveUp(request_flow& aFlow, time_point aNow);
-  void Park(request_flow& aFlow,
-            const refused_not_run& aReason,
-            duration aDelay,
-            time_point aNow);
-  void Refuse(request_flow& aFlow, const refused_not_run& aReason);
+  void RetryOrFinish(request_flow& aFlow,
+                     const failed_attempt& aFailure,
+                     time_point aNow);
+  void WaitForOwner(request_flow& aFlow,
+                    const refused_not_run& aReason,
+                    time_point aNow);
+  void Park(const request_flow& aFlow, time_point aWake);
+  void Refuse(const request_flow& aFlow, const refused_not_run& aReason);
+  void ReportAttempt(const request_flow& aFlow,
+                     const request_outcome& aOutcome);
 
   // Messages of the control task.
   void Apply(snapshot_update aUpdate);
@@ -67,24 +80,26 @@
   void Apply(const report_order& aOrder);
   void Apply(const stop_order& aOrder);
 
+  // Periodic work.
   void Tick(time_point aNow);
   void WakeParked(time_point aNow);
   void ServeQueue(target_lane& aLane, time_point aNow);
-  void DropExpired(target_lane& aLane, time_point aNow);
+  void RefuseShed(const shed_request& aShed, const target_lane& aLane);
+  void ShedExpired(target_lane& aLane, time_point aNow);
   void SweepOverdue(time_point aNow);
   void ReportTraffic();
-  std::variant<target_lane*, refused_not_run>
-  PickLane(const request_flow& aFlow, time_point aNow, fence& aFence);
+
+  // Targets.
+  lane_choice PickLane(request_flow& aFlow, time_point aNow);
+  target_lane* PickShared(const request_flow& aFlow, time_point aNow);
   target_lane& LaneFor(const service_configuration& aService,
                        const target_configuration& aTarget);
-  http_request MakeTargetRequest(const request_flow& aFlow,
-                                 const std::string& aTryName,
-                                 time_point aNow) const;
+  retry_budget& BudgetOf(const service_configuration& aService);
+  [[nodiscard]] static bool IsExclusive(const request_flow& aFlow);
   std::string MakeId();
 
   event_loop& mLoop;
   worker_index mIndex;
-  router_settings mSettings;
   control_inbox& mControl;
   std::mt19937_64 mRandom;
   std::shared_ptr<const routing_snapshot> mSnapshot;
@@ -93,6 +108,8 @@
   std::multimap<time_point, flow_id> mParked;
   std::map<std::pair<service_name, target_name>, std::unique_ptr<target_lane>>
     mLanes;
+  std::map<service_name, retry_budget> mBudgets;
+  std::map<service_name, outlier_tracker> mOutliers;
   std::unordered_map<uint64_t, time_point> mRefusedContent;
   std::map<std::pair<target_name, slot_id>, uint64_t> mTraffic;
   worker_counters mCounters;
--- a/Parsleystair/Upstream/TargetPool.h
+++ b/Parsleystair/Upstream/TargetPool.h
@@ -79,6 +79,11 @@
   /// no process listens.
   void CheckRefused(std::function<void(bool)> aCallback);
 
+  /// True when no try and no probe is open.
+  [[nodiscard]] bool IsIdle() const
+  {
+    return mTries.empty() && mProbes.empty();
+  }
   [[nodiscard]] size_t InFlight() const { return mTries.size(); }
   [[nodiscard]] size_t IdleConnections() const { return mIdle.size(); }
   [[nodiscard]] duration MedianLatency() const { return mLatency.Median(); }
--- a/UnitTests/Ownership/OwnershipWorldMessages.h
+++ b/UnitTests/Ownership/OwnershipWorldMessages.h
@@ -266,7 +266,7 @@
     OnRouter(aRouter, life, [=, this] {
       Perform(aRouter,
               mRouters[aRouter].mController->HandleRecordsCopied(
-                aAction.mRecord.mGroup, Local(aRouter)));
+                aAction.mRecord.mGroup, std::nullopt, Local(aRouter)));
     });
   });
 }
