--- a/Parsleystair/Ownership/GrantSender.cpp
+++ b/Parsleystair/Ownership/GrantSender.cpp
@@ -15,23 +15,17 @@
 constexpr duration kMessagesInFlight = 30ms;
 
 /// Slots that the target may serve under this record; a slot that is moving is
-/// never among them. Without value when the target owns none, moving or not.
-std::optional<std::vector<granted_slot>> SlotsOf(const group_record& aRecord,
-                                                 const target_id& aTarget)
+/// never among them.
+std::vector<granted_slot> SlotsOf(const group_record& aRecord,
+                                  const target_id& aTarget)
 {
-  std::optional<std::vector<granted_slot>> slots;
+  std::vector<granted_slot> slots;
   const slot_id first{ aTarget.mService, slot_index() };
   for (auto slot = aRecord.mSlots.lower_bound(first);
        slot != aRecord.mSlots.end() && slot->first.mService == aTarget.mService;
        ++slot) {
-    if (slot->second.mOwner != aTarget.mTarget) {
-      continue;
-    }
-    if (!slots) {
-      slots.emplace();
-    }
-    if (!slot->second.mMove) {
-      slots->push_back({ slot->first, slot->second.mFence });
+    if (slot->second.mOwner == aTarget.mTarget && !slot->second.mMove) {
+      slots.push_back({ slot->first, slot->second.mFence });
     }
   }
   return slots;
@@ -56,22 +50,24 @@
 
 void grant_sender::SetTargets(group_index aGroup, const group_record& aRecord)
 {
-  std::set<target_id> targets;
+  group_targets targets;
   for (const auto& [slot, ownership] : aRecord.mSlots) {
     if (ownership.mOwner != target_name()) {
-      targets.insert({ slot.mService, ownership.mOwner });
+      targets.mOwners.insert({ slot.mService, ownership.mOwner });
     }
     // The new owner's clock is learned before its first grant.
     if (ownership.mMove && ownership.mMove->mTo != target_name()) {
-      targets.insert({ slot.mService, ownership.mMove->mTo });
+      targets.mAll.insert({ slot.mService, ownership.mMove->mTo });
     }
   }
-  std::set<target_id>& known = mTargetsOfGroup[aGroup];
-  for (const target_id& target : known) {
+  targets.mAll.insert(targets.mOwners.begin(), targets.mOwners.end());
+  group_targets& known = mTargetsOfGroup[aGroup];
+  for (const target_id& target : known.mAll) {
     mGroupsOfTarget[target].erase(aGroup);
   }
   known = std::move(targets);
-  for (const target_id& target : known) {
+  mNextDue = time_point::min();
+  for (const target_id& target : known.mAll) {
     mGroupsOfTarget[target].insert(aGroup);
     const auto session = mSessions.find(target);
     if (session != mSessions.end()) {
@@ -94,9 +90,14 @@
                         time_point aNow,
                         ownership_actions& aActions)
 {
+  if (aNow < mNextDue) {
+    return;
+  }
+  mNextDue = aNow + mSettings.mRenew;
   for (const auto& [target, named] : mGroupsOfTarget) {
     const auto known = mSessions.find(target);
     if (known != mSessions.end() && !known->second.IsDue(aNow)) {
+      mNextDue = std::min(mNextDue, known->second.DueAt());
       continue;
     }
     if (!IsRenewed(target, aGroups)) {
@@ -131,8 +132,8 @@
   aSession.mWithheld = false;
   for (const group_index& group : mGroupsOfTarget.at(aTarget)) {
     const group_state& state = aGroups.at(group);
-    auto slots = SlotsOf(state.Record(), aTarget);
-    if (state.mRank >= kRenewers || !slots) {
+    if (state.mRank >= kRenewers ||
+        mTargetsOfGroup.at(group).mOwners.count(aTarget) == 0) {
       continue;
     }
     // A process that started after the proof may replace one that gave up
@@ -147,11 +148,11 @@
     PARSLEYSTAIR_INVARIANT(state.NewestSeen() == state.Record().mRevision);
     action.mValidUntil = std::min(action.mValidUntil, state.AuthorityUntil());
     const group_revision revision{ group, state.Record().mRevision };
-    if (aSession.HasAccepted(revision)) {
-      slots.reset();
+    group_grant grant{ group, revision.mRevision, std::nullopt };
+    if (!aSession.HasAccepted(revision)) {
+      grant.mSlots = SlotsOf(state.Record(), aTarget);
     }
-    action.mMessage.mGroups.push_back(
-      { group, revision.mRevision, std::move(slots) });
+    action.mMessage.mGroups.push_back(std::move(grant));
   }
   aActions.emplace_back(std::move(action));
 }
@@ -161,6 +162,7 @@
   for (auto& [target, session] : mSessions) {
     if (session.mWithheld) {
       session.MakeDue();
+      mNextDue = time_point::min();
     }
   }
 }
@@ -182,6 +184,7 @@
   const bool isNew = session.HandleReply(aReply, aSentAt, aNow);
   if (isNew && wasUseless) {
     session.MakeDue();
+    mNextDue = time_point::min();
   }
   return isNew;
 }
--- a/Parsleystair/Ownership/GrantSender.h
+++ b/Parsleystair/Ownership/GrantSender.h
@@ -53,6 +53,13 @@
   }
 
 private:
+  struct group_targets
+  {
+    std::set<target_id> mOwners;
+    /// Owners and owners to be.
+    std::set<target_id> mAll;
+  };
+
   void SendTo(const target_id& aTarget,
               target_session& aSession,
               const groups& aGroups,
@@ -63,9 +70,11 @@
 
   vm_name mSelf;
   ownership_settings mSettings;
-  std::map<group_index, std::set<target_id>> mTargetsOfGroup;
+  std::map<group_index, group_targets> mTargetsOfGroup;
   std::map<target_id, std::set<group_index>> mGroupsOfTarget;
   std::map<target_id, target_session> mSessions;
+  /// Nothing is due before this time.
+  time_point mNextDue = time_point::min();
 };
 
 } // namespace parsleystair
--- a/Parsleystair/Ownership/GroupState.cpp
+++ b/Parsleystair/Ownership/GroupState.cpp
@@ -276,6 +276,14 @@
   return aNow - start >= mSettings.ExclusionWait() + aExtraWait * 102 / 100;
 }
 
+bool group_state::HasFinishedWait(time_point aNow) const
+{
+  return std::any_of(
+    mProgress.begin(), mProgress.end(), [&](const auto& aEntry) {
+      return MayFinish(aEntry.first, duration::zero(), aNow);
+    });
+}
+
 void group_state::CheckNext(const group_record& aNext, time_point aNow) const
 {
   CheckFences(mRecord, aNext);
--- a/Parsleystair/Ownership/GroupState.h
+++ b/Parsleystair/Ownership/GroupState.h
@@ -119,6 +119,9 @@
                                duration aExtraWait,
                                time_point aNow) const;
 
+  /// True when a wait or release has ended that may let a move finish.
+  [[nodiscard]] bool HasFinishedWait(time_point aNow) const;
+
   /// Asserts that `aNext` may replace the known record: no owner changes
   /// without a release or a completed wait, and fences rise with each change.
   void CheckNext(const group_record& aNext, time_point aNow) const;
@@ -131,6 +134,8 @@
   /// When this router first saw work that a router before it in line left.
   std::optional<time_point> mWorkSince;
   time_point mAnnouncedAt = time_point::min();
+  /// When to work out the next record again although nothing was heard.
+  time_point mLookAt = time_point::min();
   /// At-most-once records were copied since this router began to join.
   bool mCopied = false;
   size_t mRank = 0;
--- a/Parsleystair/Ownership/OwnershipControllerDuties.cpp
+++ b/Parsleystair/Ownership/OwnershipControllerDuties.cpp
@@ -15,6 +15,9 @@
 constexpr size_t kWriters = 3;
 /// Interval between attempts to get records from other routers.
 constexpr duration kFetchInterval = 500ms;
+/// Interval between looks for work that time alone brings: holders that are
+/// absent for long, a configuration that has settled.
+constexpr duration kLookInterval = 500ms;
 
 } // namespace
 
@@ -26,24 +29,28 @@
     mSender.RestartSuspicion(aNow);
   }
   mTickAt = aNow;
-  mLost = mSender.Lost(aNow);
+  auto lost = mSender.Lost(aNow);
   // When a cut ends, half of the targets answer before the rest has had the
   // time to.
-  const bool isCutOff = mSender.IsCutOff(mLost);
+  const bool isCutOff = mSender.IsCutOff(lost);
   if (mIsCutOff && !isCutOff) {
     mSender.RestartSuspicion(aNow);
-    mLost.clear();
+    lost.clear();
   }
+  const bool isNews = mIsCutOff != isCutOff || lost != mLost;
   mIsCutOff = isCutOff;
+  mLost = std::move(lost);
   std::erase_if(mPlanned, [&](const auto& aEntry) {
     return mPlannedUntil.at(aEntry.first) <= aNow;
   });
   std::erase_if(mPlannedUntil,
                 [&](const auto& aEntry) { return aEntry.second <= aNow; });
-  for (const auto& [group, state] : mGroups) {
-    mChanged.insert(group);
-  }
   ownership_actions actions;
+  for (auto& [group, state] : mGroups) {
+    state.mLookAt = isNews ? aNow : state.mLookAt;
+    state.Update(mRouters, aNow);
+    Advance(state, aNow, actions);
+  }
   AskHolders(aNow, actions);
   AskRecords(aNow, actions);
   return Finish(aNow, std::move(actions));
@@ -56,6 +63,7 @@
   changed.swap(mChanged);
   for (const group_index& group : changed) {
     group_state& state = State(group);
+    state.mLookAt = aNow;
     state.Update(mRouters, aNow);
     Advance(state, aNow, aActions);
   }
@@ -163,9 +171,14 @@
       (!aState.Exists() && aNow < mStartedAt + mSettings.mCreate)) {
     return;
   }
+  // Working out the next record copies all slots, so it is not done in vain.
+  if (aNow < aState.mLookAt && !aState.HasFinishedWait(aNow)) {
+    return;
+  }
   auto next = NextRecord(aState, aNow);
   if (!next) {
     aState.mWorkSince.reset();
+    aState.mLookAt = aNow + kLookInterval;
     return;
   }
   // Leave the work to the routers before this one in line for a while. A
--- a/Parsleystair/Ownership/TargetSession.h
+++ b/Parsleystair/Ownership/TargetSession.h
@@ -49,6 +49,7 @@
   }
 
   [[nodiscard]] bool IsDue(time_point aNow) const { return aNow >= mDueAt; }
+  [[nodiscard]] time_point DueAt() const { return mDueAt; }
   void MakeDue() { mDueAt = time_point::min(); }
 
   /// True when a message sent now would expire soon after its arrival.
--- a/UnitTests/Ownership/GroupStateTest.cpp
+++ b/UnitTests/Ownership/GroupStateTest.cpp
@@ -34,10 +34,10 @@
 }
 
 /// State of holder a, which has just learned of the move at revision 10.
-class GroupStateTest : public testing::Test
+class group_state_test : public testing::Test
 {
 protected:
-  GroupStateTest()
+  group_state_test()
   {
     mRouters.SetView({ { Router("a"), Router("b"), Router("c") }, {} }, kStart);
     mState.Learn(MovingRecord(10), kStart);
@@ -62,7 +62,7 @@
 } // namespace
 
 // Guards against a wait that starts before two holders know of the move.
-TEST_F(GroupStateTest, WaitsFromSecondAcknowledgement)
+TEST_F(group_state_test, WaitsFromSecondAcknowledgement)
 {
   EXPECT_FALSE(MayFinish(kStart + 10s));
   Ack("b", kStart + 1s, kStart + 1s);
@@ -74,7 +74,7 @@
 
 // Guards against a release that the target's next process does not know of
 // while an older record could still be confirmed.
-TEST_F(GroupStateTest, TakesReleaseOnlyAfterAcknowledgement)
+TEST_F(group_state_test, TakesReleaseOnlyAfterAcknowledgement)
 {
   const store_revision revision(10);
   mState.HandleAccepted(kOwner, revision, {}, kStart);
@@ -92,7 +92,7 @@
 
 // Guards against two acknowledgements of which the first was forgotten in a
 // restart before the second came.
-TEST_F(GroupStateTest, ForgetsOldAcknowledgements)
+TEST_F(group_state_test, ForgetsOldAcknowledgements)
 {
   group_record other = MovingRecord(11);
   other.mHolders[0].mVm = vm_name("d");
@@ -107,7 +107,7 @@
 }
 
 // Guards against authority from one holder, or from an older record.
-TEST_F(GroupStateTest, NeedsTwoHoldersThatConfirmTheNewestRecord)
+TEST_F(group_state_test, NeedsTwoHoldersThatConfirmTheNewestRecord)
 {
   mState.HandleConfirmed(vm_name("b"), store_revision(10), kStart);
   mState.Update(mRouters, kStart);
@@ -122,7 +122,7 @@
 }
 
 // Guards against deciding sets that do not overlap while a holder joins.
-TEST_F(GroupStateTest, NeedsBothOthersWhileOneJoins)
+TEST_F(group_state_test, NeedsBothOthersWhileOneJoins)
 {
   group_record joining = MovingRecord(11);
   joining.mHolders[2].mJoining = true;
@@ -135,7 +135,7 @@
 }
 
 // Guards against a change of owner that nothing proves to be safe.
-TEST_F(GroupStateTest, AssertsThatOwnersChangeSafely)
+TEST_F(group_state_test, AssertsThatOwnersChangeSafely)
 {
   group_record next = MovingRecord(10);
   next.mSlots[kSlot] = { target_name("new"), fence(10), std::nullopt, 0 };
--- a/UnitTests/Ownership/OwnershipWorldChecks.h
+++ b/UnitTests/Ownership/OwnershipWorldChecks.h
@@ -69,7 +69,7 @@
       }
       CheckFence(slot, slotFence, aTarget);
       for (const fake_target& other : mTargets) {
-        if (other.mId != target.mId && other.mId.mService == slot.mService &&
+        if (&other != &target && other.mId.mService == slot.mService &&
             other.WouldAct(grant.mGroup, slot, mNow)) {
           throw std::logic_error("two targets would act for one slot");
         }
