--- a/Parsleystair/Settings/ConfigurationCheck.cpp
+++ b/Parsleystair/Settings/ConfigurationCheck.cpp
@@ -178,15 +178,18 @@
           "at least one target that is not leaving, since the rules of " +
             aService.mName.Value() + " would have no server");
     }
+    std::map<std::string, std::string> names;
     for (size_t i = 0; i < aService.mTargets.size(); ++i) {
-      CheckTarget(Indexed(aPath, i), aService.mTargets[i]);
+      const target_configuration& target = aService.mTargets[i];
+      const std::string path = Indexed(aPath, i);
+      CheckUniqueName(path + ".name", target.mName.Value(), names);
+      CheckTarget(path, target);
     }
   }
 
   void CheckTarget(const std::string& aPath,
                    const target_configuration& aTarget)
   {
-    CheckUniqueName(aPath + ".name", aTarget.mName.Value(), mTargetNames);
     if (!IsIpAddress(aTarget.mHost)) {
       AddMember(aPath, aTarget, "host", kHostAllowed);
     }
@@ -301,7 +304,6 @@
 
   const configuration& mConfiguration;
   std::vector<value_problem> mProblems;
-  std::map<std::string, std::string> mTargetNames;
   std::map<std::string, std::string> mAddresses;
   std::vector<placed_rule> mRules;
 };
--- a/Parsleystair/Settings/ConfigurationCodec.cpp
+++ b/Parsleystair/Settings/ConfigurationCodec.cpp
@@ -54,8 +54,7 @@
 
 std::vector<value_problem> CheckConfigurationText(const std::string& aText)
 {
-  std::vector<value_problem> problems =
-    CheckShape(aText, ConfigurationSchema());
+  std::vector<value_problem> problems = ConfigurationShape().Check(aText);
   if (!problems.empty()) {
     return problems;
   }
@@ -64,8 +63,7 @@
 
 configuration ParseConfiguration(const std::string& aText)
 {
-  std::vector<value_problem> problems =
-    CheckShape(aText, ConfigurationSchema());
+  std::vector<value_problem> problems = ConfigurationShape().Check(aText);
   if (!problems.empty()) {
     throw value_problems_error(std::move(problems));
   }
--- a/Parsleystair/Settings/ConfigurationCodec.h
+++ b/Parsleystair/Settings/ConfigurationCodec.h
@@ -21,8 +21,8 @@
 /// JSON text of one service with its targets and rules.
 std::string EncodeService(const service_configuration& aService);
 
-/// Reads a service from text that has passed `CheckShape`; members that are
-/// not there keep their defaults.
+/// Reads a service from text that has passed the check of its shape; members
+/// that are not there keep their defaults.
 service_configuration DecodeService(const std::string& aText);
 
 } // namespace parsleystair
--- a/Parsleystair/Settings/ConfigurationSchema.cpp
+++ b/Parsleystair/Settings/ConfigurationSchema.cpp
@@ -331,16 +331,16 @@
 
 } // namespace
 
-const std::string& ConfigurationSchema()
+const json_shape& ConfigurationShape()
 {
-  static const std::string kSchema = MakeConfigurationSchema();
-  return kSchema;
+  static const json_shape kShape(MakeConfigurationSchema());
+  return kShape;
 }
 
-const std::string& ReleaseNoteSchema()
+const json_shape& ReleaseNoteShape()
 {
-  static const std::string kSchema = MakeReleaseNoteSchema();
-  return kSchema;
+  static const json_shape kShape(MakeReleaseNoteSchema());
+  return kShape;
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Settings/ConfigurationSchema.h
+++ b/Parsleystair/Settings/ConfigurationSchema.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <string>
+#include "Parsleystair/Settings/JsonShape.h"
 
 namespace parsleystair {
 
-/// JSON Schema of the configuration.
-const std::string& ConfigurationSchema();
+/// Shape of the configuration.
+const json_shape& ConfigurationShape();
 
-/// JSON Schema of a release note. Its targets, rules and services have the
+/// Shape of a release note. Its targets, rules and services have the
 /// members that the configuration's have.
-const std::string& ReleaseNoteSchema();
+const json_shape& ReleaseNoteShape();
 
 } // namespace parsleystair
--- a/Parsleystair/Settings/JsonShape.cpp
+++ b/Parsleystair/Settings/JsonShape.cpp
@@ -216,8 +216,25 @@
 
 } // namespace
 
-std::vector<value_problem> CheckShape(const std::string& aText,
-                                      const std::string& aSchema)
+struct json_shape::state
+{
+  json mDocument;
+  valijson::Schema mSchema;
+};
+
+json_shape::json_shape(const std::string& aSchema)
+{
+  auto made = std::make_unique<state>();
+  made->mDocument = json::parse(aSchema);
+  valijson::SchemaParser parser;
+  parser.populateSchema(
+    valijson::adapters::NlohmannJsonAdapter(made->mDocument), made->mSchema);
+  mState = std::move(made);
+}
+
+json_shape::~json_shape() = default;
+
+std::vector<value_problem> json_shape::Check(const std::string& aText) const
 {
   std::optional<value_problem> documentProblem;
   const json document = ParseDocument(aText, documentProblem);
@@ -226,15 +243,10 @@
   }
 
   // Run the validator.
-  const json schemaDocument = json::parse(aSchema);
-  valijson::Schema schema;
-  valijson::SchemaParser parser;
-  parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaDocument),
-                        schema);
   valijson::Validator validator;
   valijson::ValidationResults results;
   const valijson::adapters::NlohmannJsonAdapter target(document);
-  if (validator.validate(schema, target, &results)) {
+  if (validator.validate(mState->mSchema, target, &results)) {
     return {};
   }
 
@@ -244,7 +256,8 @@
     if (IsRepetition(fault.description)) {
       continue;
     }
-    for (value_problem& problem : ProblemsOf(fault, document, schemaDocument)) {
+    for (value_problem& problem :
+         ProblemsOf(fault, document, mState->mDocument)) {
       problems.push_back(std::move(problem));
     }
   }
--- a/Parsleystair/Settings/MemberCodec.h
+++ b/Parsleystair/Settings/MemberCodec.h
@@ -20,7 +20,7 @@
                           const member_names* aNames = nullptr);
 
 /// Sets the members that the text holds and returns their names. The text has
-/// passed `CheckShape`; members of other names are ignored.
+/// passed the check of its shape; members of other names are ignored.
 template<typename T>
 member_names DecodeMembers(const std::string& aText, T& aValue);
 
--- a/Parsleystair/Settings/ReleaseNoteCodec.cpp
+++ b/Parsleystair/Settings/ReleaseNoteCodec.cpp
@@ -300,7 +300,7 @@
 
 std::vector<value_problem> CheckReleaseNoteText(const std::string& aText)
 {
-  std::vector<value_problem> problems = CheckShape(aText, ReleaseNoteSchema());
+  std::vector<value_problem> problems = ReleaseNoteShape().Check(aText);
   if (!problems.empty()) {
     return problems;
   }
--- a/Parsleystair/Settings/RouterSettings.cpp
+++ b/Parsleystair/Settings/RouterSettings.cpp
@@ -201,7 +201,7 @@
 
 router_settings ParseRouterSettings(const std::string& aText)
 {
-  const std::vector<value_problem> problems = CheckShape(aText, kSchema);
+  const std::vector<value_problem> problems = json_shape(kSchema).Check(aText);
   if (!problems.empty()) {
     const value_problem& first = problems.front();
     throw value_error(first.mPath, first.mValue, first.mAllowed);
--- a/UnitTests/Settings/ConfigurationCodecTest.cpp
+++ b/UnitTests/Settings/ConfigurationCodecTest.cpp
@@ -164,6 +164,7 @@
 }
 
 // Guards against two services that claim the same name, server or request.
+// Names of targets are unique within a service only.
 TEST(ConfigurationCodec, RefusesPartsThatCollide)
 {
   json document = Example();
@@ -171,19 +172,22 @@
   document["services"].push_back(second);
   EXPECT_EQ(ProblemPaths(document),
             (paths{ "services[0].name",
-                    "services[0].targets[0].name",
                     "services[0].targets[0].port",
                     "services[0].rules[0].path",
                     "services[1].name",
-                    "services[1].targets[0].name",
                     "services[1].targets[0].port",
                     "services[1].rules[0].path" }));
   second["name"] = "menus";
-  second["targets"][0]["name"] = "menus-1";
   second["targets"][0]["port"] = 9002;
   second["rules"][0]["path"] = "/menus/{school}";
   document["services"][1] = second;
   EXPECT_EQ(ProblemPaths(document), paths{});
+  document["services"][1]["targets"].push_back(second["targets"][0]);
+  document["services"][1]["targets"][1]["port"] = 9003;
+  EXPECT_EQ(
+    ProblemPaths(document),
+    (paths{ "services[1].targets[0].name", "services[1].targets[1].name" }));
+  document["services"][1] = second;
   document["services"][1]["rules"][0]["path"] = "/{school}/today";
   EXPECT_EQ(
     ProblemPaths(document),
