--- a/Parsleystair/Membership/MembershipView.cpp
+++ b/Parsleystair/Membership/MembershipView.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// Earlier incarnations that are remembered per name, so that a late message of
-// one of them can't bring it back.
-constexpr size_t kMaxSuperseded = 4;
-
 // Longest name, host or failure domain that is taken from others.
 constexpr size_t kMaxNameLength = 253;
 
@@ -22,14 +18,6 @@
 // with jitter doesn't skip every other heartbeat.
 constexpr int kDuePercent = 75;
 
-uint32_t ToMilliseconds(duration aDuration)
-{
-  const auto milliseconds =
-    std::chrono::ceil<std::chrono::milliseconds>(aDuration).count();
-  constexpr int64_t kMax = std::numeric_limits<uint32_t>::max();
-  return static_cast<uint32_t>(std::clamp<int64_t>(milliseconds, 0, kMax));
-}
-
 bool IsValid(const member_notice& aNotice)
 {
   const auto isShort = [](const std::string& aText) {
@@ -84,7 +72,7 @@
     known.mListed = false;
   }
   for (const listed_vm& listed : aList) {
-    entry* known = FindOrAdd(listed.mName, aNow);
+    known_member* known = FindOrAdd(listed.mName, aNow);
     if (known == nullptr) {
       continue;
     }
@@ -100,8 +88,7 @@
   UpdateDirectPeers(aNow);
 }
 
-membership_view::entry* membership_view::FindOrAdd(const vm_name& aName,
-                                                   time_point aNow)
+known_member* membership_view::FindOrAdd(const vm_name& aName, time_point aNow)
 {
   if (aName == mSelf.mVm.mName) {
     return nullptr;
@@ -113,7 +100,7 @@
   if (mMembers.size() >= mSettings.mMaxMembers) {
     return nullptr;
   }
-  entry& added = mMembers[aName];
+  known_member& added = mMembers[aName];
   added.mNotice.mVm.mName = aName;
   added.mKnownSince = aNow;
   added.mInForceSince = aNow;
@@ -145,77 +132,19 @@
   if (!aFirstHand && age > mSettings.mLostAfter + RelayAllowance()) {
     return;
   }
-  entry* known = FindOrAdd(aNotice.mVm.mName, aNow);
-  if (known == nullptr || !MayTakeIncarnation(*known, aNotice.mVm, heardAt)) {
+  known_member* known = FindOrAdd(aNotice.mVm.mName, aNow);
+  if (known == nullptr || !known->MayTake(aNotice.mVm.mIncarnation,
+                                          heardAt,
+                                          mSettings.mSuspectAfter)) {
     return;
   }
-  if (known->mNotice.mVm.mIncarnation != aNotice.mVm.mIncarnation) {
-    ReplaceIncarnation(*known, aNotice.mVm.mIncarnation);
-  }
-  if (!known->mHeardAt || heardAt >= *known->mHeardAt) {
-    known->mHeardAt = heardAt;
-    known->mPassedOn = 0;
-    TakeFields(*known, aNotice, aNow);
-  }
+  known->Hear(aNotice, heardAt, aNow);
   if (aFirstHand) {
     known->mHeardDirectlyAt = aNow;
     known->mExchangedAt = aNow;
   }
 }
 
-// Incarnations are random, so nothing in them tells which is newer. Another
-// one is taken in only after the known one has been silent, because two
-// processes of one name never live side by side for long and a late message of
-// an earlier one arrives while the new one is heard.
-bool membership_view::MayTakeIncarnation(const entry& aEntry,
-                                         const vm_identity& aVm,
-                                         time_point aHeardAt) const
-{
-  if (aVm.mIncarnation == aEntry.mNotice.mVm.mIncarnation) {
-    return true;
-  }
-  const auto& superseded = aEntry.mSuperseded;
-  if (std::find(superseded.begin(), superseded.end(), aVm.mIncarnation) !=
-      superseded.end()) {
-    return false;
-  }
-  return !aEntry.mHeardAt ||
-         aHeardAt > *aEntry.mHeardAt + mSettings.mSuspectAfter;
-}
-
-void membership_view::ReplaceIncarnation(entry& aEntry,
-                                         incarnation aIncarnation)
-{
-  if (aEntry.mHeardAt) {
-    aEntry.mSuperseded.push_back(aEntry.mNotice.mVm.mIncarnation);
-  }
-  if (aEntry.mSuperseded.size() > kMaxSuperseded) {
-    aEntry.mSuperseded.pop_front();
-  }
-  aEntry.mNotice.mVm.mIncarnation = aIncarnation;
-  aEntry.mNotice.mLeaving = false;
-  aEntry.mNotice.mConfiguration = configuration_revision();
-  aEntry.mHeardAt.reset();
-  aEntry.mHeardDirectlyAt.reset();
-  aEntry.mLostAt.reset();
-}
-
-void membership_view::TakeFields(entry& aEntry,
-                                 const member_notice& aNotice,
-                                 time_point aNow)
-{
-  member_notice& known = aEntry.mNotice;
-  known.mHost = aNotice.mHost;
-  known.mPeerPort = aNotice.mPeerPort;
-  known.mFailureDomain = aNotice.mFailureDomain;
-  // A process that is leaving never stays after all.
-  known.mLeaving = known.mLeaving || aNotice.mLeaving;
-  if (aNotice.mConfiguration > known.mConfiguration) {
-    known.mConfiguration = aNotice.mConfiguration;
-    aEntry.mInForceSince = aNow - std::chrono::milliseconds(aNotice.mInForceMs);
-  }
-}
-
 void membership_view::HandleTick(time_point aNow)
 {
   PARSLEYSTAIR_INVARIANT(aNow >= mLastTick);
@@ -230,9 +159,10 @@
 
 void membership_view::MarkLost(time_point aNow)
 {
+  const member_context context = ContextAt(aNow);
   for (auto& [name, known] : mMembers) {
     const bool isNewLoss = !known.mLostAt || known.mHeardAt > known.mLostAt;
-    if (isNewLoss && StateOf(known, aNow) == member_state::kLost) {
+    if (isNewLoss && known.StateAt(context) == member_state::kLost) {
       known.mLostAt = aNow;
     }
   }
@@ -241,7 +171,7 @@
 void membership_view::Forget(time_point aNow)
 {
   std::erase_if(mMembers, [&](const auto& aEntry) {
-    const entry& known = aEntry.second;
+    const known_member& known = aEntry.second;
     const time_point since =
       std::max(known.mHeardAt.value_or(known.mKnownSince), mResumedAt);
     return !known.mListed && aNow - since > mSettings.mForgetAfter;
@@ -264,10 +194,11 @@
 // come from the predecessors.
 std::set<vm_name> membership_view::DirectPeers(time_point aNow) const
 {
+  const member_context context = ContextAt(aNow);
   std::set<vm_name> direct = mCoHolders;
   std::vector<vm_name> ring;
   for (const auto& [name, known] : mMembers) {
-    if (StateOf(known, aNow) != member_state::kLost) {
+    if (known.StateAt(context) != member_state::kLost) {
       ring.push_back(name);
     }
   }
@@ -283,6 +214,7 @@
 
 std::set<vm_name> membership_view::RingSuccessors(time_point aNow) const
 {
+  const member_context context = ContextAt(aNow);
   std::set<vm_name> successors;
   auto position = mMembers.upper_bound(mSelf.mVm.mName);
   for (size_t i = 0; i < mMembers.size(); ++i) {
@@ -292,7 +224,7 @@
     if (position == mMembers.end()) {
       position = mMembers.begin();
     }
-    if (StateOf(position->second, aNow) != member_state::kLost) {
+    if (position->second.StateAt(context) != member_state::kLost) {
       successors.insert(position->first);
     }
     ++position;
@@ -300,10 +232,10 @@
   return successors;
 }
 
-bool membership_view::IsDue(const entry& aEntry, time_point aNow) const
+bool membership_view::IsDue(const known_member& aKnown, time_point aNow) const
 {
   const duration wait = mSettings.mInterval * kDuePercent / 100;
-  return !aEntry.mExchangedAt || aNow - *aEntry.mExchangedAt >= wait;
+  return !aKnown.mExchangedAt || aNow - *aKnown.mExchangedAt >= wait;
 }
 
 std::vector<peer_address> membership_view::TakePeers(time_point aNow)
@@ -314,7 +246,7 @@
     if (position == mMembers.end() || peers.size() == mSettings.mMaxPeers) {
       return;
     }
-    entry& known = position->second;
+    known_member& known = position->second;
     if (IsDue(known, aNow) && !known.mNotice.mHost.empty()) {
       known.mExchangedAt = aNow;
       peers.push_back({ aName, known.mNotice.mHost, known.mNotice.mPeerPort });
@@ -341,15 +273,6 @@
   return peers;
 }
 
-member_notice membership_view::NoticeOf(const entry& aEntry,
-                                        time_point aNow) const
-{
-  member_notice notice = aEntry.mNotice;
-  notice.mAgeMs = ToMilliseconds(aNow - *aEntry.mHeardAt);
-  notice.mInForceMs = ToMilliseconds(aNow - aEntry.mInForceSince);
-  return notice;
-}
-
 heartbeat_message membership_view::MakeHeartbeat(time_point aNow)
 {
   heartbeat_message message;
@@ -360,9 +283,10 @@
 
   // The news that was passed on least, and of that the newest. Lost members
   // age at the receivers without further notices.
-  std::vector<entry*> news;
+  const member_context context = ContextAt(aNow);
+  std::vector<known_member*> news;
   for (auto& [name, known] : mMembers) {
-    if (known.mHeardAt && StateOf(known, aNow) != member_state::kLost) {
+    if (known.mHeardAt && known.StateAt(context) != member_state::kLost) {
       news.push_back(&known);
     }
   }
@@ -373,23 +297,35 @@
   std::partial_sort(news.begin(),
                     middle,
                     news.end(),
-                    [](const entry* aLeft, const entry* aRight) {
+                    [](const known_member* aLeft, const known_member* aRight) {
                       return std::tie(aLeft->mPassedOn, *aRight->mHeardAt) <
                              std::tie(aRight->mPassedOn, *aLeft->mHeardAt);
                     });
   std::partial_sort(
-    middle, end, news.end(), [](const entry* aLeft, const entry* aRight) {
+    middle,
+    end,
+    news.end(),
+    [](const known_member* aLeft, const known_member* aRight) {
       return std::make_tuple(aLeft->mPassedOn > 0, aLeft->mPassedOnAt) <
              std::make_tuple(aRight->mPassedOn > 0, aRight->mPassedOnAt);
     });
   for (auto position = news.begin(); position != end; ++position) {
     ++(*position)->mPassedOn;
     (*position)->mPassedOnAt = aNow;
-    message.mMembers.push_back(NoticeOf(**position, aNow));
+    message.mMembers.push_back((*position)->NoticeAt(aNow));
   }
   return message;
 }
 
+member_context membership_view::ContextAt(time_point aNow) const
+{
+  return { mSettings.mSuspectAfter,
+           mSettings.mLostAfter,
+           RelayAllowance(),
+           mResumedAt,
+           aNow };
+}
+
 // About half the members' notices reach a router per interval and hop; the
 // factor covers two rounds of all notices, the hops their added delay.
 duration membership_view::RelayAllowance() const
@@ -402,64 +338,12 @@
          mSettings.mHopDelay * kHops;
 }
 
-member_state membership_view::StateOf(const entry& aEntry,
-                                      time_point aNow) const
-{
-  if (aEntry.mLostAt && !(aEntry.mHeardAt > aEntry.mLostAt)) {
-    return member_state::kLost;
-  }
-  // Silence counts from the newest of: a sign of life, the end of the own
-  // pause, and the time since when the member should be heard directly.
-  const time_point heardAt = aEntry.mHeardAt.value_or(aEntry.mKnownSince);
-  time_point since = std::max(heardAt, mResumedAt);
-  duration allowance = RelayAllowance();
-  if (aEntry.mDirectSince) {
-    since = std::max(since, *aEntry.mDirectSince);
-    // If others hear it well after this router did, only the link to it is
-    // broken, and news takes the way through others.
-    const time_point directly =
-      std::max(aEntry.mHeardDirectlyAt.value_or(time_point::min()),
-               *aEntry.mDirectSince);
-    const bool isRelayed = heardAt - directly > mSettings.mSuspectAfter;
-    allowance = isRelayed ? allowance : duration::zero();
-  }
-  const duration silence = aNow - since;
-  if (silence > mSettings.mLostAfter + allowance) {
-    return member_state::kLost;
-  }
-  if (silence > mSettings.mSuspectAfter + allowance) {
-    // The list and the silence agree that it has ended.
-    return aEntry.mListed ? member_state::kSuspect : member_state::kLost;
-  }
-  if (!aEntry.mHeardAt) {
-    return member_state::kSuspect;
-  }
-  return aEntry.mNotice.mLeaving ? member_state::kLeaving : member_state::kLive;
-}
-
-member membership_view::Describe(const entry& aEntry, time_point aNow) const
-{
-  member described;
-  described.mVm = aEntry.mNotice.mVm;
-  described.mAddress = { aEntry.mNotice.mVm.mName,
-                         aEntry.mNotice.mHost,
-                         aEntry.mNotice.mPeerPort };
-  described.mFailureDomain = aEntry.mNotice.mFailureDomain;
-  described.mState = StateOf(aEntry, aNow);
-  described.mListed = aEntry.mListed;
-  if (aEntry.mHeardAt) {
-    described.mAge = aNow - *aEntry.mHeardAt;
-  }
-  described.mConfiguration = aEntry.mNotice.mConfiguration;
-  described.mInForce = aNow - aEntry.mInForceSince;
-  return described;
-}
-
 std::vector<member> membership_view::Members(time_point aNow) const
 {
+  const member_context context = ContextAt(aNow);
   std::vector<member> members;
   for (const auto& [name, known] : mMembers) {
-    members.push_back(Describe(known, aNow));
+    members.push_back(known.Describe(context));
   }
   return members;
 }
@@ -471,12 +355,13 @@
   if (position == mMembers.end()) {
     return std::nullopt;
   }
-  return Describe(position->second, aNow);
+  return position->second.Describe(ContextAt(aNow));
 }
 
 std::vector<vm_identity> membership_view::RankFor(std::string_view aDuty,
                                                   time_point aNow) const
 {
+  const member_context context = ContextAt(aNow);
   std::vector<std::pair<uint64_t, vm_identity>> ranked;
   const auto add = [&](const vm_identity& aVm) {
     std::string text(aDuty);
@@ -488,7 +373,7 @@
     add(mSelf.mVm);
   }
   for (const auto& [name, known] : mMembers) {
-    if (StateOf(known, aNow) == member_state::kLive) {
+    if (known.StateAt(context) == member_state::kLive) {
       add(known.mNotice.mVm);
     }
   }
--- a/Parsleystair/Membership/MembershipView.h
+++ b/Parsleystair/Membership/MembershipView.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include "Parsleystair/Core/Time.h"
-#include "Parsleystair/Peers/Messages.h"
-#include "Parsleystair/Peers/PeerClient.h"
+#include "Parsleystair/Membership/KnownMember.h"
 #include "Parsleystair/Platform/PlatformStore.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,55 +11,6 @@
 
 namespace parsleystair {
 
-/// Times and bounds of the membership view.
-struct membership_settings
-{
-  /// Between two heartbeats with the same peer.
-  duration mInterval = 200ms;
-  duration mSuspectAfter = 500ms;
-  duration mLostAfter = 1500ms;
-  /// Added to the age of what others report, for the time on the way.
-  duration mHopDelay = 200ms;
-  /// Lost members that are not listed are forgotten after this time.
-  duration mForgetAfter = 10min;
-  /// Peers of one round of heartbeats.
-  size_t mMaxPeers = 8;
-  /// Neighbours on each side of the ring of names.
-  size_t mRingNeighbours = 2;
-  /// Members described in one heartbeat, besides the sender.
-  size_t mNotices = 4;
-  /// Further members are not taken in.
-  size_t mMaxMembers = 4096;
-};
-
-enum class member_state
-{
-  kLive,
-  /// Not heard of for a short time.
-  kSuspect,
-  /// Not heard of for so long that it counts as gone.
-  kLost,
-  /// Live and about to end; gets no new duties.
-  kLeaving,
-};
-
-/// What is known of one router.
-struct member
-{
-  vm_identity mVm;
-  peer_address mAddress;
-  failure_domain_name mFailureDomain;
-  member_state mState = member_state::kSuspect;
-  bool mListed = false;
-  /// Time since the newest sign of life; not set when there was none.
-  std::optional<duration> mAge;
-  /// Configuration in force there; 0 when unknown.
-  configuration_revision mConfiguration;
-  duration mInForce = duration::zero();
-
-  bool operator==(const member&) const = default;
-};
-
 /// Which routers exist and live, from the platform's list and heartbeats. Only
 /// durations are taken over from others, never their clocks.
 class membership_view
@@ -114,47 +62,14 @@
   [[nodiscard]] duration RelayAllowance() const;
 
 private:
-  struct entry
-  {
-    member_notice mNotice;
-    bool mListed = false;
-    time_point mKnownSince;
-    /// Newest sign of life, from the member or through others.
-    std::optional<time_point> mHeardAt;
-    std::optional<time_point> mHeardDirectlyAt;
-    std::optional<time_point> mExchangedAt;
-    /// Since when heartbeats are exchanged with it directly.
-    std::optional<time_point> mDirectSince;
-    time_point mInForceSince;
-    /// When it was last taken for lost; it stays so until it has given a sign
-    /// of life after that.
-    std::optional<time_point> mLostAt;
-    /// Times that the newest sign of life was passed on.
-    uint32_t mPassedOn = 0;
-    time_point mPassedOnAt;
-    /// Earlier incarnations, oldest first.
-    std::deque<incarnation> mSuperseded;
-  };
-
   void HandleNotice(const member_notice& aNotice,
                     bool aFirstHand,
                     time_point aNow);
-  entry* FindOrAdd(const vm_name& aName, time_point aNow);
-  bool MayTakeIncarnation(const entry& aEntry,
-                          const vm_identity& aVm,
-                          time_point aHeardAt) const;
-  static void ReplaceIncarnation(entry& aEntry, incarnation aIncarnation);
-  static void TakeFields(entry& aEntry,
-                         const member_notice& aNotice,
-                         time_point aNow);
-  [[nodiscard]] member_state StateOf(const entry& aEntry,
-                                     time_point aNow) const;
-  [[nodiscard]] member Describe(const entry& aEntry, time_point aNow) const;
-  [[nodiscard]] member_notice NoticeOf(const entry& aEntry,
-                                       time_point aNow) const;
+  known_member* FindOrAdd(const vm_name& aName, time_point aNow);
+  [[nodiscard]] member_context ContextAt(time_point aNow) const;
   [[nodiscard]] std::set<vm_name> DirectPeers(time_point aNow) const;
   [[nodiscard]] std::set<vm_name> RingSuccessors(time_point aNow) const;
-  bool IsDue(const entry& aEntry, time_point aNow) const;
+  bool IsDue(const known_member& aKnown, time_point aNow) const;
   void UpdateDirectPeers(time_point aNow);
   void MarkLost(time_point aNow);
   void Forget(time_point aNow);
@@ -163,7 +78,7 @@
   member_notice mSelf;
   time_point mInForceSince;
   std::set<vm_name> mCoHolders;
-  std::map<vm_name, entry> mMembers;
+  std::map<vm_name, known_member> mMembers;
   time_point mLastTick;
   /// End of this process's last pause.
   time_point mResumedAt;
