Keep the adaptive limit from shrinking on short latencies; log refusal reasons

Cause: with targets that answer in 0.1 ms and a busy machine, 704 of 3,922 requests at 1,000/s were refused as overloaded: the limit took scheduling noise for a queue at the target. Change: the limit's baseline is at least 5 ms; targets get the caller's id in Caller-Request-Id; refusals are logged with their reason.

--- a/Parsleystair/Limits/ConcurrencyLimit.cpp
+++ b/Parsleystair/Limits/ConcurrencyLimit.cpp
@@ -11,6 +11,10 @@
 
 /// Samples of one step. Fewer follow load faster, but follow the scatter of
 /// single requests as well.
+/// Differences between shorter times come from the network and from schedulers,
+/// not from a queue at the target. Targets that answer in 0.1 ms lost most of
+/// their share without this bound when the router's machine was busy.
+constexpr duration kShortestBaseline = 5ms;
 constexpr int64_t kWindowSamples = 20;
 /// Latency up to this multiple of the lowest is taken as normal scatter.
 constexpr double kTolerance = 2.0;
@@ -136,7 +140,7 @@
   for (const baseline& step : mBaselines) {
     lowest = std::min(lowest, step.mLowest);
   }
-  return lowest;
+  return std::max(lowest, kShortestBaseline);
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Request/Problem.cpp
+++ b/Parsleystair/Request/Problem.cpp
@@ -87,6 +87,17 @@
   return FormOf(aReason).mText;
 }
 
+std::string_view RefusalReason(const request_outcome& aOutcome)
+{
+  if (const auto* notRun = std::get_if<refused_not_run>(&aOutcome)) {
+    return ReasonText(notRun->mReason);
+  }
+  if (const auto* unknown = std::get_if<refused_may_have_run>(&aOutcome)) {
+    return ReasonText(unknown->mReason);
+  }
+  return "";
+}
+
 uint32_t ReasonStatus(refusal_reason aReason)
 {
   return FormOf(aReason).mStatus;
--- a/Parsleystair/Request/Problem.h
+++ b/Parsleystair/Request/Problem.h
@@ -10,6 +10,9 @@
 /// Name of a refusal in the callers' protocol.
 std::string_view ReasonText(refusal_reason aReason);
 
+/// Name of the reason of an outcome; empty for an answer.
+std::string_view RefusalReason(const request_outcome& aOutcome);
+
 /// HTTP status of a refusal.
 uint32_t ReasonStatus(refusal_reason aReason);
 
--- a/Parsleystair/Request/RequestIdentity.h
+++ b/Parsleystair/Request/RequestIdentity.h
@@ -8,6 +8,9 @@
 /// Header with the caller's own name for a request; given back on the answer.
 inline constexpr const char* kRequestIdHeader = "Request-Id";
 
+/// Header with which a target gets the caller's name for a request.
+inline constexpr const char* kCallerRequestIdHeader = "Caller-Request-Id";
+
 /// Header that names the caller. A platform that knows its callers sets it;
 /// without it the sender's address counts.
 inline constexpr const char* kCallerHeader = "Caller-Id";
--- a/Parsleystair/Request/TargetRequest.cpp
+++ b/Parsleystair/Request/TargetRequest.cpp
@@ -14,7 +14,8 @@
 constexpr const char* kFenceHeader = "Key-Fence";
 
 /// Headers that only the router sets.
-constexpr std::array<const char*, 4> kRouterHeaders = { kRequestIdHeader,
+constexpr std::array<const char*, 5> kRouterHeaders = { kRequestIdHeader,
+                                                        kCallerRequestIdHeader,
                                                         kSlotHeader,
                                                         kFenceHeader,
                                                         kDeadlineHeader };
@@ -31,6 +32,7 @@
 
 http_request MakeTargetRequest(const http_request& aRequest,
                                const std::string& aTryId,
+                               const std::string& aRequestId,
                                duration aTimeLeft,
                                const std::optional<owned_slot>& aSlot)
 {
@@ -46,6 +48,7 @@
   const int64_t leftMs =
     std::chrono::duration_cast<milliseconds>(aTimeLeft).count();
   request.mHeaders.push_back({ kRequestIdHeader, aTryId });
+  request.mHeaders.push_back({ kCallerRequestIdHeader, aRequestId });
   request.mHeaders.push_back(
     { kDeadlineHeader, std::to_string(std::max<int64_t>(1, leftMs)) });
   if (aSlot) {
--- a/Parsleystair/Request/TargetRequest.h
+++ b/Parsleystair/Request/TargetRequest.h
@@ -18,9 +18,11 @@
 };
 
 /// A caller's request as a target gets it: without the headers of the caller's
-/// connection, with the try's id, the time left and the owned slot, if any.
+/// connection, with the try's id, the caller's own id, the time left and the
+/// owned slot, if any.
 http_request MakeTargetRequest(const http_request& aRequest,
                                const std::string& aTryId,
+                               const std::string& aRequestId,
                                duration aTimeLeft,
                                const std::optional<owned_slot>& aSlot);
 
--- a/Parsleystair/Tasks/Worker.cpp
+++ b/Parsleystair/Tasks/Worker.cpp
@@ -210,7 +210,7 @@
     log_line(log_severity::kInfo, "refused")
       .Add("request", flow.mRequestId)
       .Add("outcome", OutcomeText(aOutcome))
-      .Add("status", static_cast<int>(refusal.mStatus))
+      .Add("reason", RefusalReason(aOutcome))
       .Add("target", flow.mTarget.Value());
     mServer.Respond(flow.mExchange, refusal);
     return;
--- a/Parsleystair/Tasks/WorkerTries.cpp
+++ b/Parsleystair/Tasks/WorkerTries.cpp
@@ -226,13 +226,12 @@
   const std::string tryId = MakeId();
   const duration left = aFlow.mDeadline - aNow;
   const flow_id id = aFlow.mId;
-  aLane.mPool.Send(MakeTargetRequest(aFlow.mRequest, tryId, left, slot),
-                   tryId,
-                   left,
-                   aNow,
-                   [this, id, &aLane](try_result aResult) {
-                     HandleTry(id, aLane, std::move(aResult));
-                   });
+  const http_request request =
+    MakeTargetRequest(aFlow.mRequest, tryId, aFlow.mRequestId, left, slot);
+  aLane.mPool.Send(
+    request, tryId, left, aNow, [this, id, &aLane](try_result aResult) {
+      HandleTry(id, aLane, std::move(aResult));
+    });
 }
 
 void worker::HandleTry(flow_id aFlow, target_lane& aLane, try_result aResult)
--- a/StandIns/standin_target/TargetServer.cpp
+++ b/StandIns/standin_target/TargetServer.cpp
@@ -322,6 +322,7 @@
   auto node = mRunning.extract(aJobId);
   const job& done = node.mapped();
   mFinished.insert(done.mRequestId);
+  const std::string callerId = HeaderOr(done.mRequest, "Caller-Request-Id");
   const json body = {
     { "target", mSettings.mName },
     { "service", done.mSlot.mService.Value() },
@@ -329,7 +330,7 @@
     { "fence", done.mFence.Value() },
     { "path", done.mRequest.mPath },
     { "key", done.mRequest.mPath.substr(done.mRequest.mPath.rfind('/') + 1) },
-    { "requestId", done.mRequestId },
+    { "requestId", callerId.empty() ? done.mRequestId : callerId },
     { "runCount", Executions(HeaderOr(done.mRequest, "Idempotency-Key")) },
     { "executions", mTotalExecutions },
   };
