--- a/Parsleystair/Settings/ReleaseSubmission.cpp
+++ b/Parsleystair/Settings/ReleaseSubmission.cpp
@@ -61,16 +61,6 @@
   }
 }
 
-/// The configuration in the store. Throws `parse_error`.
-configuration ReadStored(const std::string& aText)
-{
-  try {
-    return ParseConfiguration(aText);
-  } catch (const value_problems_error& fault) {
-    throw parse_error(std::string(kConfigurationKey) + ": " + fault.what());
-  }
-}
-
 bool SameChanges(const release_note& aLeft, const release_note& aRight)
 {
   return Rebase(aLeft, aRight.mBase) == aRight;
@@ -78,6 +68,18 @@
 
 } // namespace
 
+configuration ReadStoredConfiguration(const range_reply& aReply)
+{
+  if (aReply.mEntries.empty()) {
+    return {};
+  }
+  try {
+    return ParseConfiguration(aReply.mEntries.front().mValue);
+  } catch (const value_problems_error& fault) {
+    throw parse_error(std::string(kConfigurationKey) + ": " + fault.what());
+  }
+}
+
 release_submission::release_submission(release_note aNote,
                                        wall_time aSubmittedAt,
                                        const submission_settings& aSettings,
@@ -147,12 +149,9 @@
 
 submission_action release_submission::HandleCurrent(const range_reply& aReply)
 {
-  mCurrent = configuration{};
-  mCurrentAt = store_revision();
-  if (!aReply.mEntries.empty()) {
-    mCurrent = ReadStored(aReply.mEntries.front().mValue);
-    mCurrentAt = aReply.mEntries.front().mModRevision;
-  }
+  mCurrent = ReadStoredConfiguration(aReply);
+  mCurrentAt = aReply.mEntries.empty() ? store_revision()
+                                       : aReply.mEntries.front().mModRevision;
   mStep = step::kReadIndex;
   range_request request;
   request.mFrom = kNotePrefix;
--- a/Parsleystair/Settings/ReleaseSubmission.h
+++ b/Parsleystair/Settings/ReleaseSubmission.h
@@ -68,6 +68,10 @@
   bool operator==(const submission_result&) const = default;
 };
 
+/// The configuration in the answer to a read of `kConfigurationKey`; an empty
+/// one with revision 0 when there is none. Throws `parse_error`.
+configuration ReadStoredConfiguration(const range_reply& aReply);
+
 /// The submission waits before its next call.
 struct submission_wait
 {
