Ignore SIGPIPE in processes with an event loop

Cause: libevent writes without MSG_NOSIGNAL. A client that closed its connection in the middle of a long answer ended the server process; seen as exit code 141 of a program with twelve polling clients and a 1 s timeout. Change: event_loop's constructor ignores SIGPIPE; the write then fails with EPIPE and closes the connection. Figures: the new test ends with exit code 141 before and passes after. Conclusion: this also concerned parsleystaird.

--- a/Parsleystair/Core/EventLoop.cpp
+++ b/Parsleystair/Core/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/Error.h"
 
+#include <csignal>
 #include <event2/event.h>
 #include <sys/time.h>
 
@@ -22,6 +23,9 @@
   if (mBase == nullptr) {
     throw system_error("libevent could not create an event loop");
   }
+  // libevent writes to sockets without MSG_NOSIGNAL, so that a peer that closes
+  // its connection would otherwise end the process.
+  std::signal(SIGPIPE, SIG_IGN);
 }
 
 event_loop::~event_loop()
--- a/Parsleystair/Core/EventLoop.h
+++ b/Parsleystair/Core/EventLoop.h
@@ -17,7 +17,8 @@
 class event_loop
 {
 public:
-  /// Throws `system_error` when libevent can't make a loop.
+  /// Makes the process ignore SIGPIPE. Throws `system_error` when libevent
+  /// can't make a loop.
   event_loop();
   ~event_loop();
   event_loop(const event_loop&) = delete;
--- a/UnitTests/Http/HttpTest.cpp
+++ b/UnitTests/Http/HttpTest.cpp
@@ -196,6 +196,39 @@
   EXPECT_TRUE(result.mTimedOut);
 }
 
+// Guards against a process that is ended by SIGPIPE when a client closes its
+// connection in the middle of a long answer.
+TEST(Http, SurvivesClientThatClosesEarly)
+{
+  event_loop loop;
+  timer pause;
+  const auto runShortly = [&] {
+    pause.StartOnce(loop, 50ms, [&] { loop.Stop(); });
+    loop.Run();
+  };
+  http_server server(loop, {}, [&](exchange_id aId, const http_request&) {
+    server.Respond(aId, { 200, {}, std::string(64 * 1024 * 1024, 'x') });
+  });
+  server.Listen("127.0.0.1", 0);
+  const int client = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(server.Port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ASSERT_EQ(
+    connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  ASSERT_EQ(write(client, request.data(), request.size()),
+            static_cast<ssize_t>(request.size()));
+  // The server fills the socket's buffers and waits.
+  runShortly();
+  // The end of the stream and the reset both arrive before its next write.
+  shutdown(client, SHUT_WR);
+  close(client);
+  runShortly();
+  EXPECT_EQ(server.OpenRequests(), 0u);
+}
+
 // Guards against request smuggling by two lengths, and against a crash on
 // requests that are malformed or too large.
 TEST(Http, RefusesBadRequests)
