--- /dev/null
+++ b/Parsleystair/Placement/HotKeyTracker.cpp
@@ -0,0 +1,111 @@
+#include "Parsleystair/Placement/HotKeyTracker.h"
+
+#include "Parsleystair/Core/Invariant.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+hot_key_tracker::hot_key_tracker(size_t aCapacity)
+  : mCapacity(aCapacity)
+{
+  PARSLEYSTAIR_INVARIANT(mCapacity > 0);
+}
+
+void hot_key_tracker::Add(const std::string& aKey, uint64_t aCount)
+{
+  mTotal += aCount;
+  const auto known = mCounters.find(aKey);
+  if (known != mCounters.end()) {
+    SetCount(aKey, known->second, known->second.mCount + aCount);
+    return;
+  }
+  // A new key takes the place of the rarest one, with that one's count as its
+  // possible error.
+  uint64_t inherited = 0;
+  if (mCounters.size() == mCapacity) {
+    const auto rarest = mOrder.begin();
+    inherited = rarest->first;
+    mCounters.erase(rarest->second);
+    mOrder.erase(rarest);
+  }
+  mCounters[aKey] = { inherited + aCount, inherited };
+  mOrder.emplace(inherited + aCount, aKey);
+}
+
+void hot_key_tracker::SetCount(const std::string& aKey,
+                               counter& aCounter,
+                               uint64_t aCount)
+{
+  auto node = mOrder.extract({ aCounter.mCount, aKey });
+  node.value().first = aCount;
+  mOrder.insert(std::move(node));
+  aCounter.mCount = aCount;
+}
+
+void hot_key_tracker::Halve()
+{
+  mTotal /= 2;
+  mOrder.clear();
+  for (auto& [key, known] : mCounters) {
+    known.mCount /= 2;
+    known.mError /= 2;
+    mOrder.emplace(known.mCount, key);
+  }
+}
+
+std::vector<key_count> hot_key_tracker::Top(size_t aLimit) const
+{
+  std::vector<key_count> top;
+  for (auto entry = mOrder.rbegin(); entry != mOrder.rend(); ++entry) {
+    if (top.size() == aLimit) {
+      break;
+    }
+    const counter& known = mCounters.at(entry->second);
+    top.push_back({ entry->second, known.mCount, known.mError });
+  }
+  return top;
+}
+
+std::vector<std::string> ProposeNamedKeys(
+  const std::vector<std::string>& aCurrent,
+  const hot_key_tracker& aTracker,
+  uint32_t aSlotCount,
+  size_t aLimit)
+{
+  PARSLEYSTAIR_INVARIANT(aSlotCount > 0);
+  const std::vector<key_count> top = aTracker.Top(2 * aLimit);
+  const auto isTop = [&](const std::string& aKey) {
+    return std::any_of(top.begin(), top.end(), [&](const key_count& aEntry) {
+      return aEntry.mKey == aKey;
+    });
+  };
+  const auto isNamed = [&](const std::string& aKey) {
+    return std::find(aCurrent.begin(), aCurrent.end(), aKey) != aCurrent.end();
+  };
+
+  // Keys that deserve a name and have none, hottest first.
+  const uint64_t least = std::max<uint64_t>(1, aTracker.Total() / aSlotCount);
+  std::vector<std::string> rising;
+  for (size_t i = 0; i < std::min(aLimit, top.size()); ++i) {
+    if (top[i].mCount - top[i].mError >= least && !isNamed(top[i].mKey)) {
+      rising.push_back(top[i].mKey);
+    }
+  }
+
+  // They take the places of keys that are no longer hot, then new places.
+  std::vector<std::string> named = aCurrent;
+  auto next = rising.begin();
+  for (std::string& key : named) {
+    if (next != rising.end() && !isTop(key)) {
+      key = *next;
+      ++next;
+    }
+  }
+  for (; next != rising.end() && named.size() < aLimit; ++next) {
+    named.push_back(*next);
+  }
+  return named;
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Placement/PlacementPolicy.cpp
@@ -0,0 +1,53 @@
+#include "Parsleystair/Placement/PlacementPolicy.h"
+
+namespace parsleystair {
+
+target_state StateOf(const target_configuration& aTarget,
+                     const service_status& aService)
+{
+  const auto position = aService.mTargets.find(aTarget.mName);
+  const target_state state = position == aService.mTargets.end()
+                               ? target_state::kLive
+                               : position->second.mState;
+  if (state != target_state::kLost && aTarget.mLeaving) {
+    return target_state::kLeaving;
+  }
+  return state;
+}
+
+bool IsUsable(const target_configuration& aTarget,
+              const service_status& aService)
+{
+  const target_state state = StateOf(aTarget, aService);
+  return state == target_state::kLive || state == target_state::kCold;
+}
+
+std::optional<move_reason> ReasonToLeave(
+  const service_configuration& aConfiguration,
+  const service_status& aService,
+  const slot_status& aSlot)
+{
+  const target_configuration* goal =
+    aSlot.mMovingTo ? FindTarget(aConfiguration, *aSlot.mMovingTo) : nullptr;
+  if (goal != nullptr && IsUsable(*goal, aService)) {
+    return std::nullopt;
+  }
+  if (aSlot.mOwner == target_name()) {
+    return move_reason::kInitial;
+  }
+  const target_configuration* owner = FindTarget(aConfiguration, aSlot.mOwner);
+  // A target that was withdrawn has been emptied by its operator.
+  if (owner == nullptr) {
+    return move_reason::kOperator;
+  }
+  switch (StateOf(*owner, aService)) {
+    case target_state::kLost:
+      return move_reason::kTargetLost;
+    case target_state::kLeaving:
+      return move_reason::kTargetLeaving;
+    default:
+      return std::nullopt;
+  }
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Placement/ServicePlan.cpp
@@ -0,0 +1,330 @@
+#include "Parsleystair/Placement/ServicePlan.h"
+
+#include "Parsleystair/Core/Invariant.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace parsleystair {
+
+namespace {
+
+// Load that each slot counts with besides what was measured, as a share of the
+// mean. It spreads slots without load evenly, since they may get some.
+constexpr double kBaseShare = 0.1;
+
+bool IsWithin(const order_window& aWindow, uint32_t aMinute)
+{
+  if (aWindow.mFromMinute <= aWindow.mToMinute) {
+    return aMinute >= aWindow.mFromMinute && aMinute < aWindow.mToMinute;
+  }
+  // The window goes past midnight.
+  return aMinute >= aWindow.mFromMinute || aMinute < aWindow.mToMinute;
+}
+
+} // namespace
+
+service_plan::service_plan(const planner_settings& aSettings,
+                           const placement_input& aInput,
+                           const service_configuration& aConfiguration,
+                           const service_status& aStatus)
+  : mSettings(aSettings)
+  , mInput(aInput)
+  , mConfiguration(aConfiguration)
+  , mStatus(aStatus)
+{
+  AddTargets();
+  AddSlots();
+  AddReportedLoads();
+}
+
+double service_plan::CapacityOf(const target_configuration& aTarget) const
+{
+  const auto concurrency = static_cast<double>(aTarget.mConcurrency);
+  const auto position = mStatus.mTargets.find(aTarget.mName);
+  if (position == mStatus.mTargets.end() ||
+      position->second.mState != target_state::kCold) {
+    return concurrency;
+  }
+  const duration sinceStart = mInput.mNow - position->second.mSince;
+  const double ramp = static_cast<double>(sinceStart.count()) /
+                      static_cast<double>(mSettings.mColdRamp.count());
+  return concurrency * std::clamp(ramp, mSettings.mColdShare, 1.0);
+}
+
+void service_plan::AddTargets()
+{
+  for (const target_configuration& target : mConfiguration.mTargets) {
+    if (IsUsable(target, mStatus) && target.mConcurrency > 0) {
+      mTargets.push_back(
+        { &target, RegionOf(target.mName), CapacityOf(target) });
+      mTotalCapacity += mTargets.back().mCapacity;
+    }
+  }
+}
+
+void service_plan::AddSlots()
+{
+  // Slots whose load is unknown count with the mean of the others.
+  double known = 0;
+  size_t knownCount = 0;
+  const auto isKnown = [&](const slot_status& aSlot) {
+    return aSlot.mLoad &&
+           mInput.mNow - aSlot.mLoad->mMeasuredAt <= mSettings.mMaxLoadAge;
+  };
+  for (const auto& [index, slot] : mStatus.mSlots) {
+    known += isKnown(slot) ? slot.mLoad->mPerSecond : 0;
+    knownCount += isKnown(slot) ? 1 : 0;
+  }
+  const double mean = known > 0 ? known / static_cast<double>(knownCount) : 1.0;
+
+  for (const auto& [index, slot] : mStatus.mSlots) {
+    slot_entry entry{ index,
+                      &slot,
+                      (isKnown(slot) ? slot.mLoad->mPerSecond : mean) +
+                        kBaseShare * mean };
+    entry.mTarget = IndexOf(slot.mMovingTo.value_or(slot.mOwner));
+    entry.mMayBalance = !slot.mMovingTo && entry.mTarget >= 0 &&
+                        mInput.mNow - slot.mSince >= mSettings.mMinStay;
+    mTotalLoad += entry.mLoad;
+    if (entry.mTarget >= 0) {
+      mTargets[entry.mTarget].mLoad += entry.mLoad;
+    }
+    mSlots.push_back(entry);
+  }
+}
+
+// A target's own report lags or misleads, so only a part of what it says above
+// the measured load counts.
+void service_plan::AddReportedLoads()
+{
+  for (target_entry& target : mTargets) {
+    const auto position = mStatus.mTargets.find(target.mTarget->mName);
+    if (position == mStatus.mTargets.end() || !position->second.mReported) {
+      continue;
+    }
+    const measured_load& reported = *position->second.mReported;
+    if (mInput.mNow - reported.mMeasuredAt <= mSettings.mMaxLoadAge) {
+      target.mLoad += mSettings.mReportedShare *
+                      std::max(0.0, reported.mPerSecond - target.mLoad);
+    }
+  }
+}
+
+bool service_plan::IsInOrderWindow() const
+{
+  return std::any_of(mConfiguration.mOrderWindows.begin(),
+                     mConfiguration.mOrderWindows.end(),
+                     [&](const order_window& aWindow) {
+                       return IsWithin(aWindow, mInput.mMinuteOfDay);
+                     });
+}
+
+int service_plan::IndexOf(const target_name& aName) const
+{
+  for (size_t i = 0; i < mTargets.size(); ++i) {
+    if (mTargets[i].mTarget->mName == aName) {
+      return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
+region_name service_plan::RegionOf(const target_name& aName) const
+{
+  const target_configuration* target = FindTarget(mConfiguration, aName);
+  return target == nullptr
+           ? region_name()
+           : mInput.mConfiguration->RegionOf(target->mFailureDomain);
+}
+
+void service_plan::PlaceHomeless()
+{
+  if (mTargets.empty()) {
+    return;
+  }
+  // The heaviest slots come first, so that small ones even out the rest.
+  std::vector<std::pair<slot_entry*, move_reason>> homeless;
+  for (slot_entry& slot : mSlots) {
+    const auto reason = ReasonToLeave(mConfiguration, mStatus, *slot.mStatus);
+    const bool mayMove = reason == move_reason::kInitial ||
+                         reason == move_reason::kTargetLost ||
+                         !IsInOrderWindow();
+    if (reason && mayMove) {
+      homeless.emplace_back(&slot, *reason);
+    }
+  }
+  const auto isUrgent = [](move_reason aReason) {
+    return aReason == move_reason::kInitial ||
+           aReason == move_reason::kTargetLost;
+  };
+  std::stable_sort(
+    homeless.begin(),
+    homeless.end(),
+    [&](const auto& aLeft, const auto& aRight) {
+      return std::make_pair(!isUrgent(aLeft.second), -aLeft.first->mLoad) <
+             std::make_pair(!isUrgent(aRight.second), -aRight.first->mLoad);
+    });
+  for (const auto& [slot, reason] : homeless) {
+    if (mMoves.size() == mSettings.mMaxMoves) {
+      return;
+    }
+    const bool isInitial = reason == move_reason::kInitial;
+    const int before = isInitial ? OwnerBeforeNaming(slot->mSlot) : -1;
+    const region_name home =
+      isInitial ? mInput.mRegion : RegionOf(slot->mStatus->mOwner);
+    Move(*slot, before >= 0 ? before : ChooseTarget(slot->mLoad, home), reason);
+  }
+}
+
+// A key that gets a name stays with the owner of the slot that it had before.
+int service_plan::OwnerBeforeNaming(slot_index aSlot) const
+{
+  if (aSlot.Value() < mConfiguration.mSlotCount) {
+    return -1;
+  }
+  const size_t name = aSlot.Value() - mConfiguration.mSlotCount;
+  if (name >= mConfiguration.mNamedKeys.size()) {
+    return -1;
+  }
+  service_configuration unnamed;
+  unnamed.mName = mConfiguration.mName;
+  unnamed.mSlotCount = mConfiguration.mSlotCount;
+  const slot_index before = SlotOf(unnamed, mConfiguration.mNamedKeys[name]);
+  const auto position = mStatus.mSlots.find(before);
+  return position == mStatus.mSlots.end() ? -1
+                                          : IndexOf(position->second.mOwner);
+}
+
+// The least used target takes the slot, so that the free capacity of all fills
+// up evenly. Targets of the home region go first while they stay within the
+// bound.
+int service_plan::ChooseTarget(double aLoad, const region_name& aHome) const
+{
+  const double bound = mSettings.mLoadBound * mTotalLoad / mTotalCapacity;
+  int best = 0;
+  auto bestRank = std::make_pair(3, 0.0);
+  for (size_t i = 0; i < mTargets.size(); ++i) {
+    const double use = mTargets[i].Use(aLoad);
+    const bool isHome = mTargets[i].mRegion == aHome;
+    const int tier = use > bound ? 2 : (isHome ? 0 : 1);
+    const auto rank = std::make_pair(tier, use);
+    if (rank < bestRank) {
+      bestRank = rank;
+      best = static_cast<int>(i);
+    }
+  }
+  return best;
+}
+
+double service_plan::MeanUse() const
+{
+  const double load =
+    std::accumulate(mTargets.begin(),
+                    mTargets.end(),
+                    0.0,
+                    [](double aSum, const target_entry& aTarget) {
+                      return aSum + aTarget.mLoad;
+                    });
+  return load / mTotalCapacity;
+}
+
+double service_plan::MaxUse() const
+{
+  double most = 0;
+  for (const target_entry& target : mTargets) {
+    most = std::max(most, target.Use());
+  }
+  return most;
+}
+
+void service_plan::Balance()
+{
+  if (mTargets.size() < 2 || IsInOrderWindow()) {
+    return;
+  }
+  const auto perMinute = static_cast<uint32_t>(std::max(
+    1.0, mSettings.mMovesPerMinute * static_cast<double>(mSlots.size())));
+  // Once begun, balancing goes on to a lower imbalance than it begins at.
+  const double limit = mStatus.mRecentMoves > 0 ? mSettings.mStopImbalance
+                                                : mSettings.mStartImbalance;
+  if (MaxUse() <= limit * MeanUse()) {
+    return;
+  }
+  for (uint32_t moves = mStatus.mRecentMoves; moves < perMinute; ++moves) {
+    if (mMoves.size() == mSettings.mMaxMoves) {
+      return;
+    }
+    // The fullest target that a worthwhile move can relieve.
+    std::vector<int> fullest(mTargets.size());
+    std::iota(fullest.begin(), fullest.end(), 0);
+    std::sort(fullest.begin(), fullest.end(), [&](int aLeft, int aRight) {
+      return mTargets[aLeft].Use() > mTargets[aRight].Use();
+    });
+    candidate best;
+    for (const int from : fullest) {
+      if (mTargets[from].Use() <= mSettings.mStopImbalance * MeanUse()) {
+        break;
+      }
+      best = BestMove(from);
+      if (best.mSlot != nullptr) {
+        break;
+      }
+    }
+    if (best.mSlot == nullptr) {
+      return;
+    }
+    best.mSlot->mMayBalance = false;
+    Move(*best.mSlot, best.mTo, move_reason::kBalance);
+  }
+}
+
+// Value of a move = weight of imbalance x (what the fuller of the two targets
+// loses, relative to the mean) - weight of churn x (share of the slots) -
+// weight of unavailable time x (share of the load, which stops meanwhile).
+service_plan::candidate service_plan::BestMove(int aFrom)
+{
+  const measure_weights& weights = mInput.mConfiguration->mWeights;
+  const target_entry& from = mTargets[aFrom];
+  const double mean = MeanUse();
+  const double churnCost =
+    weights.mChurn * mSettings.mChurnScale / static_cast<double>(mSlots.size());
+  candidate best;
+  for (slot_entry& slot : mSlots) {
+    if (slot.mTarget != aFrom || !slot.mMayBalance) {
+      continue;
+    }
+    const double pauseCost = weights.mUnavailableTime *
+                             mSettings.mUnavailableScale * slot.mLoad /
+                             mTotalLoad;
+    const double cost = mSettings.mGainFactor * (churnCost + pauseCost);
+    for (size_t to = 0; to < mTargets.size(); ++to) {
+      const double fuller =
+        std::max(from.Use(-slot.mLoad), mTargets[to].Use(slot.mLoad));
+      const double factor = mTargets[to].mRegion == from.mRegion
+                              ? 1.0
+                              : mSettings.mOtherRegionFactor;
+      const double gain =
+        factor * weights.mImbalance * (from.Use() - fuller) / mean;
+      if (static_cast<int>(to) != aFrom && gain - cost > best.mValue) {
+        best = { &slot, static_cast<int>(to), gain - cost };
+      }
+    }
+  }
+  return best;
+}
+
+void service_plan::Move(slot_entry& aSlot, int aTo, move_reason aReason)
+{
+  PARSLEYSTAIR_INVARIANT(aTo >= 0 && aTo != aSlot.mTarget);
+  if (aSlot.mTarget >= 0) {
+    mTargets[aSlot.mTarget].mLoad -= aSlot.mLoad;
+  }
+  mTargets[aTo].mLoad += aSlot.mLoad;
+  aSlot.mTarget = aTo;
+  mMoves.push_back({ { mConfiguration.mName, aSlot.mSlot },
+                     mTargets[aTo].mTarget->mName,
+                     aReason });
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/UnitTests/Placement/PlacementTest.cpp
@@ -0,0 +1,295 @@
+#include "Parsleystair/Placement/HashPolicies.h"
+#include "Parsleystair/Placement/HotKeyTracker.h"
+#include "Parsleystair/Placement/PlacementPlanner.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace parsleystair {
+
+namespace {
+
+const service_name kService("recipes");
+
+/// A service with targets in two regions whose slots the test sets up.
+class placement : public testing::Test
+{
+protected:
+  placement()
+  {
+    mConfiguration.mFailureDomains = {
+      { failure_domain_name("asti-a"), region_name("piemonte") },
+      { failure_domain_name("verona-b"), region_name("veneto") }
+    };
+    service_configuration service;
+    service.mName = kService;
+    service.mSlotCount = kSlots;
+    for (int i = 0; i < kTargets; ++i) {
+      target_configuration target;
+      target.mName = Target(i);
+      target.mFailureDomain =
+        failure_domain_name(i < kTargets / 2 ? "asti-a" : "verona-b");
+      service.mTargets.push_back(target);
+    }
+    mConfiguration.mServices = { service };
+    for (uint32_t i = 0; i < kSlots; ++i) {
+      slot_status& slot = Status().mSlots[slot_index(i)];
+      slot.mOwner = Target(static_cast<int>(i) % kTargets);
+      slot.mLoad = measured_load{ 10, mNow };
+    }
+  }
+
+  static target_name Target(int aIndex)
+  {
+    return target_name("target-" + std::to_string(aIndex));
+  }
+  service_configuration& Service() { return mConfiguration.mServices[0]; }
+  service_status& Status() { return mServices[kService]; }
+  void SetState(int aTarget, target_state aState, duration aFor = 0s)
+  {
+    Status().mTargets[Target(aTarget)] = { aState, mNow - aFor, {} };
+  }
+  void SetLoad(int aTarget, double aPerSecond)
+  {
+    for (auto& [index, slot] : Status().mSlots) {
+      if (slot.mOwner == Target(aTarget)) {
+        slot.mLoad = measured_load{ aPerSecond, mNow };
+      }
+    }
+  }
+
+  [[nodiscard]] std::vector<planned_move> Plan(
+    const placement_policy& aPolicy = placement_planner()) const
+  {
+    return aPolicy.Plan({ std::make_shared<configuration>(mConfiguration),
+                          mServices,
+                          region_name("piemonte"),
+                          mNow,
+                          mMinute });
+  }
+
+  /// Counts planned moves to a target.
+  static int CountTo(const std::vector<planned_move>& aMoves, int aTarget)
+  {
+    return static_cast<int>(
+      std::count_if(aMoves.begin(), aMoves.end(), [&](const auto& aMove) {
+        return aMove.mTo == Target(aTarget);
+      }));
+  }
+
+  static constexpr uint32_t kSlots = 120;
+  static constexpr int kTargets = 6;
+  configuration mConfiguration;
+  std::map<service_name, service_status> mServices;
+  time_point mNow{ 1h };
+  uint32_t mMinute = 600;
+};
+
+// Guards against churn without cause.
+TEST_F(placement, BalancedServiceStaysAsItIs)
+{
+  EXPECT_TRUE(Plan().empty());
+}
+
+// Guards against slots of a lost target that are left, go to one target only,
+// or leave their region while it has room.
+TEST_F(placement, LostTargetIsSpreadOverItsRegionWithinTheBound)
+{
+  SetState(0, target_state::kLost);
+  const auto moves = Plan();
+  ASSERT_EQ(moves.size(), 20u);
+  for (const planned_move& move : moves) {
+    EXPECT_EQ(move.mReason, move_reason::kTargetLost);
+  }
+  // Fair shares are 24 slots; the bound is 1.1 times that.
+  EXPECT_EQ(CountTo(moves, 1), 6);
+  EXPECT_EQ(CountTo(moves, 2), 6);
+  EXPECT_LE(CountTo(moves, 3), 3);
+}
+
+// Guards against a lost failure domain whose slots can't leave the region, and
+// against placing by count instead of capacity.
+TEST_F(placement, LostDomainIsSpreadByCapacity)
+{
+  Service().mTargets[5].mConcurrency = 8;
+  for (const int target : { 0, 1, 2 }) {
+    SetState(target, target_state::kLost);
+  }
+  const auto moves = Plan();
+  ASSERT_EQ(moves.size(), 60u);
+  EXPECT_EQ(CountTo(moves, 3), 10);
+  EXPECT_EQ(CountTo(moves, 4), 10);
+  EXPECT_EQ(CountTo(moves, 5), 40);
+}
+
+// Guards against moves inside an order window, also past midnight, and against
+// lost targets that wait for its end.
+TEST_F(placement, OrderWindowHoldsAllButLostTargets)
+{
+  Service().mOrderWindows = { { 23 * 60, 60 } };
+  SetState(0, target_state::kLeaving);
+  SetState(1, target_state::kLost);
+  SetLoad(2, 500);
+  for (const uint32_t minute : { 23 * 60 + 5, 5 }) {
+    mMinute = minute;
+    const auto moves = Plan();
+    EXPECT_EQ(moves.size(), 20u);
+    for (const planned_move& move : moves) {
+      EXPECT_EQ(move.mReason, move_reason::kTargetLost);
+    }
+  }
+  mMinute = 60;
+  EXPECT_GT(Plan().size(), 40u);
+}
+
+// Guards against a leaving target, marked by the operator or the platform,
+// that keeps slots or gets new ones.
+TEST_F(placement, LeavingTargetIsEmptied)
+{
+  Service().mTargets[0].mLeaving = true;
+  SetState(1, target_state::kLeaving);
+  const auto moves = Plan();
+  EXPECT_EQ(moves.size(), 40u);
+  EXPECT_EQ(CountTo(moves, 0) + CountTo(moves, 1), 0);
+}
+
+// Guards against a cold target that gets its full share at once.
+TEST_F(placement, ColdTargetGetsLess)
+{
+  SetState(0, target_state::kLost);
+  SetState(1, target_state::kCold, 6s);
+  const int cold = CountTo(Plan(), 1);
+  SetState(1, target_state::kCold, 60s);
+  EXPECT_EQ(cold, 0);
+  EXPECT_EQ(CountTo(Plan(), 1), 6);
+}
+
+// Guards against balancing beyond its budget, with slots that have just moved,
+// and against weights without effect.
+TEST_F(placement, BalancesWithinBudgetAndWeights)
+{
+  SetLoad(0, 20);
+  const auto moves = Plan();
+  EXPECT_EQ(moves.size(), 6u) << "5% of the slots a minute";
+  for (const planned_move& move : moves) {
+    EXPECT_EQ(move.mReason, move_reason::kBalance);
+    EXPECT_EQ(Status().mSlots[move.mSlot.mSlot].mOwner, Target(0));
+  }
+  Status().mRecentMoves = 6;
+  EXPECT_TRUE(Plan().empty());
+  Status().mRecentMoves = 0;
+
+  mConfiguration.mWeights.mChurn = 20;
+  EXPECT_TRUE(Plan().empty());
+  mConfiguration.mWeights.mChurn = 1;
+
+  for (auto& [index, slot] : Status().mSlots) {
+    slot.mSince = mNow - 10s;
+  }
+  EXPECT_TRUE(Plan().empty());
+}
+
+// Guards against slots that are planned twice while they move, and against
+// waiting for a goal that was lost.
+TEST_F(placement, MovingSlotsAreLeftAloneUnlessTheirGoalIsLost)
+{
+  SetState(0, target_state::kLost);
+  for (auto& [index, slot] : Status().mSlots) {
+    if (slot.mOwner == Target(0)) {
+      slot.mMovingTo = Target(1 + static_cast<int>(index.Value() / 6 % 5));
+    }
+  }
+  EXPECT_TRUE(Plan().empty());
+  SetState(3, target_state::kLost);
+  EXPECT_EQ(Plan().size(), 24u) << "its own 20 and 4 on their way to it";
+}
+
+// Guards against a named key that changes its owner when it gets its name, and
+// against new slots without an owner.
+TEST_F(placement, NewNamedSlotStartsWhereItsKeyWas)
+{
+  const slot_index before = SlotOf(Service(), "hot");
+  Service().mNamedKeys = { "hot" };
+  Status().mSlots[slot_index(kSlots)] = {};
+  const auto moves = Plan();
+  ASSERT_EQ(moves.size(), 1u);
+  EXPECT_EQ(moves[0].mTo, Status().mSlots[before].mOwner);
+  EXPECT_EQ(moves[0].mReason, move_reason::kInitial);
+}
+
+// Guards against reports of targets that outweigh what was measured.
+TEST_F(placement, MeasuredLoadOutweighsReports)
+{
+  SetState(0, target_state::kLive);
+  Status().mTargets[Target(0)].mReported = measured_load{ 300, mNow };
+  EXPECT_TRUE(Plan().empty());
+  Status().mTargets[Target(0)].mReported = measured_load{ 2000, mNow };
+  EXPECT_FALSE(Plan().empty());
+  Status().mTargets[Target(0)].mReported = measured_load{ 2000, mNow - 2min };
+  EXPECT_TRUE(Plan().empty()) << "an old report";
+}
+
+// Guards against baselines that don't take lost targets into account.
+TEST_F(placement, BaselinesUseUsableTargetsOnly)
+{
+  SetState(0, target_state::kLost);
+  for (const planned_move& move : Plan(rendezvous_policy())) {
+    EXPECT_NE(move.mTo, Target(0));
+  }
+  EXPECT_GT(Plan(modulo_policy()).size(), 80u);
+}
+
+// Guards against an endless plan and against a service without any target.
+TEST_F(placement, PlansAreBounded)
+{
+  planner_settings settings;
+  settings.mMaxMoves = 7;
+  SetState(0, target_state::kLost);
+  EXPECT_EQ(Plan(placement_planner(settings)).size(), 7u);
+  for (int i = 0; i < kTargets; ++i) {
+    SetState(i, target_state::kLost);
+  }
+  EXPECT_TRUE(Plan().empty());
+}
+
+// Guards against hot keys that a long tail of rare keys pushes out.
+TEST(HotKeyTracker, FindsHotKeysInBoundedMemory)
+{
+  hot_key_tracker tracker(50);
+  for (int round = 0; round < 1000; ++round) {
+    for (int hot = 0; hot < 10; ++hot) {
+      tracker.Add("hot-" + std::to_string(hot));
+    }
+    for (int rare = 0; rare < 10; ++rare) {
+      tracker.Add("rare-" + std::to_string(round * 10 + rare));
+    }
+  }
+  const auto top = tracker.Top(10);
+  ASSERT_EQ(top.size(), 10u);
+  for (const key_count& entry : top) {
+    EXPECT_EQ(entry.mKey.substr(0, 4), "hot-");
+    EXPECT_LE(entry.mCount - entry.mError, 1000u);
+    EXPECT_GE(entry.mCount, 1000u);
+  }
+  EXPECT_EQ(tracker.Top(1000).size(), 50u);
+  EXPECT_EQ(tracker.Total(), 20'000u);
+}
+
+// Guards against named keys that change their slots, and against names for keys
+// that aren't hot.
+TEST(HotKeyTracker, ProposalsKeepPlaces)
+{
+  hot_key_tracker tracker(100);
+  tracker.Add("b", 1000);
+  tracker.Add("new", 900);
+  for (int i = 0; i < 80; ++i) {
+    tracker.Add("rare-" + std::to_string(i), 5);
+  }
+  const std::vector<std::string> named =
+    ProposeNamedKeys({ "gone", "b" }, tracker, 100);
+  EXPECT_EQ(named, (std::vector<std::string>{ "new", "b" }));
+}
+
+} // namespace
+
+} // namespace parsleystair
