--- a/Parsleystair/Core/EventLoop.cpp
+++ b/Parsleystair/Core/EventLoop.cpp
@@ -7,8 +7,6 @@
 
 namespace parsleystair {
 
-namespace {
-
 timeval ToTimeval(duration aDuration)
 {
   constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
@@ -18,8 +16,6 @@
   return value;
 }
 
-} // namespace
-
 event_loop::event_loop()
   : mBase(event_base_new())
 {
@@ -30,6 +26,9 @@
 
 event_loop::~event_loop()
 {
+  // Connections that were closed are freed by the loop (HttpConnection.cpp);
+  // those of the last round would leak.
+  event_base_loop(mBase, EVLOOP_NONBLOCK);
   event_base_free(mBase);
 }
 
--- /dev/null
+++ b/Parsleystair/Ownership/GrantSender.cpp
@@ -0,0 +1,242 @@
+#include "Parsleystair/Ownership/GrantSender.h"
+
+#include "Parsleystair/Core/Invariant.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+namespace {
+
+/// The first and the second router in line renew.
+constexpr size_t kRenewers = 2;
+/// Longer than the way to a target and back, at most 26 ms between regions, so
+/// that what was on its way when a link broke is no sign of life.
+constexpr duration kMessagesInFlight = 30ms;
+
+/// Slots that the target may serve under this record; a slot that is moving is
+/// never among them.
+std::vector<granted_slot> SlotsOf(const group_record& aRecord,
+                                  const target_id& aTarget)
+{
+  std::vector<granted_slot> slots;
+  const slot_id first{ aTarget.mService, slot_index() };
+  for (auto slot = aRecord.mSlots.lower_bound(first);
+       slot != aRecord.mSlots.end() && slot->first.mService == aTarget.mService;
+       ++slot) {
+    if (slot->second.mOwner == aTarget.mTarget && !slot->second.mMove) {
+      slots.push_back({ slot->first, slot->second.mFence });
+    }
+  }
+  return slots;
+}
+
+bool ChecksGrants(const configuration& aConfiguration, const target_id& aTarget)
+{
+  const service_configuration* service =
+    aConfiguration.FindService(aTarget.mService);
+  const target_configuration* target =
+    service == nullptr ? nullptr : FindTarget(*service, aTarget.mTarget);
+  return target != nullptr && target->mChecksGrants;
+}
+
+} // namespace
+
+grant_sender::grant_sender(vm_name aSelf, const ownership_settings& aSettings)
+  : mSelf(std::move(aSelf))
+  , mSettings(aSettings)
+{
+}
+
+void grant_sender::SetTargets(group_index aGroup, const group_record& aRecord)
+{
+  group_targets targets;
+  for (const auto& [slot, ownership] : aRecord.mSlots) {
+    if (ownership.mOwner != target_name()) {
+      targets.mOwners.insert({ slot.mService, ownership.mOwner });
+    }
+    // The new owner's clock is learned before its first grant.
+    if (ownership.mMove && ownership.mMove->mTo != target_name()) {
+      targets.mAll.insert({ slot.mService, ownership.mMove->mTo });
+    }
+  }
+  targets.mAll.insert(targets.mOwners.begin(), targets.mOwners.end());
+  group_targets& known = mTargetsOfGroup[aGroup];
+  for (const target_id& target : known.mAll) {
+    mGroupsOfTarget[target].erase(aGroup);
+  }
+  known = std::move(targets);
+  mNextDue = time_point::min();
+  for (const target_id& target : known.mAll) {
+    mGroupsOfTarget[target].insert(aGroup);
+    const auto session = mSessions.find(target);
+    if (session != mSessions.end()) {
+      session->second.MakeDue();
+    }
+  }
+}
+
+bool grant_sender::IsRenewed(const target_id& aTarget,
+                             const groups& aGroups) const
+{
+  const std::set<group_index>& named = mGroupsOfTarget.at(aTarget);
+  return std::any_of(named.begin(), named.end(), [&](const auto& aGroup) {
+    return aGroups.at(aGroup).mRank < kRenewers;
+  });
+}
+
+void grant_sender::Send(const groups& aGroups,
+                        const configuration& aConfiguration,
+                        time_point aNow,
+                        ownership_actions& aActions)
+{
+  if (aNow < mNextDue) {
+    return;
+  }
+  mNextDue = aNow + mSettings.mRenew;
+  for (const auto& [target, named] : mGroupsOfTarget) {
+    const auto known = mSessions.find(target);
+    if (known != mSessions.end() && !known->second.IsDue(aNow)) {
+      mNextDue = std::min(mNextDue, known->second.DueAt());
+      continue;
+    }
+    if (!IsRenewed(target, aGroups)) {
+      mSessions.erase(target);
+      continue;
+    }
+    target_session& session =
+      mSessions.try_emplace(target, mSettings).first->second;
+    if (ChecksGrants(aConfiguration, target)) {
+      SendTo(target, session, aGroups, aNow, aActions);
+    } else {
+      aActions.emplace_back(probe_target{ target });
+    }
+    session.HandleSent(aNow);
+  }
+}
+
+void grant_sender::SendTo(const target_id& aTarget,
+                          target_session& aSession,
+                          const groups& aGroups,
+                          time_point aNow,
+                          ownership_actions& aActions)
+{
+  send_grants action;
+  action.mTarget = aTarget;
+  action.mMessage.mVm = mSelf;
+  action.mMessage.mBaseMs = aSession.ClockMs();
+  action.mMessage.mBoot = aSession.Boot();
+  action.mMessage.mTtlMs =
+    static_cast<uint32_t>(mSettings.mGrant / std::chrono::milliseconds(1));
+  action.mValidUntil = aNow + mSettings.mRenew;
+  aSession.mWithheld = false;
+  for (const group_index& group : mGroupsOfTarget.at(aTarget)) {
+    const group_state& state = aGroups.at(group);
+    if (state.mRank >= kRenewers ||
+        mTargetsOfGroup.at(group).mOwners.count(aTarget) == 0) {
+      continue;
+    }
+    // A process that started after the proof may replace one that gave up
+    // slots since, and would not know that.
+    const bool hasAuthority = aNow < state.AuthorityUntil() &&
+                              aSession.Boot() != 0 &&
+                              *state.ProvenAt() >= aSession.BootSeenAt();
+    if (!hasAuthority) {
+      aSession.mWithheld = true;
+      continue;
+    }
+    PARSLEYSTAIR_INVARIANT(state.NewestSeen() == state.Record().mRevision);
+    action.mValidUntil = std::min(action.mValidUntil, state.AuthorityUntil());
+    const group_revision revision{ group, state.Record().mRevision };
+    group_grant grant{ group, revision.mRevision, std::nullopt };
+    if (!aSession.HasAccepted(revision)) {
+      grant.mSlots = SlotsOf(state.Record(), aTarget);
+    }
+    action.mMessage.mGroups.push_back(std::move(grant));
+  }
+  aActions.emplace_back(std::move(action));
+}
+
+void grant_sender::HandleNewAuthority()
+{
+  for (auto& [target, session] : mSessions) {
+    if (session.mWithheld) {
+      session.MakeDue();
+      mNextDue = time_point::min();
+    }
+  }
+}
+
+bool grant_sender::HandleReply(const target_id& aTarget,
+                               const grant_reply& aReply,
+                               time_point aSentAt,
+                               time_point aNow)
+{
+  const auto found = mSessions.find(aTarget);
+  if (found == mSessions.end()) {
+    return false;
+  }
+  target_session& session = found->second;
+  // The grants of the answered message lasted too briefly or were not taken.
+  const bool wasUseless = session.HasOldClock(aNow) ||
+                          session.Boot() != aReply.mBoot ||
+                          !aReply.mUnknown.empty();
+  const bool isNew = session.HandleReply(aReply, aSentAt, aNow);
+  if (isNew && wasUseless) {
+    session.MakeDue();
+    mNextDue = time_point::min();
+  }
+  return isNew;
+}
+
+void grant_sender::HandleEvidence(const target_id& aTarget,
+                                  time_point aSentAt,
+                                  time_point aNow)
+{
+  const auto found = mSessions.find(aTarget);
+  if (found != mSessions.end()) {
+    found->second.HandleEvidence(aSentAt, aNow);
+  }
+}
+
+void grant_sender::RestartSuspicion(time_point aNow)
+{
+  for (auto& [target, session] : mSessions) {
+    session.RestartSuspicion(aNow);
+  }
+}
+
+std::set<target_id> grant_sender::Lost(time_point aNow) const
+{
+  std::set<target_id> lost;
+  for (const auto& [target, session] : mSessions) {
+    if (session.IsLost(aNow)) {
+      lost.insert(target);
+    }
+  }
+  return lost;
+}
+
+bool grant_sender::IsCutOff(const std::set<target_id>& aLost) const
+{
+  // Targets that fell silent together pass the limit one after the other. So
+  // the others must have answered something that was sent after the last one
+  // did not; only then are they known to be better off.
+  std::optional<time_point> silentSince;
+  for (const target_id& target : aLost) {
+    const auto session = mSessions.find(target);
+    if (session != mSessions.end()) {
+      silentSince = std::max(silentSince, session->second.UnansweredSince());
+    }
+  }
+  if (!silentSince) {
+    return false;
+  }
+  const auto answering = static_cast<size_t>(
+    std::count_if(mSessions.begin(), mSessions.end(), [&](const auto& aEntry) {
+      return aEntry.second.HasAnsweredSince(*silentSince + kMessagesInFlight);
+    }));
+  return answering * 2 < mSessions.size();
+}
+
+} // namespace parsleystair
