--- a/Parsleystair/Ownership/GrantSender.h
+++ b/Parsleystair/Ownership/GrantSender.h
@@ -43,8 +43,8 @@
 
   [[nodiscard]] std::set<target_id> Lost(time_point aNow) const;
 
-  /// True when so many targets seem lost that this router is rather itself cut
-  /// off.
+  /// True when fewer than half of the targets have answered since the lost ones
+  /// fell silent, so that this router is rather itself cut off.
   [[nodiscard]] bool IsCutOff(const std::set<target_id>& aLost) const;
 
   [[nodiscard]] const std::map<target_id, target_session>& Sessions() const
@@ -53,6 +53,13 @@
   }
 
 private:
+  struct group_targets
+  {
+    std::set<target_id> mOwners;
+    /// Owners and owners to be.
+    std::set<target_id> mAll;
+  };
+
   void SendTo(const target_id& aTarget,
               target_session& aSession,
               const groups& aGroups,
@@ -63,9 +70,11 @@
 
   vm_name mSelf;
   ownership_settings mSettings;
-  std::map<group_index, std::set<target_id>> mTargetsOfGroup;
+  std::map<group_index, group_targets> mTargetsOfGroup;
   std::map<target_id, std::set<group_index>> mGroupsOfTarget;
   std::map<target_id, target_session> mSessions;
+  /// Nothing is due before this time.
+  time_point mNextDue = time_point::min();
 };
 
 } // namespace parsleystair
--- a/Parsleystair/Ownership/OwnershipController.h
+++ b/Parsleystair/Ownership/OwnershipController.h
@@ -70,8 +70,15 @@
                                         time_point aAskedAt,
                                         time_point aNow);
 
-  /// The at-most-once records of a group that this router joins are complete.
-  ownership_actions HandleRecordsCopied(group_index aGroup, time_point aNow);
+  /// The at-most-once records of a group that this router joins were copied.
+  /// `aLostUntil`: time up to which some were lost with their holders.
+  ownership_actions HandleRecordsCopied(group_index aGroup,
+                                        std::optional<wall_time> aLostUntil,
+                                        time_point aNow);
+
+  /// True when a VM has been off the platform's list for so long that no
+  /// process of it runs.
+  [[nodiscard]] bool IsGone(const vm_name& aVm, time_point aNow) const;
 
   /// Reply to `send_grants`.
   ownership_actions HandleGrantReply(const target_id& aTarget,
@@ -161,6 +168,7 @@
   std::map<group_index, group_state> mGroups;
   grant_sender mSender;
   std::set<target_id> mLost;
+  bool mIsCutOff = false;
   std::map<slot_id, planned_move> mPlanned;
   std::map<slot_id, time_point> mPlannedUntil;
   /// Groups to look at before the present input ends.
--- a/Parsleystair/Ownership/OwnershipControllerDuties.cpp
+++ b/Parsleystair/Ownership/OwnershipControllerDuties.cpp
@@ -15,6 +15,9 @@
 constexpr size_t kWriters = 3;
 /// Interval between attempts to get records from other routers.
 constexpr duration kFetchInterval = 500ms;
+/// Interval between looks for work that time alone brings: holders that are
+/// absent for long, a configuration that has settled.
+constexpr duration kLookInterval = 500ms;
 
 } // namespace
 
@@ -26,16 +29,28 @@
     mSender.RestartSuspicion(aNow);
   }
   mTickAt = aNow;
-  mLost = mSender.Lost(aNow);
+  auto lost = mSender.Lost(aNow);
+  // When a cut ends, half of the targets answer before the rest has had the
+  // time to.
+  const bool isCutOff = mSender.IsCutOff(lost);
+  if (mIsCutOff && !isCutOff) {
+    mSender.RestartSuspicion(aNow);
+    lost.clear();
+  }
+  const bool isNews = mIsCutOff != isCutOff || lost != mLost;
+  mIsCutOff = isCutOff;
+  mLost = std::move(lost);
   std::erase_if(mPlanned, [&](const auto& aEntry) {
     return mPlannedUntil.at(aEntry.first) <= aNow;
   });
   std::erase_if(mPlannedUntil,
                 [&](const auto& aEntry) { return aEntry.second <= aNow; });
-  for (const auto& [group, state] : mGroups) {
-    mChanged.insert(group);
-  }
   ownership_actions actions;
+  for (auto& [group, state] : mGroups) {
+    state.mLookAt = isNews ? aNow : state.mLookAt;
+    state.Update(mRouters, aNow);
+    Advance(state, aNow, actions);
+  }
   AskHolders(aNow, actions);
   AskRecords(aNow, actions);
   return Finish(aNow, std::move(actions));
@@ -48,6 +63,7 @@
   changed.swap(mChanged);
   for (const group_index& group : changed) {
     group_state& state = State(group);
+    state.mLookAt = aNow;
     state.Update(mRouters, aNow);
     Advance(state, aNow, aActions);
   }
@@ -136,7 +152,7 @@
     mLost,
     mPlanned,
     mDeadlines,
-    !mSender.IsCutOff(mLost),
+    !mIsCutOff,
     aNow >= mConfigurationSince + mSettings.mConfigurationSettle,
     WallMs(aNow),
     aNow
@@ -151,12 +167,18 @@
   // A write needs a record that is fresh from the store.
   if (!HasPollWithin(mSettings.mAuthority, aNow) ||
       WritesInFlight() >= mSettings.mWritesInFlight ||
-      aState.NewestSeen() != aState.Record().mRevision) {
+      aState.NewestSeen() != aState.Record().mRevision ||
+      (!aState.Exists() && aNow < mStartedAt + mSettings.mCreate)) {
+    return;
+  }
+  // Working out the next record copies all slots, so it is not done in vain.
+  if (aNow < aState.mLookAt && !aState.HasFinishedWait(aNow)) {
     return;
   }
   auto next = NextRecord(aState, aNow);
   if (!next) {
     aState.mWorkSince.reset();
+    aState.mLookAt = aNow + kLookInterval;
     return;
   }
   // Leave the work to the routers before this one in line for a while. A
@@ -275,6 +297,11 @@
   return found == mGroups.end() ? mRouters.Live().size() : found->second.mRank;
 }
 
+bool ownership_controller::IsGone(const vm_name& aVm, time_point aNow) const
+{
+  return mRouters.IsGone(aVm, mSettings.mGone, aNow);
+}
+
 bool ownership_controller::IsRenewer(group_index aGroup) const
 {
   return Rank(aGroup) < kRenewers;
@@ -285,7 +312,7 @@
   ownership_dump dump;
   dump.mSelf = mRouters.Self().mVm;
   dump.mIsStoreAnswering = HasPollWithin(mSettings.mAuthority, aNow);
-  dump.mIsCutOff = mSender.IsCutOff(mLost);
+  dump.mIsCutOff = mIsCutOff;
   dump.mCounters = mCounters;
   for (const auto& [group, state] : mGroups) {
     dump.mGroups.push_back({ state.Record(),
--- a/Parsleystair/Ownership/RouterTable.cpp
+++ b/Parsleystair/Ownership/RouterTable.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Core/Hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace parsleystair {
 
@@ -115,28 +116,48 @@
          HasElapsed(mUnlistedSince, aVm, mFirstListAt, aTime, aNow);
 }
 
-size_t router_table::RankOfSelf(const group_record& aRecord) const
+size_t router_table::RankOfSelf(const group_record& aRecord,
+                                const configuration* aConfiguration) const
 {
-  // Live holders come first, leaving ones after them.
-  std::vector<vm_name> line;
-  for (const bool leaving : { false, true }) {
-    for (const group_holder& holder : aRecord.mHolders) {
-      const live_router* router = FindLive(holder.mVm);
-      if (router != nullptr && router->mLeaving == leaving) {
-        line.push_back(holder.mVm);
-      }
+  enum part
+  {
+    kHomeHolder,
+    kOtherHolder,
+    kLeavingHolder,
+    kNoHolder,
+  };
+  const auto isHolder = [&](const vm_name& aVm) {
+    return std::any_of(aRecord.mHolders.begin(),
+                       aRecord.mHolders.end(),
+                       [&](const auto& aHolder) { return aHolder.mVm == aVm; });
+  };
+  const region_name home = aConfiguration == nullptr
+                             ? region_name()
+                             : HomeRegion(aRecord.mGroup, *aConfiguration);
+  const auto partOf = [&](const live_router& aRouter) {
+    if (!isHolder(aRouter.mVm.mName)) {
+      return kNoHolder;
     }
-  }
-  // Others only matter when fewer holders than renewers are live.
-  if (line.size() < kHolders) {
-    for (const live_router& router : ByRendezvous(aRecord.mGroup)) {
-      if (std::find(line.begin(), line.end(), router.mVm.mName) == line.end()) {
-        line.push_back(router.mVm.mName);
-      }
+    if (aRouter.mLeaving) {
+      return kLeavingHolder;
     }
-  }
+    // A mover at home has its second acknowledgement within 2 ms.
+    const bool isHome =
+      aConfiguration != nullptr &&
+      aConfiguration->RegionOf(aRouter.mFailureDomain) == home;
+    return isHome ? kHomeHolder : kOtherHolder;
+  };
+  // The hash lets the routers share the duties evenly.
+  const auto placeOf = [&](const live_router& aRouter) {
+    return std::make_tuple(partOf(aRouter),
+                           ~Weight(aRecord.mGroup, aRouter.mVm.mName.Value()));
+  };
+  const auto self = placeOf(mSelf);
   return static_cast<size_t>(
-    std::find(line.begin(), line.end(), mSelf.mVm.mName) - line.begin());
+    std::count_if(mLive.begin(), mLive.end(), [&](const auto& aEntry) {
+      const bool counts = !aEntry.second.mLeaving || isHolder(aEntry.first);
+      return counts && placeOf(aEntry.second) < self;
+    }));
 }
 
 std::vector<live_router> router_table::ByRendezvous(group_index aGroup) const
--- a/Parsleystair/Tasks/RecordDriver.cpp
+++ b/Parsleystair/Tasks/RecordDriver.cpp
@@ -59,7 +59,7 @@
 
 void record_driver::UpdateGroup(const group_record& aRecord)
 {
-  mTable.UpdateGroup(aRecord, IsReadyHolder(aRecord));
+  mTable.UpdateGroup(aRecord, IsReadyHolder(aRecord), MonotonicNow());
 }
 
 void record_driver::Handle(const begin_query& aQuery)
@@ -84,7 +84,7 @@
   opened.mBegin.mAttempt = attempt_id(MakeAttemptId());
   const uint32_t round = opened.mRound;
   opened.mAttempt = std::make_unique<begin_attempt>(
-    *record, opened.mBegin, round, opened.mDeadline);
+    *record, opened.mBegin, round, opened.mDeadline, opened.mOtherSeen);
   if (const auto verdict = opened.mAttempt->CheckHolders()) {
     Decide(aKey, *verdict);
     return;
@@ -159,12 +159,20 @@
 void record_driver::RunAgain(const attempt_key& aKey, const begin_again& aAgain)
 {
   open_attempt& opened = mAttempts.at(aKey);
+  if (opened.mAttempt != nullptr) {
+    opened.mOtherSeen = opened.mAttempt->OtherSeen();
+  }
   if (MonotonicNow() + aAgain.mDelay >= opened.mDeadline) {
-    End(aKey,
-        refused_not_run{ refusal_reason::kRecordsUnavailable,
-                         "the routers that keep the request's record did not "
-                         "agree in time",
-                         kRetryAfterMs });
+    const refused_not_run refusal{ refusal_reason::kRecordsUnavailable,
+                                   "the routers that keep the request's record "
+                                   "did not agree in time",
+                                   kRetryAfterMs };
+    // A request of which another attempt was seen may have run.
+    if (opened.mOtherSeen) {
+      End(aKey, refused_may_have_run{ refusal.mReason, refusal.mDetail });
+    } else {
+      End(aKey, refusal);
+    }
     return;
   }
   ++opened.mRound;
@@ -254,37 +262,66 @@
 }
 
 void record_driver::CopyRecords(const copy_group_records& aRequest,
-                                std::function<void()> aComplete)
+                                copy_callback aCallback)
 {
   UpdateGroup(aRequest.mRecord);
-  struct copy_state
-  {
-    std::vector<copy_records_reply> mReplies;
-    size_t mMissing = 0;
-  };
-  const auto state = std::make_shared<copy_state>();
-  state->mMissing = aRequest.mHolders.size();
-  const group_record record = aRequest.mRecord;
+  const auto copy = std::make_shared<open_copy>();
+  copy->mRecord = aRequest.mRecord;
+  copy->mCallback = std::move(aCallback);
+  copy->mMissing = aRequest.mHolders.size();
   for (const vm_name& holder : aRequest.mHolders) {
     const auto address = mResolver(holder);
-    if (!address) {
-      return;
+    if (mController.IsGone(holder, MonotonicNow())) {
+      peer_result<copy_records_reply> gone{ peer_status::kAnswered, {} };
+      gone.mReply.mLost = true;
+      HandleCopy(*copy, gone);
+    } else if (!address) {
+      HandleCopy(*copy, { peer_status::kNotSent, {} });
+    } else {
+      mPeers.CopyRecords(
+        *address,
+        { copy->mRecord },
+        [this, copy](const peer_result<copy_records_reply>& aResult) {
+          HandleCopy(*copy, aResult);
+        });
     }
-    mPeers.CopyRecords(
-      *address,
-      { record },
-      [this, state, record, aComplete](
-        const peer_result<copy_records_reply>& aResult) {
-        if (aResult.mStatus == peer_status::kAnswered) {
-          state->mReplies.push_back(aResult.mReply);
-        }
-        --state->mMissing;
-        if (state->mMissing == 0 &&
-            mTable.InstallCopies(record, state->mReplies, MonotonicNow())) {
-          aComplete();
-        }
-      });
   }
 }
 
+void record_driver::HandleCopy(open_copy& aCopy,
+                               const peer_result<copy_records_reply>& aResult)
+{
+  const copy_records_reply& reply = aResult.mReply;
+  if (aResult.mStatus == peer_status::kAnswered && reply.mReady) {
+    aCopy.mCopies.push_back(reply);
+  } else if (aResult.mStatus == peer_status::kAnswered && reply.mLost) {
+    aCopy.mHasLoss = true;
+  } else {
+    aCopy.mHasFailure = true;
+  }
+  --aCopy.mMissing;
+  if (aCopy.mMissing == 0 && !aCopy.mHasFailure) {
+    FinishCopy(aCopy);
+  }
+}
+
+void record_driver::FinishCopy(open_copy& aCopy)
+{
+  const time_point now = MonotonicNow();
+  if (mTable.InstallCopies(aCopy.mRecord, aCopy.mCopies, now)) {
+    aCopy.mCallback(std::nullopt);
+    return;
+  }
+  if (!aCopy.mHasLoss) {
+    return;
+  }
+  // An attempt that only lost holders had accepted can't be found any more, so
+  // requests from before now are refused as possibly run.
+  log_line(log_severity::kWarning, "request_records_lost")
+    .Add("group", uint64_t{ aCopy.mRecord.mGroup.Value() });
+  const wall_time lostUntil = WallNow();
+  mTable.MarkReadySince(aCopy.mRecord.mGroup, lostUntil, now);
+  aCopy.mCallback(lostUntil);
+}
+
 } // namespace parsleystair
