Let the at-most-once state test write the time of a loss to the group's record

Cause: the record now carries the time up to which records were lost, and the state test did not write it. A comment had moved away from its constant. Change: the test writes the time when it clears joining after a forced holder; the comment on kWindowSamples stands above it again. Conclusion: the path runs in the test, but only the unit test LossInTheRecordRefusesOlderKeys guards the rule.

--- a/Parsleystair/Limits/ConcurrencyLimit.cpp
+++ b/Parsleystair/Limits/ConcurrencyLimit.cpp
@@ -9,12 +9,12 @@
 
 namespace {
 
-/// Samples of one step. Fewer follow load faster, but follow the scatter of
-/// single requests as well.
 /// Differences between shorter times come from the network and from schedulers,
 /// not from a queue at the target. Targets that answer in 0.1 ms lost most of
 /// their share without this bound when the router's machine was busy.
 constexpr duration kShortestBaseline = 5ms;
+/// Samples of one step. Fewer follow load faster, but follow the scatter of
+/// single requests as well.
 constexpr int64_t kWindowSamples = 20;
 /// Latency up to this multiple of the lowest is taken as normal scatter.
 constexpr double kTolerance = 2.0;
--- a/UnitTests/Request/AtMostOnceStateTest.cpp
+++ b/UnitTests/Request/AtMostOnceStateTest.cpp
@@ -261,6 +261,7 @@
     }
     router.mTable->UpdateGroup(mStore, false, mNow);
     router.mTable->MarkReadySince(kGroup, WallNow(), mNow);
+    mLostUntilMs = static_cast<uint64_t>(WallNow().time_since_epoch().count());
     ++sTotals.mForced;
   }
 
@@ -274,6 +275,7 @@
       for (group_holder& holder : mStore.mHolders) {
         holder.mJoining = false;
       }
+      mStore.mRecordsLostUntilMs = mLostUntilMs;
       Write();
     }
   }
@@ -425,6 +427,8 @@
   group_record mStore;
   time_point mNow{ 1h };
   uint64_t mIncarnations = 0;
+  /// Time of the last forced holder, written with its `ready`.
+  uint64_t mLostUntilMs = 0;
   int mMadeKeys = 0;
   std::vector<node> mNodes;
   tried_key mKeys[kKeys];
