Bound store calls of the operators' command by its timeout

Change: one call takes at most a quarter of the timeout, from 1 to 3 s; a router without a configuration shows no time in force. Conclusion: the command ends within its timeout and one call.

--- a/Parsleystair/Operator/BlockingCalls.cpp
+++ b/Parsleystair/Operator/BlockingCalls.cpp
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Operator/CommandResult.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace parsleystair {
@@ -14,14 +15,20 @@
 /// A dump of a router with 65,536 slots is some 10 MB.
 constexpr uint32_t kMaxRouterAnswerBytes = 64 * 1024 * 1024;
 
-etcd_store_settings StoreSettings(const socket_address& aAddress)
+/// Bounds of one call to the store. Two values of 1 MB take 0.7 s of the link
+/// between regions; a quarter of the command's time leaves room for a retry.
+constexpr duration kShortestStoreTimeout = 1s;
+constexpr duration kLongestStoreTimeout = 3s;
+
+etcd_store_settings StoreSettings(const socket_address& aAddress,
+                                  duration aLimit)
 {
   etcd_store_settings settings;
   settings.mHost = aAddress.mHost;
   settings.mPort = aAddress.mPort;
   settings.mConnections = 1;
-  // A person waits; a slow answer is better than none.
-  settings.mTimeout = 3s;
+  settings.mTimeout =
+    std::clamp(aLimit / 4, kShortestStoreTimeout, kLongestStoreTimeout);
   return settings;
 }
 
@@ -43,10 +50,11 @@
 } // namespace
 
 blocking_store::blocking_store(event_loop& aLoop,
-                               const socket_address& aAddress)
+                               const socket_address& aAddress,
+                               duration aLimit)
   : mLoop(aLoop)
   , mAddress(aAddress)
-  , mStore(aLoop, StoreSettings(aAddress))
+  , mStore(aLoop, StoreSettings(aAddress, aLimit))
 {
 }
 
--- a/Parsleystair/Operator/BlockingCalls.h
+++ b/Parsleystair/Operator/BlockingCalls.h
@@ -14,7 +14,10 @@
 class blocking_store
 {
 public:
-  blocking_store(event_loop& aLoop, const socket_address& aAddress);
+  /// `aLimit` is the time that the whole command may take.
+  blocking_store(event_loop& aLoop,
+                 const socket_address& aAddress,
+                 duration aLimit);
 
   range_reply Range(const range_request& aRequest);
   transaction_reply Transact(const transaction_request& aRequest);
--- a/Parsleystair/Operator/FileCommands.cpp
+++ b/Parsleystair/Operator/FileCommands.cpp
@@ -101,7 +101,7 @@
     return MakeBase(aArguments.mAgainst);
   }
   if (aArguments.mPlatform) {
-    return ReadConfiguration(*aArguments.mPlatform);
+    return ReadConfiguration(aArguments);
   }
   if (aNote.mBase == configuration_revision()) {
     return configuration{};
--- a/Parsleystair/Operator/ReleaseCommands.cpp
+++ b/Parsleystair/Operator/ReleaseCommands.cpp
@@ -140,10 +140,10 @@
 
 } // namespace
 
-configuration ReadConfiguration(const socket_address& aPlatform)
+configuration ReadConfiguration(const operator_arguments& aArguments)
 {
   event_loop loop;
-  blocking_store store(loop, aPlatform);
+  blocking_store store(loop, aArguments.Platform(), aArguments.mTimeout);
   return ReadStoredConfiguration(store.Read(OneKey(kConfigurationKey)));
 }
 
@@ -160,7 +160,7 @@
 
   // Submit.
   event_loop loop;
-  blocking_store store(loop, platform);
+  blocking_store store(loop, platform, aArguments.mTimeout);
   submission_settings settings;
   settings.mRebase = aArguments.mRebase;
   settings.mTimeout = aArguments.mTimeout;
@@ -186,7 +186,7 @@
                        const std::string& aId)
 {
   event_loop loop;
-  blocking_store store(loop, aArguments.Platform());
+  blocking_store store(loop, aArguments.Platform(), aArguments.mTimeout);
   const json document = AcceptedNoteJson(FindNote(store, aId));
   constexpr int kIndent = 2;
   return { exit_code::kOk, document.dump(kIndent) + "\n", document.dump(), "" };
@@ -195,7 +195,7 @@
 command_result RunList(const operator_arguments& aArguments)
 {
   event_loop loop;
-  blocking_store store(loop, aArguments.Platform());
+  blocking_store store(loop, aArguments.Platform(), aArguments.mTimeout);
   command_result result;
   json list = json::array();
   for (const accepted_note& note : ReadNewestNotes(store, aArguments.mLimit)) {
@@ -219,10 +219,10 @@
   event_loop loop;
   configuration_revision revision;
   if (!aId.empty()) {
-    blocking_store store(loop, aArguments.Platform());
+    blocking_store store(loop, aArguments.Platform(), aArguments.mTimeout);
     revision = FindNote(store, aId).mRevision;
   } else if (aArguments.mPlatform) {
-    revision = ReadConfiguration(*aArguments.mPlatform).mRevision;
+    revision = ReadConfiguration(aArguments).mRevision;
   }
   blocking_router router(loop, aArguments.Router());
   const auto members = ParseStatus(router.Read("/status"));
--- a/Parsleystair/Operator/ReleaseCommands.h
+++ b/Parsleystair/Operator/ReleaseCommands.h
@@ -25,6 +25,6 @@
 
 /// The configuration in the platform's store; an empty one with revision 0 when
 /// there is none. Throws `command_error`.
-configuration ReadConfiguration(const socket_address& aPlatform);
+configuration ReadConfiguration(const operator_arguments& aArguments);
 
 } // namespace parsleystair
--- a/Parsleystair/Operator/Reports.cpp
+++ b/Parsleystair/Operator/Reports.cpp
@@ -134,6 +134,11 @@
   return text;
 }
 
+bool IsConfigured(const member_status& aMember)
+{
+  return aMember.mRevision != configuration_revision();
+}
+
 std::string MemberTable(const std::vector<member_status>& aMembers)
 {
   std::vector<std::vector<std::string>> rows = {
@@ -144,7 +149,7 @@
                      member.mFailureDomain.Value(),
                      member.mState,
                      std::to_string(member.mRevision.Value()),
-                     Seconds(member.mInForceFor),
+                     IsConfigured(member) ? Seconds(member.mInForceFor) : "-",
                      Seconds(member.mAge) + " ago" });
   }
   return Table(rows);
