Build measure_ownership without regular expressions

Cause: g++ 12 with sanitizers warns of uninitialised values inside <regex>, which cxxopts uses by default, and warnings are errors.

Change: CXXOPTS_NO_REGEX.

--- a/PerformanceTest/measure_ownership/Main.cpp
+++ b/PerformanceTest/measure_ownership/Main.cpp
@@ -2,6 +2,8 @@
 // what ownership costs the store. See docs/decisions/ownership.md.
 #include "UnitTests/Ownership/OwnershipWorld.h"
 
+// The regular expressions of g++ 12 warn with sanitizers.
+#define CXXOPTS_NO_REGEX
 #include <cxxopts.hpp>
 #include <iostream>
 #include <nlohmann/json.hpp>
