--- a/Parsleystair/Tasks/ControlTask.cpp
+++ b/Parsleystair/Tasks/ControlTask.cpp
@@ -320,8 +320,15 @@
 
 bool control_task::IsHandedOver(time_point aNow) const
 {
-  // With no other router there is nobody to hand over to.
-  return mState.Routers(aNow).mLive.size() < 2 || mState.HeldGroups() == 0;
+  // A group's three holders are different routers, so without three others
+  // there is nobody who could take this router's place.
+  constexpr size_t kHolders = 3;
+  const router_view view = mState.Routers(aNow);
+  const auto staying = std::count_if(
+    view.mLive.begin(), view.mLive.end(), [](const live_router& aRouter) {
+      return !aRouter.mLeaving;
+    });
+  return static_cast<size_t>(staying) < kHolders || mState.HeldGroups() == 0;
 }
 
 void control_task::ContinueShutdown(time_point aNow)
