Plan moves from measured load; refuse new named keys of exclusive services

Cause: the placement planner was not used by the router. Naming a key of an exclusive service moves it to another slot without a fence, so that routers at different revisions could use two owners for it. Change: placement_driver measures each slot's load and starts balancing moves of the groups that the router renews first; planned_move has one definition. A note that names or un-names keys of an existing exclusive service is refused; named keys are given when the service is added. Conclusion: the hottest keys are shifted with their slots; fenced naming of keys is open.

--- a/Parsleystair/Ownership/RecordEditor.h
+++ b/Parsleystair/Ownership/RecordEditor.h
@@ -1,21 +1,12 @@
 #pragma once
 
 #include "Parsleystair/Ownership/GroupState.h"
+#include "Parsleystair/Ownership/PlannedMove.h"
 
 #include <memory>
 
 namespace parsleystair {
 
-/// A move that a placement planner wants.
-struct planned_move
-{
-  slot_id mSlot;
-  target_name mTo;
-  move_reason mReason = move_reason::kBalance;
-
-  bool operator==(const planned_move&) const = default;
-};
-
 /// All that decides the next record of a group besides its own state.
 struct edit_context
 {
--- a/Parsleystair/Placement/PlacementPolicy.h
+++ b/Parsleystair/Placement/PlacementPolicy.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Parsleystair/Core/Time.h"
-#include "Parsleystair/Ownership/GroupRecord.h"
+#include "Parsleystair/Ownership/PlannedMove.h"
 #include "Parsleystair/Settings/Configuration.h"
 
 #include <map>
@@ -81,16 +81,6 @@
   uint32_t mMinuteOfDay = 0;
 };
 
-/// A slot that should get another owner.
-struct planned_move
-{
-  slot_id mSlot;
-  target_name mTo;
-  move_reason mReason = move_reason::kInitial;
-
-  bool operator==(const planned_move&) const = default;
-};
-
 /// Decides which target should own which slot.
 class placement_policy
 {
--- a/Parsleystair/Settings/NoteServices.cpp
+++ b/Parsleystair/Settings/NoteServices.cpp
@@ -165,6 +165,10 @@
     for (size_t i = 0; i < aWithdrawal.mNamedKeys.size(); ++i) {
       const std::string& namedKey = aWithdrawal.mNamedKeys[i];
       auto& keys = aService.mNamedKeys;
+      if (IsFixedNamedKey(
+            aService, namedKey, Indexed(aPath + ".namedKeys", i))) {
+        continue;
+      }
       const auto place = std::find(keys.begin(), keys.end(), namedKey);
       if (namedKey.empty() || place == keys.end()) {
         mEdit.Add(Indexed(aPath + ".namedKeys", i),
@@ -228,6 +232,23 @@
     AddNamedKeys(*base, *service, parts.mNamedKeys, aPath + ".namedKeys");
   }
 
+  /// Naming a key gives it another slot, which may have another owner. Routers
+  /// apply a note at different moments, so that the key would have two owners
+  /// for a time.
+  bool IsFixedNamedKey(const service_configuration& aService,
+                       const std::string& aKey,
+                       const std::string& aPath)
+  {
+    if (aService.mOwnership == ownership_mode::kShared) {
+      return false;
+    }
+    mEdit.Add(aPath,
+              Quoted(aKey),
+              "no change of namedKeys; an exclusive service gets them when it "
+              "is added");
+    return true;
+  }
+
   /// A new key takes the first free place, so that no key changes its place.
   void AddNamedKeys(const service_configuration& aBase,
                     service_configuration& aService,
@@ -240,6 +261,9 @@
       const auto has = [&](const std::vector<std::string>& aList) {
         return std::find(aList.begin(), aList.end(), aKeys[i]) != aList.end();
       };
+      if (IsFixedNamedKey(aService, aKeys[i], Indexed(aPath, i))) {
+        continue;
+      }
       if (aKeys[i].empty() || has(keys) || has(old)) {
         mEdit.Add(Indexed(aPath, i),
                   Quoted(aKeys[i]),
--- a/Parsleystair/Tasks/ControlTask.cpp
+++ b/Parsleystair/Tasks/ControlTask.cpp
@@ -18,6 +18,8 @@
 constexpr duration kFetchInterval = 500ms;
 constexpr duration kTickInterval = 10ms;
 constexpr duration kReportInterval = 250ms;
+/// Balancing takes minutes, so that it need not look more often.
+constexpr duration kPlanInterval = 5s;
 /// Interval of snapshots that only renew the proof that the table is current.
 constexpr duration kSnapshotInterval = 50ms;
 /// Traffic reports are at most this old when they arrive.
@@ -80,6 +82,7 @@
       [this](worker_index aWorker, attempt_verdict aVerdict) {
         mWorkers[aWorker.Value()]->Send(std::move(aVerdict));
       })
+  , mPlacement(mState)
   , mPeerEndpoint(mState, mOwnershipDriver, mRecords)
   , mPeerServer(mRpcLoop,
                 aSettings.mPeers.mHost,
@@ -116,6 +119,7 @@
   mTickTimer.StartRepeating(aLoop, kTickInterval, [this] { Tick(); });
   mReportTimer.StartRepeating(
     aLoop, kReportInterval, [this] { OrderReports(); });
+  mPlanTimer.StartRepeating(aLoop, kPlanInterval, [this] { PlanMoves(); });
   PollStore();
   ListVms();
 }
@@ -237,6 +241,18 @@
   }
 }
 
+void control_task::PlanMoves()
+{
+  const time_point now = MonotonicNow();
+  const std::vector<planned_move> moves = mPlacement.Plan(now, WallNow());
+  if (moves.empty()) {
+    return;
+  }
+  log_line(log_severity::kInfo, "moves_planned")
+    .Add("moves", uint64_t{ moves.size() });
+  mOwnershipDriver.Execute(mState.mOwnership.HandlePlannedMoves(moves, now));
+}
+
 void control_task::PublishSnapshot(time_point aNow)
 {
   const auto& current = mState.mConfiguration.Current();
@@ -324,10 +340,10 @@
   // there is nobody who could take this router's place.
   constexpr size_t kHolders = 3;
   const router_view view = mState.Routers(aNow);
-  const auto staying = std::count_if(
-    view.mLive.begin(), view.mLive.end(), [](const live_router& aRouter) {
-      return !aRouter.mLeaving;
-    });
+  const auto staying =
+    std::count_if(view.mLive.begin(),
+                  view.mLive.end(),
+                  [](const live_router& aRouter) { return !aRouter.mLeaving; });
   return static_cast<size_t>(staying) < kHolders || mState.HeldGroups() == 0;
 }
 
@@ -368,6 +384,7 @@
 
 void control_task::Apply(const traffic_report& aReport)
 {
+  mPlacement.Handle(aReport);
   const time_point now = MonotonicNow();
   for (const slot_traffic& traffic : aReport.mTraffic) {
     const target_id target{ traffic.mSlot.mService, traffic.mTarget };
--- a/Parsleystair/Tasks/ControlTask.h
+++ b/Parsleystair/Tasks/ControlTask.h
@@ -6,6 +6,7 @@
 #include "Parsleystair/Platform/EtcdStore.h"
 #include "Parsleystair/Tasks/OperatorEndpoint.h"
 #include "Parsleystair/Tasks/PeerEndpoint.h"
+#include "Parsleystair/Tasks/PlacementDriver.h"
 #include "Parsleystair/Tasks/WorkerTask.h"
 
 #include <memory>
@@ -38,6 +39,7 @@
   void SendHeartbeats();
   void FetchFromPeers();
   void Tick();
+  void PlanMoves();
   void PublishSnapshot(time_point aNow);
   void PublishCrashes(time_point aNow);
   void OrderReports();
@@ -66,6 +68,7 @@
   target_links mTargets;
   ownership_driver mOwnershipDriver;
   record_driver mRecords;
+  placement_driver mPlacement;
   peer_endpoint mPeerEndpoint;
   peer_server mPeerServer;
   operator_endpoint mOperators;
@@ -87,6 +90,7 @@
   timer mFetchTimer;
   timer mTickTimer;
   timer mReportTimer;
+  timer mPlanTimer;
 };
 
 } // namespace parsleystair
--- a/UnitTests/Settings/NoteFixture.h
+++ b/UnitTests/Settings/NoteFixture.h
@@ -35,6 +35,7 @@
             { "name": "write", "method": "PUT", "path": "/menus/{school}",
               "keyName": "school" } ] },
         { "name": "routes", "ownership": "shared",
+          "namedKeys": [ "route-1", "route-2" ],
           "targets": [
             { "name": "routes-1", "host": "127.0.0.1", "port": 9101,
               "failureDomain": "oviedo" } ],
