--- a/Build/demo.sh
+++ b/Build/demo.sh
@@ -10,42 +10,10 @@
   cmake --build --preset release --target parsleystaird parsleystair \
     standin_platform standin_target parsleystair_load)
 
-bin=$PWD/Build/out/release
-work=$(mktemp -d)
-platform=127.0.0.1:2379
-command=("$bin/parsleystair" --platform "$platform" --router 127.0.0.1:20012)
-declare -A pids=()
-
-stop_all() {
-  for name in "${!pids[@]}"; do
-    kill "${pids[$name]}" 2> /dev/null || true
-  done
-  wait || true
-  rm -rf "$work"
-}
+# shellcheck source=deployment.sh
+. Build/deployment.sh
 trap stop_all EXIT
 
-start() { # NAME PROGRAM ARGUMENTS...
-  local name=$1
-  shift
-  "$@" > "$work/$name.log" 2>&1 &
-  pids[$name]=$!
-}
-
-step() { printf '\n== %s\n' "$*"; }
-
-wait_for() { # SECONDS COMMAND...
-  local end=$((SECONDS + $1))
-  shift
-  until "$@" > /dev/null 2>&1; do
-    if [ "$SECONDS" -ge "$end" ]; then
-      echo "gave up waiting for: $*" >&2
-      return 1
-    fi
-    sleep 0.1
-  done
-}
-
 uuid7() {
   local ms
   ms=$(printf '%012x' "$(date +%s%3N)")
@@ -54,30 +22,19 @@
 }
 
 step "Stand-ins: the platform and the targets of all services"
-start platform "$bin/standin_platform" --port 2379
+start_platform
 while read -r name port checks; do
-  options=()
-  [ "$checks" = true ] || options=(--ignore-grants)
-  start "$name" "$bin/standin_target" --name "$name" --port "$port" \
-    --service-time-ms 2 "${options[@]}"
-done < <(sed -n 's/.*"name": "\([a-z]*-[0-9]*\)", "host": "[0-9.]*", "port": \([0-9]*\).*"checksGrants": \([a-z]*\).*/\1 \2 \3/p' \
-  examples/fiambrera.json examples/fiambrera-2.json)
-wait_for 10 curl -sf "http://$platform/vms"
+  start_target "$name" "$port" "$checks"
+done < <(list_targets examples/fiambrera.json examples/fiambrera-2.json)
 echo "${#pids[@]} processes"
 
 step "Routers: one in each failure domain"
 domains=(santander torrelavega oviedo gijon)
 for i in 1 2 3 4; do
-  domain=${domains[$((i - 1))]}
-  curl -sf -X PUT "http://$platform/vms/vm-$i" -o /dev/null -d \
-    "{\"host\":\"127.0.0.1\",\"peerPort\":200${i}3,\"failureDomain\":\"$domain\",\"leaving\":false}"
-  sed "s/vm-1\"/vm-$i\"/; s/santander/$domain/; s/2001\([123]\)/200$i\1/" \
-    examples/fiambrera-vm-1.json > "$work/vm-$i.json"
-  "$bin/parsleystaird" --settings "$work/vm-$i.json" --check
-  start "vm-$i" "$bin/parsleystaird" --settings "$work/vm-$i.json"
+  start_router "$i" "${domains[$((i - 1))]}" examples/fiambrera-vm-1.json
 done
 for i in 1 2 3 4; do
-  wait_for 10 curl -sf "http://127.0.0.1:200${i}2/healthz"
+  wait_for 10 curl -sf "http://127.0.0.1:$(router_port "$i" 2)/healthz"
 done
 
 step "First release note"
@@ -101,9 +58,7 @@
 "${command[@]}" owner menus elm-street
 owner=$("${command[@]}" --json owner menus elm-street |
   grep -o '"owner": *"[^"]*"' | cut -d'"' -f4)
-disown "${pids[$owner]}"
-kill -9 "${pids[$owner]}"
-unset "pids[$owner]"
+kill_hard "$owner"
 killed=$(date +%s%3N)
 wait_for 15 curl -sf "$school"
 echo "served again after $(($(date +%s%3N) - killed)) ms by:"
@@ -125,7 +80,7 @@
    "idempotent": false, "repeatShare": 0.2, "body": "{key}"}]}
 MIX
 routers=()
-for i in 1 2 3 4; do routers+=(--router "127.0.0.1:200${i}1"); done
+for i in 1 2 3 4; do routers+=(--router "127.0.0.1:$(router_port "$i" 1)"); done
 "$bin/parsleystair_load" "${routers[@]}" --mix "$work/mix.json" \
   --rate 200 --seconds 5 --keys 500 --seed 1
 
