--- a/Parsleystair/Ownership/OwnershipController.cpp
+++ b/Parsleystair/Ownership/OwnershipController.cpp
@@ -106,13 +106,9 @@
   time_point aAskedAt,
   time_point aNow)
 {
-  PARSLEYSTAIR_INVARIANT(aAskedAt <= aNow);
-  if (aReply.mStatus != store_status::kAnswered) {
+  if (!LearnEntries(aReply, aAskedAt, aNow)) {
     return {};
   }
-  for (const store_entry& entry : aReply.mEntries) {
-    LearnEntry(entry, aNow);
-  }
   mPolledTo = std::max(mPolledTo, aReply.mHead);
   mPollProofAt = std::max(mPollProofAt.value_or(aAskedAt), aAskedAt);
   for (auto& [group, state] : mGroups) {
@@ -129,13 +125,9 @@
   time_point aAskedAt,
   time_point aNow)
 {
-  PARSLEYSTAIR_INVARIANT(aAskedAt <= aNow);
-  if (aReply.mStatus != store_status::kAnswered) {
+  if (!LearnEntries(aReply, aAskedAt, aNow)) {
     return {};
   }
-  for (const store_entry& entry : aReply.mEntries) {
-    LearnEntry(entry, aNow);
-  }
   group_state& state = State(aGroup);
   state.ProveByStore(aAskedAt);
   SettleReadBack(state, aAskedAt);
@@ -151,6 +143,20 @@
   }
 }
 
+bool ownership_controller::LearnEntries(const range_reply& aReply,
+                                        time_point aAskedAt,
+                                        time_point aNow)
+{
+  PARSLEYSTAIR_INVARIANT(aAskedAt <= aNow);
+  if (aReply.mStatus != store_status::kAnswered) {
+    return false;
+  }
+  for (const store_entry& entry : aReply.mEntries) {
+    LearnEntry(entry, aNow);
+  }
+  return true;
+}
+
 void ownership_controller::LearnEntry(const store_entry& aEntry,
                                       time_point aNow)
 {
--- a/Parsleystair/Ownership/OwnershipController.h
+++ b/Parsleystair/Ownership/OwnershipController.h
@@ -133,6 +133,10 @@
 private:
   group_state& State(group_index aGroup);
   void Learn(const group_record& aRecord, time_point aNow);
+  /// False when the store did not answer.
+  bool LearnEntries(const range_reply& aReply,
+                    time_point aAskedAt,
+                    time_point aNow);
   void LearnEntry(const store_entry& aEntry, time_point aNow);
   void SettleReadBack(group_state& aState, time_point aAskedAt);
   void UpdateLine(group_state& aState);
--- a/Parsleystair/Settings/RouterSettings.cpp
+++ b/Parsleystair/Settings/RouterSettings.cpp
@@ -91,15 +91,11 @@
         "maxBodyBytes": {
           "type": "integer", "minimum": 0, "maximum": 16777216,
           "description": "an integer from 0 to 16777216"
-        },
-        "maxConnections": {
-          "type": "integer", "minimum": 1, "maximum": 1000000,
-          "description": "an integer from 1 to 1000000"
         }
       },
       "additionalProperties": false,
       "description":
-        "an object with maxHeaderBytes, maxBodyBytes and maxConnections"
+        "an object with maxHeaderBytes and maxBodyBytes"
     },
     "shutdownLimitMs": {
       "type": "integer", "minimum": 0, "maximum": 3600000,
@@ -158,8 +154,6 @@
   limits.mMaxHeaderBytes =
     aObject.value("maxHeaderBytes", limits.mMaxHeaderBytes);
   limits.mMaxBodyBytes = aObject.value("maxBodyBytes", limits.mMaxBodyBytes);
-  limits.mMaxConnections =
-    aObject.value("maxConnections", limits.mMaxConnections);
   return limits;
 }
 
--- a/Parsleystair/Settings/RouterSettings.h
+++ b/Parsleystair/Settings/RouterSettings.h
@@ -35,8 +35,6 @@
   uint32_t mMaxHeaderBytes = 16'384;
   /// Body of one request, in bytes; 0 to 16,777,216.
   uint32_t mMaxBodyBytes = 1'048'576;
-  /// Connections of all workers together; 1 to 1,000,000.
-  uint32_t mMaxConnections = 10'000;
 
   bool operator==(const caller_limits&) const = default;
 };
--- a/Parsleystair/Tasks/ControlTask.cpp
+++ b/Parsleystair/Tasks/ControlTask.cpp
@@ -24,8 +24,6 @@
 constexpr duration kSnapshotInterval = 50ms;
 /// Traffic reports are at most this old when they arrive.
 constexpr duration kTrafficAge = 100ms;
-/// Time for the platform's balancer to see that this router is not ready.
-constexpr duration kBalancerNotice = 1s;
 
 etcd_store_settings StoreSettings(const router_settings& aSettings,
                                   uint64_t aSeed)
@@ -37,21 +35,6 @@
   return settings;
 }
 
-const char* StateName(member_state aState)
-{
-  switch (aState) {
-    case member_state::kLive:
-      return "live";
-    case member_state::kSuspect:
-      return "suspect";
-    case member_state::kLost:
-      return "lost";
-    case member_state::kLeaving:
-      return "leaving";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 control_task::control_task(event_loop& aLoop,
@@ -314,59 +297,6 @@
   SendToWorkers(report_order{});
 }
 
-void control_task::Shutdown()
-{
-  if (mShutdownSince) {
-    return;
-  }
-  log_line(log_severity::kInfo, "shutdown_started")
-    .Add("vm", mState.mSelf.mName.Value());
-  mShutdownSince = MonotonicNow();
-  mState.mIsDraining = true;
-  mState.mMembership.SetLeaving();
-}
-
-bool control_task::AreWorkersDrained() const
-{
-  return std::all_of(
-    mReports.begin(), mReports.end(), [](const worker_report& aReport) {
-      return aReport.mDrained;
-    });
-}
-
-bool control_task::IsHandedOver(time_point aNow) const
-{
-  // A group's three holders are different routers, so without three others
-  // there is nobody who could take this router's place.
-  constexpr size_t kHolders = 3;
-  const router_view view = mState.Routers(aNow);
-  const auto staying =
-    std::count_if(view.mLive.begin(),
-                  view.mLive.end(),
-                  [](const live_router& aRouter) { return !aRouter.mLeaving; });
-  return static_cast<size_t>(staying) < kHolders || mState.HeldGroups() == 0;
-}
-
-void control_task::ContinueShutdown(time_point aNow)
-{
-  const duration elapsed = aNow - *mShutdownSince;
-  const duration limit = mState.mSettings.mShutdownLimit;
-  if (!mDrainOrdered && elapsed >= std::min(kBalancerNotice, limit / 2)) {
-    mDrainOrdered = true;
-    SendToWorkers(drain_order{});
-    OrderReports();
-  }
-  const bool isComplete = AreWorkersDrained() && IsHandedOver(aNow);
-  if (isComplete || elapsed >= limit) {
-    log_line(log_severity::kInfo, "shutdown_ended")
-      .Add("vm", mState.mSelf.mName.Value())
-      .Add("complete", isComplete)
-      .Add("held_groups", uint64_t{ mState.HeldGroups() })
-      .Add("elapsed_ms", elapsed / std::chrono::milliseconds(1));
-    mLoop.Stop();
-  }
-}
-
 void control_task::Apply(const begin_query& aQuery)
 {
   mRecords.Handle(aQuery);
@@ -404,39 +334,4 @@
   mReports[index] = std::move(aReport);
 }
 
-router_report control_task::MakeReport() const
-{
-  const time_point now = MonotonicNow();
-  router_report report;
-  report.mVm = mState.mSelf;
-  report.mFailureDomain = mState.mSettings.mFailureDomain;
-  report.mRegion = mState.Region();
-  report.mConfiguration = mState.mConfiguration.Current();
-  report.mIsDraining = mState.mIsDraining;
-  report.mIsReady = report.mConfiguration != nullptr && !mState.mIsDraining;
-  report.mUptime = now - mState.mStartedAt;
-  report.mInForceFor = now - mState.mConfiguration.Since();
-  report.mRefusedConfigurations = mState.mConfiguration.Refused();
-  report.mOwnership = mState.mOwnership.Dump(now);
-  report.mStore = mStore.Counters();
-  for (const worker_report& worker : mReports) {
-    report.mWorkers.Add(worker.mCounters);
-    report.mOpenRequests += worker.mOpenRequests;
-  }
-  for (const member& known : mState.mMembership.Members(now)) {
-    report.mMembers.push_back({ known.mVm,
-                                StateName(known.mState),
-                                known.mFailureDomain,
-                                known.mConfiguration,
-                                known.mInForce,
-                                known.mAge.value_or(duration::max()) });
-  }
-  report.mRecords = { mRecords.Counts().mRecords,
-                      mRecords.Counts().mBytes,
-                      mRecords.OpenAttempts() };
-  report.mCrashes = mState.mCrashes.Notices(now);
-  report.mNow = now;
-  return report;
-}
-
 } // namespace parsleystair
