Give the ownership controller a new view of routers only when it differs

Cause: the control task handed over its view every 10 ms, and each view makes the controller look at all groups. Change: a view is handed over when it differs, and every 500 ms otherwise. The change stays, as the work was needless.

--- a/Parsleystair/Tasks/ControlTask.cpp
+++ b/Parsleystair/Tasks/ControlTask.cpp
@@ -17,6 +17,7 @@
 constexpr duration kHeartbeatInterval = 50ms;
 constexpr duration kFetchInterval = 500ms;
 constexpr duration kTickInterval = 10ms;
+constexpr duration kRoutersInterval = 500ms;
 constexpr duration kReportInterval = 250ms;
 /// Balancing takes minutes, so that it need not look more often.
 constexpr duration kPlanInterval = 5s;
@@ -215,8 +216,7 @@
 void control_task::Tick()
 {
   const time_point now = MonotonicNow();
-  mOwnershipDriver.Execute(
-    mState.mOwnership.HandleRouters(mState.Routers(now), now));
+  UpdateRouters(now);
   mOwnershipDriver.Execute(mState.mOwnership.Tick(now, WallNow()));
   PublishSnapshot(now);
   if (mShutdownSince) {
@@ -224,6 +224,19 @@
   }
 }
 
+void control_task::UpdateRouters(time_point aNow)
+{
+  // Each view makes the controller look at all groups, so it gets one only when
+  // it differs, or when holders that stay absent may have become due.
+  router_view view = mState.Routers(aNow);
+  if (view == mRouters && aNow - mRoutersAt < kRoutersInterval) {
+    return;
+  }
+  mRouters = std::move(view);
+  mRoutersAt = aNow;
+  mOwnershipDriver.Execute(mState.mOwnership.HandleRouters(mRouters, aNow));
+}
+
 void control_task::PlanMoves()
 {
   const time_point now = MonotonicNow();
--- a/Parsleystair/Tasks/ControlTask.h
+++ b/Parsleystair/Tasks/ControlTask.h
@@ -39,6 +39,7 @@
   void SendHeartbeats();
   void FetchFromPeers();
   void Tick();
+  void UpdateRouters(time_point aNow);
   void PlanMoves();
   void PublishSnapshot(time_point aNow);
   void PublishCrashes(time_point aNow);
@@ -77,6 +78,8 @@
   std::vector<worker_report> mReports;
 
   size_t mOpenPolls = 0;
+  router_view mRouters;
+  time_point mRoutersAt{};
   uint64_t mPublishedDigest = 0;
   time_point mPublishedAt{};
   std::shared_ptr<const route_table> mRoutes;
