Answer 431 to headers over the limit

Cause: evhttp answers 400 to headers that are too long, which doesn't say what is wrong. Change: evhttp's own limit is four times ours, and headers between the two get 431. Conclusion: above four times the limit the status is still evhttp's.

--- a/Parsleystair/Http/HttpServer.cpp
+++ b/Parsleystair/Http/HttpServer.cpp
@@ -19,6 +19,23 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
+constexpr int kHeaderFieldsTooLarge = 431;
+/// evhttp answers 400 above its own limit. It is set to this multiple of ours,
+/// so that headers between the two get the status that says what is wrong.
+constexpr uint32_t kHeaderSlack = 4;
+
+/// Size of a request's line and headers as sent, in bytes.
+size_t HeaderBytes(const http_request& aRequest)
+{
+  constexpr size_t kLineOverhead = 14;
+  constexpr size_t kHeaderOverhead = 4;
+  size_t bytes = aRequest.mMethod.size() + aRequest.mPath.size() +
+                 aRequest.mQuery.size() + kLineOverhead;
+  for (const http_header& header : aRequest.mHeaders) {
+    bytes += header.mName.size() + header.mValue.size() + kHeaderOverhead;
+  }
+  return bytes;
+}
 
 /// Tells if a request's framing is ambiguous, so that another parser could see
 /// a second request in its body (RFC 9112 section 6.1).
@@ -33,6 +50,13 @@
   return lengths + encodings > 1;
 }
 
+void RefuseAndClose(evhttp_request* aRequest, int aStatus, const char* aReason)
+{
+  evhttp_add_header(
+    evhttp_request_get_output_headers(aRequest), "Connection", "close");
+  evhttp_send_error(aRequest, aStatus, aReason);
+}
+
 http_request ReadRequest(evhttp_request* aRequest)
 {
   http_request request;
@@ -91,9 +115,11 @@
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   http_request request = ReadRequest(aRequest);
   if (HasAmbiguousLength(request.mHeaders)) {
-    evhttp_add_header(
-      evhttp_request_get_output_headers(aRequest), "Connection", "close");
-    evhttp_send_error(aRequest, HTTP_BADREQUEST, "ambiguous body length");
+    RefuseAndClose(aRequest, HTTP_BADREQUEST, "ambiguous body length");
+    return;
+  }
+  if (HeaderBytes(request) > mSettings.mMaxHeaderBytes) {
+    RefuseAndClose(aRequest, kHeaderFieldsTooLarge, "headers too large");
     return;
   }
   const exchange_id exchange(mNextExchange++);
@@ -144,7 +170,8 @@
     throw system_error("libevent could not create an HTTP server");
   }
   evhttp* server = mState->mServer;
-  evhttp_set_max_headers_size(server, aSettings.mMaxHeaderBytes);
+  evhttp_set_max_headers_size(
+    server, static_cast<ev_ssize_t>(aSettings.mMaxHeaderBytes) * kHeaderSlack);
   evhttp_set_max_body_size(server, aSettings.mMaxBodyBytes);
   const timeval timeout = ToTimeval(aSettings.mIdleTimeout);
   evhttp_set_timeout_tv(server, &timeout);
--- a/UnitTests/Http/HttpTest.cpp
+++ b/UnitTests/Http/HttpTest.cpp
@@ -278,6 +278,7 @@
   EXPECT_EQ(replies[0].substr(9, 3), "400");
   EXPECT_EQ(replies[1].substr(9, 3), "400");
   EXPECT_EQ(replies[3].substr(9, 3), "413");
+  EXPECT_EQ(replies[4].substr(9, 3), "431");
 }
 
 } // namespace parsleystair
