Make the peers' tests independent of the machine's speed

Cause: all of them shared a call time of 200 ms on one thread for client and server, which a sanitizer build on a busy machine can exceed. Change: 2 s for the call time and the silence limit of the fixture; expectations are unchanged.

--- a/UnitTests/Peers/PeerRpcTest.cpp
+++ b/UnitTests/Peers/PeerRpcTest.cpp
@@ -184,6 +184,9 @@
   {
     peer_client_settings settings;
     settings.mMinBackoff = 10ms;
+    // Client and server share a thread, which a busy machine may hold up.
+    settings.mCallTimeout = 2s;
+    settings.mSilenceLimit = 2s;
     return settings;
   }
 
