--- a/Parsleystair/Limits/ConcurrencyLimit.cpp
+++ b/Parsleystair/Limits/ConcurrencyLimit.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 /// Differences between shorter times come from the network and from schedulers,
-/// not from a queue at the target. Targets that answer in 0.1 ms lost most of
-/// their share without this bound when the router's machine was busy.
+/// not from a queue at the target. Without this bound, targets that answer in
+/// 0.1 ms got less than a third of the requests that they could take.
 constexpr duration kShortestBaseline = 5ms;
 /// Samples of one step. Fewer follow load faster, but follow the scatter of
 /// single requests as well.
