Remove code that nothing calls and a signal setting made twice

Change: they are gone; behaviour is the same. Conclusion: lost targets of shared services are avoided by outlier_tracker only.

--- a/Daemons/Router.cpp
+++ b/Daemons/Router.cpp
@@ -61,7 +61,6 @@
 
 void Run(const router_settings& aSettings)
 {
-  std::signal(SIGPIPE, SIG_IGN);
   event_loop loop;
   control_task control(loop, aSettings, RandomSeed());
   const signal_handler terminate(loop, SIGTERM, control);
--- a/Parsleystair/Request/Problem.cpp
+++ b/Parsleystair/Request/Problem.cpp
@@ -98,11 +98,6 @@
   return "";
 }
 
-uint32_t ReasonStatus(refusal_reason aReason)
-{
-  return FormOf(aReason).mStatus;
-}
-
 std::string_view OutcomeText(const request_outcome& aOutcome)
 {
   if (std::holds_alternative<answered>(aOutcome)) {
--- a/Parsleystair/Request/Problem.h
+++ b/Parsleystair/Request/Problem.h
@@ -13,9 +13,6 @@
 /// Name of the reason of an outcome; empty for an answer.
 std::string_view RefusalReason(const request_outcome& aOutcome);
 
-/// HTTP status of a refusal.
-uint32_t ReasonStatus(refusal_reason aReason);
-
 /// Value of the member `outcome`: "not-run", "may-have-run" or "ran".
 std::string_view OutcomeText(const request_outcome& aOutcome);
 
--- a/Parsleystair/Request/RoutingSnapshot.cpp
+++ b/Parsleystair/Request/RoutingSnapshot.cpp
@@ -62,8 +62,7 @@
   std::vector<const target_configuration*> near;
   std::vector<const target_configuration*> usable;
   for (const target_configuration& target : service.mTargets) {
-    if (target.mLeaving ||
-        aSnapshot.mUnusable.contains({ service.mName, target.mName })) {
+    if (target.mLeaving) {
       continue;
     }
     usable.push_back(&target);
--- a/Parsleystair/Request/RoutingSnapshot.h
+++ b/Parsleystair/Request/RoutingSnapshot.h
@@ -7,7 +7,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <variant>
 #include <vector>
 
@@ -34,8 +33,6 @@
   std::shared_ptr<const route_table> mRoutes;
   /// Time until which this router's table of a group is proven to be current.
   std::vector<time_point> mAuthorityUntil;
-  /// Targets that get no new work: leaving or lost.
-  std::set<std::pair<service_name, target_name>> mUnusable;
   region_name mRegion;
 };
 
--- a/Parsleystair/Tasks/WorkerCounters.cpp
+++ b/Parsleystair/Tasks/WorkerCounters.cpp
@@ -33,16 +33,4 @@
   mLatency = AddBuckets(mLatency, aOther.mLatency);
 }
 
-uint64_t worker_counters::Outcomes() const
-{
-  uint64_t total = mAnswered;
-  for (const auto& [reason, count] : mNotRun) {
-    total += count;
-  }
-  for (const auto& [reason, count] : mMayHaveRun) {
-    total += count;
-  }
-  return total;
-}
-
 } // namespace parsleystair
--- a/Parsleystair/Tasks/WorkerCounters.h
+++ b/Parsleystair/Tasks/WorkerCounters.h
@@ -33,9 +33,6 @@
 
   /// Counts the outcome of one request.
   void Count(const request_outcome& aOutcome);
-
-  /// Requests that had an outcome.
-  [[nodiscard]] uint64_t Outcomes() const;
 };
 
 } // namespace parsleystair
--- a/Parsleystair/Upstream/TargetPool.cpp
+++ b/Parsleystair/Upstream/TargetPool.cpp
@@ -57,7 +57,6 @@
 target_pool::connection_pointer target_pool::TakeConnection()
 {
   if (mIdle.empty()) {
-    ++mCounters.mConnectionsOpened;
     return std::make_unique<http_connection>(mLoop, mHost, mPort);
   }
   connection_pointer connection = std::move(mIdle.back());
@@ -103,7 +102,6 @@
       }
       break;
     case http_status::kNotSent:
-      ++mCounters.mUnreachable;
       result.mStatus = try_status::kNotSent;
       break;
     case http_status::kNoAnswer:
@@ -151,7 +149,6 @@
   suspected.mProbing = true;
   // Each further probe of a slow request waits twice as long.
   suspected.mProbeAt = aNow + (aNow - suspected.mSentAt);
-  ++mCounters.mProbes;
   CallOnce("GET",
            "/requests/" + suspected.mRequestId,
            [this, aTry](const http_result& aResult) {
@@ -204,7 +201,6 @@
   if (node.empty()) {
     return;
   }
-  ++mCounters.mSilentClosed;
   try_result result;
   result.mSilent = true;
   result.mStatus =
--- a/Parsleystair/Upstream/TargetPool.h
+++ b/Parsleystair/Upstream/TargetPool.h
@@ -40,15 +40,6 @@
 /// Names one try within a pool.
 using try_id = strong_id<struct try_tag, uint64_t>;
 
-/// Counters of a pool.
-struct pool_counters
-{
-  uint64_t mConnectionsOpened = 0;
-  uint64_t mSilentClosed = 0;
-  uint64_t mProbes = 0;
-  uint64_t mUnreachable = 0;
-};
-
 /// A worker's connections to one target. Finds connections that have lost
 /// their path by asking the target, over a new connection, about the oldest
 /// unanswered request.
@@ -85,9 +76,6 @@
     return mTries.empty() && mProbes.empty();
   }
   [[nodiscard]] size_t InFlight() const { return mTries.size(); }
-  [[nodiscard]] size_t IdleConnections() const { return mIdle.size(); }
-  [[nodiscard]] duration MedianLatency() const { return mLatency.Median(); }
-  [[nodiscard]] const pool_counters& Counters() const { return mCounters; }
 
 private:
   using connection_pointer = std::unique_ptr<http_connection>;
@@ -123,7 +111,6 @@
   uint64_t mNextTry = 1;
   uint64_t mNextProbe = 1;
   latency_window mLatency;
-  pool_counters mCounters;
   std::vector<connection_pointer> mIdle;
   std::map<try_id, open_try> mTries;
   std::map<uint64_t, connection_pointer> mProbes;
