Replace evhttp by a strict parser on libevent

evhttp took requests without a Host field, with control bytes in values and with malformed escapes, and answered 413 to a malformed chunk size. It also can't tell that a caller closed its connection while its request is open, nor see bytes after a whole answer.

--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -1,157 +1,183 @@
 #include "Parsleystair/Http/HttpConnection.h"
 
-#include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Invariant.h"
-#include "Parsleystair/Http/EventHttp.h"
+#include "Parsleystair/Http/MessageParser.h"
+#include "Parsleystair/Http/MessageText.h"
 
-#include <event2/buffer.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
+#include <optional>
 
 namespace parsleystair {
 
-namespace {
-
-/// Answers without a body by their status (RFC 9112 section 6.3).
-bool HasNoBody(uint32_t aStatus, const std::string& aMethod)
-{
-  constexpr uint32_t kNoContent = 204;
-  constexpr uint32_t kNotModified = 304;
-  return aMethod == "HEAD" || aStatus == kNoContent || aStatus == kNotModified;
-}
-
-/// An answer that ends with its connection can't be told from one that was cut
-/// short, so it doesn't count as whole.
-bool HasKnownLength(const http_answer& aAnswer, const std::string& aMethod)
-{
-  return HasNoBody(aAnswer.mStatus, aMethod) ||
-         FindHeader(aAnswer.mHeaders, "content-length") ||
-         FindHeader(aAnswer.mHeaders, "transfer-encoding");
-}
-
-/// Frees a connection from the loop, as evhttp may still use it when its
-/// callback returns.
-void FreeLater(event_base* aBase, evhttp_connection* aConnection)
-{
-  const timeval now{};
-  event_base_once(
-    aBase,
-    -1,
-    EV_TIMEOUT,
-    [](evutil_socket_t, short, void* aArgument) {
-      evhttp_connection_free(static_cast<evhttp_connection*>(aArgument));
-    },
-    aConnection,
-    &now);
-}
-
-} // namespace
-
-struct http_connection::state
+struct http_connection::state : stream_handler
 {
   event_loop& mLoop;
   std::string mHost;
   uint16_t mPort;
-  uint32_t mMaxBodyBytes;
-  evhttp_connection* mConnection = nullptr;
-  evhttp_request* mRequest = nullptr;
-  std::string mMethod;
+  http_connection_settings mSettings;
+  std::unique_ptr<socket_stream> mStream;
+  bool mConnected = false;
+  std::optional<answer_parser> mParser;
+  std::string mInput;
   callback mCallback;
-  bool mTimedOut = false;
+  answer_filter mFilter;
+  bool mToHead = false;
+  bool mReused = false;
+  /// An answer that belongs to no call was skipped.
+  bool mSkipped = false;
   timer mDeadline;
 
   state(event_loop& aLoop,
         std::string aHost,
         uint16_t aPort,
-        uint32_t aMaxBodyBytes)
+        const http_connection_settings& aSettings)
     : mLoop(aLoop)
     , mHost(std::move(aHost))
     , mPort(aPort)
-    , mMaxBodyBytes(aMaxBodyBytes)
+    , mSettings(aSettings)
   {
   }
 
+  // stream_handler
+  void HandleBytes(std::string_view aBytes) override;
+  void HandleEnd(stream_end aEnd) override;
+  void HandleTimeout() override;
+  void HandleConnected() override;
+
   void Connect();
-  void Send(const http_request& aRequest);
-  void Handle(evhttp_request* aRequest);
+  void StartParser();
+  void ReadAnswers();
+  void FinishAnswered();
+  void Fail(http_failure aFailure, bool aTimedOut);
   void Finish(http_result aResult);
-  void Close();
+  void Close(bool aReset);
 };
 
 void http_connection::state::Connect()
 {
-  if (mConnection != nullptr) {
+  mReused = mStream != nullptr;
+  if (mReused) {
     return;
   }
-  mConnection =
-    evhttp_connection_base_new(mLoop.Base(), nullptr, mHost.c_str(), mPort);
-  if (mConnection == nullptr) {
-    throw system_error("libevent could not create a connection to " + mHost);
-  }
-  evhttp_connection_set_max_body_size(mConnection, mMaxBodyBytes);
-  evhttp_connection_set_retries(mConnection, 0);
+  mConnected = false;
+  mStream = std::make_unique<socket_stream>(
+    mLoop, mHost, mPort, mSettings.mStream, *this);
+  mStream->StartTimer(mSettings.mConnectTimeout);
 }
 
-void http_connection::state::Send(const http_request& aRequest)
+void http_connection::state::StartParser()
 {
-  mRequest = evhttp_request_new(
-    [](evhttp_request* aDone, void* aArgument) {
-      static_cast<state*>(aArgument)->Handle(aDone);
-    },
-    this);
-  evkeyvalq* headers = evhttp_request_get_output_headers(mRequest);
-  for (const http_header& header : aRequest.mHeaders) {
-    evhttp_add_header(headers, header.mName.c_str(), header.mValue.c_str());
-  }
-  if (!FindHeader(aRequest.mHeaders, "host")) {
-    evhttp_add_header(headers, "Host", mHost.c_str());
+  mParser.emplace(mSettings.mMaxBodyBytes, mToHead);
+}
+
+void http_connection::state::HandleConnected()
+{
+  mConnected = true;
+  mStream->CancelTimer();
+}
+
+void http_connection::state::HandleTimeout()
+{
+  Fail(http_failure::kConnect, false);
+}
+
+void http_connection::state::HandleBytes(std::string_view aBytes)
+{
+  if (!mCallback) {
+    Close(true);
+    return;
   }
-  evbuffer_add(evhttp_request_get_output_buffer(mRequest),
-               aRequest.mBody.data(),
-               aRequest.mBody.size());
-  std::string uri = aRequest.mPath;
-  if (!aRequest.mQuery.empty()) {
-    uri += '?';
-    uri += aRequest.mQuery;
+  mInput += aBytes;
+  ReadAnswers();
+}
+
+void http_connection::state::ReadAnswers()
+{
+  while (!mInput.empty()) {
+    mInput.erase(0, mParser->Feed(mInput));
+    if (mParser->State() == parse_state::kIncomplete) {
+      return;
+    }
+    if (mParser->State() == parse_state::kFailed) {
+      Fail(http_failure::kMalformed, false);
+      return;
+    }
+    answer_parser done = std::move(*mParser);
+    StartParser();
+    const bool ends = done.EndsConnection() || done.EndsWithStream();
+    http_result result;
+    result.mStatus = http_status::kAnswered;
+    result.mAnswer = done.Take();
+    if (!mFilter || mFilter(result.mAnswer)) {
+      // Bytes after the answer belong to no request, and a request that is
+      // still being sent would mix with the next one.
+      if (ends || mSkipped || !mInput.empty() || mStream->Unsent() > 0) {
+        Close(false);
+      }
+      Finish(std::move(result));
+      return;
+    }
+    mSkipped = true;
+    if (ends) {
+      Fail(http_failure::kMalformed, false);
+      return;
+    }
   }
-  evhttp_make_request(
-    mConnection, mRequest, MethodFromName(aRequest.mMethod), uri.c_str());
 }
 
-void http_connection::state::Handle(evhttp_request* aRequest)
+void http_connection::state::HandleEnd(stream_end aEnd)
 {
-  mRequest = nullptr;
-  http_result result;
-  result.mTimedOut = mTimedOut;
-  // evhttp passes null after a failure on an open connection, and the request
-  // with status 0 when the connection could not be made.
-  if (aRequest == nullptr) {
-    Finish(std::move(result));
+  if (!mCallback) {
+    Close(false);
     return;
   }
-  const int status = evhttp_request_get_response_code(aRequest);
-  if (status == 0) {
-    result.mStatus = http_status::kNotSent;
-    Finish(std::move(result));
+  if (aEnd == stream_end::kNotConnected) {
+    Fail(http_failure::kConnect, false);
     return;
   }
-  result.mAnswer.mStatus = static_cast<uint32_t>(status);
-  result.mAnswer.mHeaders =
-    ReadHeaders(evhttp_request_get_input_headers(aRequest));
-  result.mAnswer.mBody = TakeBody(evhttp_request_get_input_buffer(aRequest));
-  if (HasKnownLength(result.mAnswer, mMethod)) {
-    result.mStatus = http_status::kAnswered;
+  const bool unframed = mParser->EndsWithStream() &&
+                        aEnd == stream_end::kClosed &&
+                        mSettings.mTakesUnframedAnswers;
+  if (unframed) {
+    mParser->FeedEnd();
+  }
+  if (unframed && mParser->State() == parse_state::kComplete) {
+    FinishAnswered();
+    return;
+  }
+  Fail(mParser->HasStarted() ? http_failure::kCut : http_failure::kClosed,
+       false);
+}
+
+void http_connection::state::FinishAnswered()
+{
+  http_result result;
+  result.mStatus = http_status::kAnswered;
+  result.mAnswer = mParser->Take();
+  Close(false);
+  if (mFilter && !mFilter(result.mAnswer)) {
+    result = {};
+    result.mFailure = http_failure::kMalformed;
   }
   Finish(std::move(result));
 }
 
+void http_connection::state::Fail(http_failure aFailure, bool aTimedOut)
+{
+  // Bytes are given to the system only on a connection that was accepted.
+  const bool sent = mReused || mConnected;
+  http_result result;
+  result.mStatus = sent ? http_status::kNoAnswer : http_status::kNotSent;
+  result.mTimedOut = aTimedOut;
+  result.mFailure = aFailure;
+  Close(true);
+  Finish(std::move(result));
+}
+
 void http_connection::state::Finish(http_result aResult)
 {
   mDeadline.Cancel();
-  if (aResult.mStatus != http_status::kAnswered) {
-    Close();
-  }
+  mFilter = nullptr;
+  aResult.mReused = mReused;
   const callback done = std::move(mCallback);
   mCallback = nullptr;
   if (done) {
@@ -159,24 +185,20 @@
   }
 }
 
-void http_connection::state::Close()
+void http_connection::state::Close(bool aReset)
 {
-  if (mRequest != nullptr) {
-    evhttp_cancel_request(mRequest);
-    mRequest = nullptr;
-  }
-  if (mConnection != nullptr) {
-    FreeLater(mLoop.Base(), mConnection);
-    mConnection = nullptr;
+  if (mStream != nullptr && aReset) {
+    mStream->ResetOnClose();
   }
+  mStream.reset();
+  mInput.clear();
 }
 
 http_connection::http_connection(event_loop& aLoop,
                                  std::string aHost,
                                  uint16_t aPort,
-                                 uint32_t aMaxBodyBytes)
-  : mState(
-      std::make_shared<state>(aLoop, std::move(aHost), aPort, aMaxBodyBytes))
+                                 const http_connection_settings& aSettings)
+  : mState(std::make_shared<state>(aLoop, std::move(aHost), aPort, aSettings))
 {
 }
 
@@ -184,20 +206,23 @@
 {
   mState->mCallback = nullptr;
   mState->mDeadline.Cancel();
-  mState->Close();
+  mState->Close(true);
 }
 
 void http_connection::Call(const http_request& aRequest,
                            duration aTimeout,
-                           callback aCallback)
+                           callback aCallback,
+                           answer_filter aFilter)
 {
   PARSLEYSTAIR_INVARIANT(!IsBusy());
   mState->mCallback = std::move(aCallback);
-  mState->mMethod = aRequest.mMethod;
-  mState->mTimedOut = false;
+  mState->mFilter = std::move(aFilter);
+  mState->mToHead = aRequest.mMethod == "HEAD";
+  mState->mSkipped = false;
   mState->Connect();
+  mState->StartParser();
   mState->mDeadline.StartOnce(mState->mLoop, aTimeout, [this] { Abort(true); });
-  mState->Send(aRequest);
+  mState->mStream->Write(RequestText(aRequest, mState->mHost));
 }
 
 bool http_connection::IsBusy() const
@@ -205,13 +230,16 @@
   return static_cast<bool>(mState->mCallback);
 }
 
+bool http_connection::IsOpen() const
+{
+  return mState->mStream != nullptr && !IsBusy();
+}
+
 void http_connection::Abort(bool aTimedOut)
 {
   // The callback may destroy this object, so the state is kept until the end.
   const std::shared_ptr<state> kept = mState;
-  http_result result;
-  result.mTimedOut = aTimedOut;
-  kept->Finish(std::move(result));
+  kept->Fail(http_failure::kAborted, aTimedOut);
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/EventLoop.h"
 #include "Parsleystair/Http/HttpMessage.h"
+#include "Parsleystair/Http/SocketStream.h"
 
 #include <functional>
 #include <memory>
@@ -20,28 +21,60 @@
   kNoAnswer,
 };
 
+/// How a call without a whole answer failed.
+enum class http_failure
+{
+  kNone,
+  /// The connection was refused or not accepted in time.
+  kConnect,
+  /// The call's time was over, or the caller aborted it.
+  kAborted,
+  /// The connection ended before the first byte of an answer.
+  kClosed,
+  /// The connection ended within an answer.
+  kCut,
+  /// The bytes are no answer, or an answer to another request.
+  kMalformed,
+};
+
 struct http_result
 {
   http_status mStatus = http_status::kNoAnswer;
   http_answer mAnswer;
   /// The call ended because its time was over.
   bool mTimedOut = false;
+  http_failure mFailure = http_failure::kNone;
+  /// The call used a connection that an earlier call had opened.
+  bool mReused = false;
+};
+
+struct http_connection_settings
+{
+  /// Longest answer, in bytes.
+  uint32_t mMaxBodyBytes = 8 * 1024 * 1024;
+  /// Longest time for a new connection to be accepted.
+  duration mConnectTimeout = 5s;
+  /// Takes an answer without a length as whole when its connection ends in
+  /// order. Otherwise such an answer counts as cut.
+  bool mTakesUnframedAnswers = false;
+  /// How a silent peer is detected.
+  stream_settings mStream;
 };
 
 /// One client connection, connected at the first call and kept open, that
-/// carries one call at a time.
+/// carries one call at a time. Bytes that no call waits for close it.
 class http_connection
 {
 public:
   using callback = std::function<void(http_result)>;
-
-  /// Longest answer, in bytes.
-  static constexpr uint32_t kDefaultMaxBodyBytes = 8 * 1024 * 1024;
+  /// Tells if an answer belongs to the call. Others are skipped, and the
+  /// connection is closed after the call.
+  using answer_filter = std::function<bool(const http_answer&)>;
 
   http_connection(event_loop& aLoop,
                   std::string aHost,
                   uint16_t aPort,
-                  uint32_t aMaxBodyBytes = kDefaultMaxBodyBytes);
+                  const http_connection_settings& aSettings = {});
   /// An open call ends without its callback.
   ~http_connection();
   http_connection(const http_connection&) = delete;
@@ -51,10 +84,14 @@
   /// may destroy this object.
   void Call(const http_request& aRequest,
             duration aTimeout,
-            callback aCallback);
+            callback aCallback,
+            answer_filter aFilter = nullptr);
 
   [[nodiscard]] bool IsBusy() const;
 
+  /// True while an earlier call's connection can carry another call.
+  [[nodiscard]] bool IsOpen() const;
+
   /// Ends an open call with the given result and closes the connection.
   void Abort(bool aTimedOut);
 
--- a/Parsleystair/Http/HttpMessage.h
+++ b/Parsleystair/Http/HttpMessage.h
@@ -42,6 +42,9 @@
   std::string mRemoteHost;
   /// TCP port of the sender; with the address it names the connection.
   uint16_t mRemotePort = 0;
+  /// Request target as received, with the query; empty in requests that are
+  /// made here of `mPath` and `mQuery`.
+  std::string mTarget;
 
   bool operator==(const http_request&) const = default;
 };
--- a/Parsleystair/Http/HttpServer.h
+++ b/Parsleystair/Http/HttpServer.h
@@ -19,13 +19,17 @@
   uint32_t mMaxHeaderBytes = 16 * 1024;
   /// Longest body, in bytes.
   uint32_t mMaxBodyBytes = 1024 * 1024;
-  /// Longest silence of a connection while it sends or waits.
+  /// Longest time from the first byte of a request to its last.
+  duration mRequestTimeout = 60s;
+  /// Longest time that a connection may wait for its next request.
   duration mIdleTimeout = 60s;
   /// Lets several listeners share the port.
   bool mReusePort = false;
 };
 
-/// HTTP/1.1 server on one event loop.
+/// HTTP/1.1 server on one event loop. Serves one request a connection at a
+/// time, in order; requests that RFC 9112 leaves ambiguous are refused and
+/// their connection is closed.
 class http_server
 {
 public:
@@ -68,9 +72,18 @@
   /// Requests that have no answer yet.
   [[nodiscard]] size_t OpenRequests() const;
 
+  /// Open connections.
+  [[nodiscard]] size_t Connections() const;
+
+  /// Replaces the limits and timeouts for requests that start from now on.
+  void SetLimits(const http_server_settings& aSettings);
+
   /// From now on each answer asks the sender to close its connection.
   void CloseAfterAnswers();
 
+  /// Closes the connections that wait for a request.
+  void CloseIdle();
+
 private:
   struct state;
   std::unique_ptr<state> mState;
--- /dev/null
+++ b/Parsleystair/Http/ServerConnection.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Parsleystair/Http/HttpServer.h"
+#include "Parsleystair/Http/MessageParser.h"
+#include "Parsleystair/Http/SocketStream.h"
+
+namespace parsleystair {
+
+/// Names one connection of a server.
+using connection_id = strong_id<struct connection_tag, uint64_t>;
+
+/// What a connection tells its server. Each function may remove the
+/// connection.
+class server_connection_owner
+{
+public:
+  virtual ~server_connection_owner() = default;
+
+  virtual void HandleRequest(connection_id aConnection,
+                             http_request aRequest) = 0;
+  /// The connection has ended and must be removed.
+  virtual void HandleGone(connection_id aConnection) = 0;
+};
+
+/// One connection of a client to an `http_server`: reads a request, waits for
+/// its answer, reads the next.
+class server_connection : public stream_handler
+{
+public:
+  server_connection(connection_id aId,
+                    event_loop& aLoop,
+                    int aDescriptor,
+                    const http_server_settings& aSettings,
+                    server_connection_owner& aOwner);
+
+  /// Sends a whole answer to the open request. `aClose` closes the connection
+  /// afterwards.
+  void Respond(const http_answer& aAnswer, bool aClose);
+
+  /// Sends the head of a chunked answer, then its chunks and its end.
+  void StartStream(const http_answer& aHead);
+  void SendChunk(const std::string& aChunk);
+  void EndStream();
+
+  [[nodiscard]] bool HasOpenRequest() const { return mAwaitsAnswer; }
+
+  /// Tells if no request is open and none has started to arrive.
+  [[nodiscard]] bool IsIdle() const;
+
+  /// Address of the client.
+  void SetPeer(std::string aHost, uint16_t aPort);
+
+  // stream_handler
+  void HandleBytes(std::string_view aBytes) override;
+  void HandleEnd(stream_end aEnd) override;
+  void HandleTimeout() override;
+
+private:
+  void ReadNext();
+  void Refuse(uint32_t aStatus, const std::string& aReason);
+  void FinishAnswer(bool aClose);
+  void CloseWhenFlushed();
+
+  connection_id mId;
+  http_server_settings mSettings;
+  server_connection_owner& mOwner;
+  socket_stream mStream;
+  request_parser mParser;
+  std::string mInput;
+  std::string mPeerHost;
+  uint16_t mPeerPort = 0;
+  bool mAwaitsAnswer = false;
+  bool mEndsAfterAnswer = false;
+  bool mSaidContinue = false;
+  bool mRequestStarted = false;
+  bool mClosing = false;
+  bool mHeadOnly = false;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -0,0 +1,314 @@
+#include "Parsleystair/Http/SocketStream.h"
+
+#include "Parsleystair/Core/Error.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace parsleystair {
+
+namespace {
+
+/// Probes without an answer after which the system gives a peer up.
+constexpr int kKeepAliveProbes = 2;
+
+void SetOption(int aDescriptor, int aLevel, int aName, int aValue)
+{
+  // A system without the option keeps its default, which only detects a lost
+  // peer later.
+  setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof(aValue));
+}
+
+void ApplySettings(int aDescriptor, const stream_settings& aSettings)
+{
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  if (aSettings.mKeepAlive > duration::zero()) {
+    const auto seconds = static_cast<int>(std::max<int64_t>(
+      1,
+      std::chrono::duration_cast<std::chrono::seconds>(aSettings.mKeepAlive)
+        .count()));
+    SetOption(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+    SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  }
+  if (aSettings.mUserTimeout > duration::zero()) {
+    const auto milliseconds = static_cast<int>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        aSettings.mUserTimeout)
+        .count());
+    SetOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
+  }
+}
+
+/// Opens a socket and starts to connect it; -1 when that fails at once.
+int StartConnect(const std::string& aHost, uint16_t aPort)
+{
+  sockaddr_storage address{};
+  int length = sizeof(address);
+  const bool isIpv6 = aHost.find(':') != std::string::npos;
+  const std::string text =
+    (isIpv6 ? "[" + aHost + "]" : aHost) + ":" + std::to_string(aPort);
+  if (evutil_parse_sockaddr_port(
+        text.c_str(), reinterpret_cast<sockaddr*>(&address), &length) != 0) {
+    return -1;
+  }
+  const int descriptor = socket(
+    address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return -1;
+  }
+  const int result = connect(descriptor,
+                             reinterpret_cast<sockaddr*>(&address),
+                             static_cast<socklen_t>(length));
+  if (result != 0 && errno != EINPROGRESS) {
+    close(descriptor);
+    return -1;
+  }
+  return descriptor;
+}
+
+} // namespace
+
+struct socket_stream::state
+{
+  stream_handler& mHandler;
+  int mDescriptor = -1;
+  bool mConnecting = false;
+  bool mBroken = false;
+  bool mFinishing = false;
+  std::string mOutput;
+  event* mReadEvent = nullptr;
+  event* mWriteEvent = nullptr;
+  event* mTimer = nullptr;
+
+  explicit state(stream_handler& aHandler)
+    : mHandler(aHandler)
+  {
+  }
+  ~state();
+
+  void Start(event_loop& aLoop);
+  void Read();
+  void HandleWritable();
+  void Flush();
+  void FailLater();
+  bool FinishConnect();
+};
+
+socket_stream::state::~state()
+{
+  for (event* each : { mReadEvent, mWriteEvent, mTimer }) {
+    if (each != nullptr) {
+      event_free(each);
+    }
+  }
+  if (mDescriptor >= 0) {
+    close(mDescriptor);
+  }
+}
+
+void socket_stream::state::Start(event_loop& aLoop)
+{
+  mReadEvent = event_new(
+    aLoop.Base(),
+    mDescriptor,
+    EV_READ | EV_PERSIST,
+    [](evutil_socket_t, short, void* aArgument) {
+      static_cast<state*>(aArgument)->Read();
+    },
+    this);
+  mWriteEvent = event_new(
+    aLoop.Base(),
+    mDescriptor,
+    EV_WRITE,
+    [](evutil_socket_t, short, void* aArgument) {
+      static_cast<state*>(aArgument)->HandleWritable();
+    },
+    this);
+  mTimer = event_new(
+    aLoop.Base(),
+    -1,
+    0,
+    [](evutil_socket_t, short, void* aArgument) {
+      static_cast<state*>(aArgument)->mHandler.HandleTimeout();
+    },
+    this);
+  if (mReadEvent == nullptr || mWriteEvent == nullptr || mTimer == nullptr) {
+    throw system_error("libevent could not create an event");
+  }
+  if (mDescriptor < 0) {
+    FailLater();
+    return;
+  }
+  event_add(mConnecting ? mWriteEvent : mReadEvent, nullptr);
+}
+
+void socket_stream::state::Read()
+{
+  if (mBroken) {
+    mHandler.HandleEnd(mConnecting ? stream_end::kNotConnected
+                                   : stream_end::kBroken);
+    return;
+  }
+  constexpr size_t kReadBytes = 64 * 1024;
+  std::array<char, kReadBytes> buffer; // NOLINT: filled by recv
+  const ssize_t count = recv(mDescriptor, buffer.data(), buffer.size(), 0);
+  if (count > 0) {
+    mHandler.HandleBytes({ buffer.data(), static_cast<size_t>(count) });
+    return;
+  }
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+    return;
+  }
+  event_del(mReadEvent);
+  mHandler.HandleEnd(count == 0 ? stream_end::kClosed : stream_end::kBroken);
+}
+
+bool socket_stream::state::FinishConnect()
+{
+  int failure = 0;
+  socklen_t length = sizeof(failure);
+  getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &failure, &length);
+  if (failure != 0) {
+    mHandler.HandleEnd(stream_end::kNotConnected);
+    return false;
+  }
+  mConnecting = false;
+  event_add(mReadEvent, nullptr);
+  mHandler.HandleConnected();
+  return true;
+}
+
+void socket_stream::state::HandleWritable()
+{
+  if (mConnecting && !FinishConnect()) {
+    return;
+  }
+  Flush();
+}
+
+void socket_stream::state::Flush()
+{
+  while (!mOutput.empty() && !mConnecting && !mBroken) {
+    const ssize_t count =
+      send(mDescriptor, mOutput.data(), mOutput.size(), MSG_NOSIGNAL);
+    if (count >= 0) {
+      mOutput.erase(0, static_cast<size_t>(count));
+      continue;
+    }
+    if (errno == EINTR) {
+      continue;
+    }
+    if (errno != EAGAIN) {
+      FailLater();
+      return;
+    }
+    event_add(mWriteEvent, nullptr);
+    return;
+  }
+  if (mFinishing && mOutput.empty() && !mConnecting && !mBroken) {
+    shutdown(mDescriptor, SHUT_WR);
+  }
+}
+
+void socket_stream::state::FailLater()
+{
+  // The owner is told from the loop, never from inside its own call. What the
+  // peer sent before the break can still be read first.
+  const bool readable = !mConnecting && mDescriptor >= 0;
+  mBroken = !readable;
+  mOutput.clear();
+  event_active(mReadEvent, EV_READ, 0);
+}
+
+socket_stream::socket_stream(event_loop& aLoop,
+                             int aDescriptor,
+                             const stream_settings& aSettings,
+                             stream_handler& aHandler)
+  : mState(std::make_unique<state>(aHandler))
+{
+  mState->mDescriptor = aDescriptor;
+  ApplySettings(aDescriptor, aSettings);
+  mState->Start(aLoop);
+}
+
+socket_stream::socket_stream(event_loop& aLoop,
+                             const std::string& aHost,
+                             uint16_t aPort,
+                             const stream_settings& aSettings,
+                             stream_handler& aHandler)
+  : mState(std::make_unique<state>(aHandler))
+{
+  mState->mConnecting = true;
+  mState->mDescriptor = StartConnect(aHost, aPort);
+  if (mState->mDescriptor >= 0) {
+    ApplySettings(mState->mDescriptor, aSettings);
+  }
+  mState->Start(aLoop);
+}
+
+socket_stream::~socket_stream() = default;
+
+void socket_stream::Write(std::string_view aBytes)
+{
+  mState->mOutput += aBytes;
+  // While a write event waits, it sends what was added.
+  if (event_pending(mState->mWriteEvent, EV_WRITE, nullptr) == 0) {
+    mState->Flush();
+  }
+}
+
+void socket_stream::FinishWriting()
+{
+  mState->mFinishing = true;
+  if (mState->mOutput.empty()) {
+    mState->Flush();
+  }
+}
+
+size_t socket_stream::Unsent() const
+{
+  return mState->mOutput.size();
+}
+
+void socket_stream::StartTimer(duration aDelay)
+{
+  const timeval delay = ToTimeval(std::max(aDelay, duration::zero()));
+  event_add(mState->mTimer, &delay);
+}
+
+void socket_stream::CancelTimer()
+{
+  event_del(mState->mTimer);
+}
+
+void socket_stream::SetReading(bool aReading)
+{
+  if (mState->mConnecting || mState->mBroken) {
+    return;
+  }
+  if (aReading) {
+    event_add(mState->mReadEvent, nullptr);
+  } else {
+    event_del(mState->mReadEvent);
+  }
+}
+
+void socket_stream::ResetOnClose()
+{
+  if (mState->mDescriptor >= 0) {
+    const linger none{ 1, 0 };
+    setsockopt(
+      mState->mDescriptor, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+  }
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Http/SocketStream.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "Parsleystair/Core/EventLoop.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct sockaddr;
+
+namespace parsleystair {
+
+/// Why a stream ended.
+enum class stream_end
+{
+  /// The peer closed its side in order.
+  kClosed,
+  /// A connection could not be made, so nothing was sent.
+  kNotConnected,
+  /// The connection broke.
+  kBroken,
+};
+
+/// Gets the events of one stream. Each function may destroy the stream.
+class stream_handler
+{
+public:
+  virtual ~stream_handler() = default;
+
+  virtual void HandleBytes(std::string_view aBytes) = 0;
+  virtual void HandleEnd(stream_end aEnd) = 0;
+  /// The time set by `socket_stream::StartTimer` is over.
+  virtual void HandleTimeout() = 0;
+  /// A connection that was started is accepted; must not destroy the stream.
+  virtual void HandleConnected() {}
+};
+
+struct stream_settings
+{
+  /// Idle time before the system probes a silent peer; 0 for no probes.
+  duration mKeepAlive{};
+  /// Longest time that sent bytes may stay unacknowledged; 0 for the system's
+  /// default.
+  duration mUserTimeout{};
+};
+
+/// One TCP connection on an event loop.
+class socket_stream
+{
+public:
+  /// Takes over a connected socket.
+  socket_stream(event_loop& aLoop,
+                int aDescriptor,
+                const stream_settings& aSettings,
+                stream_handler& aHandler);
+
+  /// Starts a connection to an IP address; it failed when `HandleEnd` says so.
+  socket_stream(event_loop& aLoop,
+                const std::string& aHost,
+                uint16_t aPort,
+                const stream_settings& aSettings,
+                stream_handler& aHandler);
+
+  ~socket_stream();
+  socket_stream(const socket_stream&) = delete;
+  socket_stream& operator=(const socket_stream&) = delete;
+
+  /// Sends bytes, at once as far as the system takes them.
+  void Write(std::string_view aBytes);
+
+  /// Closes the sending side after all bytes are sent.
+  void FinishWriting();
+
+  /// Bytes that the system has not taken yet.
+  [[nodiscard]] size_t Unsent() const;
+
+  /// Calls `HandleTimeout` once after a delay; replaces an earlier start.
+  void StartTimer(duration aDelay);
+  void CancelTimer();
+
+  /// Stops and resumes reading; used to bound what a peer can make us store.
+  void SetReading(bool aReading);
+
+  /// Makes the close reset the connection, so that bytes on their way are
+  /// dropped.
+  void ResetOnClose();
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
+
+} // namespace parsleystair
--- a/Parsleystair/Operator/BlockingCalls.cpp
+++ b/Parsleystair/Operator/BlockingCalls.cpp
@@ -88,7 +88,11 @@
   : mLoop(aLoop)
   , mAddress(aAddress)
   , mTimeout(aTimeout)
-  , mConnection(aLoop, aAddress.mHost, aAddress.mPort, kMaxRouterAnswerBytes)
+  , mConnection(
+      aLoop,
+      aAddress.mHost,
+      aAddress.mPort,
+      http_connection_settings{ .mMaxBodyBytes = kMaxRouterAnswerBytes })
 {
 }
 
--- a/Parsleystair/Tasks/TargetLinks.cpp
+++ b/Parsleystair/Tasks/TargetLinks.cpp
@@ -52,7 +52,10 @@
     return nullptr;
   }
   to.mConnections.push_back(std::make_unique<http_connection>(
-    mLoop, to.mHost, to.mPort, kMaxReplyBytes));
+    mLoop,
+    to.mHost,
+    to.mPort,
+    http_connection_settings{ .mMaxBodyBytes = kMaxReplyBytes }));
   return to.mConnections.back().get();
 }
 
--- a/PerformanceTest/parsleystair_load/LoadRunner.cpp
+++ b/PerformanceTest/parsleystair_load/LoadRunner.cpp
@@ -213,7 +213,10 @@
   }
   const endpoint_address& address = mSettings.mTargets[mTargetsAsked++];
   mTarget = std::make_unique<http_connection>(
-    mLoop, address.mHost, address.mPort, kMaxExecutionsBytes);
+    mLoop,
+    address.mHost,
+    address.mPort,
+    http_connection_settings{ .mMaxBodyBytes = kMaxExecutionsBytes });
   http_request request;
   request.mMethod = "GET";
   request.mPath = "/executions";
