--- /dev/null
+++ b/Parsleystair/Balancing/TargetBalancer.cpp
@@ -0,0 +1,352 @@
+#include "Parsleystair/Balancing/TargetBalancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+// Costs are in the value of one request answered in time, so that lateness,
+// failures and the price of bytes can be added up.
+
+namespace parsleystair {
+
+namespace {
+
+/// Weight of one sample in the moving averages of a target and of a service.
+constexpr double kTargetWeight = 0.25;
+constexpr double kServiceWeight = 0.05;
+/// Time after which old knowledge of a target has lost most of its weight, so
+/// that a target which recovered is tried again.
+constexpr double kMemorySeconds = 4.0;
+/// Growth of the expected latency with each own request in flight, as part of
+/// the target's latency. Other routers' requests are not seen.
+constexpr double kInFlightGrowth = 0.3;
+/// Factor for a target that has just started.
+constexpr double kSlowStartFactor = 2.0;
+/// Latency as part of the target latency from which answers tend to be late,
+/// and the loss of value for each further multiple.
+constexpr double kSafePart = 0.5;
+constexpr double kLateSlope = 0.9;
+constexpr double kEarlySlope = 0.1;
+/// Cost of a target that gave no sign of life, of one that has just refused a
+/// request because of load, and of one that the request has tried.
+constexpr double kSilentCost = 0.6;
+constexpr double kShedCost = 0.4;
+constexpr double kTriedCost = 2.0;
+/// Random part, so that routers don't all choose the same target.
+constexpr double kJitter = 0.02;
+/// Assumed latency before the first answer, as part of the target latency.
+constexpr double kAssumedPart = 0.3;
+
+constexpr duration kShedTime = 150ms;
+/// A request is unusually long under way after this multiple of the mean
+/// latency, and not before the shortest time.
+constexpr int kSilenceFactor = 4;
+constexpr duration kMinSilence = 250ms;
+/// Lost connections in a row after which a target is set aside.
+constexpr uint32_t kLostToSetAside = 3;
+/// Time between health checks of a target that is set aside.
+constexpr duration kProbeInterval = 500ms;
+
+double ToSeconds(duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+/// Part of old knowledge that still counts.
+double Remaining(time_point aThen, time_point aNow)
+{
+  return aThen == time_point::min()
+           ? 0
+           : std::exp(-ToSeconds(aNow - aThen) / kMemorySeconds);
+}
+
+} // namespace
+
+target_balancer::target_balancer(balancer_site aSite, uint64_t aSeed)
+  : mSite(std::move(aSite))
+  , mRandom(aSeed)
+{
+}
+
+const known_target* target_balancer::Choose(
+  const choice_request& aRequest,
+  const std::vector<const known_target*>& aTargets,
+  time_point aNow)
+{
+  const known_target* best = nullptr;
+  double lowest = 0;
+  for (const known_target* target : aTargets) {
+    if (IsSetAside(target->mTarget.mName)) {
+      continue;
+    }
+    const double cost = Cost(aRequest, *target, aNow);
+    if (best == nullptr || cost < lowest) {
+      best = target;
+      lowest = cost;
+    }
+  }
+  if (best != nullptr || aTargets.empty()) {
+    return best;
+  }
+  // With all set aside, the failures say more of this router's path than of
+  // the targets.
+  std::uniform_int_distribution<size_t> pick(0, aTargets.size() - 1);
+  return aTargets[pick(mRandom)];
+}
+
+double target_balancer::Cost(const choice_request& aRequest,
+                             const known_target& aTarget,
+                             time_point aNow)
+{
+  const double part = ExpectedSeconds(aRequest, aTarget, aNow) /
+                      ToSeconds(std::max(aRequest.mLatencyTarget, duration(1)));
+  double cost = kEarlySlope * part;
+  cost += kLateSlope * std::max(0.0, part - kSafePart);
+  cost += DistanceCost(aTarget, aRequest.mService);
+  const auto found = mTargets.find(aTarget.mTarget.mName);
+  if (found != mTargets.end()) {
+    cost += FailureCost(found->second, aRequest, aNow);
+  }
+  const bool tried = std::find(aRequest.mTried.begin(),
+                               aRequest.mTried.end(),
+                               aTarget.mTarget.mName) != aRequest.mTried.end();
+  cost += tried ? kTriedCost : 0;
+  std::uniform_real_distribution<double> jitter(0, kJitter);
+  return cost + jitter(mRandom);
+}
+
+double target_balancer::ExpectedSeconds(const choice_request& aRequest,
+                                        const known_target& aTarget,
+                                        time_point aNow) const
+{
+  const auto service = mServices.find(aRequest.mService);
+  double mean = kAssumedPart * ToSeconds(aRequest.mLatencyTarget);
+  if (service != mServices.end() && service->second.mLatency > 0) {
+    mean = service->second.mLatency;
+  }
+  if (aTarget.mSlowUntil > aNow) {
+    mean *= kSlowStartFactor;
+  }
+  const auto found = mTargets.find(aTarget.mTarget.mName);
+  if (found == mTargets.end()) {
+    return mean;
+  }
+  const target_state& state = found->second;
+  double expected = mean;
+  if (state.mLatency > 0) {
+    expected += (state.mLatency - mean) * Remaining(state.mLastAnswer, aNow);
+  }
+  const auto inFlight = static_cast<double>(state.mInFlight.size());
+  return expected * (1 + kInFlightGrowth * inFlight);
+}
+
+double target_balancer::FailureCost(const target_state& aState,
+                                    const choice_request& aRequest,
+                                    time_point aNow) const
+{
+  // A failed request that can't be repeated loses its whole value.
+  const double weight = aRequest.mIdempotent ? 1.0 : 1.5;
+  double cost =
+    weight * aState.mFailures * Remaining(aState.mLastFailure, aNow);
+  cost += IsSilent(aState, aNow) ? weight * kSilentCost : 0;
+  cost += aState.mShedUntil > aNow ? kShedCost : 0;
+  return cost;
+}
+
+double target_balancer::DistanceCost(const known_target& aTarget,
+                                     const service_name& aService) const
+{
+  const failure_domain_name& there = aTarget.mTarget.mFailureDomain;
+  if (there == mSite.mFailureDomain) {
+    return 0;
+  }
+  const auto service = mServices.find(aService);
+  const double kilobytes =
+    service == mServices.end() ? 1 : service->second.mKilobytes;
+  const auto here = mSite.mRegions.find(mSite.mFailureDomain);
+  const auto other = mSite.mRegions.find(there);
+  const bool sameRegion = here != mSite.mRegions.end() &&
+                          other != mSite.mRegions.end() &&
+                          here->second == other->second;
+  return kilobytes * (sameRegion ? mSite.mDomainCostPerKilobyte
+                                 : mSite.mRegionCostPerKilobyte);
+}
+
+send_id target_balancer::HandleSent(const target_name& aTarget,
+                                    const service_name& aService,
+                                    time_point aNow)
+{
+  const send_id send(mNextSend++);
+  target_state& state = mTargets[aTarget];
+  state.mService = aService;
+  state.mInFlight[send] = aNow;
+  return send;
+}
+
+void target_balancer::HandleEnd(const target_name& aTarget,
+                                send_id aSend,
+                                try_end aEnd,
+                                size_t aBytes,
+                                time_point aNow)
+{
+  const auto found = mTargets.find(aTarget);
+  if (found == mTargets.end()) {
+    return;
+  }
+  target_state& state = found->second;
+  const auto sent = state.mInFlight.find(aSend);
+  const time_point sentAt = sent == state.mInFlight.end() ? aNow : sent->second;
+  state.mInFlight.erase(aSend);
+  constexpr double kBytesPerKilobyte = 1000;
+  switch (aEnd) {
+    case try_end::kAnswered: {
+      CountLatency(state, aNow - sentAt, aNow);
+      CountFailure(state, 0, aNow);
+      double& kilobytes = mServices[state.mService].mKilobytes;
+      kilobytes += kServiceWeight *
+                   (static_cast<double>(aBytes) / kBytesPerKilobyte - kilobytes);
+      return;
+    }
+    case try_end::kFailedAnswer:
+      state.mLastAnswer = aNow;
+      state.mLost = 0;
+      CountFailure(state, 1, aNow);
+      return;
+    case try_end::kShed:
+      state.mLastAnswer = aNow;
+      state.mLost = 0;
+      state.mShedUntil = aNow + kShedTime;
+      CountFailure(state, 1, aNow);
+      return;
+    case try_end::kNotConnected:
+      CountFailure(state, 1, aNow);
+      SetAside(state, aNow);
+      return;
+    case try_end::kNoAnswer:
+      CountFailure(state, 1, aNow);
+      state.mLost += 1;
+      if (state.mLost >= kLostToSetAside) {
+        SetAside(state, aNow);
+      }
+      return;
+    case try_end::kCancelled:
+      return;
+  }
+}
+
+void target_balancer::CountLatency(target_state& aState,
+                                   duration aLatency,
+                                   time_point aNow)
+{
+  const double seconds = ToSeconds(aLatency);
+  double& mean = mServices[aState.mService].mLatency;
+  mean = mean == 0 ? seconds : mean + kServiceWeight * (seconds - mean);
+  if (aState.mLatency == 0) {
+    aState.mLatency = mean;
+  }
+  aState.mLatency += kTargetWeight * (seconds - aState.mLatency);
+  aState.mLastAnswer = aNow;
+  aState.mLost = 0;
+  aState.mSetAside = false;
+}
+
+void target_balancer::CountFailure(target_state& aState,
+                                   double aWeight,
+                                   time_point aNow)
+{
+  const double old =
+    aState.mFailures * Remaining(aState.mLastFailure, aNow);
+  aState.mFailures = old + kTargetWeight * (aWeight - old);
+  aState.mLastFailure = aNow;
+}
+
+void target_balancer::SetAside(target_state& aState, time_point aNow)
+{
+  if (!aState.mSetAside) {
+    aState.mSetAside = true;
+    aState.mNextProbe = aNow + kProbeInterval;
+  }
+}
+
+void target_balancer::HandleProbe(const target_name& aTarget,
+                                  bool aHealthy,
+                                  time_point aNow)
+{
+  const auto found = mTargets.find(aTarget);
+  if (found == mTargets.end()) {
+    return;
+  }
+  found->second.mProbing = false;
+  if (aHealthy) {
+    found->second.mSetAside = false;
+    found->second.mLost = 0;
+    found->second.mLastAnswer = aNow;
+    return;
+  }
+  found->second.mNextProbe = aNow + kProbeInterval;
+}
+
+std::vector<target_name> target_balancer::TakeProbes(time_point aNow)
+{
+  std::vector<target_name> due;
+  for (auto& [name, state] : mTargets) {
+    if (state.mSetAside && !state.mProbing && state.mNextProbe <= aNow) {
+      state.mProbing = true;
+      due.push_back(name);
+    }
+  }
+  return due;
+}
+
+void target_balancer::Retain(const target_directory& aDirectory)
+{
+  std::erase_if(mTargets, [&](const auto& aTarget) {
+    return aDirectory.Find(aTarget.first) == nullptr &&
+           aTarget.second.mInFlight.empty();
+  });
+}
+
+duration target_balancer::MeanLatency(const service_name& aService) const
+{
+  const auto found = mServices.find(aService);
+  return found == mServices.end()
+           ? duration::zero()
+           : std::chrono::duration_cast<duration>(
+               std::chrono::duration<double>(found->second.mLatency));
+}
+
+bool target_balancer::IsSilent(const target_state& aState,
+                               time_point aNow) const
+{
+  if (aState.mInFlight.empty()) {
+    return false;
+  }
+  const duration limit =
+    std::max(kMinSilence, kSilenceFactor * MeanLatency(aState.mService));
+  return std::any_of(aState.mInFlight.begin(),
+                     aState.mInFlight.end(),
+                     [&](const auto& aSend) {
+                       return aNow - aSend.second > limit &&
+                              aState.mLastAnswer < aSend.second;
+                     });
+}
+
+bool target_balancer::IsSilent(const target_name& aTarget,
+                               time_point aNow) const
+{
+  const auto found = mTargets.find(aTarget);
+  return found != mTargets.end() && IsSilent(found->second, aNow);
+}
+
+bool target_balancer::IsSetAside(const target_name& aTarget) const
+{
+  const auto found = mTargets.find(aTarget);
+  return found != mTargets.end() && found->second.mSetAside;
+}
+
+size_t target_balancer::InFlight(const target_name& aTarget) const
+{
+  const auto found = mTargets.find(aTarget);
+  return found == mTargets.end() ? 0 : found->second.mInFlight.size();
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -0,0 +1,404 @@
+#include "Parsleystair/Gateway/Forwarder.h"
+
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Invariant.h"
+#include "Parsleystair/Core/Log.h"
+
+#include <algorithm>
+
+// Steps of a request on the caller's side, and waiting. Tries at targets are in
+// ForwarderTries.cpp.
+
+namespace parsleystair {
+
+namespace {
+
+/// Time that a caller is asked to wait after a refusal for want of a
+/// configuration, of targets, or of room.
+constexpr duration kRetryAfter = 200ms;
+/// Time after a route's timeout in which a target's own answer to the passed
+/// deadline may still arrive.
+constexpr duration kAnswerGrace = 60ms;
+/// Timeout of routes that have none.
+constexpr duration kDefaultTimeout = 30s;
+/// Longest wait for an owner of a key, as part of the latency target. Callers
+/// are better served by a refusal that tells them when to come back.
+constexpr int kParkDivisor = 4;
+
+http_connection_settings TargetConnectionSettings()
+{
+  http_connection_settings settings;
+  // A target accepts within one round trip between regions, 24 ms; a lost
+  // packet is sent again after 200 ms.
+  settings.mConnectTimeout = 400ms;
+  settings.mTakesUnframedAnswers = true;
+  // Lost paths are found within seconds; probes of idle connections are paid
+  // by the byte.
+  settings.mStream.mKeepAlive = 2s;
+  settings.mStream.mUserTimeout = 1s;
+  return settings;
+}
+
+} // namespace
+
+forwarder::forwarder(event_loop& aLoop,
+                     const forwarder_settings& aSettings,
+                     const request_protocol& aProtocol,
+                     const forwarder_view& aView,
+                     http_server& aServer,
+                     uint64_t aSeed)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mProtocol(aProtocol)
+  , mView(aView)
+  , mServer(aServer)
+  , mRandom(aSeed)
+  , mBalancer(aSettings.mSite, aSeed)
+  , mConnections(aLoop, TargetConnectionSettings())
+{
+}
+
+void forwarder::Accept(exchange_id aExchange, http_request aRequest)
+{
+  const time_point now = MonotonicNow();
+  ++mCounters.mReceived;
+  const forward_id id(mNextId++);
+  open_request& request = mRequests[id];
+  request.mId = id;
+  request.mExchange = aExchange;
+  request.mRequest = std::move(aRequest);
+  request.mTerms = mProtocol.ReadRequest(request.mRequest);
+  request.mArrived = now;
+  mByExchange[aExchange] = id;
+  if (!FindTerms(request, now)) {
+    return;
+  }
+  BudgetOf(request.mService).AddRequest();
+  if (request.mKeyed && request.mTerms.mKey) {
+    ++mKeyCounts[request.mService][key_load::BucketOf(*request.mTerms.mKey)];
+  }
+  Dispatch(request, now);
+}
+
+bool forwarder::FindTerms(open_request& aRequest, time_point aNow)
+{
+  if (mRefusing) {
+    Refuse(aRequest, refusal_kind::kNotRun, "shutting down", aNow);
+    return false;
+  }
+  if (mView.mRoutes == nullptr) {
+    Refuse(aRequest, refusal_kind::kNotRun, "no configuration yet", aNow);
+    return false;
+  }
+  const auto host = FindHeader(aRequest.mRequest.mHeaders, "host");
+  aRequest.mRoute =
+    mView.mRoutes->Find(host.value_or(""), aRequest.mRequest.mPath);
+  if (aRequest.mRoute == nullptr) {
+    Refuse(aRequest, refusal_kind::kUnknownRoute, "unknown route", aNow);
+    return false;
+  }
+  const route& matched = *aRequest.mRoute;
+  aRequest.mService = mWeights.Next(matched);
+  const routed_service* service = mView.mRoutes->FindService(aRequest.mService);
+  aRequest.mKeyed = service != nullptr && service->mKeyed;
+
+  // The route's timeout ends with an answer of ours, the caller's deadline with
+  // the caller's leaving.
+  const duration timeout = matched.mTimeout > duration::zero()
+                             ? matched.mTimeout
+                             : kDefaultTimeout;
+  const duration left = aRequest.mTerms.mTimeLeft.value_or(timeout);
+  aRequest.mDeadline = aNow + std::min(timeout, left);
+  aRequest.mAnswerBy = aRequest.mDeadline + kAnswerGrace;
+  return true;
+}
+
+void forwarder::Dispatch(open_request& aRequest, time_point aNow)
+{
+  aRequest.mParkedUntil.reset();
+  const known_target* target = ChooseTarget(aRequest, aNow);
+  if (target != nullptr) {
+    Send(aRequest, *target, aNow);
+    return;
+  }
+  if (aRequest.mKeyed) {
+    Park(aRequest, "no owner of the key", aNow);
+    return;
+  }
+  FinishFailed(aRequest, "no target in service", aNow);
+}
+
+const known_target* forwarder::ChooseTarget(const open_request& aRequest,
+                                            time_point aNow)
+{
+  if (aRequest.mKeyed) {
+    return FindOwner(aRequest);
+  }
+  choice_request choice;
+  choice.mService = aRequest.mService;
+  choice.mLatencyTarget = aRequest.mRoute->mLatencyTarget;
+  choice.mIdempotent = aRequest.mRoute->mIdempotent;
+  choice.mTried = aRequest.mTried;
+  return mBalancer.Choose(
+    choice, mView.mDirectory.UsableOf(aRequest.mService), aNow);
+}
+
+const known_target* forwarder::FindOwner(const open_request& aRequest) const
+{
+  const auto record = mView.mRanges.find(aRequest.mService);
+  if (record == mView.mRanges.end() || !aRequest.mTerms.mKey) {
+    return nullptr;
+  }
+  const owned_range* range = FindRange(record->second, *aRequest.mTerms.mKey);
+  if (range == nullptr) {
+    return nullptr;
+  }
+  const known_target* target = mView.mDirectory.Find(range->mOwner.mName);
+  const bool sameLife =
+    target != nullptr && target->mTarget.mStartedMs == range->mOwner.mStartedMs;
+  return sameLife && target->IsUsable() ? target : nullptr;
+}
+
+void forwarder::Park(open_request& aRequest,
+                     const std::string& aReason,
+                     time_point aNow)
+{
+  const time_point latest =
+    aRequest.mArrived + aRequest.mRoute->mLatencyTarget / kParkDivisor;
+  if (aNow >= latest) {
+    FinishFailed(aRequest, aReason, aNow);
+    return;
+  }
+  ++mCounters.mParked;
+  aRequest.mParkedUntil = latest;
+  SetWake(aRequest, aNow);
+}
+
+void forwarder::HandleViewChanged()
+{
+  const time_point now = MonotonicNow();
+  std::vector<forward_id> parked;
+  for (const auto& [id, request] : mRequests) {
+    if (request.mParkedUntil) {
+      parked.push_back(id);
+    }
+  }
+  for (const forward_id id : parked) {
+    Dispatch(mRequests.at(id), now);
+  }
+}
+
+void forwarder::Deliver(open_request& aRequest,
+                        http_answer aAnswer,
+                        time_point aNow)
+{
+  ++mCounters.mAnswered;
+  mLatency.Add(aNow - aRequest.mArrived);
+  aAnswer.mHeaders = EndToEndHeaders(aAnswer.mHeaders);
+  mServer.Respond(aRequest.mExchange, aAnswer);
+  Finish(aRequest, aNow);
+}
+
+void forwarder::Refuse(open_request& aRequest,
+                       refusal_kind aKind,
+                       const std::string& aReason,
+                       time_point aNow)
+{
+  const char* outcome = "not-run";
+  refusal why{ aKind, aReason, {} };
+  switch (aKind) {
+    case refusal_kind::kNotRun:
+      ++mCounters.mRefusedNotRun;
+      why.mRetryAfter = kRetryAfter;
+      break;
+    case refusal_kind::kUnknownRoute:
+      ++mCounters.mUnknownRoute;
+      outcome = "unknown-route";
+      break;
+    case refusal_kind::kNoAnswer:
+      ++mCounters.mNoAnswer;
+      outcome = "no-answer";
+      break;
+    case refusal_kind::kTimeOver:
+      ++mCounters.mTimeOver;
+      outcome = "time-over";
+      break;
+  }
+  log_line line(log_severity::kInfo, "request_refused");
+  line.Add("request", aRequest.mTerms.mRequestId)
+    .Add("outcome", outcome)
+    .Add("reason", aReason)
+    .Add("service", aRequest.mService.Value())
+    .Add("version",
+         mView.mRoutes == nullptr ? uint64_t{ 0 }
+                                  : mView.mRoutes->Configuration().mVersion)
+    .Add("tries", uint64_t{ aRequest.mAttempts })
+    .Add("held_us", int64_t{ (aNow - aRequest.mArrived).count() });
+  if (aKind == refusal_kind::kUnknownRoute) {
+    line
+      .Add("host",
+           FindHeader(aRequest.mRequest.mHeaders, "host").value_or(""))
+      .Add("path", aRequest.mRequest.mPath);
+  }
+  if (aRequest.mTerms.mKey) {
+    line.Add("key", uint64_t{ *aRequest.mTerms.mKey });
+  }
+  if (!aRequest.mTried.empty()) {
+    line.Add("target", aRequest.mTried.back().Value());
+  }
+  mServer.Respond(aRequest.mExchange,
+                  mProtocol.RefusalAnswer(why, aRequest.mTerms.mRequestId));
+  Finish(aRequest, aNow);
+}
+
+void forwarder::Finish(open_request& aRequest, time_point aNow)
+{
+  for (const auto& [call, open] : aRequest.mTries) {
+    mBalancer.HandleEnd(
+      open.mTarget, open.mSend, try_end::kCancelled, 0, aNow);
+    mConnections.Cancel(call);
+  }
+  mByExchange.erase(aRequest.mExchange);
+  mWakes.erase({ aRequest.mWake, aRequest.mId });
+  mRequests.erase(aRequest.mId);
+}
+
+void forwarder::HandleCallerGone(exchange_id aExchange)
+{
+  const auto found = mByExchange.find(aExchange);
+  if (found == mByExchange.end()) {
+    return;
+  }
+  open_request& request = mRequests.at(found->second);
+  const time_point now = MonotonicNow();
+  ++mCounters.mCallerGone;
+  log_line(log_severity::kInfo, "caller_gone")
+    .Add("request", request.mTerms.mRequestId)
+    .Add("tries", uint64_t{ request.mAttempts })
+    .Add("held_us", int64_t{ (now - request.mArrived).count() });
+  // Work that can't be repeated is not broken off; its answer is dropped.
+  if (!request.mRoute->mIdempotent && !request.mTries.empty()) {
+    request.mCallerGone = true;
+    mByExchange.erase(found);
+    return;
+  }
+  Finish(request, now);
+}
+
+void forwarder::SetWake(open_request& aRequest, time_point aNow)
+{
+  time_point wake = aRequest.mAnswerBy;
+  if (aRequest.mParkedUntil) {
+    wake = std::min(wake, *aRequest.mParkedUntil);
+  }
+  const bool mayHedge = aRequest.mRoute->mIdempotent && !aRequest.mHedged &&
+                        !aRequest.mKeyed && !aRequest.mTries.empty();
+  if (mayHedge) {
+    const time_point hedge =
+      aRequest.mTries.begin()->second.mSentAt + HedgeDelay(aRequest);
+    wake = std::min(wake, std::max(hedge, aNow));
+  }
+  mWakes.erase({ aRequest.mWake, aRequest.mId });
+  aRequest.mWake = wake;
+  mWakes.insert({ wake, aRequest.mId });
+  ScheduleTimer(aNow);
+}
+
+void forwarder::ScheduleTimer(time_point aNow)
+{
+  if (mWakes.empty()) {
+    return;
+  }
+  // A timer that fires too early for its request costs less than moving it for
+  // each request.
+  const time_point next = mWakes.begin()->first;
+  if (next >= mTimerAt) {
+    return;
+  }
+  mTimerAt = next;
+  mTimer.StartOnce(mLoop, std::max(next - aNow, duration::zero()), [this] {
+    HandleTimer();
+  });
+}
+
+void forwarder::HandleTimer()
+{
+  const time_point now = MonotonicNow();
+  mTimerAt = time_point::max();
+  while (!mWakes.empty() && mWakes.begin()->first <= now) {
+    const forward_id id = mWakes.begin()->second;
+    mWakes.erase(mWakes.begin());
+    Wake(mRequests.at(id), now);
+  }
+  ScheduleTimer(now);
+}
+
+void forwarder::Wake(open_request& aRequest, time_point aNow)
+{
+  if (aNow >= aRequest.mAnswerBy) {
+    FinishFailed(aRequest, "the time is over", aNow);
+    return;
+  }
+  if (aRequest.mParkedUntil && aNow >= *aRequest.mParkedUntil) {
+    Dispatch(aRequest, aNow);
+    return;
+  }
+  MayHedge(aRequest, aNow);
+}
+
+void forwarder::RefuseNew()
+{
+  mRefusing = true;
+}
+
+std::map<service_name, key_counts> forwarder::TakeKeyCounts()
+{
+  return std::exchange(mKeyCounts, {});
+}
+
+void forwarder::Tick(time_point aNow)
+{
+  mConnections.Sweep(mView.mDirectory, aNow);
+  mBalancer.Retain(mView.mDirectory);
+  for (const target_name& target : mBalancer.TakeProbes(aNow)) {
+    Probe(target, aNow);
+  }
+}
+
+void forwarder::Probe(const target_name& aTarget, time_point aNow)
+{
+  const known_target* known = mView.mDirectory.Find(aTarget);
+  const routed_service* service =
+    known == nullptr || mView.mRoutes == nullptr
+      ? nullptr
+      : mView.mRoutes->FindService(known->mTarget.mService);
+  if (service == nullptr) {
+    mBalancer.HandleProbe(aTarget, false, aNow);
+    return;
+  }
+  constexpr duration kProbeTimeout = 500ms;
+  ++mCounters.mProbes;
+  mConnections.Call(
+    known->mTarget,
+    mProtocol.HealthCheck(service->mHealthPath),
+    kProbeTimeout,
+    aNow,
+    [this, aTarget](const http_result& aResult) {
+      const bool healthy = aResult.mStatus == http_status::kAnswered &&
+                           mProtocol.IsHealthy(aResult.mAnswer, aTarget);
+      log_line(log_severity::kInfo, "target_probed")
+        .Add("target", aTarget.Value())
+        .Add("healthy", healthy);
+      mBalancer.HandleProbe(aTarget, healthy, MonotonicNow());
+    },
+    nullptr);
+}
+
+shared_retry_budget& forwarder::BudgetOf(const service_name& aService)
+{
+  return mBudgets
+    .try_emplace(aService, shared_retry_budget(mSettings.mRetries))
+    .first->second;
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "Parsleystair/Balancing/TargetBalancer.h"
+#include "Parsleystair/Dump/LatencyHistogram.h"
+#include "Parsleystair/Gateway/ForwarderCounters.h"
+#include "Parsleystair/Gateway/RequestProtocol.h"
+#include "Parsleystair/Gateway/TargetConnections.h"
+#include "Parsleystair/Http/HttpServer.h"
+#include "Parsleystair/KeyRanges/KeyLoad.h"
+#include "Parsleystair/Limits/SharedRetryBudget.h"
+#include "Parsleystair/Routing/RouteTable.h"
+#include "Parsleystair/Routing/WeightedChoice.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace parsleystair {
+
+/// Names one request of a caller.
+using forward_id = strong_id<struct forward_tag, uint64_t>;
+
+/// What the forwarder reads to decide; owned and kept up to date by others.
+struct forwarder_view
+{
+  /// Null before the first configuration.
+  std::shared_ptr<const route_table> mRoutes;
+  target_directory mDirectory;
+  std::map<service_name, range_record> mRanges;
+};
+
+struct forwarder_settings
+{
+  balancer_site mSite;
+  shared_budget_settings mRetries;
+};
+
+/// Takes requests of callers to targets and the answers back. Each request gets
+/// one final answer: a target's, or a refusal that says truly whether it ran.
+class forwarder
+{
+public:
+  forwarder(event_loop& aLoop,
+            const forwarder_settings& aSettings,
+            const request_protocol& aProtocol,
+            const forwarder_view& aView,
+            http_server& aServer,
+            uint64_t aSeed);
+  forwarder(const forwarder&) = delete;
+  forwarder& operator=(const forwarder&) = delete;
+
+  /// A whole request of a caller.
+  void Accept(exchange_id aExchange, http_request aRequest);
+
+  /// The caller of a request closed its connection.
+  void HandleCallerGone(exchange_id aExchange);
+
+  /// Owners of keys or targets have changed.
+  void HandleViewChanged();
+
+  /// From now on new requests are refused; open ones go on.
+  void RefuseNew();
+
+  /// Periodic work: health checks, idle connections.
+  void Tick(time_point aNow);
+
+  /// Requests by key bucket since the last call, for each keyed service.
+  std::map<service_name, key_counts> TakeKeyCounts();
+
+  [[nodiscard]] const forwarder_counters& Counters() const { return mCounters; }
+  [[nodiscard]] const latency_histogram& Latency() const { return mLatency; }
+  [[nodiscard]] const target_balancer& Balancer() const { return mBalancer; }
+  [[nodiscard]] const target_connections& Connections() const
+  {
+    return mConnections;
+  }
+  [[nodiscard]] size_t Open() const { return mRequests.size(); }
+
+private:
+  /// One try at a target.
+  struct open_try
+  {
+    target_name mTarget;
+    send_id mSend;
+    time_point mSentAt;
+  };
+
+  struct open_request
+  {
+    forward_id mId;
+    exchange_id mExchange;
+    http_request mRequest;
+    request_terms mTerms;
+    std::shared_ptr<const route> mRoute;
+    service_name mService;
+    bool mKeyed = false;
+    time_point mArrived;
+    /// Time for targets, and time of the final answer.
+    time_point mDeadline;
+    time_point mAnswerBy;
+    std::map<call_id, open_try> mTries;
+    std::vector<target_name> mTried;
+    uint32_t mAttempts = 0;
+    uint32_t mConnectFailures = 0;
+    bool mMayHaveRun = false;
+    bool mHedged = false;
+    /// The answer is dropped, and nothing more is sent.
+    bool mCallerGone = false;
+    /// A target's own failure, passed on when no other answer comes.
+    std::optional<http_answer> mFailure;
+    /// While set, the request waits for an owner of its key.
+    std::optional<time_point> mParkedUntil;
+    /// Next time at which the request needs a look.
+    time_point mWake;
+  };
+
+  // Steps of a request, in order.
+  bool FindTerms(open_request& aRequest, time_point aNow);
+  void Dispatch(open_request& aRequest, time_point aNow);
+  const known_target* ChooseTarget(const open_request& aRequest,
+                                   time_point aNow);
+  const known_target* FindOwner(const open_request& aRequest) const;
+  void Send(open_request& aRequest, const known_target& aTarget,
+            time_point aNow);
+  void HandleResult(forward_id aId, call_id aCall, http_result aResult);
+  void Deliver(open_request& aRequest, http_answer aAnswer, time_point aNow);
+  void Refuse(open_request& aRequest, refusal_kind aKind,
+              const std::string& aReason, time_point aNow);
+  void Finish(open_request& aRequest, time_point aNow);
+
+  // Ends of tries.
+  void HandleAnswer(open_request& aRequest, const open_try& aTry,
+                    http_answer aAnswer, time_point aNow);
+  void HandleNotRun(open_request& aRequest, const open_try& aTry,
+                    const answer_terms& aTerms, time_point aNow);
+  void HandleNotConnected(open_request& aRequest, time_point aNow);
+  void HandleLost(open_request& aRequest, const open_try& aTry,
+                  const http_result& aResult, time_point aNow);
+  void RetryOrFinish(open_request& aRequest, const std::string& aReason,
+                     time_point aNow);
+  void FinishFailed(open_request& aRequest, const std::string& aReason,
+                    time_point aNow);
+
+  // Waiting.
+  void Park(open_request& aRequest, const std::string& aReason,
+            time_point aNow);
+  void SetWake(open_request& aRequest, time_point aNow);
+  void ScheduleTimer(time_point aNow);
+  void HandleTimer();
+  void Wake(open_request& aRequest, time_point aNow);
+  void MayHedge(open_request& aRequest, time_point aNow);
+  [[nodiscard]] duration HedgeDelay(const open_request& aRequest) const;
+
+  shared_retry_budget& BudgetOf(const service_name& aService);
+  bool TakeRepeat(open_request& aRequest);
+  void Probe(const target_name& aTarget, time_point aNow);
+
+  event_loop& mLoop;
+  forwarder_settings mSettings;
+  const request_protocol& mProtocol;
+  const forwarder_view& mView;
+  http_server& mServer;
+  std::mt19937_64 mRandom;
+  target_balancer mBalancer;
+  target_connections mConnections;
+  weighted_choice mWeights;
+  bool mRefusing = false;
+  uint64_t mNextId = 1;
+  std::unordered_map<forward_id, open_request> mRequests;
+  std::unordered_map<exchange_id, forward_id> mByExchange;
+  std::set<std::pair<time_point, forward_id>> mWakes;
+  std::unordered_map<service_name, shared_retry_budget> mBudgets;
+  std::map<service_name, key_counts> mKeyCounts;
+  forwarder_counters mCounters;
+  latency_histogram mLatency;
+  time_point mTimerAt = time_point::max();
+  timer mTimer;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/ForwarderCounters.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+
+namespace parsleystair {
+
+/// Counts since the start of the process; all only grow.
+struct forwarder_counters
+{
+  uint64_t mReceived = 0;
+  /// Ends of requests.
+  uint64_t mAnswered = 0;
+  uint64_t mRefusedNotRun = 0;
+  uint64_t mUnknownRoute = 0;
+  uint64_t mNoAnswer = 0;
+  uint64_t mTimeOver = 0;
+  uint64_t mCallerGone = 0;
+  /// Tries at targets and how they ended.
+  uint64_t mTries = 0;
+  uint64_t mTriesNotConnected = 0;
+  uint64_t mTriesShed = 0;
+  uint64_t mTriesNoAnswer = 0;
+  uint64_t mTriesFailed = 0;
+  /// Repeats of requests, and those for which there was no budget.
+  uint64_t mRetries = 0;
+  uint64_t mHedges = 0;
+  uint64_t mBudgetEmpty = 0;
+  /// Requests that waited for an owner of their key.
+  uint64_t mParked = 0;
+  uint64_t mProbes = 0;
+
+  bool operator==(const forwarder_counters&) const = default;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/ForwarderTries.cpp
@@ -0,0 +1,331 @@
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Log.h"
+#include "Parsleystair/Gateway/Forwarder.h"
+
+#include <algorithm>
+
+// Tries at targets: what is sent, what comes back, and when a request is sent
+// again. A request that may run once only is sent again only while it surely
+// has not run.
+
+namespace parsleystair {
+
+namespace {
+
+constexpr uint32_t kFirstFailureStatus = 500;
+/// Connections that may fail for one request; nothing was sent over them, so
+/// they are not tries.
+constexpr uint32_t kMaxConnectFailures = 3;
+/// Time that a repeat needs at least to be of use, as part of the mean latency.
+constexpr int kUsefulDivisor = 2;
+/// Share of the latency target, and multiple of the mean latency, after which
+/// an idempotent request is also sent to a second target.
+constexpr double kHedgePart = 0.5;
+constexpr int kHedgeFactor = 2;
+/// Wait before a key's owner is asked again after it refused the key: its grant
+/// is on the way.
+constexpr duration kOwnerRetry = 40ms;
+
+/// Statuses by which callers understand that a request has not run.
+bool PromisesNotRun(uint32_t aStatus)
+{
+  constexpr uint32_t kRequestTimeout = 408;
+  constexpr uint32_t kMisdirected = 421;
+  constexpr uint32_t kTooManyRequests = 429;
+  constexpr uint32_t kUnavailable = 503;
+  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
+         aStatus == kTooManyRequests || aStatus == kUnavailable;
+}
+
+bool IsSuccess(uint32_t aStatus)
+{
+  constexpr uint32_t kOk = 200;
+  constexpr uint32_t kMultipleChoices = 300;
+  return aStatus >= kOk && aStatus < kMultipleChoices;
+}
+
+const char* FailureName(const http_result& aResult)
+{
+  switch (aResult.mFailure) {
+    case http_failure::kNone:
+      return "answered";
+    case http_failure::kConnect:
+      return "not connected";
+    case http_failure::kAborted:
+      return "timed out";
+    case http_failure::kClosed:
+      return "connection lost before the answer";
+    case http_failure::kCut:
+      return "answer cut short";
+    case http_failure::kMalformed:
+      return "malformed answer";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+void forwarder::Send(open_request& aRequest,
+                     const known_target& aTarget,
+                     time_point aNow)
+{
+  const duration left = aRequest.mDeadline - aNow;
+  if (left <= duration::zero() || aRequest.mCallerGone) {
+    FinishFailed(aRequest, "the time is over", aNow);
+    return;
+  }
+  ++mCounters.mTries;
+  ++aRequest.mAttempts;
+  const discovered_target& target = aTarget.mTarget;
+  aRequest.mTried.push_back(target.mName);
+  const std::string& requestId = aRequest.mTerms.mRequestId;
+  const forward_id id = aRequest.mId;
+  const auto expected = std::make_shared<call_id>();
+  const call_id call = mConnections.Call(
+    target,
+    mProtocol.ForwardedRequest(aRequest.mRequest, target.mName, left),
+    left + (aRequest.mAnswerBy - aRequest.mDeadline),
+    aNow,
+    [this, id, expected](http_result aResult) {
+      HandleResult(id, *expected, std::move(aResult));
+    },
+    [this, requestId, name = target.mName](const http_answer& aAnswer) {
+      const answer_terms terms = mProtocol.ReadAnswer(aAnswer, name);
+      return terms.mRequestId.empty() || terms.mRequestId == requestId;
+    });
+  *expected = call;
+  const send_id send =
+    mBalancer.HandleSent(target.mName, aRequest.mService, aNow);
+  aRequest.mTries[call] = { target.mName, send, aNow };
+  SetWake(aRequest, aNow);
+}
+
+void forwarder::HandleResult(forward_id aId, call_id aCall, http_result aResult)
+{
+  const time_point now = MonotonicNow();
+  open_request& request = mRequests.at(aId);
+  const open_try ended = request.mTries.at(aCall);
+  request.mTries.erase(aCall);
+  if (aResult.mStatus == http_status::kAnswered) {
+    HandleAnswer(request, ended, std::move(aResult.mAnswer), now);
+    return;
+  }
+  log_line(log_severity::kInfo, "try_failed")
+    .Add("request", request.mTerms.mRequestId)
+    .Add("target", ended.mTarget.Value())
+    .Add("failure", FailureName(aResult))
+    .Add("reused", aResult.mReused)
+    .Add("after_us", int64_t{ (now - ended.mSentAt).count() });
+  if (aResult.mStatus == http_status::kNotSent) {
+    ++mCounters.mTriesNotConnected;
+    mBalancer.HandleEnd(
+      ended.mTarget, ended.mSend, try_end::kNotConnected, 0, now);
+    HandleNotConnected(request, now);
+    return;
+  }
+  HandleLost(request, ended, aResult, now);
+}
+
+void forwarder::HandleAnswer(open_request& aRequest,
+                             const open_try& aTry,
+                             http_answer aAnswer,
+                             time_point aNow)
+{
+  const answer_terms terms = mProtocol.ReadAnswer(aAnswer, aTry.mTarget);
+  if (terms.mKeepAlive) {
+    mConnections.SetKeepAlive(aTry.mTarget, *terms.mKeepAlive);
+  }
+  if (terms.mNotRun) {
+    HandleNotRun(aRequest, aTry, terms, aNow);
+    return;
+  }
+  const bool usable = !terms.mEncoded &&
+                      (terms.mSigned || !IsSuccess(aAnswer.mStatus)) &&
+                      !PromisesNotRun(aAnswer.mStatus);
+  if (!usable) {
+    http_result spoiled;
+    spoiled.mFailure = http_failure::kMalformed;
+    HandleLost(aRequest, aTry, spoiled, aNow);
+    return;
+  }
+  const bool failed = aAnswer.mStatus >= kFirstFailureStatus;
+  mBalancer.HandleEnd(aTry.mTarget,
+                      aTry.mSend,
+                      failed ? try_end::kFailedAnswer : try_end::kAnswered,
+                      aAnswer.mBody.size(),
+                      aNow);
+  if (!failed || !aRequest.mRoute->mIdempotent) {
+    Deliver(aRequest, std::move(aAnswer), aNow);
+    return;
+  }
+  ++mCounters.mTriesFailed;
+  aRequest.mMayHaveRun = true;
+  aRequest.mFailure = std::move(aAnswer);
+  RetryOrFinish(aRequest, "the target failed", aNow);
+}
+
+void forwarder::HandleNotRun(open_request& aRequest,
+                             const open_try& aTry,
+                             const answer_terms& aTerms,
+                             time_point aNow)
+{
+  ++mCounters.mTriesShed;
+  log_line(log_severity::kInfo, "try_not_run")
+    .Add("request", aRequest.mTerms.mRequestId)
+    .Add("target", aTry.mTarget.Value())
+    .Add("wrong_target", aTerms.mWrongTarget)
+    .Add("after_us", int64_t{ (aNow - aTry.mSentAt).count() });
+  if (!aRequest.mKeyed) {
+    mBalancer.HandleEnd(aTry.mTarget,
+                        aTry.mSend,
+                        aTerms.mWrongTarget ? try_end::kNotConnected
+                                            : try_end::kShed,
+                        0,
+                        aNow);
+    RetryOrFinish(aRequest, "the target has no room", aNow);
+    return;
+  }
+  mBalancer.HandleEnd(
+    aTry.mTarget, aTry.mSend, try_end::kCancelled, 0, aNow);
+  if (!aRequest.mTries.empty()) {
+    return;
+  }
+  // Another owner may be recorded already; else its grant may be on the way.
+  const known_target* owner = FindOwner(aRequest);
+  const bool moved = owner != nullptr && owner->mTarget.mName != aTry.mTarget;
+  const time_point latest =
+    aRequest.mArrived + aRequest.mRoute->mLatencyTarget;
+  const bool mayRepeat =
+    aRequest.mAttempts < kMaxConnectFailures && aNow < latest;
+  if (!mayRepeat || !TakeRepeat(aRequest)) {
+    FinishFailed(aRequest, "the owner does not hold the key", aNow);
+    return;
+  }
+  if (moved) {
+    Send(aRequest, *owner, aNow);
+    return;
+  }
+  aRequest.mParkedUntil = aNow + kOwnerRetry;
+  SetWake(aRequest, aNow);
+}
+
+void forwarder::HandleNotConnected(open_request& aRequest, time_point aNow)
+{
+  --aRequest.mAttempts;
+  if (!aRequest.mTries.empty()) {
+    return;
+  }
+  ++aRequest.mConnectFailures;
+  if (aRequest.mConnectFailures >= kMaxConnectFailures) {
+    FinishFailed(aRequest, "no target could be reached", aNow);
+    return;
+  }
+  if (aRequest.mKeyed) {
+    FinishFailed(aRequest, "the owner of the key can't be reached", aNow);
+    return;
+  }
+  Dispatch(aRequest, aNow);
+}
+
+void forwarder::HandleLost(open_request& aRequest,
+                           const open_try& aTry,
+                           const http_result& aResult,
+                           time_point aNow)
+{
+  ++mCounters.mTriesNoAnswer;
+  aRequest.mMayHaveRun = true;
+  mBalancer.HandleEnd(
+    aTry.mTarget, aTry.mSend, try_end::kNoAnswer, 0, aNow);
+  if (!aRequest.mRoute->mIdempotent) {
+    FinishFailed(aRequest, FailureName(aResult), aNow);
+    return;
+  }
+  RetryOrFinish(aRequest, FailureName(aResult), aNow);
+}
+
+bool forwarder::TakeRepeat(open_request& aRequest)
+{
+  if (BudgetOf(aRequest.mService).TryTake()) {
+    ++mCounters.mRetries;
+    return true;
+  }
+  ++mCounters.mBudgetEmpty;
+  return false;
+}
+
+void forwarder::RetryOrFinish(open_request& aRequest,
+                              const std::string& aReason,
+                              time_point aNow)
+{
+  // Another try is under way.
+  if (!aRequest.mTries.empty()) {
+    return;
+  }
+  const duration needed =
+    mBalancer.MeanLatency(aRequest.mService) / kUsefulDivisor;
+  const bool mayRepeat = aRequest.mAttempts < aRequest.mRoute->mMaxAttempts &&
+                         aNow + needed < aRequest.mDeadline;
+  if (!mayRepeat || !TakeRepeat(aRequest)) {
+    FinishFailed(aRequest, aReason, aNow);
+    return;
+  }
+  log_line(log_severity::kInfo, "request_repeated")
+    .Add("request", aRequest.mTerms.mRequestId)
+    .Add("reason", aReason)
+    .Add("tries", uint64_t{ aRequest.mAttempts });
+  Dispatch(aRequest, aNow);
+}
+
+void forwarder::FinishFailed(open_request& aRequest,
+                             const std::string& aReason,
+                             time_point aNow)
+{
+  if (aRequest.mFailure) {
+    Deliver(aRequest, std::move(*aRequest.mFailure), aNow);
+    return;
+  }
+  const bool mayHaveRun = aRequest.mMayHaveRun || !aRequest.mTries.empty();
+  if (!mayHaveRun) {
+    Refuse(aRequest, refusal_kind::kNotRun, aReason, aNow);
+    return;
+  }
+  const bool timeOver = aNow >= aRequest.mDeadline;
+  Refuse(aRequest,
+         timeOver ? refusal_kind::kTimeOver : refusal_kind::kNoAnswer,
+         aReason,
+         aNow);
+}
+
+duration forwarder::HedgeDelay(const open_request& aRequest) const
+{
+  const auto part = std::chrono::duration_cast<duration>(
+    aRequest.mRoute->mLatencyTarget * kHedgePart);
+  return std::max(part,
+                  kHedgeFactor * mBalancer.MeanLatency(aRequest.mService));
+}
+
+void forwarder::MayHedge(open_request& aRequest, time_point aNow)
+{
+  aRequest.mHedged = true;
+  SetWake(aRequest, aNow);
+  const bool mayRepeat = aRequest.mTries.size() == 1 &&
+                         aRequest.mAttempts < aRequest.mRoute->mMaxAttempts;
+  if (!mayRepeat) {
+    return;
+  }
+  const known_target* target = ChooseTarget(aRequest, aNow);
+  const target_name first = aRequest.mTries.begin()->second.mTarget;
+  if (target == nullptr || target->mTarget.mName == first ||
+      !TakeRepeat(aRequest)) {
+    return;
+  }
+  ++mCounters.mHedges;
+  log_line(log_severity::kInfo, "request_hedged")
+    .Add("request", aRequest.mTerms.mRequestId)
+    .Add("first", first.Value())
+    .Add("second", target->mTarget.mName.Value())
+    .Add("after_us", int64_t{ (aNow - aRequest.mArrived).count() });
+  Send(aRequest, *target, aNow);
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/GatewaySettings.cpp
@@ -0,0 +1,141 @@
+#include "Parsleystair/Gateway/GatewaySettings.h"
+
+#include "Parsleystair/Core/Error.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace parsleystair {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kMaxSettingsBytes = 64 * 1024;
+
+/// One member of the settings, for reports of what is wrong with it.
+class setting
+{
+public:
+  setting(const json& aSettings, std::string aName)
+    : mName(std::move(aName))
+  {
+    const auto found = aSettings.find(mName);
+    if (found != aSettings.end() && !found->is_null()) {
+      mValue = &*found;
+    }
+  }
+
+  [[nodiscard]] bool IsSet() const { return mValue != nullptr; }
+
+  [[nodiscard]] std::string Text() const
+  {
+    if (mValue == nullptr || !mValue->is_string() ||
+        mValue->get<std::string>().empty()) {
+      Fail("a text that is not empty");
+    }
+    return mValue->get<std::string>();
+  }
+
+  /// An IP address and a port, as "10.0.0.1:80".
+  [[nodiscard]] socket_address Address() const
+  {
+    const std::string text = Text();
+    const size_t colon = text.rfind(':');
+    uint16_t port = 0;
+    if (colon != std::string::npos) {
+      const char* end = text.data() + text.size();
+      const auto result = std::from_chars(text.data() + colon + 1, end, port);
+      if (result.ec == std::errc() && result.ptr == end) {
+        return { text.substr(0, colon), port };
+      }
+    }
+    Fail("an IP address and a port, as 10.0.0.1:80");
+  }
+
+  /// A number within bounds, or the default if it is not set.
+  [[nodiscard]] double Number(double aDefault, double aMin, double aMax) const
+  {
+    if (mValue == nullptr) {
+      return aDefault;
+    }
+    if (!mValue->is_number() || mValue->get<double>() < aMin ||
+        mValue->get<double>() > aMax) {
+      Fail("a number from " + std::to_string(aMin) + " to " +
+           std::to_string(aMax));
+    }
+    return mValue->get<double>();
+  }
+
+  [[nodiscard]] duration Seconds(duration aDefault, duration aMax) const
+  {
+    using seconds = std::chrono::duration<double>;
+    const double value =
+      Number(seconds(aDefault).count(), 0, seconds(aMax).count());
+    return std::chrono::duration_cast<duration>(seconds(value));
+  }
+
+  [[nodiscard]] std::map<failure_domain_name, region_name> Regions() const
+  {
+    std::map<failure_domain_name, region_name> regions;
+    if (mValue == nullptr || !mValue->is_object()) {
+      Fail("an object of failure domains and their regions");
+    }
+    for (const auto& [domain, region] : mValue->items()) {
+      if (!region.is_string()) {
+        Fail("the name of a region for each failure domain");
+      }
+      regions[failure_domain_name(domain)] =
+        region_name(region.get<std::string>());
+    }
+    return regions;
+  }
+
+private:
+  [[noreturn]] void Fail(const std::string& aAllowed) const
+  {
+    throw value_error(
+      mName, mValue == nullptr ? "nothing" : mValue->dump(), aAllowed);
+  }
+
+  std::string mName;
+  const json* mValue = nullptr;
+};
+
+} // namespace
+
+gateway_settings ParseGatewaySettings(const std::string& aText)
+{
+  const json parsed = json::parse(aText, nullptr, false);
+  if (!parsed.is_object()) {
+    throw value_error("settings", aText.substr(0, 40), "a JSON object");
+  }
+  const auto get = [&](const char* aName) { return setting(parsed, aName); };
+  constexpr duration kLongest = 1h;
+  gateway_settings settings;
+  settings.mVm = vm_name(get("vm").Text());
+  settings.mFailureDomain = failure_domain_name(get("failureDomain").Text());
+  settings.mRegions = get("failureDomains").Regions();
+  settings.mCallers = get("callers").Address();
+  settings.mReadiness = get("readiness").Address();
+  settings.mOperators = get("operators").Address();
+  settings.mPeers = get("peers").Address();
+  settings.mStore = get("store").Address();
+  settings.mShutdownGrace =
+    get("shutdownGraceSeconds").Seconds(settings.mShutdownGrace, kLongest);
+  settings.mMaxHold =
+    get("maxHoldSeconds").Seconds(settings.mMaxHold, kLongest);
+  settings.mRetryRatio =
+    get("retryRatio").Number(settings.mRetryRatio, 0, 1);
+  constexpr double kMaxSlack = 1'000'000;
+  settings.mRetrySlack = static_cast<uint32_t>(
+    get("retrySlack").Number(settings.mRetrySlack, 0, kMaxSlack));
+  return settings;
+}
+
+gateway_settings LoadGatewaySettings(const std::string& aPath)
+{
+  return ParseGatewaySettings(ReadTextFile(aPath, kMaxSettingsBytes));
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -0,0 +1,465 @@
+#include "Parsleystair/Gateway/GatewayTask.h"
+
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Core/Log.h"
+
+namespace parsleystair {
+
+namespace {
+
+constexpr uint32_t kOk = 200;
+constexpr uint32_t kBadRequest = 400;
+constexpr uint32_t kNotFound = 404;
+constexpr uint32_t kUnavailable = 503;
+
+/// Work without an event of its own: health checks, old connections, late
+/// entries.
+constexpr duration kTickInterval = 250ms;
+/// Busy keys change within seconds.
+constexpr duration kReportInterval = 1s;
+constexpr duration kReportTimeout = 800ms;
+/// Time after which the platform has seen two readiness checks fail and sends no
+/// new connections while other machines are ready.
+constexpr duration kLeaveTime = 2500ms;
+/// Time before the platform kills the process in which the last answers leave.
+constexpr duration kShutdownMargin = 300ms;
+constexpr duration kShutdownStep = 50ms;
+
+http_server_settings CallerSettings(const request_limits& aLimits)
+{
+  http_server_settings settings;
+  settings.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
+  settings.mMaxBodyBytes = aLimits.mMaxBodyBytes;
+  settings.mRequestTimeout = aLimits.mHeaderTimeout;
+  settings.mIdleTimeout = aLimits.mIdleTimeout;
+  return settings;
+}
+
+forwarder_settings ForwarderSettings(const gateway_settings& aSettings)
+{
+  forwarder_settings settings;
+  settings.mSite.mFailureDomain = aSettings.mFailureDomain;
+  settings.mSite.mRegions = aSettings.mRegions;
+  settings.mRetries = { aSettings.mRetryRatio, aSettings.mRetrySlack };
+  return settings;
+}
+
+range_settings RangeSettings(const gateway_settings& aSettings)
+{
+  range_settings settings;
+  settings.mHold = std::min(settings.mHold, aSettings.mMaxHold);
+  return settings;
+}
+
+leader_entry SelfEntry(const gateway_settings& aSettings, uint64_t aIncarnation)
+{
+  return { aSettings.mVm,
+           incarnation(aIncarnation),
+           aSettings.mPeers.mHost,
+           aSettings.mPeers.mPort };
+}
+
+} // namespace
+
+class gateway_task::follower : public prefix_listener
+{
+public:
+  using items_handler = std::function<void(const std::vector<stored_item>&)>;
+  using change_handler = std::function<void(const item_change&)>;
+
+  follower(gateway_task& aTask,
+           const std::string& aPrefix,
+           items_handler aItems,
+           change_handler aChange,
+           uint64_t aSeed)
+    : mTask(aTask)
+    , mItems(std::move(aItems))
+    , mChange(std::move(aChange))
+    , mFollower(aTask.mLoop, aTask.mPlatform.mStore, aPrefix, *this, aSeed)
+  {
+  }
+
+  void Start() { mFollower.Start(); }
+  void CheckAfterGap(time_point aAt) { mFollower.CheckAfterGap(aAt); }
+  [[nodiscard]] const prefix_follower& Follower() const { return mFollower; }
+
+  void HandleItems(const std::vector<stored_item>& aItems) override
+  {
+    mItems(aItems);
+  }
+  void HandleChange(const item_change& aChange) override { mChange(aChange); }
+  void HandleLost() override
+  {
+    mTask.mView.mDirectory.HandleStoreLost(MonotonicNow());
+  }
+  void HandleBack() override
+  {
+    mTask.mView.mDirectory.HandleStoreBack(MonotonicNow());
+  }
+  void HandleGap() override
+  {
+    const time_point now = MonotonicNow();
+    for (const auto& each :
+         { &mTask.mConfiguration, &mTask.mTargets, &mTask.mOwnership }) {
+      (*each)->CheckAfterGap(now);
+    }
+  }
+
+private:
+  gateway_task& mTask;
+  items_handler mItems;
+  change_handler mChange;
+  prefix_follower mFollower;
+};
+
+gateway_task::gateway_task(event_loop& aLoop,
+                           const gateway_settings& aSettings,
+                           const gateway_platform& aPlatform,
+                           uint64_t aSeed)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mPlatform(aPlatform)
+  , mCallers(aLoop,
+             CallerSettings({}),
+             [this](exchange_id aExchange, http_request aRequest) {
+               mForwarder.Accept(aExchange, std::move(aRequest));
+             })
+  , mReadiness(aLoop,
+               {},
+               [this](exchange_id aExchange, const http_request&) {
+                 mReadiness.Respond(
+                   aExchange, { IsReady() ? kOk : kUnavailable, {}, "" });
+               })
+  , mOperators(aLoop,
+               {},
+               [this](exchange_id aExchange, const http_request& aRequest) {
+                 mOperators.Respond(aExchange, AnswerOperator(aRequest));
+               })
+  , mPeers(aLoop,
+           {},
+           [this](exchange_id aExchange, const http_request& aRequest) {
+             HandleReport(aExchange, aRequest);
+           })
+  , mForwarder(aLoop,
+               ForwarderSettings(aSettings),
+               aPlatform.mRequests,
+               mView,
+               mCallers,
+               aSeed)
+  , mElection(aLoop,
+              aPlatform.mStore,
+              kLeaderKey,
+              SelfEntry(aSettings, aSeed),
+              aSeed + 1)
+  , mRanges(aLoop,
+            RangeSettings(aSettings),
+            aPlatform.mStore,
+            aPlatform.mOrders,
+            mElection)
+{
+  mCallers.OnClose([this](exchange_id aExchange) {
+    mForwarder.HandleCallerGone(aExchange);
+  });
+  mElection.OnChange([this] { mRanges.HandleLeadership(MonotonicNow()); });
+  mElection.OnProof([this](time_point aAsked) { mRanges.HandleProof(aAsked); });
+  mConfiguration = std::make_unique<follower>(
+    *this,
+    aPlatform.mCatalog.ConfigurationPrefix(),
+    [this](const std::vector<stored_item>& aItems) {
+      for (const stored_item& item : aItems) {
+        ApplyConfiguration(item.mKey, item.mValue);
+      }
+    },
+    [this](const item_change& aChange) {
+      if (aChange.mValue) {
+        ApplyConfiguration(aChange.mKey, *aChange.mValue);
+      }
+    },
+    aSeed + 2);
+  mTargets = std::make_unique<follower>(
+    *this,
+    aPlatform.mCatalog.TargetPrefix(),
+    [this](const std::vector<stored_item>& aItems) { ApplyTargets(aItems); },
+    [this](const item_change& aChange) { ApplyTarget(aChange); },
+    aSeed + 3);
+  mOwnership = std::make_unique<follower>(
+    *this,
+    kOwnPrefix,
+    [this](const std::vector<stored_item>& aItems) { ApplyOwnItems(aItems); },
+    [this](const item_change& aChange) { ApplyOwn(aChange); },
+    aSeed + 4);
+
+  mReadiness.Listen(mSettings.mReadiness.mHost, mSettings.mReadiness.mPort);
+  mOperators.Listen(mSettings.mOperators.mHost, mSettings.mOperators.mPort);
+  mPeers.Listen(mSettings.mPeers.mHost, mSettings.mPeers.mPort);
+  mCallers.Listen(mSettings.mCallers.mHost, mSettings.mCallers.mPort);
+  mConfiguration->Start();
+  mTargets->Start();
+  mOwnership->Start();
+  mTick.StartRepeating(mLoop, kTickInterval, [this] { Tick(); });
+}
+
+gateway_task::~gateway_task() = default;
+
+bool gateway_task::IsReady() const
+{
+  return mView.mRoutes != nullptr && !mShutdownAt &&
+         mTargets->Follower().HasRead();
+}
+
+void gateway_task::ApplyConfiguration(const std::string& aKey,
+                                      const std::string& aValue)
+{
+  auto configuration = mPlatform.mCatalog.ReadConfiguration(aKey, aValue);
+  if (!configuration) {
+    return;
+  }
+  // Reads of the store may be older than what is in force.
+  const uint64_t current = mView.mRoutes == nullptr
+                             ? 0
+                             : mView.mRoutes->Configuration().mVersion;
+  if (mView.mRoutes != nullptr && configuration->mVersion <= current) {
+    log_line(log_severity::kInfo, "configuration_ignored")
+      .Add("version", configuration->mVersion)
+      .Add("current", current);
+    return;
+  }
+  log_line(log_severity::kInfo, "configuration_applied")
+    .Add("version", configuration->mVersion)
+    .Add("previous", current)
+    .Add("routes", uint64_t{ configuration->mRoutes.size() });
+  ApplyLimits(configuration->mLimits);
+  std::set<service_name> keyed;
+  for (const auto& [name, service] : configuration->mServices) {
+    if (service.mKeyed) {
+      keyed.insert(name);
+    }
+  }
+  mView.mRoutes = std::make_shared<const route_table>(std::move(*configuration));
+  mRanges.SetServices(keyed);
+  HandleTargetsChanged();
+}
+
+void gateway_task::ApplyLimits(const request_limits& aLimits)
+{
+  mCallers.SetLimits(CallerSettings(aLimits));
+}
+
+void gateway_task::ApplyTargets(const std::vector<stored_item>& aItems)
+{
+  std::vector<discovered_target> targets;
+  for (const stored_item& item : aItems) {
+    if (auto target = mPlatform.mCatalog.ReadTarget(item.mKey, item.mValue)) {
+      targets.push_back(std::move(*target));
+    }
+  }
+  log_line(log_severity::kInfo, "targets_read")
+    .Add("targets", uint64_t{ targets.size() });
+  mView.mDirectory.Reset(targets, MonotonicNow());
+  HandleTargetsChanged();
+}
+
+void gateway_task::ApplyTarget(const item_change& aChange)
+{
+  const time_point now = MonotonicNow();
+  if (!aChange.mValue) {
+    const target_name name = mPlatform.mCatalog.TargetOf(aChange.mKey);
+    mView.mDirectory.Remove(name, now);
+    log_line(log_severity::kInfo, "target_removed")
+      .Add("target", name.Value())
+      .Add("revision", aChange.mRevision.Value())
+      .Add("kept", mView.mDirectory.Find(name) != nullptr);
+    HandleTargetsChanged();
+    return;
+  }
+  const auto target =
+    mPlatform.mCatalog.ReadTarget(aChange.mKey, *aChange.mValue);
+  if (!target) {
+    return;
+  }
+  const known_target* known = mView.mDirectory.Find(target->mName);
+  const bool same = known != nullptr && !known->mMissingUntil &&
+                    known->mTarget == *target;
+  if (same) {
+    return;
+  }
+  mView.mDirectory.Update(*target, now);
+  log_line(log_severity::kInfo, "target_changed")
+    .Add("target", target->mName.Value())
+    .Add("service", target->mService.Value())
+    .Add("draining", target->mDraining)
+    .Add("started_ms", target->mStartedMs)
+    .Add("revision", aChange.mRevision.Value());
+  HandleTargetsChanged();
+}
+
+void gateway_task::HandleTargetsChanged()
+{
+  mRanges.HandleTargets(mView.mDirectory, MonotonicNow());
+  mForwarder.HandleViewChanged();
+}
+
+void gateway_task::ApplyOwnItems(const std::vector<stored_item>& aItems)
+{
+  std::optional<stored_item> leader;
+  for (const stored_item& item : aItems) {
+    if (item.mKey == kLeaderKey) {
+      leader = item;
+    } else {
+      ApplyRanges(item.mKey, item.mValue, item.mRevision);
+    }
+  }
+  mElection.HandleKey(leader);
+}
+
+void gateway_task::ApplyOwn(const item_change& aChange)
+{
+  if (aChange.mKey == kLeaderKey) {
+    mElection.HandleKey(
+      aChange.mValue
+        ? std::optional(
+            stored_item{ aChange.mKey, *aChange.mValue, aChange.mRevision })
+        : std::nullopt);
+    return;
+  }
+  if (aChange.mValue) {
+    ApplyRanges(aChange.mKey, *aChange.mValue, aChange.mRevision);
+  }
+}
+
+void gateway_task::ApplyRanges(const std::string& aKey,
+                               const std::string& aValue,
+                               store_revision aRevision)
+{
+  const std::string prefix = kRangesPrefix;
+  if (!aKey.starts_with(prefix)) {
+    return;
+  }
+  const service_name service(aKey.substr(prefix.size()));
+  try {
+    const range_record record = DecodeRangeRecord(aValue);
+    log_line(log_severity::kInfo, "owners_changed")
+      .Add("service", service.Value())
+      .Add("revision", aRevision.Value())
+      .Add("ranges", uint64_t{ record.mRanges.size() });
+    mView.mRanges[service] = record;
+    mRanges.HandleRecord(service, record, aRevision);
+    mForwarder.HandleViewChanged();
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kError, "owners_unreadable")
+      .Add("service", service.Value())
+      .Add("error", exception.what());
+  }
+}
+
+void gateway_task::Tick()
+{
+  const time_point now = MonotonicNow();
+  if (mView.mDirectory.Expire(now)) {
+    HandleTargetsChanged();
+  }
+  mForwarder.Tick(now);
+  if (now >= mNextReport) {
+    mNextReport = now + kReportInterval;
+    SendReport();
+  }
+}
+
+void gateway_task::SendReport()
+{
+  const load_report report = mForwarder.TakeKeyCounts();
+  const auto& leader = mElection.Leader();
+  if (report.empty() || !leader) {
+    return;
+  }
+  if (mElection.IsLeading()) {
+    for (const auto& [service, counts] : report) {
+      mRanges.HandleLoad(service, counts, MonotonicNow());
+    }
+    return;
+  }
+  if (mReportLeader != leader) {
+    mReportLeader = leader;
+    mReportConnection =
+      std::make_unique<http_connection>(mLoop, leader->mHost, leader->mPort);
+  }
+  if (mReportConnection->IsBusy()) {
+    return;
+  }
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/load";
+  request.mBody = EncodeLoadReport(report);
+  // A lost report only makes the load look smaller for a second.
+  mReportConnection->Call(request, kReportTimeout, [](const http_result&) {});
+}
+
+void gateway_task::HandleReport(exchange_id aExchange,
+                                const http_request& aRequest)
+{
+  try {
+    for (const auto& [service, counts] : DecodeLoadReport(aRequest.mBody)) {
+      mRanges.HandleLoad(service, counts, MonotonicNow());
+    }
+    mPeers.Respond(aExchange, { kOk, {}, "" });
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kWarning, "report_unreadable")
+      .Add("peer", aRequest.mRemoteHost)
+      .Add("error", exception.what());
+    mPeers.Respond(aExchange, { kBadRequest, {}, "" });
+  }
+}
+
+http_answer gateway_task::AnswerOperator(const http_request& aRequest) const
+{
+  const http_header text{ "Content-Type", "text/plain; charset=utf-8" };
+  if (aRequest.mPath == "/metrics") {
+    return { kOk, { text }, MetricsText() };
+  }
+  if (aRequest.mPath == "/dump") {
+    return { kOk, { { "Content-Type", "application/json" } }, DumpText() };
+  }
+  if (aRequest.mPath == "/readyz") {
+    return { IsReady() ? kOk : kUnavailable, { text }, "" };
+  }
+  return { kNotFound, { text }, "unknown path\n" };
+}
+
+void gateway_task::Shutdown()
+{
+  if (mShutdownAt) {
+    return;
+  }
+  mShutdownAt = MonotonicNow();
+  log_line(log_severity::kInfo, "shutdown_started")
+    .Add("open_requests", uint64_t{ mForwarder.Open() });
+  mCallers.CloseAfterAnswers();
+  mElection.Leave();
+  mShutdownTimer.StartRepeating(mLoop, kShutdownStep, [this] {
+    StepShutdown();
+  });
+}
+
+void gateway_task::StepShutdown()
+{
+  const duration since = MonotonicNow() - *mShutdownAt;
+  const duration longest = mSettings.mShutdownGrace - kShutdownMargin;
+  if (since < std::min(kLeaveTime, longest)) {
+    return;
+  }
+  // From here on only what is open is served: connections that still come
+  // would be cut off by the end of the process.
+  mCallers.StopListening();
+  mCallers.CloseIdle();
+  mForwarder.RefuseNew();
+  if (mForwarder.Open() > 0 && since < longest) {
+    return;
+  }
+  log_line(log_severity::kInfo, "stopped")
+    .Add("open_requests", uint64_t{ mForwarder.Open() })
+    .Add("after_us", int64_t{ since.count() });
+  mLoop.Stop();
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "Parsleystair/Gateway/Forwarder.h"
+#include "Parsleystair/Gateway/GatewaySettings.h"
+#include "Parsleystair/Gateway/LeaderElection.h"
+#include "Parsleystair/Gateway/LoadReport.h"
+#include "Parsleystair/Gateway/PlatformCatalog.h"
+#include "Parsleystair/Gateway/PrefixFollower.h"
+#include "Parsleystair/Gateway/RangeDriver.h"
+#include "Parsleystair/Http/HttpConnection.h"
+
+#include <functional>
+#include <memory>
+
+namespace parsleystair {
+
+/// The parts of a gateway that depend on where it runs.
+struct gateway_platform
+{
+  coordination_store& mStore;
+  const platform_catalog& mCatalog;
+  const request_protocol& mRequests;
+  const order_protocol& mOrders;
+};
+
+/// One gateway: serves callers, follows the store, and leads the ownership of
+/// keys when it is its turn. Everything runs on one event loop: a machine has
+/// less than one core.
+class gateway_task
+{
+public:
+  gateway_task(event_loop& aLoop,
+               const gateway_settings& aSettings,
+               const gateway_platform& aPlatform,
+               uint64_t aSeed);
+  ~gateway_task();
+  gateway_task(const gateway_task&) = delete;
+  gateway_task& operator=(const gateway_task&) = delete;
+
+  /// Starts a graceful shutdown; the loop stops when it is done.
+  void Shutdown();
+
+  [[nodiscard]] bool IsReady() const;
+
+  /// Metrics in Prometheus text format.
+  [[nodiscard]] std::string MetricsText() const;
+
+  /// State of the process as JSON.
+  [[nodiscard]] std::string DumpText() const;
+
+private:
+  /// Follows one prefix of the store on behalf of the task.
+  class follower;
+
+  void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
+  void ApplyTargets(const std::vector<stored_item>& aItems);
+  void ApplyTarget(const item_change& aChange);
+  void ApplyOwnItems(const std::vector<stored_item>& aItems);
+  void ApplyOwn(const item_change& aChange);
+  void ApplyRanges(const std::string& aKey,
+                   const std::string& aValue,
+                   store_revision aRevision);
+  void HandleTargetsChanged();
+  void ApplyLimits(const request_limits& aLimits);
+  [[nodiscard]] http_answer AnswerOperator(const http_request& aRequest) const;
+  void HandleReport(exchange_id aExchange, const http_request& aRequest);
+  void Tick();
+  void SendReport();
+  void StepShutdown();
+
+  event_loop& mLoop;
+  gateway_settings mSettings;
+  gateway_platform mPlatform;
+  forwarder_view mView;
+  http_server mCallers;
+  http_server mReadiness;
+  http_server mOperators;
+  http_server mPeers;
+  forwarder mForwarder;
+  leader_election mElection;
+  range_driver mRanges;
+  std::unique_ptr<follower> mConfiguration;
+  std::unique_ptr<follower> mTargets;
+  std::unique_ptr<follower> mOwnership;
+  std::unique_ptr<http_connection> mReportConnection;
+  std::optional<leader_entry> mReportLeader;
+  time_point mNextReport = time_point::min();
+  std::optional<time_point> mShutdownAt;
+  timer mTick;
+  timer mShutdownTimer;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -0,0 +1,182 @@
+#include "Parsleystair/Gateway/PrefixFollower.h"
+
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Log.h"
+
+#include <algorithm>
+
+namespace parsleystair {
+
+namespace {
+
+/// Longest wait of one watch. Each watch is a paid call, and a lost connection
+/// is found by the system's keep-alive.
+constexpr duration kWatchWait = 20s;
+/// Pause after changes, so that changes which come together cost one call. It
+/// is a small part of the seconds within which a change must be in force.
+constexpr duration kGatherTime = 100ms;
+/// Time within which the store also cuts the other watches when it drops its
+/// history.
+constexpr duration kGapCheckDelay = 300ms;
+/// Delay after the first failure; doubles with each further one up to the
+/// longest delay. Failed calls are paid, too.
+constexpr duration kFirstRetry = 100ms;
+constexpr duration kMaxRetry = 800ms;
+/// Failures after which the store counts as lost.
+constexpr uint32_t kFailuresToLose = 2;
+
+const char* OutcomeName(call_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case call_outcome::kDone:
+      return "done";
+    case call_outcome::kConflict:
+      return "conflict";
+    case call_outcome::kGone:
+      return "gone";
+    case call_outcome::kRefused:
+      return "refused";
+    case call_outcome::kUnknown:
+      return "unanswered";
+  }
+  return "unanswered";
+}
+
+} // namespace
+
+prefix_follower::prefix_follower(event_loop& aLoop,
+                                 coordination_store& aStore,
+                                 std::string aPrefix,
+                                 prefix_listener& aListener,
+                                 uint64_t aSeed)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mPrefix(std::move(aPrefix))
+  , mListener(aListener)
+  , mRandom(aSeed)
+{
+}
+
+void prefix_follower::Start()
+{
+  Read();
+}
+
+duration prefix_follower::Age(time_point aNow) const
+{
+  return mAnsweredAt == time_point::min() ? duration::max()
+                                          : aNow - mAnsweredAt;
+}
+
+void prefix_follower::Read()
+{
+  mStore.ReadPrefix(mPrefix,
+                    [this](const prefix_reply& aReply) { HandleRead(aReply); });
+}
+
+void prefix_follower::Watch()
+{
+  const uint64_t number = ++mWatchNumber;
+  mStore.Watch(mPrefix,
+               mRevision,
+               kWatchWait,
+               [this, number](const watch_reply& aReply) {
+                 if (number == mWatchNumber) {
+                   HandleWatch(aReply);
+                 }
+               });
+}
+
+void prefix_follower::CheckAfterGap(time_point aAt)
+{
+  mGapTimer.StartOnce(
+    mLoop, kGapCheckDelay, [this, aAt] { HandleGapChecked(aAt); });
+}
+
+void prefix_follower::HandleGapChecked(time_point aAt)
+{
+  if (!mHasRead || mAnsweredAt >= aAt - kGapCheckDelay) {
+    return;
+  }
+  log_line(log_severity::kInfo, "watch_given_up")
+    .Add("prefix", mPrefix)
+    .Add("revision", mRevision.Value());
+  ++mWatchNumber;
+  Read();
+}
+
+void prefix_follower::HandleRead(const prefix_reply& aReply)
+{
+  if (aReply.mOutcome != call_outcome::kDone) {
+    RetryLater(aReply.mOutcome, true);
+    return;
+  }
+  NoteAnswer();
+  mRevision = aReply.mRevision;
+  mHasRead = true;
+  mListener.HandleItems(aReply.mItems);
+  Watch();
+}
+
+void prefix_follower::HandleWatch(const watch_reply& aReply)
+{
+  if (aReply.mOutcome == call_outcome::kGone) {
+    log_line(log_severity::kInfo, "history_gone")
+      .Add("prefix", mPrefix)
+      .Add("revision", mRevision.Value());
+    NoteAnswer();
+    mListener.HandleGap();
+    Read();
+    return;
+  }
+  if (aReply.mOutcome != call_outcome::kDone) {
+    RetryLater(aReply.mOutcome, false);
+    return;
+  }
+  NoteAnswer();
+  mRevision = std::max(mRevision, aReply.mRevision);
+  for (const item_change& change : aReply.mChanges) {
+    mListener.HandleChange(change);
+  }
+  if (aReply.mChanges.empty()) {
+    Watch();
+    return;
+  }
+  mTimer.StartOnce(mLoop, kGatherTime, [this] { Watch(); });
+}
+
+void prefix_follower::NoteAnswer()
+{
+  mAnsweredAt = MonotonicNow();
+  if (mFailures >= kFailuresToLose) {
+    log_line(log_severity::kInfo, "store_back").Add("prefix", mPrefix);
+    mListener.HandleBack();
+  }
+  mFailures = 0;
+}
+
+void prefix_follower::RetryLater(call_outcome aOutcome, bool aRead)
+{
+  constexpr uint32_t kMaxDoublings = 3;
+  const duration longest = std::min(
+    kMaxRetry, kFirstRetry * (1 << std::min(mFailures, kMaxDoublings)));
+  ++mFailures;
+  if (mFailures == kFailuresToLose) {
+    log_line(log_severity::kWarning, "store_lost")
+      .Add("prefix", mPrefix)
+      .Add("outcome", OutcomeName(aOutcome))
+      .Add("revision", mRevision.Value());
+    mListener.HandleLost();
+  }
+  std::uniform_int_distribution<int64_t> delay(longest.count() / 2,
+                                               longest.count());
+  mTimer.StartOnce(mLoop, duration(delay(mRandom)), [this, aRead] {
+    if (aRead || !mHasRead) {
+      Read();
+    } else {
+      Watch();
+    }
+  });
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -0,0 +1,270 @@
+#include "Parsleystair/Gateway/RangeDriver.h"
+
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Log.h"
+
+namespace parsleystair {
+
+namespace {
+
+/// Longest wait for the answer to a grant; shorter than the renewal interval.
+constexpr duration kGrantTimeout = 600ms;
+/// A release is answered when the work on its keys has ended. The old grant
+/// runs out earlier than this, so that nothing waits longer.
+constexpr duration kReleaseTimeout = 6s;
+
+http_connection_settings OrderConnectionSettings()
+{
+  http_connection_settings settings;
+  settings.mConnectTimeout = 400ms;
+  settings.mTakesUnframedAnswers = true;
+  settings.mStream.mUserTimeout = kGrantTimeout;
+  return settings;
+}
+
+const char* EndName(order_end aEnd)
+{
+  switch (aEnd) {
+    case order_end::kAccepted:
+      return "accepted";
+    case order_end::kFenced:
+      return "fenced";
+    case order_end::kRejected:
+      return "rejected";
+    case order_end::kNotSent:
+      return "not-sent";
+    case order_end::kUnanswered:
+      return "unanswered";
+  }
+  return "unanswered";
+}
+
+} // namespace
+
+range_driver::range_driver(event_loop& aLoop,
+                           const range_settings& aSettings,
+                           coordination_store& aStore,
+                           const order_protocol& aProtocol,
+                           leader_election& aElection)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mStore(aStore)
+  , mProtocol(aProtocol)
+  , mElection(aElection)
+  , mConnections(aLoop, OrderConnectionSettings())
+{
+}
+
+void range_driver::SetServices(const std::set<service_name>& aServices)
+{
+  for (const service_name& service : aServices) {
+    const auto [position, isNew] =
+      mControllers.try_emplace(service, mSettings);
+    if (isNew && mElection.IsLeading()) {
+      position->second.StartLeading(MonotonicNow());
+    }
+  }
+  StepLater();
+}
+
+void range_driver::HandleLeadership(time_point aNow)
+{
+  for (auto& [service, controller] : mControllers) {
+    if (mElection.IsLeading()) {
+      controller.StartLeading(aNow);
+    } else {
+      controller.StopLeading();
+    }
+  }
+  StepLater();
+}
+
+void range_driver::HandleProof(time_point aAsked)
+{
+  for (auto& [service, controller] : mControllers) {
+    controller.HandleProof(aAsked);
+  }
+}
+
+void range_driver::HandleRecord(const service_name& aService,
+                                const range_record& aRecord,
+                                store_revision aRevision)
+{
+  // The record may arrive before the configuration that names the service.
+  mControllers.try_emplace(aService, mSettings)
+    .first->second.HandleRecord(aRecord, aRevision);
+  StepLater();
+}
+
+void range_driver::HandleTargets(const target_directory& aDirectory,
+                                 time_point aNow)
+{
+  for (auto& [service, controller] : mControllers) {
+    std::vector<const known_target*> targets;
+    for (const auto& [name, target] : aDirectory.All()) {
+      if (target.mTarget.mService == service) {
+        targets.push_back(&target);
+      }
+    }
+    controller.HandleTargets(targets, aNow);
+  }
+  StepLater();
+}
+
+void range_driver::HandleLoad(const service_name& aService,
+                              const key_counts& aCounts,
+                              time_point aNow)
+{
+  if (range_controller* controller = Find(aService)) {
+    controller->HandleLoad(aCounts, aNow);
+  }
+}
+
+size_t range_driver::OpenMoves() const
+{
+  size_t count = 0;
+  for (const auto& [service, controller] : mControllers) {
+    count += controller.OpenMoves();
+  }
+  return count;
+}
+
+range_controller* range_driver::Find(const service_name& aService)
+{
+  const auto found = mControllers.find(aService);
+  return found == mControllers.end() ? nullptr : &found->second;
+}
+
+void range_driver::StepLater()
+{
+  // Events that come together are handled in one step.
+  if (!mStepPlanned && mElection.IsLeading()) {
+    mStepPlanned = true;
+    mSoonTimer.StartOnce(mLoop, duration::zero(), [this] {
+      mStepPlanned = false;
+      StepAll();
+    });
+  }
+}
+
+void range_driver::StepAll()
+{
+  const time_point now = MonotonicNow();
+  std::optional<time_point> next;
+  for (auto& [service, controller] : mControllers) {
+    for (const range_action& action : controller.Step(now)) {
+      std::visit([&](const auto& aAction) { Execute(service, aAction); },
+                 action);
+    }
+    const auto step = controller.NextStep();
+    if (step && (!next || *step < *next)) {
+      next = step;
+    }
+  }
+  if (next) {
+    mStepTimer.StartOnce(
+      mLoop, std::max(*next - now, duration::zero()), [this] { StepAll(); });
+  }
+}
+
+discovered_target range_driver::TargetOf(const order_address& aAddress) const
+{
+  discovered_target target;
+  target.mName = aAddress.mTarget;
+  target.mHost = aAddress.mHost;
+  target.mPort = aAddress.mPort;
+  return target;
+}
+
+void range_driver::Execute(const service_name& aService,
+                           const grant_order& aOrder)
+{
+  ++mCounters.mGrants;
+  mConnections.Call(
+    TargetOf(aOrder.mTo),
+    mProtocol.GrantRequest(aOrder),
+    kGrantTimeout,
+    MonotonicNow(),
+    [this, aService, aOrder](const http_result& aResult) {
+      order_end end = order_end::kUnanswered;
+      if (aResult.mStatus == http_status::kNotSent) {
+        end = order_end::kNotSent;
+      } else if (aResult.mStatus == http_status::kAnswered) {
+        end = mProtocol.ReadOrderAnswer(aResult.mAnswer);
+      }
+      if (end != order_end::kAccepted) {
+        ++mCounters.mGrantsFailed;
+        log_line(log_severity::kInfo, "grant_failed")
+          .Add("service", aService.Value())
+          .Add("target", aOrder.mTo.mTarget.Value())
+          .Add("from", uint64_t{ aOrder.mKeys.mFrom })
+          .Add("to", uint64_t{ aOrder.mKeys.mTo })
+          .Add("fence", aOrder.mFence.Value())
+          .Add("end", EndName(end));
+      }
+      if (range_controller* controller = Find(aService)) {
+        controller->HandleGrantEnd(aOrder.mId, end, MonotonicNow());
+        StepLater();
+      }
+    },
+    nullptr);
+}
+
+void range_driver::Execute(const service_name& aService,
+                           const release_order& aOrder)
+{
+  ++mCounters.mReleases;
+  mConnections.Call(
+    TargetOf(aOrder.mTo),
+    mProtocol.ReleaseRequest(aOrder),
+    kReleaseTimeout,
+    MonotonicNow(),
+    [this, aService, aOrder](const http_result& aResult) {
+      order_end end = order_end::kUnanswered;
+      std::string handover;
+      if (aResult.mStatus == http_status::kNotSent) {
+        end = order_end::kNotSent;
+      } else if (aResult.mStatus == http_status::kAnswered) {
+        end = mProtocol.ReadOrderAnswer(aResult.mAnswer);
+        handover = mProtocol.ReadHandover(aResult.mAnswer);
+      }
+      mCounters.mReleasesFailed += end == order_end::kAccepted ? 0 : 1;
+      log_line(log_severity::kInfo, "keys_released")
+        .Add("service", aService.Value())
+        .Add("target", aOrder.mTo.mTarget.Value())
+        .Add("from", uint64_t{ aOrder.mKeys.mFrom })
+        .Add("to", uint64_t{ aOrder.mKeys.mTo })
+        .Add("fence", aOrder.mFence.Value())
+        .Add("end", EndName(end));
+      if (range_controller* controller = Find(aService)) {
+        controller->HandleReleaseEnd(
+          aOrder.mId, end, handover, MonotonicNow());
+        StepLater();
+      }
+    },
+    nullptr);
+}
+
+void range_driver::Execute(const service_name& aService,
+                           const write_record& aWrite)
+{
+  ++mCounters.mRecordWrites;
+  const std::string key = kRangesPrefix + aService.Value();
+  conditional_write write;
+  write.mConditions = { mElection.Condition(), { key, aWrite.mExpected } };
+  write.mWrites = { { key, EncodeRangeRecord(aWrite.mRecord), lease_id(0) } };
+  mStore.Write(write, [this, aService](const write_reply& aReply) {
+    const bool written = aReply.mOutcome == call_outcome::kDone;
+    mCounters.mRecordWritesFailed += written ? 0 : 1;
+    log_line(log_severity::kInfo, "record_written")
+      .Add("service", aService.Value())
+      .Add("done", written)
+      .Add("revision", aReply.mRevision.Value());
+    if (range_controller* controller = Find(aService)) {
+      controller->HandleWriteEnd(written, aReply.mRevision, MonotonicNow());
+      StepLater();
+    }
+  });
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -0,0 +1,126 @@
+#include "Parsleystair/Gateway/TargetConnections.h"
+
+#include "Parsleystair/Core/Clock.h"
+
+namespace parsleystair {
+
+namespace {
+
+/// Idle time of a connection whose target doesn't say how long it keeps it.
+constexpr duration kDefaultKeepAlive = 1s;
+/// A connection that its target is about to close is not used: the request
+/// could cross the close, and then nobody knows whether it ran.
+constexpr duration kCloseMargin = 300ms;
+
+} // namespace
+
+target_connections::target_connections(
+  event_loop& aLoop,
+  const http_connection_settings& aSettings)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+{
+}
+
+std::unique_ptr<http_connection> target_connections::Take(
+  const discovered_target& aTarget,
+  time_point aNow)
+{
+  const auto [position, isNew] = mPools.try_emplace(aTarget.mName);
+  pool& from = position->second;
+  if (isNew) {
+    from.mKeepAlive = kDefaultKeepAlive;
+  }
+  if (from.mHost != aTarget.mHost || from.mPort != aTarget.mPort) {
+    from.mHost = aTarget.mHost;
+    from.mPort = aTarget.mPort;
+    from.mIdle.clear();
+  }
+  while (!from.mIdle.empty()) {
+    idle_connection last = std::move(from.mIdle.back());
+    from.mIdle.pop_back();
+    const bool fresh =
+      aNow - last.mSince < from.mKeepAlive - kCloseMargin;
+    if (fresh && last.mConnection->IsOpen()) {
+      ++mReused;
+      return std::move(last.mConnection);
+    }
+  }
+  ++mOpened;
+  return std::make_unique<http_connection>(
+    mLoop, aTarget.mHost, aTarget.mPort, mSettings);
+}
+
+call_id target_connections::Call(const discovered_target& aTarget,
+                                 const http_request& aRequest,
+                                 duration aTimeout,
+                                 time_point aNow,
+                                 callback aCallback,
+                                 answer_filter aFilter)
+{
+  const call_id id(mNextCall++);
+  open_call& call = mCalls[id];
+  call.mTarget = aTarget.mName;
+  call.mConnection = Take(aTarget, aNow);
+  call.mCallback = std::move(aCallback);
+  call.mConnection->Call(
+    aRequest,
+    aTimeout,
+    [this, id](http_result aResult) { HandleResult(id, std::move(aResult)); },
+    std::move(aFilter));
+  return id;
+}
+
+void target_connections::HandleResult(call_id aCall, http_result aResult)
+{
+  // The connection must outlive its own callback.
+  auto node = mCalls.extract(aCall);
+  open_call& call = node.mapped();
+  if (call.mConnection->IsOpen()) {
+    mPools[call.mTarget].mIdle.push_back(
+      { std::move(call.mConnection), MonotonicNow() });
+  }
+  call.mCallback(std::move(aResult));
+}
+
+void target_connections::Cancel(call_id aCall)
+{
+  mCalls.erase(aCall);
+}
+
+void target_connections::SetKeepAlive(const target_name& aTarget,
+                                      duration aTime)
+{
+  const auto found = mPools.find(aTarget);
+  if (found != mPools.end()) {
+    found->second.mKeepAlive = aTime;
+  }
+}
+
+void target_connections::Sweep(const target_directory& aDirectory,
+                               time_point aNow)
+{
+  for (auto& [name, each] : mPools) {
+    const known_target* known = aDirectory.Find(name);
+    const bool unused = known == nullptr || !known->IsUsable();
+    std::erase_if(each.mIdle, [&](const idle_connection& aIdle) {
+      return unused || !aIdle.mConnection->IsOpen() ||
+             aNow - aIdle.mSince >= each.mKeepAlive - kCloseMargin;
+    });
+  }
+  std::erase_if(mPools, [&](const auto& aPool) {
+    return aPool.second.mIdle.empty() &&
+           aDirectory.Find(aPool.first) == nullptr;
+  });
+}
+
+size_t target_connections::Idle() const
+{
+  size_t count = 0;
+  for (const auto& [name, each] : mPools) {
+    count += each.mIdle.size();
+  }
+  return count;
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Parsleystair/Core/Ids.h"
+#include "Parsleystair/Discovery/TargetDirectory.h"
+#include "Parsleystair/Http/HttpConnection.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace parsleystair {
+
+/// Names one call to a target.
+using call_id = strong_id<struct call_tag, uint64_t>;
+
+/// Connections of one router to all targets, kept open between calls.
+class target_connections
+{
+public:
+  using callback = http_connection::callback;
+  using answer_filter = http_connection::answer_filter;
+
+  target_connections(event_loop& aLoop,
+                     const http_connection_settings& aSettings);
+
+  /// Sends a request over an idle connection or a new one.
+  call_id Call(const discovered_target& aTarget,
+               const http_request& aRequest,
+               duration aTimeout,
+               time_point aNow,
+               callback aCallback,
+               answer_filter aFilter);
+
+  /// Ends a call without its callback and closes its connection, by which most
+  /// targets drop the request.
+  void Cancel(call_id aCall);
+
+  /// How long idle connections of a target may be used; from its answers.
+  void SetKeepAlive(const target_name& aTarget, duration aTime);
+
+  /// Closes idle connections that are too old, and those of targets that are
+  /// gone or leaving.
+  void Sweep(const target_directory& aDirectory, time_point aNow);
+
+  [[nodiscard]] uint64_t Opened() const { return mOpened; }
+  [[nodiscard]] uint64_t Reused() const { return mReused; }
+  [[nodiscard]] size_t Idle() const;
+
+private:
+  struct idle_connection
+  {
+    std::unique_ptr<http_connection> mConnection;
+    time_point mSince;
+  };
+
+  struct pool
+  {
+    std::string mHost;
+    uint16_t mPort = 0;
+    duration mKeepAlive;
+    std::vector<idle_connection> mIdle;
+  };
+
+  struct open_call
+  {
+    target_name mTarget;
+    std::unique_ptr<http_connection> mConnection;
+    callback mCallback;
+  };
+
+  std::unique_ptr<http_connection> Take(const discovered_target& aTarget,
+                                        time_point aNow);
+  void HandleResult(call_id aCall, http_result aResult);
+
+  event_loop& mLoop;
+  http_connection_settings mSettings;
+  uint64_t mNextCall = 1;
+  uint64_t mOpened = 0;
+  uint64_t mReused = 0;
+  std::unordered_map<target_name, pool> mPools;
+  std::unordered_map<call_id, open_call> mCalls;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/KeyRanges/KeyLoad.cpp
@@ -0,0 +1,77 @@
+#include "Parsleystair/KeyRanges/KeyLoad.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleystair {
+
+namespace {
+
+/// Time in which a count loses most of its weight; busy keys change within
+/// seconds.
+constexpr double kFadeSeconds = 3.0;
+/// Weight of a bucket without requests, in requests.
+constexpr double kIdleWeight = 0.002;
+constexpr duration kFadeStep = 200ms;
+
+} // namespace
+
+key_load::key_load()
+  : mWeights(kBuckets, 0)
+{
+}
+
+key_bucket key_load::BucketOf(uint32_t aKey)
+{
+  return key_bucket(std::min(aKey, kMaxKeyNumber) / kKeysPerBucket);
+}
+
+void key_load::Add(const key_counts& aCounts, time_point aNow)
+{
+  Fade(aNow);
+  for (const auto& [bucket, count] : aCounts) {
+    if (bucket.Value() < kBuckets) {
+      mWeights[bucket.Value()] += count;
+      mRequests += count;
+    }
+  }
+}
+
+void key_load::Fade(time_point aNow)
+{
+  if (mFadedAt == time_point::min()) {
+    mFadedAt = aNow;
+  }
+  if (aNow - mFadedAt < kFadeStep) {
+    return;
+  }
+  const double seconds =
+    std::chrono::duration<double>(aNow - mFadedAt).count();
+  const double factor = std::exp(-seconds / kFadeSeconds);
+  for (double& weight : mWeights) {
+    weight *= factor;
+  }
+  mRequests *= factor;
+  mFadedAt = aNow;
+}
+
+double key_load::WeightOf(const key_interval& aKeys) const
+{
+  double weight = 0;
+  uint32_t key = aKeys.mFrom;
+  while (key <= aKeys.mTo) {
+    const uint32_t bucket = key / kKeysPerBucket;
+    const uint32_t next = (bucket + 1) * kKeysPerBucket;
+    const uint32_t covered = std::min(next - 1, aKeys.mTo) - key + 1;
+    weight += WeightOf(key_bucket(bucket)) * covered / kKeysPerBucket;
+    key = next;
+  }
+  return weight;
+}
+
+double key_load::WeightOf(key_bucket aBucket) const
+{
+  return mWeights[aBucket.Value()] + kIdleWeight;
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/KeyRanges/KeyLoad.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Parsleystair/Core/Time.h"
+#include "Parsleystair/KeyRanges/RangeRecord.h"
+
+#include <map>
+#include <vector>
+
+namespace parsleystair {
+
+/// Index of a run of neighbouring keys whose load is counted together.
+using key_bucket = strong_id<struct key_bucket_tag, uint32_t>;
+
+/// Requests by key bucket that one router counted since its last report.
+using key_counts = std::map<key_bucket, uint32_t>;
+
+/// Load by key over the last seconds, summed from the routers' reports. Each
+/// key also has a small constant weight, so that keys without requests are
+/// spread evenly.
+class key_load
+{
+public:
+  /// Keys of one bucket: busy keys lie close together, and a move can't cut
+  /// finer than this.
+  static constexpr uint32_t kKeysPerBucket = 8;
+  static constexpr uint32_t kBuckets = (kMaxKeyNumber + 1) / kKeysPerBucket;
+
+  key_load();
+
+  static key_bucket BucketOf(uint32_t aKey);
+
+  void Add(const key_counts& aCounts, time_point aNow);
+
+  /// Lets old counts fade. Call before reading weights.
+  void Fade(time_point aNow);
+
+  /// Weight of the keys of an interval.
+  [[nodiscard]] double WeightOf(const key_interval& aKeys) const;
+  [[nodiscard]] double WeightOf(key_bucket aBucket) const;
+
+  /// Requests that the weights rest on.
+  [[nodiscard]] double Requests() const { return mRequests; }
+
+private:
+  std::vector<double> mWeights;
+  double mRequests = 0;
+  time_point mFadedAt = time_point::min();
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "Parsleystair/Discovery/TargetDirectory.h"
+#include "Parsleystair/KeyRanges/KeyLoad.h"
+#include "Parsleystair/KeyRanges/RangeActions.h"
+#include "Parsleystair/KeyRanges/RangePlanner.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace parsleystair {
+
+struct range_settings
+{
+  /// Time for which a grant holds unless it is renewed.
+  duration mHold = 3s;
+  /// Time between renewals. A new leader has `mHold` less this to take over
+  /// before grants run out.
+  duration mRenewEvery = 800ms;
+  /// Longest time for which a leader renews grants though the store does not
+  /// confirm that it leads. Bridges outages of the store.
+  duration mUnprovenTime = 12s;
+  /// How slow a target's clock may run, as a factor of its holds.
+  double mClockFactor = 1.02;
+  /// Longest time between the end of an unanswered call and its arrival.
+  duration mDeliveryTime = 300ms;
+  /// Wait for all targets to register before the first keys are given out.
+  duration mFirstWait = 1s;
+};
+
+/// Decides who owns the keys of one service, as the one leader of all routers.
+///
+/// Keys get a new owner in three steps, each of which may be repeated by
+/// another leader: the old owner releases them or its grant runs out; the
+/// record names the new owner with a higher fence; the new owner is granted
+/// them. Grants are given only as the record says, so that two leaders that
+/// don't know of each other renew the same grants.
+class range_controller
+{
+public:
+  explicit range_controller(const range_settings& aSettings);
+
+  /// This router leads from `aSince` on. Earlier leaders may renew grants for
+  /// `mUnprovenTime` after that.
+  void StartLeading(time_point aSince);
+  void StopLeading();
+
+  /// The store confirmed at `aAsked` that this router leads.
+  void HandleProof(time_point aAsked);
+
+  /// No earlier leader can renew grants after `aNow`.
+  void HandleFormerLeaderGone(time_point aNow);
+
+  /// The record as the store holds it; older revisions are ignored.
+  void HandleRecord(const range_record& aRecord, store_revision aRevision);
+
+  /// Targets of the service as they are known now.
+  void HandleTargets(const std::vector<const known_target*>& aTargets,
+                     time_point aNow);
+
+  void HandleLoad(const key_counts& aCounts, time_point aNow);
+
+  void HandleGrantEnd(order_id aOrder, order_end aEnd, time_point aNow);
+  void HandleReleaseEnd(order_id aOrder,
+                        order_end aEnd,
+                        const std::string& aHandover,
+                        time_point aNow);
+  /// `aRevision`: of the record, when it was written.
+  void HandleWriteEnd(bool aWritten, store_revision aRevision, time_point aNow);
+
+  /// All that is to be done now. Call again after each event and at `NextStep`.
+  std::vector<range_action> Step(time_point aNow);
+
+  /// Time of the next step that no event starts; none while not leading.
+  [[nodiscard]] std::optional<time_point> NextStep() const;
+
+  [[nodiscard]] bool IsLeading() const { return mLeading; }
+  [[nodiscard]] const range_record& Record() const { return mRecord; }
+  [[nodiscard]] size_t OpenMoves() const { return mMoves.size(); }
+
+private:
+  /// What is known of a target that owns or may own keys.
+  struct owner_state
+  {
+    discovered_target mTarget;
+    /// It has an entry in the directory and may get keys.
+    bool mListed = false;
+    bool mUsable = false;
+    /// Latest time at which a grant of this router may have arrived.
+    time_point mLastGrant = time_point::min();
+    /// First of the failed grants since the last accepted one.
+    std::optional<time_point> mFailingSince;
+  };
+
+  /// Keys on their way to a new owner.
+  struct move
+  {
+    key_interval mKeys;
+    /// Empty name: nobody owns the keys.
+    target_life mFrom;
+    fence mFence;
+    /// The new owner, if the planner chose it already.
+    target_name mTo;
+    bool mReady = false;
+    std::string mHandover;
+    /// End of the old owner's grant.
+    time_point mExpires;
+    std::optional<order_id> mRelease;
+    time_point mNextRelease = time_point::min();
+  };
+
+  struct open_grant
+  {
+    target_name mTarget;
+    key_interval mKeys;
+  };
+
+  void ForgetOrders();
+  void AddMoves(time_point aNow);
+  void AddMove(const key_interval& aKeys,
+               const owned_range* aOwner,
+               const target_name& aTo,
+               time_point aNow);
+  void AddBalanceMove(time_point aNow);
+  void StepMoves(time_point aNow, std::vector<range_action>& aActions);
+  void StepWrite(time_point aNow, std::vector<range_action>& aActions);
+  void StepGrants(time_point aNow, std::vector<range_action>& aActions);
+  void GrantPiece(const key_interval& aKeys,
+                  const owned_range& aRange,
+                  time_point aNow,
+                  std::vector<range_action>& aActions);
+  void PlaceMove(const move& aMove,
+                 range_record& aRecord,
+                 std::vector<owner_candidate>& aCandidates) const;
+  [[nodiscard]] std::vector<owner_candidate> Candidates(time_point aNow) const;
+  [[nodiscard]] bool MustMove(const owned_range& aRange, time_point aNow) const;
+  [[nodiscard]] bool IsFailing(const owner_state& aState,
+                               time_point aNow) const;
+  [[nodiscard]] bool IsOwnerRestarted(const target_life& aOwner) const;
+  [[nodiscard]] time_point ExpiryOf(const owned_range& aRange,
+                                    time_point aNow) const;
+  /// End of a grant that arrived at a time at the latest.
+  [[nodiscard]] time_point HoldEnd(time_point aGranted) const;
+  [[nodiscard]] bool HasOpenGrant(const target_name& aTarget,
+                                  const key_interval& aKeys) const;
+  [[nodiscard]] std::vector<key_interval> WithoutMoves(
+    const key_interval& aKeys) const;
+  [[nodiscard]] bool HasProof(time_point aNow) const;
+
+  range_settings mSettings;
+  bool mLeading = false;
+  time_point mProof = time_point::min();
+  /// Earlier leaders may renew grants until then.
+  time_point mForeignUntil = time_point::min();
+  /// Fences from this one on were given out by this leader.
+  uint64_t mFirstOwnFence = 0;
+  range_record mRecord;
+  store_revision mRevision;
+  key_load mLoad;
+  std::map<target_name, owner_state> mOwners;
+  std::optional<time_point> mFirstListed;
+  std::vector<move> mMoves;
+  std::optional<range_record> mWriting;
+  time_point mNextWrite = time_point::min();
+  time_point mNextBalance = time_point::min();
+  uint64_t mNextOrder = 1;
+  std::map<order_id, open_grant> mOpenGrants;
+  /// Next renewal of the keys that begin at a number.
+  std::map<uint32_t, time_point> mNextGrant;
+  time_point mNextStep = time_point::min();
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/KeyRanges/RangePlanner.cpp
@@ -0,0 +1,189 @@
+#include "Parsleystair/KeyRanges/RangePlanner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleystair {
+
+namespace {
+
+/// Load relative to capacity, over the mean, from which keys are moved. Moves
+/// cost an interruption of their keys each.
+constexpr double kImbalanceToMove = 1.4;
+/// A candidate without keys gets some at any imbalance.
+constexpr double kEmptyPart = 0.05;
+/// Smallest move, as part of the excess, that is worth its interruption.
+constexpr double kSmallestPart = 0.2;
+/// A bucket that overshoots the wanted weight by this factor stays.
+constexpr double kOvershoot = 1.5;
+
+double RelativeWeight(const owner_candidate& aCandidate)
+{
+  return aCandidate.mWeight / aCandidate.mCapacity;
+}
+
+owner_candidate& LeastLoaded(std::vector<owner_candidate>& aCandidates)
+{
+  return *std::min_element(aCandidates.begin(),
+                           aCandidates.end(),
+                           [](const auto& aLeft, const auto& aRight) {
+                             return RelativeWeight(aLeft) <
+                                    RelativeWeight(aRight);
+                           });
+}
+
+/// Number of pieces into which a weight is cut, so that one candidate doesn't
+/// get more than its share.
+size_t PieceCount(double aWeight,
+                  double aTotal,
+                  const std::vector<owner_candidate>& aCandidates)
+{
+  const auto count = static_cast<double>(aCandidates.size());
+  const double pieces = std::ceil(aWeight * count / std::max(aTotal, 1e-9));
+  return static_cast<size_t>(std::clamp(pieces, 1.0, count));
+}
+
+/// End of the longest run of keys from the start of an interval whose weight
+/// does not pass a bound by much; at least one bucket.
+uint32_t CutAt(const key_interval& aKeys, const key_load& aLoad, double aWanted)
+{
+  double weight = 0;
+  uint32_t end = aKeys.mFrom;
+  uint32_t key = aKeys.mFrom;
+  while (key <= aKeys.mTo) {
+    const uint32_t bucketEnd =
+      std::min(key | (key_load::kKeysPerBucket - 1), aKeys.mTo);
+    const double added = aLoad.WeightOf({ key, bucketEnd });
+    if (key != aKeys.mFrom && weight + added / 2 > aWanted) {
+      break;
+    }
+    weight += added;
+    end = bucketEnd;
+    key = bucketEnd + 1;
+  }
+  return end;
+}
+
+/// Piece at one edge of a range whose weight is close to the wanted one.
+struct edge_piece
+{
+  key_interval mKeys;
+  double mWeight = 0;
+};
+
+edge_piece LeftPiece(const key_interval& aKeys,
+                     const key_load& aLoad,
+                     double aWanted)
+{
+  const key_interval piece{ aKeys.mFrom, CutAt(aKeys, aLoad, aWanted) };
+  return { piece, aLoad.WeightOf(piece) };
+}
+
+edge_piece RightPiece(const key_interval& aKeys,
+                      const key_load& aLoad,
+                      double aWanted)
+{
+  const double rest = aLoad.WeightOf(aKeys) - aWanted;
+  const uint32_t cut = CutAt(aKeys, aLoad, rest);
+  if (cut >= aKeys.mTo) {
+    return {};
+  }
+  const key_interval piece{ cut + 1, aKeys.mTo };
+  return { piece, aLoad.WeightOf(piece) };
+}
+
+/// Best piece among the edges of all ranges of an owner.
+std::optional<key_interval> FindPiece(const range_record& aRecord,
+                                      const target_name& aOwner,
+                                      const key_load& aLoad,
+                                      double aWanted)
+{
+  std::optional<key_interval> best;
+  double bestError = aWanted * (1 - kSmallestPart);
+  for (const owned_range& range : aRecord.mRanges) {
+    if (range.mOwner.mName != aOwner) {
+      continue;
+    }
+    for (const edge_piece& piece :
+         { LeftPiece(range.mKeys, aLoad, aWanted),
+           RightPiece(range.mKeys, aLoad, aWanted) }) {
+      const double error = std::abs(piece.mWeight - aWanted);
+      const bool fits = piece.mWeight <= aWanted * kOvershoot;
+      if (piece.mWeight > 0 && fits && error < bestError) {
+        best = piece.mKeys;
+        bestError = error;
+      }
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+std::vector<planned_range> PlanOwners(const key_interval& aKeys,
+                                      const key_load& aLoad,
+                                      std::vector<owner_candidate>& aCandidates)
+{
+  if (aCandidates.empty()) {
+    return {};
+  }
+  const double weight = aLoad.WeightOf(aKeys);
+  double total = weight;
+  for (const owner_candidate& each : aCandidates) {
+    total += each.mWeight;
+  }
+  const size_t pieces = PieceCount(weight, total, aCandidates);
+  std::vector<planned_range> plan;
+  key_interval left = aKeys;
+  for (size_t piece = pieces; piece > 0; --piece) {
+    const double wanted = aLoad.WeightOf(left) / static_cast<double>(piece);
+    const uint32_t end =
+      piece == 1 ? left.mTo : CutAt(left, aLoad, wanted);
+    const key_interval keys{ left.mFrom, end };
+    owner_candidate& owner = LeastLoaded(aCandidates);
+    owner.mWeight += aLoad.WeightOf(keys);
+    plan.push_back({ keys, owner.mName });
+    if (end >= left.mTo) {
+      break;
+    }
+    left.mFrom = end + 1;
+  }
+  return plan;
+}
+
+std::optional<planned_range> PlanBalance(
+  const range_record& aRecord,
+  const key_load& aLoad,
+  const std::vector<owner_candidate>& aCandidates)
+{
+  if (aCandidates.size() < 2) {
+    return std::nullopt;
+  }
+  const auto byWeight = [](const auto& aLeft, const auto& aRight) {
+    return RelativeWeight(aLeft) < RelativeWeight(aRight);
+  };
+  const auto [least, most] =
+    std::minmax_element(aCandidates.begin(), aCandidates.end(), byWeight);
+  double weight = 0;
+  double capacity = 0;
+  for (const owner_candidate& each : aCandidates) {
+    weight += each.mWeight;
+    capacity += each.mCapacity;
+  }
+  const double mean = weight / capacity;
+  const bool hasEmpty = RelativeWeight(*least) < kEmptyPart * mean;
+  if (!hasEmpty && RelativeWeight(*most) < kImbalanceToMove * mean) {
+    return std::nullopt;
+  }
+  // Levels the two, or fills an empty one up to its share.
+  const double excess = std::min(RelativeWeight(*most) - mean,
+                                 mean - RelativeWeight(*least));
+  const double wanted = std::max(excess, mean / 2) * least->mCapacity;
+  const auto piece = FindPiece(aRecord, most->mName, aLoad, wanted);
+  if (!piece) {
+    return std::nullopt;
+  }
+  return planned_range{ *piece, least->mName };
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Routing/RouteConfiguration.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Parsleystair/Core/Ids.h"
+#include "Parsleystair/Core/Time.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace parsleystair {
+
+using route_name = strong_id<struct route_tag, std::string>;
+
+/// One of the services that share the requests of a route.
+struct weighted_service
+{
+  service_name mService;
+  /// Share of the requests relative to the sum of all weights.
+  uint32_t mWeight = 1;
+
+  bool operator==(const weighted_service&) const = default;
+};
+
+/// Requests of one host whose path begins with a prefix.
+struct route
+{
+  route_name mName;
+  std::string mHost;
+  /// Begins and ends with a slash.
+  std::string mPrefix;
+  /// Requests may run more than once.
+  bool mIdempotent = false;
+  /// Longest time until the final answer.
+  duration mTimeout{};
+  /// Time within which an answer has its full value.
+  duration mLatencyTarget{};
+  /// Targets to which one request may be sent.
+  uint32_t mMaxAttempts = 1;
+  /// 0 is the highest.
+  uint32_t mPriority = 0;
+  std::vector<weighted_service> mServices;
+
+  bool operator==(const route&) const = default;
+};
+
+struct routed_service
+{
+  service_name mName;
+  /// Path of the health check.
+  std::string mHealthPath;
+  /// Connections that one target accepts from all routers together.
+  uint32_t mMaxConnections = 0;
+  /// Each key is served by one target only.
+  bool mKeyed = false;
+  /// Time for which keys that arrive without a handover are slow.
+  duration mWarmUp{};
+
+  bool operator==(const routed_service&) const = default;
+};
+
+/// Bounds on what callers may send.
+struct request_limits
+{
+  uint32_t mMaxHeaderBytes = 16 * 1024;
+  uint32_t mMaxBodyBytes = 1024 * 1024;
+  duration mHeaderTimeout = 60s;
+  duration mIdleTimeout = 60s;
+
+  bool operator==(const request_limits&) const = default;
+};
+
+/// One version of all that operators declare.
+struct route_configuration
+{
+  uint64_t mVersion = 0;
+  request_limits mLimits;
+  std::vector<route> mRoutes;
+  std::map<service_name, routed_service> mServices;
+
+  bool operator==(const route_configuration&) const = default;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Routing/WeightedChoice.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Parsleystair/Routing/RouteConfiguration.h"
+
+#include <unordered_map>
+
+namespace parsleystair {
+
+/// Spreads the requests of each route over its services by weight. Smooth
+/// weighted round robin: any run of requests is close to the weights.
+class weighted_choice
+{
+public:
+  /// Service of the next request of a route.
+  service_name Next(const route& aRoute);
+
+private:
+  struct share
+  {
+    service_name mService;
+    int64_t mCredit = 0;
+  };
+
+  std::unordered_map<route_name, std::vector<share>> mRoutes;
+};
+
+} // namespace parsleystair
