Give an owner that may have restarted a new fence before its next grant

The state test of the range controller showed a restarted target that took the fence of its earlier life (, 74th case).

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -108,6 +108,7 @@
     }
     controller.HandleTargets(targets, aNow);
   }
+  mConnections.Retain(aDirectory);
   StepLater();
 }
 
@@ -180,6 +181,12 @@
                            const grant_order& aOrder)
 {
   ++mCounters.mGrants;
+  // A connection that broke is a sign that the target restarted: its new life
+  // must not take the fence that the old one had.
+  if (mConnections.DropBroken(aOrder.mTo.mTarget)) {
+    HandleGrantEnd(aService, aOrder, order_end::kNotSent);
+    return;
+  }
   mConnections.Call(
     TargetOf(aOrder.mTo),
     mProtocol.GrantRequest(aOrder),
@@ -192,24 +199,31 @@
       } else if (aResult.mStatus == http_status::kAnswered) {
         end = mProtocol.ReadOrderAnswer(aResult.mAnswer);
       }
-      if (end != order_end::kAccepted) {
-        ++mCounters.mGrantsFailed;
-        log_line(log_severity::kInfo, "grant_failed")
-          .Add("service", aService.Value())
-          .Add("target", aOrder.mTo.mTarget.Value())
-          .Add("from", uint64_t{ aOrder.mKeys.mFrom })
-          .Add("to", uint64_t{ aOrder.mKeys.mTo })
-          .Add("fence", aOrder.mFence.Value())
-          .Add("end", EndName(end));
-      }
-      if (range_controller* controller = Find(aService)) {
-        controller->HandleGrantEnd(aOrder.mId, end, MonotonicNow());
-        StepLater();
-      }
+      HandleGrantEnd(aService, aOrder, end);
     },
     nullptr);
 }
 
+void range_driver::HandleGrantEnd(const service_name& aService,
+                                  const grant_order& aOrder,
+                                  order_end aEnd)
+{
+  if (aEnd != order_end::kAccepted) {
+    ++mCounters.mGrantsFailed;
+    log_line(log_severity::kInfo, "grant_failed")
+      .Add("service", aService.Value())
+      .Add("target", aOrder.mTo.mTarget.Value())
+      .Add("from", uint64_t{ aOrder.mKeys.mFrom })
+      .Add("to", uint64_t{ aOrder.mKeys.mTo })
+      .Add("fence", aOrder.mFence.Value())
+      .Add("end", EndName(aEnd));
+  }
+  if (range_controller* controller = Find(aService)) {
+    controller->HandleGrantEnd(aOrder.mId, aEnd, MonotonicNow());
+    StepLater();
+  }
+}
+
 void range_driver::Execute(const service_name& aService,
                            const release_order& aOrder)
 {
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -63,6 +63,9 @@
   void Execute(const service_name& aService, const grant_order& aOrder);
   void Execute(const service_name& aService, const release_order& aOrder);
   void Execute(const service_name& aService, const write_record& aWrite);
+  void HandleGrantEnd(const service_name& aService,
+                      const grant_order& aOrder,
+                      order_end aEnd);
   range_controller* Find(const service_name& aService);
   discovered_target TargetOf(const order_address& aAddress) const;
 
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -108,9 +108,23 @@
              aNow - aIdle.mSince >= each.mKeepAlive - kCloseMargin;
     });
   }
+  Retain(aDirectory);
+}
+
+bool target_connections::DropBroken(const target_name& aTarget)
+{
+  const auto found = mPools.find(aTarget);
+  return found != mPools.end() &&
+         std::erase_if(found->second.mIdle,
+                       [](const idle_connection& aIdle) {
+                         return !aIdle.mConnection->IsOpen();
+                       }) > 0;
+}
+
+void target_connections::Retain(const target_directory& aDirectory)
+{
   std::erase_if(mPools, [&](const auto& aPool) {
-    return aPool.second.mIdle.empty() &&
-           aDirectory.Find(aPool.first) == nullptr;
+    return aDirectory.Find(aPool.first) == nullptr;
   });
 }
 
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -41,6 +41,13 @@
   /// gone or leaving.
   void Sweep(const target_directory& aDirectory, time_point aNow);
 
+  /// Removes the idle connections of a target that broke since their last call
+  /// and tells if there were any: the target may have restarted.
+  bool DropBroken(const target_name& aTarget);
+
+  /// Forgets targets that are no longer known.
+  void Retain(const target_directory& aDirectory);
+
   [[nodiscard]] uint64_t Opened() const { return mOpened; }
   [[nodiscard]] uint64_t Reused() const { return mReused; }
   [[nodiscard]] size_t Idle() const;
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -163,6 +163,7 @@
   owner_state& owner = mOwners[grant.mTarget];
   if (aEnd != order_end::kNotSent) {
     owner.mLastGrant = aNow;
+    owner.mGrantedFence = std::max(owner.mGrantedFence, grant.mFence);
     for (move& each : mMoves) {
       if (each.mFrom.mName == grant.mTarget &&
           each.mKeys.Overlaps(grant.mKeys)) {
@@ -182,6 +183,9 @@
   if (!owner.mFailingSince) {
     owner.mFailingSince = aNow;
   }
+  // The target may have restarted, which its entry shows later. Its new life
+  // must not take a fence that the old one had.
+  owner.mLostFence = std::max(owner.mLostFence, owner.mGrantedFence);
 }
 
 void range_controller::HandleFenced(const open_grant& aGrant, time_point aNow)
@@ -201,9 +205,23 @@
     }
     const key_interval keys{ std::max(range.mKeys.mFrom, aGrant.mKeys.mFrom),
                              std::min(range.mKeys.mTo, aGrant.mKeys.mTo) };
-    for (const key_interval& piece : WithoutMoves(keys)) {
-      AddMove(piece, &range, aGrant.mTarget, aNow);
-    }
+    AddRefence(keys, range);
+  }
+}
+
+void range_controller::AddRefence(const key_interval& aKeys,
+                                  const owned_range& aRange)
+{
+  for (const key_interval& piece : WithoutMoves(aKeys)) {
+    move added;
+    added.mKeys = piece;
+    added.mFrom = aRange.mOwner;
+    added.mFence = aRange.mFence;
+    added.mTo = aRange.mOwner.mName;
+    added.mSameOwner = true;
+    // No other target can hold the keys, so nothing has to end first.
+    added.mReady = true;
+    mMoves.push_back(std::move(added));
   }
 }
 
@@ -293,6 +311,13 @@
   return static_cast<size_t>(failing) * kOwnFaultDivisor <= mOwners.size();
 }
 
+bool range_controller::NeedsFence(const owned_range& aRange) const
+{
+  const auto owner = mOwners.find(aRange.mOwner.mName);
+  return owner != mOwners.end() && owner->second.mListed &&
+         aRange.mFence <= owner->second.mLostFence;
+}
+
 bool range_controller::MustMove(const owned_range& aRange,
                                 time_point aNow) const
 {
@@ -379,6 +404,11 @@
 
 void range_controller::AddMoves(time_point aNow)
 {
+  // The owner of such a move may have left since; then its keys go elsewhere.
+  std::erase_if(mMoves, [&](const move& aMove) {
+    return aMove.mSameOwner && !mOwners[aMove.mTo].mListed;
+  });
+
   // Keys whose owner can't keep them.
   for (const owned_range& range : mRecord.mRanges) {
     if (!MustMove(range, aNow)) {
@@ -389,6 +419,13 @@
     }
   }
 
+  // Keys whose owner may have restarted.
+  for (const owned_range& range : mRecord.mRanges) {
+    if (NeedsFence(range)) {
+      AddRefence(range.mKeys, range);
+    }
+  }
+
   // Keys that nobody owns yet.
   if (mRecord.mRanges.empty()) {
     if (!mFirstListed) {
@@ -503,6 +540,17 @@
   range_record& aRecord,
   std::vector<owner_candidate>& aCandidates) const
 {
+  if (aMove.mSameOwner) {
+    const owner_state& owner = mOwners.at(aMove.mTo);
+    if (owner.mListed) {
+      AssignKeys(aRecord,
+                 { aMove.mKeys,
+                   { aMove.mTo, owner.mTarget.mStartedMs },
+                   fence(mRecord.mNextFence),
+                   aMove.mHandover });
+    }
+    return;
+  }
   const auto chosen = std::find_if(
     aCandidates.begin(), aCandidates.end(), [&](const auto& aCandidate) {
       return aCandidate.mName == aMove.mTo;
@@ -539,7 +587,7 @@
                                     [](const move& aMove) {
                                       return aMove.mReady;
                                     });
-  if (!anyReady || candidates.empty()) {
+  if (!anyReady) {
     return;
   }
   range_record changed = mRecord;
@@ -549,6 +597,9 @@
       PlaceMove(each, changed, candidates);
     }
   }
+  if (changed.mRanges == mRecord.mRanges) {
+    return;
+  }
   ValidateRecord(changed);
   mWriting = changed;
   aActions.emplace_back(write_record{ std::move(changed), mRevision });
@@ -559,7 +610,7 @@
 {
   for (const owned_range& range : mRecord.mRanges) {
     const auto owner = mOwners.find(range.mOwner.mName);
-    if (owner == mOwners.end() || MustMove(range, aNow)) {
+    if (owner == mOwners.end() || MustMove(range, aNow) || NeedsFence(range)) {
       continue;
     }
     for (const key_interval& piece : WithoutMoves(range.mKeys)) {
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -93,6 +93,10 @@
     bool mUsable = false;
     /// Latest time at which a grant of this router may have arrived.
     time_point mLastGrant = time_point::min();
+    /// Highest fence that the target may have taken, and the highest one that
+    /// it must not be given again, as it may have restarted since.
+    fence mGrantedFence;
+    fence mLostFence;
     /// First of the failed grants since the last accepted one.
     std::optional<time_point> mFailingSince;
   };
@@ -106,6 +110,8 @@
     fence mFence;
     /// The new owner, if the planner chose it already.
     target_name mTo;
+    /// The owner stays and gets a new fence.
+    bool mSameOwner = false;
     bool mReady = false;
     std::string mHandover;
     /// End of the old owner's grant.
@@ -128,6 +134,7 @@
                const owned_range* aOwner,
                const target_name& aTo,
                time_point aNow);
+  void AddRefence(const key_interval& aKeys, const owned_range& aRange);
   void AddBalanceMoves(time_point aNow);
   void StepMoves(time_point aNow, std::vector<range_action>& aActions);
   void StepWrite(time_point aNow, std::vector<range_action>& aActions);
@@ -140,6 +147,8 @@
                  range_record& aRecord,
                  std::vector<owner_candidate>& aCandidates) const;
   [[nodiscard]] std::vector<owner_candidate> Candidates(time_point aNow) const;
+  /// The owner must not get its keys with the recorded fence any more.
+  [[nodiscard]] bool NeedsFence(const owned_range& aRange) const;
   [[nodiscard]] bool MustMove(const owned_range& aRange, time_point aNow) const;
   [[nodiscard]] bool IsFailing(const owner_state& aState,
                                time_point aNow) const;
--- a/UnitTests/KeyRanges/RangeWorld.h
+++ b/UnitTests/KeyRanges/RangeWorld.h
@@ -167,6 +167,8 @@
     uint64_t mSeenRevision = 0;
     bool mLeads = false;
     uint64_t mLeaderRevision = 0;
+    /// Life of the target to which the order connection was opened.
+    std::array<uint64_t, kTargets> mConnectedLife{};
   };
 
   struct event
@@ -372,6 +374,17 @@
   void Execute(size_t aRouter, const grant_order& aOrder)
   {
     const size_t to = aOrder.mTo.mPort - 1u;
+    // A kept connection breaks when its target restarts, which the next call
+    // finds before it sends anything.
+    uint64_t& life = mRouters[aRouter].mConnectedLife[to];
+    const uint64_t known = std::exchange(life, mTargets[to].mStartedMs);
+    if (known != 0 && known != mTargets[to].mStartedMs) {
+      Return(aRouter, mNow + kTick, [this, aRouter, aOrder] {
+        mRouters[aRouter].mController->HandleGrantEnd(
+          aOrder.mId, order_end::kNotSent, mNow);
+      });
+      return;
+    }
     Carry(
       aRouter,
       to,
