--- a/Daemons/Program.h
+++ b/Daemons/Program.h
@@ -99,7 +99,7 @@
       return 0;
     }
     StartLog(severity);
-    aRun(settings);
+    aRun(settings, path);
     return 0;
   } catch (const cxxopts::exceptions::exception& exception) {
     std::cerr << aProgram.mName << ": " << exception.what() << "\n";
--- a/Daemons/Router.cpp
+++ b/Daemons/Router.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-void Run(const router_settings& aSettings)
+void Run(const router_settings& aSettings, const std::string& /*aPath*/)
 {
   event_loop loop;
   control_task control(loop, aSettings, RandomSeed());
--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -346,6 +346,14 @@
   MayHedge(aRequest, aNow);
 }
 
+void forwarder::SetRetries(const shared_budget_settings& aSettings)
+{
+  if (mSettings.mRetries != aSettings) {
+    mSettings.mRetries = aSettings;
+    mBudgets.clear();
+  }
+}
+
 void forwarder::RefuseNew()
 {
   mRefusing = true;
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -60,6 +60,9 @@
   /// Owners of keys or targets have changed.
   void HandleViewChanged();
 
+  /// Replaces the limits on repeats.
+  void SetRetries(const shared_budget_settings& aSettings);
+
   /// From now on new requests are refused; open ones go on.
   void RefuseNew();
 
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -208,6 +208,17 @@
          mTargets->Follower().HasRead();
 }
 
+void gateway_task::ApplySettings(const gateway_settings& aSettings)
+{
+  log_line(log_severity::kInfo, "settings_reloaded")
+    .Add("changed", aSettings != mSettings);
+  mSettings.mShutdownGrace = aSettings.mShutdownGrace;
+  mSettings.mMaxHold = aSettings.mMaxHold;
+  mSettings.mRetryRatio = aSettings.mRetryRatio;
+  mSettings.mRetrySlack = aSettings.mRetrySlack;
+  mForwarder.SetRetries({ mSettings.mRetryRatio, mSettings.mRetrySlack });
+}
+
 void gateway_task::ApplyConfiguration(const std::string& aKey,
                                       const std::string& aValue)
 {
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -37,6 +37,10 @@
   gateway_task(const gateway_task&) = delete;
   gateway_task& operator=(const gateway_task&) = delete;
 
+  /// Takes over changed settings. Addresses and names stay as they were at the
+  /// start.
+  void ApplySettings(const gateway_settings& aSettings);
+
   /// Starts a graceful shutdown; the loop stops when it is done.
   void Shutdown();
 
