--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -5,6 +5,7 @@
 #include "Parsleystair/Core/Log.h"
 
 #include <algorithm>
+#include <limits>
 
 // Steps of a request on the caller's side, and waiting. Tries at targets are in
 // ForwarderTries.cpp.
@@ -25,6 +26,13 @@
 /// are better served by a refusal that tells them when to come back.
 constexpr int kParkDivisor = 4;
 
+/// Part of a target's connections that routers share evenly; the rest is for
+/// orders and health checks.
+constexpr double kConnectionPart = 0.8;
+constexpr size_t kMinConnections = 2;
+/// Wait before the owner's connections are looked at again.
+constexpr duration kConnectionWait = 25ms;
+
 http_connection_settings TargetConnectionSettings()
 {
   http_connection_settings settings;
@@ -75,7 +83,8 @@
   }
   BudgetOf(request.mService).AddRequest();
   if (request.mKeyed && request.mTerms.mKey) {
-    ++mKeyCounts[request.mService][key_load::BucketOf(*request.mTerms.mKey)];
+    ++mLoad[request.mService]
+        .mCounts[key_load::BucketOf(*request.mTerms.mKey)];
   }
   Dispatch(request, now);
 }
@@ -117,6 +126,12 @@
 {
   aRequest.mParkedUntil.reset();
   const known_target* target = ChooseTarget(aRequest, aNow);
+  if (target != nullptr && aRequest.mKeyed &&
+      mConnections.IsFull(target->mTarget.mName,
+                          ConnectionLimit(aRequest.mService))) {
+    ParkForConnection(aRequest, aNow);
+    return;
+  }
   if (target != nullptr) {
     Send(aRequest, *target, aNow);
     return;
@@ -139,8 +154,28 @@
   choice.mLatencyTarget = aRequest.mRoute->mLatencyTarget;
   choice.mIdempotent = aRequest.mRoute->mIdempotent;
   choice.mTried = aRequest.mTried;
-  return mBalancer.Choose(
-    choice, mView.mDirectory.UsableOf(aRequest.mService), aNow);
+  std::vector<const known_target*> usable =
+    mView.mDirectory.UsableOf(aRequest.mService);
+  const size_t limit = ConnectionLimit(aRequest.mService);
+  std::vector<const known_target*> free;
+  std::copy_if(usable.begin(),
+               usable.end(),
+               std::back_inserter(free),
+               [&](const known_target* aTarget) {
+                 return !mConnections.IsFull(aTarget->mTarget.mName, limit);
+               });
+  return mBalancer.Choose(choice, free.empty() ? usable : free, aNow);
+}
+
+size_t forwarder::ConnectionLimit(const service_name& aService) const
+{
+  const routed_service* service = mView.mRoutes->FindService(aService);
+  if (service == nullptr || service->mMaxConnections == 0) {
+    return std::numeric_limits<size_t>::max();
+  }
+  const double share = kConnectionPart * service->mMaxConnections /
+                       static_cast<double>(mRouters);
+  return std::max(kMinConnections, static_cast<size_t>(share));
 }
 
 const known_target* forwarder::FindOwner(const open_request& aRequest) const
@@ -174,6 +209,18 @@
   SetWake(aRequest, aNow);
 }
 
+void forwarder::ParkForConnection(open_request& aRequest, time_point aNow)
+{
+  const time_point latest =
+    aRequest.mArrived + aRequest.mRoute->mLatencyTarget / kParkDivisor;
+  if (aNow >= latest) {
+    FinishFailed(aRequest, "the owner's connections are in use", aNow);
+    return;
+  }
+  aRequest.mParkedUntil = aNow + kConnectionWait;
+  SetWake(aRequest, aNow);
+}
+
 void forwarder::HandleViewChanged()
 {
   const time_point now = MonotonicNow();
@@ -359,9 +406,9 @@
   mRefusing = true;
 }
 
-std::map<service_name, key_counts> forwarder::TakeKeyCounts()
+load_report forwarder::TakeLoad()
 {
-  return std::exchange(mKeyCounts, {});
+  return std::exchange(mLoad, {});
 }
 
 void forwarder::Tick(time_point aNow)
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -6,7 +6,7 @@
 #include "Parsleystair/Gateway/RequestProtocol.h"
 #include "Parsleystair/Gateway/TargetConnections.h"
 #include "Parsleystair/Http/HttpServer.h"
-#include "Parsleystair/KeyRanges/KeyLoad.h"
+#include "Parsleystair/KeyRanges/LoadReport.h"
 #include "Parsleystair/Limits/SharedRetryBudget.h"
 #include "Parsleystair/Routing/RouteTable.h"
 #include "Parsleystair/Routing/WeightedChoice.h"
@@ -63,14 +63,17 @@
   /// Replaces the limits on repeats.
   void SetRetries(const shared_budget_settings& aSettings);
 
+  /// Routers that share the targets' connections, this one included.
+  void SetRouters(size_t aRouters) { mRouters = aRouters; }
+
   /// From now on new requests are refused; open ones go on.
   void RefuseNew();
 
   /// Periodic work: health checks, idle connections.
   void Tick(time_point aNow);
 
-  /// Requests by key bucket since the last call, for each keyed service.
-  std::map<service_name, key_counts> TakeKeyCounts();
+  /// What was seen of the keyed services since the last call.
+  load_report TakeLoad();
 
   [[nodiscard]] const forwarder_counters& Counters() const { return mCounters; }
   [[nodiscard]] const latency_histogram& Latency() const { return mLatency; }
@@ -149,6 +152,7 @@
   // Waiting.
   void Park(open_request& aRequest, const std::string& aReason,
             time_point aNow);
+  void ParkForConnection(open_request& aRequest, time_point aNow);
   void SetWake(open_request& aRequest, time_point aNow);
   void ScheduleTimer(time_point aNow);
   void HandleTimer();
@@ -156,6 +160,7 @@
   void MayHedge(open_request& aRequest, time_point aNow);
   [[nodiscard]] duration HedgeDelay(const open_request& aRequest) const;
 
+  [[nodiscard]] size_t ConnectionLimit(const service_name& aService) const;
   shared_retry_budget& BudgetOf(const service_name& aService);
   bool TakeRepeat(open_request& aRequest);
   void Probe(const target_name& aTarget, time_point aNow);
@@ -170,12 +175,14 @@
   target_connections mConnections;
   weighted_choice mWeights;
   bool mRefusing = false;
+  /// Before the leader tells, the usual size of a deployment.
+  size_t mRouters = 12;
   uint64_t mNextId = 1;
   std::unordered_map<forward_id, open_request> mRequests;
   std::unordered_map<exchange_id, forward_id> mByExchange;
   std::set<std::pair<time_point, forward_id>> mWakes;
   std::unordered_map<service_name, shared_retry_budget> mBudgets;
-  std::map<service_name, key_counts> mKeyCounts;
+  load_report mLoad;
   forwarder_counters mCounters;
   latency_histogram mLatency;
   time_point mTimerAt = time_point::max();
--- a/Parsleystair/Gateway/ForwarderTries.cpp
+++ b/Parsleystair/Gateway/ForwarderTries.cpp
@@ -26,6 +26,12 @@
 /// is on the way.
 constexpr duration kOwnerRetry = 40ms;
 
+/// Wait before an owner without room is asked again: the time in which a place
+/// in its queue gets free.
+constexpr duration kFullOwnerRetry = 100ms;
+/// Tries at owners of a key that did not run the request.
+constexpr uint32_t kMaxOwnerTries = 3;
+
 /// Statuses by which callers understand that a request has not run.
 bool PromisesNotRun(uint32_t aStatus)
 {
@@ -154,6 +160,12 @@
                       failed ? try_end::kFailedAnswer : try_end::kAnswered,
                       aAnswer.mBody.size(),
                       aNow);
+  if (aRequest.mKeyed && !failed) {
+    const auto latency = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aNow - aTry.mSentAt);
+    mLoad[aRequest.mService].mLatencies[aTry.mTarget].push_back(
+      static_cast<uint32_t>(latency.count()));
+  }
   if (!failed || !aRequest.mRoute->mIdempotent) {
     Deliver(aRequest, std::move(aAnswer), aNow);
     return;
@@ -196,16 +208,20 @@
   const time_point latest =
     aRequest.mArrived + aRequest.mRoute->mLatencyTarget;
   const bool mayRepeat =
-    aRequest.mAttempts < kMaxConnectFailures && aNow < latest;
+    aRequest.mAttempts < kMaxOwnerTries && aNow < latest;
   if (!mayRepeat || !TakeRepeat(aRequest)) {
-    FinishFailed(aRequest, "the owner does not hold the key", aNow);
+    FinishFailed(aRequest,
+                 aTerms.mMisdirected ? "the owner does not hold the key"
+                                     : "the owner has no room",
+                 aNow);
     return;
   }
   if (moved) {
     Send(aRequest, *owner, aNow);
     return;
   }
-  aRequest.mParkedUntil = aNow + kOwnerRetry;
+  aRequest.mParkedUntil =
+    aNow + (aTerms.mMisdirected ? kOwnerRetry : kFullOwnerRetry);
   SetWake(aRequest, aNow);
 }
 
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -4,6 +4,8 @@
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Log.h"
 
+#include <charconv>
+
 namespace parsleystair {
 
 namespace {
@@ -16,9 +18,13 @@
 /// Work without an event of its own: health checks, old connections, late
 /// entries.
 constexpr duration kTickInterval = 250ms;
+/// Time between reads of the owners by a router that nobody tells them.
+constexpr duration kOwnersReadInterval = 1s;
 /// Busy keys change within seconds.
 constexpr duration kReportInterval = 500ms;
 constexpr duration kReportTimeout = 400ms;
+/// A router without a report for this long has gone.
+constexpr duration kReporterTime = 3s;
 /// Time after which the platform has seen two readiness checks fail and sends no
 /// new connections while other machines are ready.
 constexpr duration kLeaveTime = 2500ms;
@@ -101,7 +107,7 @@
   {
     const time_point now = MonotonicNow();
     for (const auto& each :
-         { &mTask.mConfiguration, &mTask.mTargets, &mTask.mOwnership }) {
+         { &mTask.mConfiguration, &mTask.mTargets, &mTask.mLeadership }) {
       (*each)->CheckAfterGap(now);
     }
   }
@@ -139,7 +145,7 @@
   , mPeers(aLoop,
            {},
            [this](exchange_id aExchange, const http_request& aRequest) {
-             HandleReport(aExchange, aRequest);
+             HandlePeer(aExchange, aRequest);
            })
   , mForwarder(aLoop,
                ForwarderSettings(aSettings),
@@ -157,11 +163,27 @@
             aPlatform.mStore,
             aPlatform.mOrders,
             mElection)
+  , mFeedServer(mPeers)
+  , mFeedClient(
+      aLoop,
+      [this] { return KnownOwners(); },
+      [this](const owner_records& aRecords) {
+        for (const auto& [service, record] : aRecords) {
+          ApplyOwners(service, record);
+        }
+      })
 {
   mCallers.OnClose([this](exchange_id aExchange) {
     mForwarder.HandleCallerGone(aExchange);
   });
-  mElection.OnChange([this] { mRanges.HandleLeadership(MonotonicNow()); });
+  mPeers.OnClose(
+    [this](exchange_id aExchange) { mFeedServer.HandleGone(aExchange); });
+  mElection.OnChange([this] { HandleLeadership(); });
+  mRanges.OnRecord(
+    [this](const service_name& aService, const versioned_record& aRecord) {
+      ApplyOwners(aService, aRecord);
+    });
+  mRanges.OnDoubt([this] { ReadOwners(); });
   mElection.OnProof([this](time_point aAsked) { mRanges.HandleProof(aAsked); });
   mConfiguration = std::make_unique<follower>(
     *this,
@@ -183,11 +205,19 @@
     [this](const std::vector<stored_item>& aItems) { ApplyTargets(aItems); },
     [this](const item_change& aChange) { ApplyTarget(aChange); },
     aSeed + 3);
-  mOwnership = std::make_unique<follower>(
+  mLeadership = std::make_unique<follower>(
     *this,
-    kOwnPrefix,
-    [this](const std::vector<stored_item>& aItems) { ApplyOwnItems(aItems); },
-    [this](const item_change& aChange) { ApplyOwn(aChange); },
+    kLeaderKey,
+    [this](const std::vector<stored_item>& aItems) {
+      ApplyLeader(aItems.empty() ? std::nullopt : std::optional(aItems[0]));
+    },
+    [this](const item_change& aChange) {
+      ApplyLeader(
+        aChange.mValue
+          ? std::optional(
+              stored_item{ aChange.mKey, *aChange.mValue, aChange.mRevision })
+          : std::nullopt);
+    },
     aSeed + 4);
 
   mReadiness.Listen(mSettings.mReadiness.mHost, mSettings.mReadiness.mPort);
@@ -196,7 +226,7 @@
   mCallers.Listen(mSettings.mCallers.mHost, mSettings.mCallers.mPort);
   mConfiguration->Start();
   mTargets->Start();
-  mOwnership->Start();
+  mLeadership->Start();
   mTick.StartRepeating(mLoop, kTickInterval, [this] { Tick(); });
 }
 
@@ -311,57 +341,80 @@
   mForwarder.HandleViewChanged();
 }
 
-void gateway_task::ApplyOwnItems(const std::vector<stored_item>& aItems)
+void gateway_task::ApplyLeader(const std::optional<stored_item>& aItem)
 {
-  std::optional<stored_item> leader;
-  for (const stored_item& item : aItems) {
-    if (item.mKey == kLeaderKey) {
-      leader = item;
-    } else {
-      ApplyRanges(item.mKey, item.mValue, item.mRevision);
-    }
-  }
-  mElection.HandleKey(leader);
+  mElection.HandleKey(aItem);
+  const auto& leader = mElection.Leader();
+  mFeedClient.SetLeader(mElection.IsLeading() ? std::nullopt : leader);
 }
 
-void gateway_task::ApplyOwn(const item_change& aChange)
+void gateway_task::HandleLeadership()
 {
-  if (aChange.mKey == kLeaderKey) {
-    mElection.HandleKey(
-      aChange.mValue
-        ? std::optional(
-            stored_item{ aChange.mKey, *aChange.mValue, aChange.mRevision })
-        : std::nullopt);
+  if (!mElection.IsLeading()) {
+    mFeedServer.Stop();
+    mRanges.HandleLeadership(MonotonicNow());
     return;
   }
-  if (aChange.mValue) {
-    ApplyRanges(aChange.mKey, *aChange.mValue, aChange.mRevision);
-  }
+  // A leader starts from the records as they are in the store now.
+  mFeedClient.SetLeader(std::nullopt);
+  ReadOwners();
 }
 
-void gateway_task::ApplyRanges(const std::string& aKey,
-                               const std::string& aValue,
-                               store_revision aRevision)
+void gateway_task::ReadOwners()
 {
-  const std::string prefix = kRangesPrefix;
-  if (!aKey.starts_with(prefix)) {
+  const time_point asked = MonotonicNow();
+  mPlatform.mStore.ReadPrefix(
+    kRangesPrefix, [this, asked](const prefix_reply& aReply) {
+      if (aReply.mOutcome != call_outcome::kDone) {
+        // Asked again by the periodic work.
+        return;
+      }
+      for (const stored_item& item : aReply.mItems) {
+        const std::string prefix = kRangesPrefix;
+        const service_name service(item.mKey.substr(prefix.size()));
+        try {
+          ApplyOwners(service,
+                      { item.mRevision, DecodeRangeRecord(item.mValue) });
+        } catch (const parse_error& exception) {
+          log_line(log_severity::kError, "owners_unreadable")
+            .Add("service", service.Value())
+            .Add("error", exception.what());
+        }
+      }
+      if (mElection.IsLeading() && !mRanges.IsLeading()) {
+        mRanges.HandleLeadership(asked);
+      }
+    });
+}
+
+void gateway_task::ApplyOwners(const service_name& aService,
+                               const versioned_record& aRecord)
+{
+  versioned_record& current = mOwners[aService];
+  if (aRecord.mRevision <= current.mRevision) {
     return;
   }
-  const service_name service(aKey.substr(prefix.size()));
-  try {
-    const range_record record = DecodeRangeRecord(aValue);
-    log_line(log_severity::kInfo, "owners_changed")
-      .Add("service", service.Value())
-      .Add("revision", aRevision.Value())
-      .Add("ranges", uint64_t{ record.mRanges.size() });
-    mView.mRanges[service] = record;
-    mRanges.HandleRecord(service, record, aRevision);
-    mForwarder.HandleViewChanged();
-  } catch (const parse_error& exception) {
-    log_line(log_severity::kError, "owners_unreadable")
-      .Add("service", service.Value())
-      .Add("error", exception.what());
+  log_line(log_severity::kInfo, "owners_changed")
+    .Add("service", aService.Value())
+    .Add("revision", aRecord.mRevision.Value())
+    .Add("previous", current.mRevision.Value())
+    .Add("ranges", uint64_t{ aRecord.mRecord.mRanges.size() });
+  current = aRecord;
+  mView.mRanges[aService] = aRecord.mRecord;
+  mRanges.HandleRecord(aService, aRecord.mRecord, aRecord.mRevision);
+  mForwarder.HandleViewChanged();
+  if (mElection.IsLeading()) {
+    mFeedServer.HandleRecords(mOwners);
+  }
+}
+
+owner_revisions gateway_task::KnownOwners() const
+{
+  owner_revisions known;
+  for (const auto& [service, versioned] : mOwners) {
+    known[service] = versioned.mRevision;
   }
+  return known;
 }
 
 void gateway_task::Tick()
@@ -375,18 +428,27 @@
     mNextReport = now + kReportInterval;
     SendReport();
   }
+  // Without a leader that answers, the store itself is asked.
+  const bool waits = mElection.IsLeading() && !mRanges.IsLeading();
+  const bool unfed = mOwners.empty() && !mElection.IsLeading() &&
+                     mFeedClient.Age(now) > kOwnersReadInterval;
+  if ((waits || unfed) && mRanges.HasServices() && now >= mNextOwnersRead) {
+    mNextOwnersRead = now + kOwnersReadInterval;
+    ReadOwners();
+  }
 }
 
 void gateway_task::SendReport()
 {
-  const load_report report = mForwarder.TakeKeyCounts();
+  const load_report report = mForwarder.TakeLoad();
   const auto& leader = mElection.Leader();
-  if (report.empty() || !leader) {
+  if (!leader) {
     return;
   }
   if (mElection.IsLeading()) {
-    for (const auto& [service, counts] : report) {
-      mRanges.HandleLoad(service, counts, MonotonicNow());
+    mForwarder.SetRouters(CountRouters(MonotonicNow()));
+    for (const auto& [service, load] : report) {
+      mRanges.HandleLoad(service, load, MonotonicNow());
     }
     return;
   }
@@ -403,17 +465,58 @@
   request.mPath = "/load";
   request.mBody = EncodeLoadReport(report);
   // A lost report only makes the load look smaller for a second.
-  mReportConnection->Call(request, kReportTimeout, [](const http_result&) {});
+  mReportConnection->Call(request,
+                          kReportTimeout,
+                          [this](const http_result& aResult) {
+                            HandleReportAnswer(aResult);
+                          });
+}
+
+void gateway_task::HandleReportAnswer(const http_result& aResult)
+{
+  uint32_t routers = 0;
+  const std::string& text = aResult.mAnswer.mBody;
+  const auto read =
+    std::from_chars(text.data(), text.data() + text.size(), routers);
+  if (aResult.mStatus == http_status::kAnswered && read.ec == std::errc() &&
+      routers > 0) {
+    mForwarder.SetRouters(routers);
+  }
+}
+
+size_t gateway_task::CountRouters(time_point aNow)
+{
+  std::erase_if(mReporters, [&](const auto& aReporter) {
+    return aNow - aReporter.second > kReporterTime;
+  });
+  return mReporters.size() + 1;
+}
+
+void gateway_task::HandlePeer(exchange_id aExchange,
+                              const http_request& aRequest)
+{
+  if (aRequest.mPath == "/load") {
+    HandleReport(aExchange, aRequest);
+  } else if (aRequest.mPath != "/owners") {
+    mPeers.Respond(aExchange, { kNotFound, {}, "" });
+  } else if (mElection.IsLeading()) {
+    mFeedServer.HandleQuestion(aExchange, aRequest, mOwners);
+  } else {
+    mPeers.Respond(aExchange, { kUnavailable, {}, "" });
+  }
 }
 
 void gateway_task::HandleReport(exchange_id aExchange,
                                 const http_request& aRequest)
 {
   try {
-    for (const auto& [service, counts] : DecodeLoadReport(aRequest.mBody)) {
-      mRanges.HandleLoad(service, counts, MonotonicNow());
+    for (const auto& [service, load] : DecodeLoadReport(aRequest.mBody)) {
+      mRanges.HandleLoad(service, load, MonotonicNow());
     }
-    mPeers.Respond(aExchange, { kOk, {}, "" });
+    const time_point now = MonotonicNow();
+    mReporters[aRequest.mRemoteHost] = now;
+    mPeers.Respond(aExchange,
+                   { kOk, {}, std::to_string(CountRouters(now)) });
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "report_unreadable")
       .Add("peer", aRequest.mRemoteHost)
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -3,7 +3,8 @@
 #include "Parsleystair/Gateway/Forwarder.h"
 #include "Parsleystair/Gateway/GatewaySettings.h"
 #include "Parsleystair/Gateway/LeaderElection.h"
-#include "Parsleystair/Gateway/LoadReport.h"
+#include "Parsleystair/KeyRanges/LoadReport.h"
+#include "Parsleystair/Gateway/OwnerFeed.h"
 #include "Parsleystair/Gateway/PlatformCatalog.h"
 #include "Parsleystair/Gateway/PrefixFollower.h"
 #include "Parsleystair/Gateway/RangeDriver.h"
@@ -59,17 +60,21 @@
   void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
   void ApplyTargets(const std::vector<stored_item>& aItems);
   void ApplyTarget(const item_change& aChange);
-  void ApplyOwnItems(const std::vector<stored_item>& aItems);
-  void ApplyOwn(const item_change& aChange);
-  void ApplyRanges(const std::string& aKey,
-                   const std::string& aValue,
-                   store_revision aRevision);
+  void ApplyLeader(const std::optional<stored_item>& aItem);
+  void HandleLeadership();
+  void ReadOwners();
+  void ApplyOwners(const service_name& aService,
+                   const versioned_record& aRecord);
+  [[nodiscard]] owner_revisions KnownOwners() const;
   void HandleTargetsChanged();
   void ApplyLimits(const request_limits& aLimits);
   [[nodiscard]] http_answer AnswerOperator(const http_request& aRequest) const;
+  void HandlePeer(exchange_id aExchange, const http_request& aRequest);
   void HandleReport(exchange_id aExchange, const http_request& aRequest);
   void Tick();
   void SendReport();
+  void HandleReportAnswer(const http_result& aResult);
+  [[nodiscard]] size_t CountRouters(time_point aNow);
   void StepShutdown();
 
   event_loop& mLoop;
@@ -85,7 +90,13 @@
   range_driver mRanges;
   std::unique_ptr<follower> mConfiguration;
   std::unique_ptr<follower> mTargets;
-  std::unique_ptr<follower> mOwnership;
+  std::unique_ptr<follower> mLeadership;
+  owner_records mOwners;
+  owner_feed_server mFeedServer;
+  owner_feed_client mFeedClient;
+  /// When each router last reported to this one.
+  std::map<std::string, time_point> mReporters;
+  time_point mNextOwnersRead = time_point::min();
   std::unique_ptr<http_connection> mReportConnection;
   std::optional<leader_entry> mReportLeader;
   time_point mNextReport = time_point::min();
--- /dev/null
+++ b/Parsleystair/Gateway/OwnerFeed.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "Parsleystair/Core/EventLoop.h"
+#include "Parsleystair/Gateway/LeaderElection.h"
+#include "Parsleystair/Http/HttpConnection.h"
+#include "Parsleystair/Http/HttpServer.h"
+#include "Parsleystair/KeyRanges/RangeRecord.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace parsleystair {
+
+/// A record of owners at its revision in the store.
+struct versioned_record
+{
+  store_revision mRevision;
+  range_record mRecord;
+
+  bool operator==(const versioned_record&) const = default;
+};
+
+/// The newest record of each keyed service.
+using owner_records = std::map<service_name, versioned_record>;
+
+/// Revisions of the records that a router has.
+using owner_revisions = std::map<service_name, store_revision>;
+
+std::string EncodeOwnerRecords(const owner_records& aRecords);
+
+/// Throws `parse_error`.
+owner_records DecodeOwnerRecords(const std::string& aText);
+
+std::string EncodeOwnerRevisions(const owner_revisions& aRevisions);
+
+/// Throws `parse_error`.
+owner_revisions DecodeOwnerRevisions(const std::string& aText);
+
+/// Leader's side: answers questions of other routers as soon as it has newer
+/// records than they.
+class owner_feed_server
+{
+public:
+  explicit owner_feed_server(http_server& aServer);
+
+  /// Answers now, or waits for newer records.
+  void HandleQuestion(exchange_id aExchange,
+                      const http_request& aRequest,
+                      const owner_records& aRecords);
+  /// The questioner has gone.
+  void HandleGone(exchange_id aExchange);
+
+  /// The records have changed.
+  void HandleRecords(const owner_records& aRecords);
+
+  /// This router stopped leading: all waiting questions are answered.
+  void Stop();
+
+private:
+  bool Answer(exchange_id aExchange,
+              const owner_revisions& aKnown,
+              const owner_records& aRecords);
+
+  http_server& mServer;
+  std::map<exchange_id, owner_revisions> mWaiting;
+};
+
+/// Other routers' side: asks the leader again and again. Spares the store one
+/// paid call a router and change, and works while the store is away.
+class owner_feed_client
+{
+public:
+  using records_handler = std::function<void(const owner_records&)>;
+  using known_source = std::function<owner_revisions()>;
+
+  owner_feed_client(event_loop& aLoop,
+                    known_source aKnown,
+                    records_handler aHandler);
+  owner_feed_client(const owner_feed_client&) = delete;
+  owner_feed_client& operator=(const owner_feed_client&) = delete;
+
+  /// Asks this leader from now on; nobody when there is none.
+  void SetLeader(const std::optional<leader_entry>& aLeader);
+
+  /// Time since the leader last answered; `duration::max()` before the first.
+  [[nodiscard]] duration Age(time_point aNow) const;
+
+private:
+  void Ask();
+  void HandleAnswer(const http_result& aResult);
+
+  event_loop& mLoop;
+  known_source mKnown;
+  records_handler mHandler;
+  std::optional<leader_entry> mLeader;
+  std::unique_ptr<http_connection> mConnection;
+  time_point mAnsweredAt = time_point::min();
+  timer mTimer;
+};
+
+} // namespace parsleystair
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -60,7 +60,7 @@
   for (const service_name& service : aServices) {
     const auto [position, isNew] =
       mControllers.try_emplace(service, mSettings);
-    if (isNew && mElection.IsLeading()) {
+    if (isNew && mLeading) {
       position->second.StartLeading(MonotonicNow());
     }
   }
@@ -69,8 +69,9 @@
 
 void range_driver::HandleLeadership(time_point aNow)
 {
+  mLeading = mElection.IsLeading();
   for (auto& [service, controller] : mControllers) {
-    if (mElection.IsLeading()) {
+    if (mLeading) {
       controller.StartLeading(aNow);
     } else {
       controller.StopLeading();
@@ -113,11 +114,11 @@
 }
 
 void range_driver::HandleLoad(const service_name& aService,
-                              const key_counts& aCounts,
+                              const service_load& aLoad,
                               time_point aNow)
 {
   if (range_controller* controller = Find(aService)) {
-    controller->HandleLoad(aCounts, aNow);
+    controller->HandleLoad(aLoad, aNow);
   }
 }
 
@@ -139,7 +140,7 @@
 void range_driver::StepLater()
 {
   // Events that come together are handled in one step.
-  if (!mStepPlanned && mElection.IsLeading()) {
+  if (!mStepPlanned && mLeading) {
     mStepPlanned = true;
     mSoonTimer.StartOnce(mLoop, duration::zero(), [this] {
       mStepPlanned = false;
@@ -267,7 +268,8 @@
   conditional_write write;
   write.mConditions = { mElection.Condition(), { key, aWrite.mExpected } };
   write.mWrites = { { key, EncodeRangeRecord(aWrite.mRecord), lease_id(0) } };
-  mStore.Write(write, [this, aService](const write_reply& aReply) {
+  const range_record record = aWrite.mRecord;
+  mStore.Write(write, [this, aService, record](const write_reply& aReply) {
     const bool written = aReply.mOutcome == call_outcome::kDone;
     mCounters.mRecordWritesFailed += written ? 0 : 1;
     log_line(log_severity::kInfo, "record_written")
@@ -278,6 +280,11 @@
       controller->HandleWriteEnd(written, aReply.mRevision, MonotonicNow());
       StepLater();
     }
+    if (written) {
+      mRecordHandler(aService, { aReply.mRevision, record });
+    } else {
+      mDoubtHandler();
+    }
   });
 }
 
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Parsleystair/Gateway/LeaderElection.h"
+#include "Parsleystair/Gateway/OwnerFeed.h"
 #include "Parsleystair/Gateway/RequestProtocol.h"
 #include "Parsleystair/Gateway/TargetConnections.h"
 #include "Parsleystair/KeyRanges/RangeController.h"
@@ -10,8 +11,7 @@
 
 namespace parsleystair {
 
-/// Prefix of this program's own keys in the store.
-inline constexpr const char* kOwnPrefix = "parsleystair/";
+/// This program's own keys in the store.
 inline constexpr const char* kLeaderKey = "parsleystair/leader";
 inline constexpr const char* kRangesPrefix = "parsleystair/ranges/";
 
@@ -40,6 +40,17 @@
   range_driver(const range_driver&) = delete;
   range_driver& operator=(const range_driver&) = delete;
 
+  /// Called with each record that this router wrote.
+  using record_handler =
+    std::function<void(const service_name&, const versioned_record&)>;
+  void OnRecord(record_handler aHandler) { mRecordHandler = std::move(aHandler); }
+
+  /// Called when the outcome of a write is not known.
+  void OnDoubt(std::function<void()> aHandler)
+  {
+    mDoubtHandler = std::move(aHandler);
+  }
+
   void SetServices(const std::set<service_name>& aServices);
   void HandleLeadership(time_point aNow);
   void HandleProof(time_point aAsked);
@@ -48,7 +59,7 @@
                     store_revision aRevision);
   void HandleTargets(const target_directory& aDirectory, time_point aNow);
   void HandleLoad(const service_name& aService,
-                  const key_counts& aCounts,
+                  const service_load& aLoad,
                   time_point aNow);
 
   [[nodiscard]] const range_driver_counters& Counters() const
@@ -56,6 +67,8 @@
     return mCounters;
   }
   [[nodiscard]] size_t OpenMoves() const;
+  [[nodiscard]] bool IsLeading() const { return mLeading; }
+  [[nodiscard]] bool HasServices() const { return !mControllers.empty(); }
 
 private:
   void StepAll();
@@ -77,6 +90,9 @@
   target_connections mConnections;
   std::map<service_name, range_controller> mControllers;
   range_driver_counters mCounters;
+  record_handler mRecordHandler;
+  std::function<void()> mDoubtHandler;
+  bool mLeading = false;
   bool mStepPlanned = false;
   timer mStepTimer;
   timer mSoonTimer;
--- a/Parsleystair/Gateway/RequestProtocol.h
+++ b/Parsleystair/Gateway/RequestProtocol.h
@@ -30,6 +30,9 @@
   bool mSigned = false;
   /// The target did not run the request, and never will.
   bool mNotRun = false;
+  /// The target does not hold the request's key, or is another one than
+  /// expected.
+  bool mMisdirected = false;
   /// Another target than the expected one answered.
   bool mWrongTarget = false;
   /// The body is not in the encoding that was asked for.
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -8,6 +8,10 @@
 
 /// Idle time of a connection whose target doesn't say how long it keeps it.
 constexpr duration kDefaultKeepAlive = 1s;
+/// Idle connections that are kept for longer than a short time. A target takes a
+/// bounded number from all routers together.
+constexpr size_t kMaxSpare = 2;
+constexpr duration kSpareTime = 1s;
 /// A connection that its target is about to close is not used: the request
 /// could cross the close, and then nobody knows whether it ran.
 constexpr duration kCloseMargin = 300ms;
@@ -62,6 +66,7 @@
   open_call& call = mCalls[id];
   call.mTarget = aTarget.mName;
   call.mConnection = Take(aTarget, aNow);
+  ++mPools[aTarget.mName].mBusy;
   call.mCallback = std::move(aCallback);
   call.mConnection->Call(
     aRequest,
@@ -76,6 +81,7 @@
   // The connection must outlive its own callback.
   auto node = mCalls.extract(aCall);
   open_call& call = node.mapped();
+  --mPools[call.mTarget].mBusy;
   if (call.mConnection->IsOpen()) {
     mPools[call.mTarget].mIdle.push_back(
       { std::move(call.mConnection), MonotonicNow() });
@@ -85,7 +91,19 @@
 
 void target_connections::Cancel(call_id aCall)
 {
-  mCalls.erase(aCall);
+  const auto found = mCalls.find(aCall);
+  if (found != mCalls.end()) {
+    --mPools[found->second.mTarget].mBusy;
+    mCalls.erase(found);
+  }
+}
+
+bool target_connections::IsFull(const target_name& aTarget,
+                                size_t aLimit) const
+{
+  const auto found = mPools.find(aTarget);
+  return found != mPools.end() && found->second.mIdle.empty() &&
+         found->second.mBusy >= aLimit;
 }
 
 void target_connections::SetKeepAlive(const target_name& aTarget,
@@ -107,6 +125,11 @@
       return unused || !aIdle.mConnection->IsOpen() ||
              aNow - aIdle.mSince >= each.mKeepAlive - kCloseMargin;
     });
+    // The oldest come first.
+    while (each.mIdle.size() > kMaxSpare &&
+           aNow - each.mIdle.front().mSince >= kSpareTime) {
+      each.mIdle.erase(each.mIdle.begin());
+    }
   }
   Retain(aDirectory);
 }
@@ -124,7 +147,8 @@
 void target_connections::Retain(const target_directory& aDirectory)
 {
   std::erase_if(mPools, [&](const auto& aPool) {
-    return aDirectory.Find(aPool.first) == nullptr;
+    return aPool.second.mBusy == 0 &&
+           aDirectory.Find(aPool.first) == nullptr;
   });
 }
 
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -41,6 +41,9 @@
   /// gone or leaving.
   void Sweep(const target_directory& aDirectory, time_point aNow);
 
+  /// Tells if a call now would open a connection beyond a limit.
+  [[nodiscard]] bool IsFull(const target_name& aTarget, size_t aLimit) const;
+
   /// Removes the idle connections of a target that broke since their last call
   /// and tells if there were any: the target may have restarted.
   bool DropBroken(const target_name& aTarget);
@@ -64,6 +67,7 @@
     std::string mHost;
     uint16_t mPort = 0;
     duration mKeepAlive;
+    size_t mBusy = 0;
     std::vector<idle_connection> mIdle;
   };
 
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -18,6 +18,9 @@
 
 /// Time between tries of a release, of a failed grant and of a failed write.
 constexpr duration kRetryTime = 300ms;
+/// Shortest time between two new fences of an owner that does not answer; each
+/// costs a write.
+constexpr duration kRefenceInterval = 600ms;
 /// Time between two looks at the balance of the load, and moves started at
 /// each. Busy keys change within seconds, and a move with a handover costs its
 /// keys a few tens of milliseconds.
@@ -25,6 +28,13 @@
 constexpr int kMaxBalanceMoves = 6;
 /// Requests without which the counted load says nothing.
 constexpr double kMinRequests = 40;
+/// Latencies by which the speed of a target is judged, and the fewest that
+/// count; they cover a few seconds.
+constexpr size_t kLatencySamples = 48;
+constexpr size_t kMinLatencySamples = 12;
+constexpr size_t kQuantileDivisor = 4;
+/// Latency of a target without samples, in milliseconds.
+constexpr double kAssumedLatency = 200;
 /// A target that takes no grants for this long loses its keys.
 constexpr duration kFailingTime = 1200ms;
 /// With this part of the targets failing, the fault is this router's own.
@@ -43,6 +53,7 @@
   mProof = aSince;
   mForeignUntil = aSince + mSettings.mUnprovenTime;
   mFirstOwnFence = mRecord.mNextFence;
+  mForeign = mRecord.mRanges;
   mNextBalance = aSince + kBalanceInterval;
   ForgetOrders();
 }
@@ -89,6 +100,10 @@
     return;
   }
   ValidateRecord(aRecord);
+  // What another leader recorded, it may also have granted.
+  if (!mWriting || *mWriting != aRecord) {
+    mForeign = aRecord.mRanges;
+  }
   // Keys with a new owner or fence are granted at once.
   for (const owned_range& range : aRecord.mRanges) {
     const owned_range* old = FindRange(mRecord, range.mKeys.mFrom);
@@ -145,9 +160,36 @@
   });
 }
 
-void range_controller::HandleLoad(const key_counts& aCounts, time_point aNow)
+void range_controller::HandleLoad(const service_load& aLoad, time_point aNow)
+{
+  mLoad.Add(aLoad.mCounts, aNow);
+  for (const auto& [name, samples] : aLoad.mLatencies) {
+    const auto owner = mOwners.find(name);
+    if (owner == mOwners.end()) {
+      continue;
+    }
+    std::deque<uint32_t>& latencies = owner->second.mLatencies;
+    latencies.insert(latencies.end(), samples.begin(), samples.end());
+    while (latencies.size() > kLatencySamples) {
+      latencies.pop_front();
+    }
+  }
+}
+
+double range_controller::CapacityOf(const owner_state& aOwner)
 {
-  mLoad.Add(aCounts, aNow);
+  const auto concurrency = static_cast<double>(aOwner.mTarget.mConcurrency);
+  if (aOwner.mLatencies.size() < kMinLatencySamples) {
+    return concurrency / kAssumedLatency;
+  }
+  // A low quantile shows the target's speed; the mean also shows its queue,
+  // which is short again as soon as it has fewer keys.
+  std::vector<uint32_t> sorted(aOwner.mLatencies.begin(),
+                               aOwner.mLatencies.end());
+  const auto quantile =
+    sorted.begin() + static_cast<ptrdiff_t>(sorted.size() / kQuantileDivisor);
+  std::nth_element(sorted.begin(), quantile, sorted.end());
+  return concurrency / std::max<uint32_t>(1, *quantile);
 }
 
 void range_controller::HandleGrantEnd(order_id aOrder,
@@ -173,6 +215,9 @@
   }
   if (aEnd == order_end::kAccepted) {
     owner.mFailingSince.reset();
+    if (grant.mFence.Value() >= mFirstOwnFence) {
+      ForgetForeign(grant.mTarget, grant.mKeys);
+    }
     return;
   }
   mNextGrant[grant.mKeys.mFrom] = aNow + kRetryTime;
@@ -188,6 +233,28 @@
   owner.mLostFence = std::max(owner.mLostFence, owner.mGrantedFence);
 }
 
+void range_controller::ForgetForeign(const target_name& aTarget,
+                                     const key_interval& aKeys)
+{
+  std::vector<owned_range> rest;
+  for (const owned_range& range : mForeign) {
+    if (range.mOwner.mName != aTarget || !range.mKeys.Overlaps(aKeys)) {
+      rest.push_back(range);
+      continue;
+    }
+    owned_range piece = range;
+    if (range.mKeys.mFrom < aKeys.mFrom) {
+      piece.mKeys = { range.mKeys.mFrom, aKeys.mFrom - 1 };
+      rest.push_back(piece);
+    }
+    if (range.mKeys.mTo > aKeys.mTo) {
+      piece.mKeys = { aKeys.mTo + 1, range.mKeys.mTo };
+      rest.push_back(piece);
+    }
+  }
+  mForeign = std::move(rest);
+}
+
 void range_controller::HandleFenced(const open_grant& aGrant, time_point aNow)
 {
   if (!MayMove(aNow)) {
@@ -209,6 +276,15 @@
   }
 }
 
+void range_controller::AddRefences(const target_name& aOwner)
+{
+  for (const owned_range& range : mRecord.mRanges) {
+    if (range.mOwner.mName == aOwner && NeedsFence(range)) {
+      AddRefence(range.mKeys, range);
+    }
+  }
+}
+
 void range_controller::AddRefence(const key_interval& aKeys,
                                   const owned_range& aRange)
 {
@@ -241,6 +317,7 @@
   // Targets never reject a release: a rejection comes from another server that
   // took over the address, which is free only after the old one has ended.
   if (aEnd == order_end::kAccepted || aEnd == order_end::kRejected) {
+    ForgetForeign(found->mFrom.mName, found->mKeys);
     found->mReady = true;
     found->mHandover = aHandover;
     return;
@@ -354,7 +431,12 @@
   const auto owner = mOwners.find(aRange.mOwner.mName);
   time_point last = owner == mOwners.end() ? time_point::min()
                                            : owner->second.mLastGrant;
-  if (aRange.mFence.Value() < mFirstOwnFence) {
+  const bool foreign = std::any_of(
+    mForeign.begin(), mForeign.end(), [&](const owned_range& aForeign) {
+      return aForeign.mOwner.mName == aRange.mOwner.mName &&
+             aForeign.mKeys.Overlaps(aRange.mKeys);
+    });
+  if (foreign) {
     last = std::max(last, mForeignUntil);
   }
   return last == time_point::min() ? aNow : HoldEnd(last);
@@ -421,8 +503,10 @@
 
   // Keys whose owner may have restarted.
   for (const owned_range& range : mRecord.mRanges) {
-    if (NeedsFence(range)) {
-      AddRefence(range.mKeys, range);
+    if (NeedsFence(range) &&
+        aNow >= mOwners.at(range.mOwner.mName).mNextFence) {
+      mOwners.at(range.mOwner.mName).mNextFence = aNow + kRefenceInterval;
+      AddRefences(range.mOwner.mName);
     }
   }
 
@@ -522,9 +606,7 @@
     if (!owner.mUsable || owner.mFailingSince) {
       continue;
     }
-    owner_candidate candidate{ name,
-                               static_cast<double>(owner.mTarget.mConcurrency),
-                               0 };
+    owner_candidate candidate{ name, CapacityOf(owner), 0 };
     for (const owned_range& range : mRecord.mRanges) {
       if (range.mOwner.mName == name && !MustMove(range, aNow)) {
         candidate.mWeight += mLoad.WeightOf(range.mKeys);
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "Parsleystair/Discovery/TargetDirectory.h"
-#include "Parsleystair/KeyRanges/KeyLoad.h"
+#include "Parsleystair/KeyRanges/LoadReport.h"
 #include "Parsleystair/KeyRanges/RangeActions.h"
 #include "Parsleystair/KeyRanges/RangePlanner.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -63,7 +64,7 @@
   void HandleTargets(const std::vector<const known_target*>& aTargets,
                      time_point aNow);
 
-  void HandleLoad(const key_counts& aCounts, time_point aNow);
+  void HandleLoad(const service_load& aLoad, time_point aNow);
 
   void HandleGrantEnd(order_id aOrder, order_end aEnd, time_point aNow);
   void HandleReleaseEnd(order_id aOrder,
@@ -97,6 +98,9 @@
     /// it must not be given again, as it may have restarted since.
     fence mGrantedFence;
     fence mLostFence;
+    time_point mNextFence = time_point::min();
+    /// Most recent latencies of all routers, in milliseconds.
+    std::deque<uint32_t> mLatencies;
     /// First of the failed grants since the last accepted one.
     std::optional<time_point> mFailingSince;
   };
@@ -127,6 +131,7 @@
     fence mFence;
   };
 
+  void ForgetForeign(const target_name& aTarget, const key_interval& aKeys);
   void HandleFenced(const open_grant& aGrant, time_point aNow);
   void ForgetOrders();
   void AddMoves(time_point aNow);
@@ -134,6 +139,7 @@
                const owned_range* aOwner,
                const target_name& aTo,
                time_point aNow);
+  void AddRefences(const target_name& aOwner);
   void AddRefence(const key_interval& aKeys, const owned_range& aRange);
   void AddBalanceMoves(time_point aNow);
   void StepMoves(time_point aNow, std::vector<range_action>& aActions);
@@ -147,6 +153,7 @@
                  range_record& aRecord,
                  std::vector<owner_candidate>& aCandidates) const;
   [[nodiscard]] std::vector<owner_candidate> Candidates(time_point aNow) const;
+  [[nodiscard]] static double CapacityOf(const owner_state& aOwner);
   /// The owner must not get its keys with the recorded fence any more.
   [[nodiscard]] bool NeedsFence(const owned_range& aRange) const;
   [[nodiscard]] bool MustMove(const owned_range& aRange, time_point aNow) const;
@@ -171,6 +178,8 @@
   time_point mForeignUntil = time_point::min();
   /// Fences from this one on were given out by this leader.
   uint64_t mFirstOwnFence = 0;
+  /// Keys that their owners may still get from earlier leaders.
+  std::vector<owned_range> mForeign;
   range_record mRecord;
   store_revision mRevision;
   key_load mLoad;
--- a/Parsleystair/KeyRanges/RangePlanner.cpp
+++ b/Parsleystair/KeyRanges/RangePlanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace parsleystair {
 
@@ -9,11 +10,14 @@
 
 /// Load relative to capacity, over the mean, from which keys are moved. Moves
 /// cost an interruption of their keys each.
-constexpr double kImbalanceToMove = 1.4;
+constexpr double kImbalanceToMove = 1.2;
 /// A candidate without keys gets some at any imbalance.
 constexpr double kEmptyPart = 0.05;
 /// Smallest move, as part of the excess, that is worth its interruption.
 constexpr double kSmallestPart = 0.2;
+/// Cost of moving all keys, in parts of the excess left unmoved: of two pieces
+/// with about the right load, the one with fewer keys is moved.
+constexpr double kKeyCost = 3;
 /// A bucket that overshoots the wanted weight by this factor stays.
 constexpr double kOvershoot = 1.5;
 
@@ -99,7 +103,7 @@
                                       double aWanted)
 {
   std::optional<key_interval> best;
-  double bestError = aWanted * (1 - kSmallestPart);
+  double bestCost = std::numeric_limits<double>::max();
   for (const owned_range& range : aRecord.mRanges) {
     if (range.mOwner.mName != aOwner) {
       continue;
@@ -107,11 +111,15 @@
     for (const edge_piece& piece :
          { LeftPiece(range.mKeys, aLoad, aWanted),
            RightPiece(range.mKeys, aLoad, aWanted) }) {
-      const double error = std::abs(piece.mWeight - aWanted);
-      const bool fits = piece.mWeight <= aWanted * kOvershoot;
-      if (piece.mWeight > 0 && fits && error < bestError) {
+      const bool fits = piece.mWeight <= aWanted * kOvershoot &&
+                        piece.mWeight >= aWanted * kSmallestPart;
+      const double keys = static_cast<double>(piece.mKeys.Size()) /
+                          static_cast<double>(kMaxKeyNumber);
+      const double cost =
+        std::abs(piece.mWeight - aWanted) / aWanted + kKeyCost * keys;
+      if (fits && cost < bestCost) {
         best = piece.mKeys;
-        bestError = error;
+        bestCost = cost;
       }
     }
   }
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -14,6 +14,7 @@
   { "drain target", 1, &range_world::DrainTarget },
   { "cut router from store", 2, &range_world::CutRouterFromStore },
   { "pause router", 2, &range_world::PauseRouter },
+  { "refuse connections", 2, &range_world::RefuseConnections },
   { "lose answers", 2, &range_world::LoseAnswers },
 };
 
--- a/UnitTests/KeyRanges/RangeWorld.h
+++ b/UnitTests/KeyRanges/RangeWorld.h
@@ -88,6 +88,13 @@
       mNow + duration(1ms) * (aFor % 20'000);
   }
 
+  /// The target resets new connections; those that are open go on.
+  void RefuseConnections(uint32_t aTarget, uint32_t aFor)
+  {
+    mTargets[aTarget % kTargets].mFullUntil =
+      mNow + duration(1ms) * (aFor % 9000);
+  }
+
   void LoseAnswers(uint32_t aShare, uint32_t aFor)
   {
     mLostShare = aShare % 60;
@@ -102,7 +109,7 @@
         aCount % 20;
     }
     for (router& each : mRouters) {
-      each.mController->HandleLoad(counts, mNow);
+      each.mController->HandleLoad({ counts, {} }, mNow);
     }
   }
 
@@ -153,6 +160,7 @@
     time_point mBackAt = time_point::min();
     time_point mCutUntil = time_point::min();
     time_point mHiddenUntil = time_point::min();
+    time_point mFullUntil = time_point::min();
     time_point mEntryGoneAt = time_point::max();
     std::vector<held_keys> mHeld;
     std::array<uint64_t, kSamples> mSeenFence{};
@@ -377,6 +385,13 @@
     // A kept connection breaks when its target restarts, which the next call
     // finds before it sends anything.
     uint64_t& life = mRouters[aRouter].mConnectedLife[to];
+    if (life == 0 && mNow < mTargets[to].mFullUntil) {
+      Return(aRouter, mNow + kTick, [this, aRouter, aOrder] {
+        mRouters[aRouter].mController->HandleGrantEnd(
+          aOrder.mId, order_end::kUnanswered, mNow);
+      });
+      return;
+    }
     const uint64_t known = std::exchange(life, mTargets[to].mStartedMs);
     if (known != 0 && known != mTargets[to].mStartedMs) {
       Return(aRouter, mNow + kTick, [this, aRouter, aOrder] {
@@ -397,6 +412,13 @@
   void Execute(size_t aRouter, const release_order& aOrder)
   {
     const size_t to = aOrder.mTo.mPort - 1u;
+    if (mNow < mTargets[to].mFullUntil) {
+      Return(aRouter, mNow + kTick, [this, aRouter, aOrder] {
+        mRouters[aRouter].mController->HandleReleaseEnd(
+          aOrder.mId, order_end::kUnanswered, "", mNow);
+      });
+      return;
+    }
     Carry(
       aRouter,
       to,
