--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -28,7 +28,7 @@
 
 /// Part of a target's connections that routers share evenly; the rest is for
 /// orders and health checks.
-constexpr double kConnectionPart = 0.8;
+constexpr double kConnectionPart = 0.95;
 constexpr size_t kMinConnections = 2;
 /// Wait before the owner's connections are looked at again.
 constexpr duration kConnectionWait = 25ms;
@@ -178,13 +178,18 @@
   return std::max(kMinConnections, static_cast<size_t>(share));
 }
 
-const known_target* forwarder::FindOwner(const open_request& aRequest) const
+const owned_range* forwarder::FindOwnedRange(const open_request& aRequest) const
 {
   const auto record = mView.mRanges.find(aRequest.mService);
   if (record == mView.mRanges.end() || !aRequest.mTerms.mKey) {
     return nullptr;
   }
-  const owned_range* range = FindRange(record->second, *aRequest.mTerms.mKey);
+  return FindRange(record->second, *aRequest.mTerms.mKey);
+}
+
+const known_target* forwarder::FindOwner(const open_request& aRequest) const
+{
+  const owned_range* range = FindOwnedRange(aRequest);
   if (range == nullptr) {
     return nullptr;
   }
@@ -226,7 +231,11 @@
   const time_point now = MonotonicNow();
   std::vector<forward_id> parked;
   for (const auto& [id, request] : mRequests) {
-    if (request.mParkedUntil) {
+    if (!request.mParkedUntil) {
+      continue;
+    }
+    const owned_range* range = FindOwnedRange(request);
+    if (range != nullptr && range->mFence != request.mRefusedFence) {
       parked.push_back(id);
     }
   }
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -118,6 +118,8 @@
     std::optional<http_answer> mFailure;
     /// While set, the request waits for an owner of its key.
     std::optional<time_point> mParkedUntil;
+    /// Fence of the owner that did not hold the key; waits for another one.
+    fence mRefusedFence;
     /// Next time at which the request needs a look.
     time_point mWake;
   };
@@ -127,6 +129,8 @@
   void Dispatch(open_request& aRequest, time_point aNow);
   const known_target* ChooseTarget(const open_request& aRequest,
                                    time_point aNow);
+  [[nodiscard]] const owned_range* FindOwnedRange(
+    const open_request& aRequest) const;
   const known_target* FindOwner(const open_request& aRequest) const;
   void Send(open_request& aRequest, const known_target& aTarget,
             time_point aNow);
--- a/Parsleystair/Gateway/ForwarderTries.cpp
+++ b/Parsleystair/Gateway/ForwarderTries.cpp
@@ -22,9 +22,9 @@
 /// an idempotent request is also sent to a second target.
 constexpr double kHedgePart = 0.5;
 constexpr int kHedgeFactor = 2;
-/// Wait before a key's owner is asked again after it refused the key: its grant
-/// is on the way.
-constexpr duration kOwnerRetry = 40ms;
+/// Wait before a key's owner is asked again after it refused the key. Another
+/// owner that is told meanwhile is asked at once.
+constexpr duration kOwnerRetry = 80ms;
 
 /// Wait before an owner without room is asked again: the time in which a place
 /// in its queue gets free.
@@ -220,6 +220,8 @@
     Send(aRequest, *owner, aNow);
     return;
   }
+  const owned_range* range = FindOwnedRange(aRequest);
+  aRequest.mRefusedFence = range == nullptr ? fence() : range->mFence;
   aRequest.mParkedUntil =
     aNow + (aTerms.mMisdirected ? kOwnerRetry : kFullOwnerRetry);
   SetWake(aRequest, aNow);
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -23,6 +23,9 @@
 /// Busy keys change within seconds.
 constexpr duration kReportInterval = 500ms;
 constexpr duration kReportTimeout = 400ms;
+/// Longest wait for the former leader's answer, and the pause before it is asked
+/// again: a process that was killed is back within seconds.
+constexpr duration kFormerLeaderTimeout = 300ms;
 /// A router without a report for this long has gone.
 constexpr duration kReporterTime = 3s;
 /// Time after which the platform has seen two readiness checks fail and sends no
@@ -126,6 +129,7 @@
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mPlatform(aPlatform)
+  , mIncarnation(aSeed)
   , mCallers(aLoop,
              CallerSettings({}),
              [this](exchange_id aExchange, http_request aRequest) {
@@ -352,6 +356,8 @@
 {
   if (!mElection.IsLeading()) {
     mFeedServer.Stop();
+    mFormerConnection.reset();
+    mFormerTimer.Cancel();
     mRanges.HandleLeadership(MonotonicNow());
     return;
   }
@@ -383,10 +389,56 @@
       }
       if (mElection.IsLeading() && !mRanges.IsLeading()) {
         mRanges.HandleLeadership(asked);
+        AskFormerLeader();
       }
     });
 }
 
+void gateway_task::AskFormerLeader()
+{
+  const auto& former = mElection.Former();
+  if (!former || !mElection.IsLeading()) {
+    return;
+  }
+  mFormerConnection = std::make_unique<http_connection>(
+    mLoop, former->mHost, former->mPort, http_connection_settings{});
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/abdicate";
+  request.mBody = std::to_string(former->mIncarnation.Value());
+  mFormerConnection->Call(request,
+                          kFormerLeaderTimeout,
+                          [this](const http_result& aResult) {
+                            HandleFormerLeader(aResult);
+                          });
+}
+
+void gateway_task::HandleFormerLeader(const http_result& aResult)
+{
+  // A refused connection proves nothing: a cut may look the same.
+  if (aResult.mStatus == http_status::kAnswered &&
+      aResult.mAnswer.mStatus == kOk) {
+    log_line(log_severity::kInfo, "former_leader_gone")
+      .Add("vm", mElection.Former()->mVm.Value());
+    mRanges.HandleFormerLeaderGone(MonotonicNow());
+    return;
+  }
+  mFormerTimer.StartOnce(
+    mLoop, kFormerLeaderTimeout, [this] { AskFormerLeader(); });
+}
+
+void gateway_task::AnswerAbdication(exchange_id aExchange,
+                                    const http_request& aRequest)
+{
+  // A process with another incarnation stands where the former leader was, so
+  // that one has ended.
+  const std::string own = std::to_string(mIncarnation);
+  if (aRequest.mBody == own) {
+    mElection.Abdicate();
+  }
+  mPeers.Respond(aExchange, { kOk, {}, "" });
+}
+
 void gateway_task::ApplyOwners(const service_name& aService,
                                const versioned_record& aRecord)
 {
@@ -497,6 +549,8 @@
 {
   if (aRequest.mPath == "/load") {
     HandleReport(aExchange, aRequest);
+  } else if (aRequest.mPath == "/abdicate") {
+    AnswerAbdication(aExchange, aRequest);
   } else if (aRequest.mPath != "/owners") {
     mPeers.Respond(aExchange, { kNotFound, {}, "" });
   } else if (mElection.IsLeading()) {
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -63,6 +63,9 @@
   void ApplyLeader(const std::optional<stored_item>& aItem);
   void HandleLeadership();
   void ReadOwners();
+  void AskFormerLeader();
+  void HandleFormerLeader(const http_result& aResult);
+  void AnswerAbdication(exchange_id aExchange, const http_request& aRequest);
   void ApplyOwners(const service_name& aService,
                    const versioned_record& aRecord);
   [[nodiscard]] owner_revisions KnownOwners() const;
@@ -80,6 +83,7 @@
   event_loop& mLoop;
   gateway_settings mSettings;
   gateway_platform mPlatform;
+  uint64_t mIncarnation;
   forwarder_view mView;
   http_server mCallers;
   http_server mReadiness;
@@ -94,6 +98,8 @@
   owner_records mOwners;
   owner_feed_server mFeedServer;
   owner_feed_client mFeedClient;
+  std::unique_ptr<http_connection> mFormerConnection;
+  timer mFormerTimer;
   /// When each router last reported to this one.
   std::map<std::string, time_point> mReporters;
   time_point mNextOwnersRead = time_point::min();
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -87,6 +87,9 @@
     mLeader.reset();
   }
   const bool own = mLeader && *mLeader == mSelf;
+  if (mLeader && !own) {
+    mFormer = mLeader;
+  }
   if (own && !mLeading && mStanding) {
     // The answer to the write was lost or is slower than the watch.
     StartLeading(aItem->mRevision);
@@ -95,6 +98,14 @@
   }
 }
 
+void leader_election::Abdicate()
+{
+  if (mLeading) {
+    StopLeading("another router leads");
+    mKeyExists = true;
+  }
+}
+
 void leader_election::Leave()
 {
   mLeft = true;
--- a/Parsleystair/Gateway/LeaderElection.h
+++ b/Parsleystair/Gateway/LeaderElection.h
@@ -51,12 +51,21 @@
   /// The key as the store holds it now; nothing when it doesn't exist.
   void HandleKey(const std::optional<stored_item>& aItem);
 
+  /// Stops leading if this router does, without waiting for the store, because
+  /// another router leads.
+  void Abdicate();
+
   /// Gives up leading and takes no part from now on.
   void Leave();
 
   [[nodiscard]] bool IsLeading() const { return mLeading; }
   /// Condition that holds while this router leads.
   [[nodiscard]] item_condition Condition() const { return { mKey, mRevision }; }
+  /// The last other router that was recorded as leader.
+  [[nodiscard]] const std::optional<leader_entry>& Former() const
+  {
+    return mFormer;
+  }
   /// The recorded leader, this router or another.
   [[nodiscard]] const std::optional<leader_entry>& Leader() const
   {
@@ -82,6 +91,7 @@
   change_handler mChange;
   proof_handler mProof;
   std::optional<leader_entry> mLeader;
+  std::optional<leader_entry> mFormer;
   store_revision mRevision;
   lease_id mLease;
   time_point mAsked = time_point::min();
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -87,6 +87,14 @@
   }
 }
 
+void range_driver::HandleFormerLeaderGone(time_point aNow)
+{
+  for (auto& [service, controller] : mControllers) {
+    controller.HandleFormerLeaderGone(aNow);
+  }
+  StepLater();
+}
+
 void range_driver::HandleRecord(const service_name& aService,
                                 const range_record& aRecord,
                                 store_revision aRevision)
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -54,6 +54,8 @@
   void SetServices(const std::set<service_name>& aServices);
   void HandleLeadership(time_point aNow);
   void HandleProof(time_point aAsked);
+  /// No earlier leader can give orders any more.
+  void HandleFormerLeaderGone(time_point aNow);
   void HandleRecord(const service_name& aService,
                     const range_record& aRecord,
                     store_revision aRevision);
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -21,7 +21,7 @@
   duration mRenewEvery = 800ms;
   /// Longest time for which a leader renews grants though the store does not
   /// confirm that it leads. Bridges outages of the store.
-  duration mUnprovenTime = 12s;
+  duration mUnprovenTime = 10s;
   /// Longest age of the proof with which a leader takes keys away. An owner
   /// that a router without the lead released would be without its keys for
   /// nothing.
--- a/Parsleystair/KeyRanges/RangePlanner.cpp
+++ b/Parsleystair/KeyRanges/RangePlanner.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
-/// Load relative to capacity, over the mean, from which keys are moved. Moves
-/// cost an interruption of their keys each.
-constexpr double kImbalanceToMove = 1.2;
+/// Load relative to capacity, over the mean, from which keys are moved, when the
+/// load is known well, and how much more it takes with few requests: counts of
+/// n requests vary by their root.
+constexpr double kImbalanceToMove = 1.15;
+constexpr double kNoiseFactor = 2;
 /// A candidate without keys gets some at any imbalance.
 constexpr double kEmptyPart = 0.05;
 /// Smallest move, as part of the excess, that is worth its interruption.
@@ -180,7 +182,10 @@
   }
   const double mean = weight / capacity;
   const bool hasEmpty = RelativeWeight(*least) < kEmptyPart * mean;
-  if (!hasEmpty && RelativeWeight(*most) < kImbalanceToMove * mean) {
+  const double requests = std::max(
+    1.0, aLoad.Requests() / static_cast<double>(aCandidates.size()));
+  const double limit = kImbalanceToMove + kNoiseFactor / std::sqrt(requests);
+  if (!hasEmpty && RelativeWeight(*most) < limit * mean) {
     return std::nullopt;
   }
   // Levels the two, or fills an empty one up to its share.
