--- a/Parsleystair/Core/Log.cpp
+++ b/Parsleystair/Core/Log.cpp
@@ -9,8 +9,12 @@
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/make_shared.hpp>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
 #include <unordered_map>
 
 namespace parsleystair {
@@ -66,6 +70,36 @@
   return boost::log::trivial::error;
 }
 
+/// Lines that standard output did not take.
+std::atomic<uint64_t> sDropped{ 0 };
+
+/// Tells if a line can be written at once. A pipe takes up to PIPE_BUF bytes
+/// whole when it is writable; a longer line could block.
+bool CanWrite(size_t aBytes)
+{
+  pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+  return aBytes <= PIPE_BUF && poll(&output, 1, 0) == 1 &&
+         (output.revents & POLLOUT) != 0;
+}
+
+/// Writes formatted lines to standard output without ever waiting for it.
+class output_backend
+  : public boost::log::sinks::basic_formatted_sink_backend<
+      char,
+      boost::log::sinks::synchronized_feeding>
+{
+public:
+  void consume(const boost::log::record_view& /*aRecord*/,
+               const std::string& aText)
+  {
+    const std::string line = aText + "\n";
+    if (!CanWrite(line.size()) ||
+        write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+      ++sDropped;
+    }
+  }
+};
+
 bool NeedsQuotes(std::string_view aValue)
 {
   return aValue.empty() ||
@@ -117,15 +151,15 @@
   sLowestSeverity = aSeverity;
   namespace expr = boost::log::expressions;
   boost::log::add_common_attributes();
-  boost::log::add_console_log(
-    std::clog,
-    boost::log::keywords::auto_flush = true,
-    boost::log::keywords::format =
-      (expr::stream << "time="
-                    << expr::format_date_time<boost::posix_time::ptime>(
-                         "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                    << " level=" << boost::log::trivial::severity << " "
-                    << expr::smessage));
+  using sink = boost::log::sinks::synchronous_sink<output_backend>;
+  const auto output = boost::make_shared<sink>();
+  output->set_formatter(
+    expr::stream << "time="
+                 << expr::format_date_time<boost::posix_time::ptime>(
+                      "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                 << " level=" << boost::log::trivial::severity << " "
+                 << expr::smessage);
+  boost::log::core::get()->add_sink(output);
 }
 
 log_line::log_line(log_severity aSeverity, std::string_view aEvent)
@@ -148,6 +182,9 @@
     Add("suppressed", counter.mSuppressed);
     counter.mSuppressed = 0;
   }
+  if (const uint64_t dropped = sDropped.exchange(0); dropped > 0) {
+    Add("dropped", dropped);
+  }
   BOOST_LOG_STREAM_WITH_PARAMS(
     boost::log::trivial::logger::get(),
     (boost::log::keywords::severity = BoostSeverity(mSeverity)))
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -4,7 +4,7 @@
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Log.h"
 
-#include <charconv>
+#include <sstream>
 
 namespace parsleystair {
 
@@ -175,7 +175,8 @@
         for (const auto& [service, record] : aRecords) {
           ApplyOwners(service, record);
         }
-      })
+      },
+      aSeed + 5)
 {
   mCallers.OnClose([this](exchange_id aExchange) {
     mForwarder.HandleCallerGone(aExchange);
@@ -493,12 +494,13 @@
 void gateway_task::SendReport()
 {
   const load_report report = mForwarder.TakeLoad();
-  const auto& leader = mElection.Leader();
+  const auto& leader =
+    mElection.IsLeading() ? mElection.Leader() : mFeedClient.Leader();
   if (!leader) {
     return;
   }
   if (mElection.IsLeading()) {
-    mForwarder.SetRouters(CountRouters(MonotonicNow()));
+    mForwarder.SetRouters(LiveRouters(MonotonicNow()).size());
     for (const auto& [service, load] : report) {
       mRanges.HandleLoad(service, load, MonotonicNow());
     }
@@ -526,22 +528,31 @@
 
 void gateway_task::HandleReportAnswer(const http_result& aResult)
 {
-  uint32_t routers = 0;
-  const std::string& text = aResult.mAnswer.mBody;
-  const auto read =
-    std::from_chars(text.data(), text.data() + text.size(), routers);
-  if (aResult.mStatus == http_status::kAnswered && read.ec == std::errc() &&
-      routers > 0) {
-    mForwarder.SetRouters(routers);
+  // Routers that don't lead answer without a list.
+  if (aResult.mStatus != http_status::kAnswered ||
+      aResult.mAnswer.mBody.empty()) {
+    return;
+  }
+  std::vector<std::string> routers;
+  std::istringstream text(aResult.mAnswer.mBody);
+  for (std::string host; text >> host;) {
+    routers.push_back(host);
   }
+  mForwarder.SetRouters(routers.size());
+  std::erase(routers, mSettings.mPeers.mHost);
+  mFeedClient.SetPeers(std::move(routers));
 }
 
-size_t gateway_task::CountRouters(time_point aNow)
+std::vector<std::string> gateway_task::LiveRouters(time_point aNow)
 {
   std::erase_if(mReporters, [&](const auto& aReporter) {
     return aNow - aReporter.second > kReporterTime;
   });
-  return mReporters.size() + 1;
+  std::vector<std::string> hosts{ mSettings.mPeers.mHost };
+  for (const auto& [host, at] : mReporters) {
+    hosts.push_back(host);
+  }
+  return hosts;
 }
 
 void gateway_task::HandlePeer(exchange_id aExchange,
@@ -556,7 +567,7 @@
   } else if (mElection.IsLeading()) {
     mFeedServer.HandleQuestion(aExchange, aRequest, mOwners);
   } else {
-    mPeers.Respond(aExchange, { kUnavailable, {}, "" });
+    mFeedServer.Decline(aExchange, mElection.Leader());
   }
 }
 
@@ -569,8 +580,13 @@
     }
     const time_point now = MonotonicNow();
     mReporters[aRequest.mRemoteHost] = now;
-    mPeers.Respond(aExchange,
-                   { kOk, {}, std::to_string(CountRouters(now)) });
+    std::string hosts;
+    if (mElection.IsLeading()) {
+      for (const std::string& host : LiveRouters(now)) {
+        hosts += host + "\n";
+      }
+    }
+    mPeers.Respond(aExchange, { kOk, {}, hosts });
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "report_unreadable")
       .Add("peer", aRequest.mRemoteHost)
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -77,7 +77,8 @@
   void Tick();
   void SendReport();
   void HandleReportAnswer(const http_result& aResult);
-  [[nodiscard]] size_t CountRouters(time_point aNow);
+  /// IP addresses of the routers that report to this one, and its own.
+  std::vector<std::string> LiveRouters(time_point aNow);
   void StepShutdown();
 
   event_loop& mLoop;
--- a/Parsleystair/Gateway/OwnerFeed.cpp
+++ b/Parsleystair/Gateway/OwnerFeed.cpp
@@ -18,6 +18,8 @@
 /// keep-alive before that.
 constexpr duration kQuestionTimeout = 20s;
 constexpr duration kRetryTime = 300ms;
+/// Questions without an answer after which another router is asked who leads.
+constexpr uint32_t kFailuresToAskPeers = 3;
 
 http_connection_settings FeedSettings()
 {
@@ -142,21 +144,37 @@
   mWaiting.clear();
 }
 
+void owner_feed_server::Decline(exchange_id aExchange,
+                                const std::optional<leader_entry>& aLeader)
+{
+  mServer.Respond(
+    aExchange,
+    { kUnavailable, {}, aLeader ? EncodeLeaderEntry(*aLeader) : "" });
+}
+
 owner_feed_client::owner_feed_client(event_loop& aLoop,
                                      known_source aKnown,
-                                     records_handler aHandler)
+                                     records_handler aHandler,
+                                     uint64_t aSeed)
   : mLoop(aLoop)
   , mKnown(std::move(aKnown))
   , mHandler(std::move(aHandler))
+  , mRandom(aSeed)
 {
 }
 
+void owner_feed_client::SetPeers(std::vector<std::string> aHosts)
+{
+  mPeers = std::move(aHosts);
+}
+
 void owner_feed_client::SetLeader(const std::optional<leader_entry>& aLeader)
 {
   if (mLeader == aLeader) {
     return;
   }
   mLeader = aLeader;
+  mFailures = 0;
   mTimer.Cancel();
   mConnection.reset();
   if (mLeader) {
@@ -185,26 +203,77 @@
                     });
 }
 
+void owner_feed_client::AskLater(duration aPause)
+{
+  mTimer.StartOnce(mLoop, aPause, [this] { Ask(); });
+}
+
 void owner_feed_client::HandleAnswer(const http_result& aResult)
 {
-  duration pause = kRetryTime;
-  const bool answered = aResult.mStatus == http_status::kAnswered &&
-                        aResult.mAnswer.mStatus == kOk;
-  if (answered) {
-    mAnsweredAt = MonotonicNow();
-    pause = duration::zero();
-    try {
-      mHandler(DecodeOwnerRecords(aResult.mAnswer.mBody));
-    } catch (const parse_error& exception) {
-      log_line(log_severity::kWarning, "owners_unreadable")
-        .Add("error", exception.what());
-      pause = kRetryTime;
-    }
-  } else if (aResult.mTimedOut) {
+  if (aResult.mTimedOut) {
     // Nothing changed for that long.
-    pause = duration::zero();
+    AskLater(duration::zero());
+    return;
+  }
+  const bool whole = aResult.mStatus == http_status::kAnswered;
+  if (whole && aResult.mAnswer.mStatus == kOk) {
+    mFailures = 0;
+    mAnsweredAt = MonotonicNow();
+    HandleRecords(aResult.mAnswer.mBody);
+    return;
   }
-  mTimer.StartOnce(mLoop, pause, [this] { Ask(); });
+  ++mFailures;
+  if (whole && !aResult.mAnswer.mBody.empty()) {
+    FollowHint(aResult.mAnswer.mBody);
+  } else if (mFailures >= kFailuresToAskPeers && !mPeers.empty()) {
+    AskPeer();
+  } else {
+    AskLater(kRetryTime);
+  }
+}
+
+void owner_feed_client::HandleRecords(const std::string& aText)
+{
+  try {
+    mHandler(DecodeOwnerRecords(aText));
+    AskLater(duration::zero());
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kWarning, "owners_unreadable")
+      .Add("error", exception.what());
+    AskLater(kRetryTime);
+  }
+}
+
+void owner_feed_client::FollowHint(const std::string& aText)
+{
+  // The new leader is asked from the loop, as this connection is in use.
+  try {
+    const leader_entry hint = DecodeLeaderEntry(aText);
+    mTimer.StartOnce(mLoop, kRetryTime, [this, hint] {
+      if (mLeader == hint) {
+        Ask();
+        return;
+      }
+      log_line(log_severity::kInfo, "leader_told")
+        .Add("vm", hint.mVm.Value())
+        .Add("host", hint.mHost);
+      SetLeader(hint);
+    });
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kWarning, "leader_entry_unreadable")
+      .Add("error", exception.what());
+    AskLater(kRetryTime);
+  }
+}
+
+void owner_feed_client::AskPeer()
+{
+  std::uniform_int_distribution<size_t> pick(0, mPeers.size() - 1);
+  leader_entry peer;
+  peer.mHost = mPeers[pick(mRandom)];
+  // All routers of a deployment listen on the same ports.
+  peer.mPort = mLeader->mPort;
+  mTimer.StartOnce(mLoop, kRetryTime, [this, peer] { SetLeader(peer); });
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Gateway/OwnerFeed.h
+++ b/Parsleystair/Gateway/OwnerFeed.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
+#include <vector>
 
 namespace parsleystair {
 
@@ -58,6 +60,10 @@
   /// This router stopped leading: all waiting questions are answered.
   void Stop();
 
+  /// Tells a questioner that this router doesn't lead, and who does.
+  void Decline(exchange_id aExchange,
+               const std::optional<leader_entry>& aLeader);
+
 private:
   bool Answer(exchange_id aExchange,
               const owner_revisions& aKnown,
@@ -77,24 +83,42 @@
 
   owner_feed_client(event_loop& aLoop,
                     known_source aKnown,
-                    records_handler aHandler);
+                    records_handler aHandler,
+                    uint64_t aSeed);
   owner_feed_client(const owner_feed_client&) = delete;
   owner_feed_client& operator=(const owner_feed_client&) = delete;
 
   /// Asks this leader from now on; nobody when there is none.
   void SetLeader(const std::optional<leader_entry>& aLeader);
 
+  /// Other routers, by their IP addresses. They are asked who leads when the
+  /// leader doesn't answer: the store may be away for this router alone.
+  void SetPeers(std::vector<std::string> aHosts);
+
+  /// The router that is asked now.
+  [[nodiscard]] const std::optional<leader_entry>& Leader() const
+  {
+    return mLeader;
+  }
+
   /// Time since the leader last answered; `duration::max()` before the first.
   [[nodiscard]] duration Age(time_point aNow) const;
 
 private:
   void Ask();
+  void AskLater(duration aPause);
   void HandleAnswer(const http_result& aResult);
+  void HandleRecords(const std::string& aText);
+  void FollowHint(const std::string& aText);
+  void AskPeer();
 
   event_loop& mLoop;
   known_source mKnown;
   records_handler mHandler;
   std::optional<leader_entry> mLeader;
+  std::vector<std::string> mPeers;
+  uint32_t mFailures = 0;
+  std::mt19937_64 mRandom;
   std::unique_ptr<http_connection> mConnection;
   time_point mAnsweredAt = time_point::min();
   timer mTimer;
