--- /dev/null
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -0,0 +1,182 @@
+#include "StandIns/standin_users_platform/KeyedTarget.h"
+
+#include "Parsleystair/Core/Clock.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace parsleystair {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr uint32_t kOk = 200;
+constexpr uint32_t kConflict = 409;
+constexpr uint32_t kMisdirected = 421;
+constexpr uint32_t kUnavailable = 503;
+
+std::string Header(const http_request& aRequest, const char* aName)
+{
+  return FindHeader(aRequest.mHeaders, aName).value_or("");
+}
+
+} // namespace
+
+keyed_target::keyed_target(event_loop& aLoop, std::string aName, bool aKeyed)
+  : mLoop(aLoop)
+  , mName(std::move(aName))
+  , mKeyed(aKeyed)
+  , mServer(aLoop,
+            {},
+            [this](exchange_id aExchange, const http_request& aRequest) {
+              Handle(aExchange, aRequest);
+            })
+{
+  mServer.OnClose([this](exchange_id aExchange) {
+    mCancelled += mRunning.erase(aExchange);
+  });
+}
+
+void keyed_target::Listen(const std::string& aHost, uint16_t aPort)
+{
+  mServer.Listen(aHost, aPort);
+}
+
+std::string keyed_target::Entry(const std::string& aService,
+                                const std::string& aState) const
+{
+  return json{ { "service", aService },
+               { "address", "127.0.0.1:" + std::to_string(Port()) },
+               { "zone", "asti-a" },
+               { "version", "v1" },
+               { "slots", 4 },
+               { "state", aState },
+               { "slow_start_s_time", 0 },
+               { "seq", 1 },
+               { "born", 1000 } }
+    .dump();
+}
+
+bool keyed_target::Holds(uint32_t aKey) const
+{
+  const time_point now = MonotonicNow();
+  return std::any_of(mHeld.begin(), mHeld.end(), [&](const held_keys& aHeld) {
+    return aHeld.mFrom <= aKey && aKey <= aHeld.mTo && aHeld.mUntil > now;
+  });
+}
+
+void keyed_target::Handle(exchange_id aExchange, const http_request& aRequest)
+{
+  if (aRequest.mPath == "/api/grant") {
+    HandleGrant(aExchange, aRequest);
+  } else if (aRequest.mPath == "/api/release") {
+    HandleRelease(aExchange, aRequest);
+  } else if (aRequest.mPath == "/health") {
+    mServer.Respond(aExchange, { kOk, { { "X-Instance-Id", mName } }, "" });
+  } else {
+    Run(aExchange, aRequest);
+  }
+}
+
+void keyed_target::HandleGrant(exchange_id aExchange,
+                               const http_request& aRequest)
+{
+  ++mGrants;
+  const json body = json::parse(aRequest.mBody);
+  held_keys keys{ body.at("from").get<uint32_t>(),
+                  body.at("to").get<uint32_t>(),
+                  body.at("fence").get<uint64_t>(),
+                  MonotonicNow() +
+                    std::chrono::duration_cast<duration>(
+                      std::chrono::duration<double>(
+                        body.at("hold_s").get<double>())) };
+  const bool fenced =
+    std::any_of(mHeld.begin(), mHeld.end(), [&](const held_keys& aHeld) {
+      return aHeld.mFrom <= keys.mTo && keys.mFrom <= aHeld.mTo &&
+             aHeld.mFence > keys.mFence;
+    });
+  if (!fenced) {
+    std::erase_if(mHeld, [&](const held_keys& aHeld) {
+      return keys.mFrom <= aHeld.mFrom && aHeld.mTo <= keys.mTo;
+    });
+    mHeld.push_back(keys);
+  }
+  mServer.Respond(aExchange, { fenced ? kConflict : kOk, {}, "" });
+}
+
+void keyed_target::HandleRelease(exchange_id aExchange,
+                                 const http_request& aRequest)
+{
+  const json body = json::parse(aRequest.mBody);
+  const auto from = body.at("from").get<uint32_t>();
+  const auto to = body.at("to").get<uint32_t>();
+  // The fence of the release stays, with a hold that has ended.
+  std::vector<held_keys> rest;
+  for (const held_keys& each : mHeld) {
+    if (each.mTo < from || each.mFrom > to) {
+      rest.push_back(each);
+      continue;
+    }
+    if (each.mFrom < from) {
+      rest.push_back({ each.mFrom, from - 1, each.mFence, each.mUntil });
+    }
+    if (each.mTo > to) {
+      rest.push_back({ to + 1, each.mTo, each.mFence, each.mUntil });
+    }
+  }
+  rest.push_back({ from, to, body.at("fence").get<uint64_t>(), {} });
+  mHeld = std::move(rest);
+  mServer.Respond(aExchange, { kOk, { { "X-Handover", "state" } }, "" });
+}
+
+void keyed_target::Refuse(exchange_id aExchange, uint32_t aStatus)
+{
+  mServer.Respond(
+    aExchange,
+    { aStatus, { { "X-Not-Executed", "1" }, { "X-Instance-Id", mName } }, "" });
+}
+
+void keyed_target::Run(exchange_id aExchange, const http_request& aRequest)
+{
+  if (Header(aRequest, "X-Expected-Instance") != mName) {
+    Refuse(aExchange, kMisdirected);
+    return;
+  }
+  const std::string key = Header(aRequest, "X-Shard-Key");
+  if (mKeyed && (key.empty() ||
+                 !Holds(static_cast<uint32_t>(std::stoul(key))))) {
+    Refuse(aExchange, kMisdirected);
+    return;
+  }
+  if (mFull) {
+    Refuse(aExchange, kUnavailable);
+    return;
+  }
+  mRan.push_back(Header(aRequest, "X-Request-Id"));
+  auto& running = mRunning[aExchange];
+  running = std::make_unique<timer>();
+  running->StartOnce(mLoop, mWork, [this, aExchange, aRequest] {
+    const auto ended = mRunning.extract(aExchange);
+    Finish(aExchange, aRequest);
+  });
+}
+
+void keyed_target::Finish(exchange_id aExchange, const http_request& aRequest)
+{
+  if (mLosesAnswers) {
+    mServer.Drop(aExchange);
+    return;
+  }
+  http_answer answer{ kOk,
+                      { { "X-Request-Id", Header(aRequest, "X-Request-Id") },
+                        { "X-Response-Signature", "signed-by-" + mName },
+                        { "Keep-Alive", "timeout=10" } },
+                      mName + " ran " + aRequest.mTarget };
+  if (mAnswersOthers) {
+    answer.mHeaders[0].mValue = "another-request";
+  }
+  mServer.Respond(aExchange, answer);
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Parsleystair/Core/EventLoop.h"
+#include "Parsleystair/Core/Time.h"
+#include "Parsleystair/Http/HttpServer.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace parsleystair {
+
+/// Stand-in of a back end of the users' platform: signs its answers, tells what
+/// it did not run, takes grants and releases with fences.
+class keyed_target
+{
+public:
+  /// `aKeyed`: runs a request only while it holds the request's key.
+  keyed_target(event_loop& aLoop, std::string aName, bool aKeyed);
+  keyed_target(const keyed_target&) = delete;
+  keyed_target& operator=(const keyed_target&) = delete;
+
+  void Listen(const std::string& aHost, uint16_t aPort);
+  [[nodiscard]] uint16_t Port() const { return mServer.Port(); }
+  [[nodiscard]] const std::string& Name() const { return mName; }
+
+  /// Entry of this target in the platform's store.
+  [[nodiscard]] std::string Entry(const std::string& aService,
+                                  const std::string& aState) const;
+
+  /// Time that each request runs.
+  void SetWork(duration aWork) { mWork = aWork; }
+  /// Refuses all requests without running them.
+  void SetFull(bool aFull) { mFull = aFull; }
+  /// Closes connections in place of answers, after running the request.
+  void SetLosesAnswers(bool aLoses) { mLosesAnswers = aLoses; }
+  /// Answers with the id of another request.
+  void SetAnswersOthers(bool aOthers) { mAnswersOthers = aOthers; }
+
+  /// Ids of the requests that ran, in order.
+  [[nodiscard]] const std::vector<std::string>& Ran() const { return mRan; }
+  [[nodiscard]] size_t Grants() const { return mGrants; }
+  [[nodiscard]] bool Holds(uint32_t aKey) const;
+  /// Requests whose connection was closed while they ran.
+  [[nodiscard]] size_t Cancelled() const { return mCancelled; }
+
+private:
+  struct held_keys
+  {
+    uint32_t mFrom = 0;
+    uint32_t mTo = 0;
+    uint64_t mFence = 0;
+    time_point mUntil;
+  };
+
+  void Handle(exchange_id aExchange, const http_request& aRequest);
+  void HandleGrant(exchange_id aExchange, const http_request& aRequest);
+  void HandleRelease(exchange_id aExchange, const http_request& aRequest);
+  void Run(exchange_id aExchange, const http_request& aRequest);
+  void Finish(exchange_id aExchange, const http_request& aRequest);
+  void Refuse(exchange_id aExchange, uint32_t aStatus);
+
+  event_loop& mLoop;
+  std::string mName;
+  bool mKeyed;
+  http_server mServer;
+  duration mWork{};
+  bool mFull = false;
+  bool mLosesAnswers = false;
+  bool mAnswersOthers = false;
+  size_t mGrants = 0;
+  size_t mCancelled = 0;
+  std::vector<std::string> mRan;
+  std::vector<held_keys> mHeld;
+  std::map<exchange_id, std::unique_ptr<timer>> mRunning;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/StandIns/standin_users_platform/KvServer.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "Parsleystair/Core/EventLoop.h"
+#include "Parsleystair/Http/HttpServer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace parsleystair {
+
+/// Stand-in of the users' platform's key-value store: items with revisions,
+/// conditional writes, leases and waiting watches, in memory.
+class kv_server
+{
+public:
+  explicit kv_server(event_loop& aLoop);
+  kv_server(const kv_server&) = delete;
+  kv_server& operator=(const kv_server&) = delete;
+
+  void Listen(const std::string& aHost, uint16_t aPort);
+  [[nodiscard]] uint16_t Port() const { return mServer.Port(); }
+
+  /// Writes as the operator or a target does, outside the API.
+  void Put(const std::string& aKey, const std::string& aValue);
+  void Remove(const std::string& aKey);
+
+  /// Value of a key; empty if there is none.
+  [[nodiscard]] std::string Get(const std::string& aKey) const;
+
+  /// From now on calls get 503, or are answered again.
+  void SetDown(bool aDown);
+  /// Calls get no answer at all.
+  void SetSilent(bool aSilent) { mSilent = aSilent; }
+  /// The answers of the next writes are lost though the writes are done.
+  void LoseWriteAnswers(uint32_t aCount) { mLoseAnswers = aCount; }
+  /// Forgets all changes up to now.
+  void DropHistory();
+
+  [[nodiscard]] uint64_t Calls() const { return mCalls; }
+
+private:
+  struct item
+  {
+    std::string mValue;
+    uint64_t mRevision = 0;
+    uint64_t mCreated = 0;
+    uint64_t mLease = 0;
+  };
+
+  struct change
+  {
+    uint64_t mRevision = 0;
+    std::string mKey;
+    nlohmann::json mEvent;
+  };
+
+  struct lease
+  {
+    double mTtl = 0;
+    std::unique_ptr<timer> mTimer;
+  };
+
+  struct waiting_watch
+  {
+    std::string mPrefix;
+    uint64_t mAfter = 0;
+    std::unique_ptr<timer> mTimer;
+  };
+
+  void Handle(exchange_id aExchange, const http_request& aRequest);
+  void HandleRange(exchange_id aExchange, const http_request& aRequest);
+  void HandleKey(exchange_id aExchange, const http_request& aRequest);
+  void HandleWatch(exchange_id aExchange, const http_request& aRequest);
+  void HandleTransaction(exchange_id aExchange, const http_request& aRequest);
+  void HandleLease(exchange_id aExchange, const http_request& aRequest);
+  void HandleKeep(exchange_id aExchange, uint64_t aLease);
+  void HandleLeaseEnd(exchange_id aExchange, uint64_t aLease);
+  void Answer(exchange_id aExchange,
+              uint32_t aStatus,
+              const nlohmann::json& aBody);
+  void AnswerWatch(exchange_id aExchange, const waiting_watch& aWatch);
+  [[nodiscard]] nlohmann::json EventsFor(const waiting_watch& aWatch) const;
+  [[nodiscard]] nlohmann::json ToJson(const std::string& aKey,
+                                      const item& aItem) const;
+  void Set(const std::string& aKey, const std::string& aValue, uint64_t aLease);
+  void Erase(const std::string& aKey);
+  void EndLease(uint64_t aLease);
+  void StartLeaseTimer(uint64_t aLease);
+  void WakeWatches();
+
+  event_loop& mLoop;
+  http_server mServer;
+  std::map<std::string, item> mItems;
+  std::vector<change> mHistory;
+  std::map<uint64_t, lease> mLeases;
+  std::map<exchange_id, waiting_watch> mWatches;
+  uint64_t mRevision = 1;
+  uint64_t mFirstRevision = 1;
+  uint64_t mNextLease = 1;
+  uint64_t mCalls = 0;
+  uint32_t mLoseAnswers = 0;
+  bool mDown = false;
+  bool mSilent = false;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/UnitTests/Gateway/GatewayFixture.h
@@ -0,0 +1,233 @@
+#pragma once
+
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Gateway/GatewayTask.h"
+#include "StandIns/standin_users_platform/KeyedTarget.h"
+#include "StandIns/standin_users_platform/KvServer.h"
+#include "platform/Catalog.h"
+#include "platform/KvStore.h"
+#include "platform/Protocols.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace parsleystair {
+
+/// A port that is free now.
+inline uint16_t FreePort()
+{
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(
+    ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+    0);
+  socklen_t length = sizeof(address);
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+  close(descriptor);
+  return ntohs(address.sin_port);
+}
+
+/// One gateway and all that it needs to run.
+struct gateway_instance
+{
+  gateway_settings mSettings;
+  std::unique_ptr<platform::kv_store> mStore;
+  std::unique_ptr<gateway_task> mTask;
+};
+
+/// A store, targets of a plain, an unsafe and a keyed service, and gateways, on
+/// one loop.
+class gateway_test : public testing::Test
+{
+protected:
+  static constexpr duration kLimit = 20s;
+
+  gateway_test()
+    : mKv(mLoop)
+  {
+    mKv.Listen("127.0.0.1", 0);
+    AddTarget("plain-1", "plain", false);
+    AddTarget("plain-2", "plain", false);
+    AddTarget("orders-1", "orders", false);
+    AddTarget("orders-2", "orders", false);
+    AddTarget("keyed-1", "keyed", true);
+    AddTarget("keyed-2", "keyed", true);
+    PutConfiguration(1);
+  }
+
+  void AddTarget(const std::string& aName,
+                 const std::string& aService,
+                 bool aKeyed)
+  {
+    auto target = std::make_unique<keyed_target>(mLoop, aName, aKeyed);
+    target->Listen("127.0.0.1", 0);
+    mKv.Put("servers/" + aName, target->Entry(aService, "ready"));
+    mTargets[aName] = std::move(target);
+  }
+
+  /// `aTimeout`: of the routes to the plain service, in seconds.
+  void PutConfiguration(uint32_t aVersion, double aTimeout = 5)
+  {
+    const auto rule = [&](const char* aName,
+                          const char* aKind,
+                          const char* aService,
+                          double aLongest) {
+      return nlohmann::json{
+        { "name", aName },
+        { "kind", aKind },
+        { "target_latency_s", 1.0 },
+        { "priority", 1 },
+        { "match", { { "prefix", std::string("/") + aName + "/" } } },
+        { "action",
+          { { "service", aService },
+            { "timeout_s", aLongest },
+            { "max_attempts", 2 } } }
+      };
+    };
+    char version[16]; // NOLINT: filled by snprintf
+    std::snprintf(version, sizeof(version), "%08x", aVersion);
+    const nlohmann::json config = {
+      { "version", version },
+      { "limits",
+        { { "max_header_bytes", 16384 },
+          { "max_body_bytes", 100000 },
+          { "header_timeout_s", 3 },
+          { "idle_timeout_s", 15 } } },
+      { "listeners",
+        { { { "host", "shop.example" },
+            { "rules",
+              { rule("read", "safe", "plain", aTimeout),
+                rule("order", "unsafe", "orders", 5),
+                rule("history", "safe", "keyed", 5) } } } } },
+      { "clusters",
+        { { { "name", "plain" },
+            { "health_path", "/health" },
+            { "max_connections", 100 } },
+          { { "name", "orders" },
+            { "health_path", "/health" },
+            { "max_connections", 100 } },
+          { { "name", "keyed" },
+            { "health_path", "/health" },
+            { "max_connections", 100 },
+            { "sharded", true },
+            { "warm_s", 1 } } } }
+    };
+    mKv.Put("op/config", config.dump());
+  }
+
+  gateway_instance& StartGateway(const std::string& aName)
+  {
+    gateway_instance& gateway = mGateways[aName];
+    gateway_settings& settings = gateway.mSettings;
+    settings.mVm = vm_name(aName);
+    settings.mFailureDomain = failure_domain_name("asti-a");
+    settings.mRegions = { { settings.mFailureDomain,
+                            region_name("piemonte") } };
+    settings.mCallers = { "127.0.0.1", FreePort() };
+    settings.mReadiness = { "127.0.0.1", FreePort() };
+    settings.mOperators = { "127.0.0.1", FreePort() };
+    settings.mPeers = { "127.0.0.1", FreePort() };
+    settings.mStore = { "127.0.0.1", mKv.Port() };
+    settings.mShutdownGrace = 4s;
+    gateway.mStore = std::make_unique<platform::kv_store>(
+      mLoop, settings.mStore.mHost, settings.mStore.mPort);
+    gateway.mTask = std::make_unique<gateway_task>(
+      mLoop,
+      settings,
+      gateway_platform{ *gateway.mStore, mCatalog, mRequests, mOrders },
+      mNextSeed += 100);
+    EXPECT_TRUE(RunUntil([&] { return gateway.mTask->IsReady(); }));
+    return gateway;
+  }
+
+  void StopGateway(const std::string& aName) { mGateways.erase(aName); }
+
+  /// Runs the loop until a condition holds; false if it doesn't within a
+  /// generous limit.
+  bool RunUntil(const std::function<bool()>& aCondition)
+  {
+    const time_point limit = MonotonicNow() + kLimit;
+    timer poll;
+    poll.StartRepeating(mLoop, 5ms, [&] {
+      if (aCondition() || MonotonicNow() > limit) {
+        mLoop.Stop();
+      }
+    });
+    mLoop.Run();
+    return aCondition();
+  }
+
+  void RunFor(duration aTime)
+  {
+    const time_point end = MonotonicNow() + aTime;
+    RunUntil([&] { return MonotonicNow() >= end; });
+  }
+
+  static http_request Request(const std::string& aMethod,
+                              const std::string& aPath,
+                              const std::string& aId)
+  {
+    http_request request;
+    request.mMethod = aMethod;
+    request.mPath = aPath;
+    request.mHeaders = { { "Host", "shop.example" },
+                         { "X-Request-Id", aId },
+                         { "X-Deadline-Ms", "4000" } };
+    return request;
+  }
+
+  http_result Call(const gateway_instance& aGateway,
+                   const http_request& aRequest)
+  {
+    http_connection connection(
+      mLoop, "127.0.0.1", aGateway.mSettings.mCallers.mPort);
+    std::optional<http_result> result;
+    connection.Call(
+      aRequest, kLimit, [&](http_result aResult) { result = aResult; });
+    RunUntil([&] { return result.has_value(); });
+    return result.value_or(http_result());
+  }
+
+  /// Times that a request ran at any target.
+  [[nodiscard]] size_t Runs(const std::string& aId) const
+  {
+    size_t count = 0;
+    for (const auto& [name, target] : mTargets) {
+      count += static_cast<size_t>(
+        std::count(target->Ran().begin(), target->Ran().end(), aId));
+    }
+    return count;
+  }
+
+  /// Waits until the keyed service answers.
+  void WaitForKeys(const gateway_instance& aGateway)
+  {
+    uint32_t tries = 0;
+    EXPECT_TRUE(RunUntil([&] {
+      return mTargets.at("keyed-1")->Holds(100) ||
+             mTargets.at("keyed-2")->Holds(100);
+    }));
+    http_request request = Request("GET", "/history/a", "");
+    do {
+      request.mHeaders[1].mValue = "warm-up-" + std::to_string(++tries);
+      request.mHeaders.push_back({ "X-Shard-Key", "100" });
+    } while (Call(aGateway, request).mAnswer.mStatus != 200 && tries < 100);
+  }
+
+  event_loop mLoop;
+  kv_server mKv;
+  std::map<std::string, std::unique_ptr<keyed_target>> mTargets;
+  const platform::catalog mCatalog;
+  const platform::wire_requests mRequests;
+  const platform::wire_orders mOrders;
+  uint64_t mNextSeed = 1000;
+  std::map<std::string, gateway_instance> mGateways;
+};
+
+} // namespace parsleystair
