--- a/Parsleystair/Balancing/TargetBalancer.cpp
+++ b/Parsleystair/Balancing/TargetBalancer.cpp
@@ -202,8 +202,9 @@
       CountLatency(state, aNow - sentAt, aNow);
       CountFailure(state, 0, aNow);
       double& kilobytes = mServices[state.mService].mKilobytes;
-      kilobytes += kServiceWeight *
-                   (static_cast<double>(aBytes) / kBytesPerKilobyte - kilobytes);
+      kilobytes +=
+        kServiceWeight *
+        (static_cast<double>(aBytes) / kBytesPerKilobyte - kilobytes);
       return;
     }
     case try_end::kFailedAnswer:
@@ -253,8 +254,7 @@
                                    double aWeight,
                                    time_point aNow)
 {
-  const double old =
-    aState.mFailures * Remaining(aState.mLastFailure, aNow);
+  const double old = aState.mFailures * Remaining(aState.mLastFailure, aNow);
   aState.mFailures = old + kTargetWeight * (aWeight - old);
   aState.mLastFailure = aNow;
 }
@@ -322,12 +322,10 @@
   }
   const duration limit =
     std::max(kMinSilence, kSilenceFactor * MeanLatency(aState.mService));
-  return std::any_of(aState.mInFlight.begin(),
-                     aState.mInFlight.end(),
-                     [&](const auto& aSend) {
-                       return aNow - aSend.second > limit &&
-                              aState.mLastAnswer < aSend.second;
-                     });
+  return std::any_of(
+    aState.mInFlight.begin(), aState.mInFlight.end(), [&](const auto& aSend) {
+      return aNow - aSend.second > limit && aState.mLastAnswer < aSend.second;
+    });
 }
 
 bool target_balancer::IsSilent(const target_name& aTarget,
--- a/Parsleystair/Core/Log.cpp
+++ b/Parsleystair/Core/Log.cpp
@@ -6,11 +6,11 @@
 #include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/sinks/basic_sink_backend.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/make_shared.hpp>
 #include <climits>
 #include <poll.h>
@@ -153,12 +153,12 @@
   boost::log::add_common_attributes();
   using sink = boost::log::sinks::synchronous_sink<output_backend>;
   const auto output = boost::make_shared<sink>();
-  output->set_formatter(
-    expr::stream << "time="
-                 << expr::format_date_time<boost::posix_time::ptime>(
-                      "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                 << " level=" << boost::log::trivial::severity << " "
-                 << expr::smessage);
+  output->set_formatter(expr::stream
+                        << "time="
+                        << expr::format_date_time<boost::posix_time::ptime>(
+                             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                        << " level=" << boost::log::trivial::severity << " "
+                        << expr::smessage);
   boost::log::core::get()->add_sink(output);
 }
 
--- a/Parsleystair/Core/Log.h
+++ b/Parsleystair/Core/Log.h
@@ -18,9 +18,10 @@
 /// Reads "debug", "info", "warning" or "error". Throws `value_error`.
 log_severity ParseLogSeverity(std::string_view aText);
 
-/// Sends log lines of at least `aSeverity` to standard output. Call once, before
-/// other threads start. A line that standard output does not take at once is
-/// dropped and counted; the count is added to a later line as `dropped`.
+/// Sends log lines of at least `aSeverity` to standard output. Call once,
+/// before other threads start. A line that standard output does not take at
+/// once is dropped and counted; the count is added to a later line as
+/// `dropped`.
 void StartLog(log_severity aSeverity);
 
 /// One event as one line of key=value pairs, written when the object ends.
--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -83,8 +83,7 @@
   }
   BudgetOf(request.mService).AddRequest();
   if (request.mKeyed && request.mTerms.mKey) {
-    ++mLoad[request.mService]
-        .mCounts[key_load::BucketOf(*request.mTerms.mKey)];
+    ++mLoad[request.mService].mCounts[key_load::BucketOf(*request.mTerms.mKey)];
   }
   Dispatch(request, now);
 }
@@ -113,9 +112,8 @@
 
   // The route's timeout ends with an answer of ours, the caller's deadline with
   // the caller's leaving.
-  const duration timeout = matched.mTimeout > duration::zero()
-                             ? matched.mTimeout
-                             : kDefaultTimeout;
+  const duration timeout =
+    matched.mTimeout > duration::zero() ? matched.mTimeout : kDefaultTimeout;
   const duration left = aRequest.mTerms.mTimeLeft.value_or(timeout);
   aRequest.mDeadline = aNow + std::min(timeout, left);
   aRequest.mAnswerBy = aRequest.mDeadline + kAnswerGrace;
@@ -173,8 +171,8 @@
   if (service == nullptr || service->mMaxConnections == 0) {
     return std::numeric_limits<size_t>::max();
   }
-  const double share = kConnectionPart * service->mMaxConnections /
-                       static_cast<double>(mRouters);
+  const double share =
+    kConnectionPart * service->mMaxConnections / static_cast<double>(mRouters);
   return std::max(kMinConnections, static_cast<size_t>(share));
 }
 
@@ -292,8 +290,7 @@
     .Add("held_us", int64_t{ (aNow - aRequest.mArrived).count() });
   if (aKind == refusal_kind::kUnknownRoute) {
     line
-      .Add("host",
-           FindHeader(aRequest.mRequest.mHeaders, "host").value_or(""))
+      .Add("host", FindHeader(aRequest.mRequest.mHeaders, "host").value_or(""))
       .Add("path", aRequest.mRequest.mPath);
   }
   if (aRequest.mTerms.mKey) {
@@ -310,8 +307,7 @@
 void forwarder::Finish(open_request& aRequest, time_point aNow)
 {
   for (const auto& [call, open] : aRequest.mTries) {
-    mBalancer.HandleEnd(
-      open.mTarget, open.mSend, try_end::kCancelled, 0, aNow);
+    mBalancer.HandleEnd(open.mTarget, open.mSend, try_end::kCancelled, 0, aNow);
     mConnections.Cancel(call);
   }
   mByExchange.erase(aRequest.mExchange);
@@ -372,9 +368,8 @@
     return;
   }
   mTimerAt = next;
-  mTimer.StartOnce(mLoop, std::max(next - aNow, duration::zero()), [this] {
-    HandleTimer();
-  });
+  mTimer.StartOnce(
+    mLoop, std::max(next - aNow, duration::zero()), [this] { HandleTimer(); });
 }
 
 void forwarder::HandleTimer()
@@ -460,8 +455,7 @@
 
 shared_retry_budget& forwarder::BudgetOf(const service_name& aService)
 {
-  return mBudgets
-    .try_emplace(aService, shared_retry_budget(mSettings.mRetries))
+  return mBudgets.try_emplace(aService, shared_retry_budget(mSettings.mRetries))
     .first->second;
 }
 
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -132,29 +132,41 @@
   [[nodiscard]] const owned_range* FindOwnedRange(
     const open_request& aRequest) const;
   const known_target* FindOwner(const open_request& aRequest) const;
-  void Send(open_request& aRequest, const known_target& aTarget,
+  void Send(open_request& aRequest,
+            const known_target& aTarget,
             time_point aNow);
   void HandleResult(forward_id aId, call_id aCall, http_result aResult);
   void Deliver(open_request& aRequest, http_answer aAnswer, time_point aNow);
-  void Refuse(open_request& aRequest, refusal_kind aKind,
-              const std::string& aReason, time_point aNow);
+  void Refuse(open_request& aRequest,
+              refusal_kind aKind,
+              const std::string& aReason,
+              time_point aNow);
   void Finish(open_request& aRequest, time_point aNow);
 
   // Ends of tries.
-  void HandleAnswer(open_request& aRequest, const open_try& aTry,
-                    http_answer aAnswer, time_point aNow);
-  void HandleNotRun(open_request& aRequest, const open_try& aTry,
-                    const answer_terms& aTerms, time_point aNow);
+  void HandleAnswer(open_request& aRequest,
+                    const open_try& aTry,
+                    http_answer aAnswer,
+                    time_point aNow);
+  void HandleNotRun(open_request& aRequest,
+                    const open_try& aTry,
+                    const answer_terms& aTerms,
+                    time_point aNow);
   void HandleNotConnected(open_request& aRequest, time_point aNow);
-  void HandleLost(open_request& aRequest, const open_try& aTry,
-                  const http_result& aResult, time_point aNow);
-  void RetryOrFinish(open_request& aRequest, const std::string& aReason,
+  void HandleLost(open_request& aRequest,
+                  const open_try& aTry,
+                  const http_result& aResult,
+                  time_point aNow);
+  void RetryOrFinish(open_request& aRequest,
+                     const std::string& aReason,
                      time_point aNow);
-  void FinishFailed(open_request& aRequest, const std::string& aReason,
+  void FinishFailed(open_request& aRequest,
+                    const std::string& aReason,
                     time_point aNow);
 
   // Waiting.
-  void Park(open_request& aRequest, const std::string& aReason,
+  void Park(open_request& aRequest,
+            const std::string& aReason,
             time_point aNow);
   void ParkForConnection(open_request& aRequest, time_point aNow);
   void SetWake(open_request& aRequest, time_point aNow);
--- a/Parsleystair/Gateway/ForwarderTries.cpp
+++ b/Parsleystair/Gateway/ForwarderTries.cpp
@@ -197,18 +197,15 @@
     RetryOrFinish(aRequest, "the target has no room", aNow);
     return;
   }
-  mBalancer.HandleEnd(
-    aTry.mTarget, aTry.mSend, try_end::kCancelled, 0, aNow);
+  mBalancer.HandleEnd(aTry.mTarget, aTry.mSend, try_end::kCancelled, 0, aNow);
   if (!aRequest.mTries.empty()) {
     return;
   }
   // Another owner may be recorded already; else its grant may be on the way.
   const known_target* owner = FindOwner(aRequest);
   const bool moved = owner != nullptr && owner->mTarget.mName != aTry.mTarget;
-  const time_point latest =
-    aRequest.mArrived + aRequest.mRoute->mLatencyTarget;
-  const bool mayRepeat =
-    aRequest.mAttempts < kMaxOwnerTries && aNow < latest;
+  const time_point latest = aRequest.mArrived + aRequest.mRoute->mLatencyTarget;
+  const bool mayRepeat = aRequest.mAttempts < kMaxOwnerTries && aNow < latest;
   if (!mayRepeat || !TakeRepeat(aRequest)) {
     FinishFailed(aRequest,
                  aTerms.mMisdirected ? "the owner does not hold the key"
@@ -252,8 +249,7 @@
 {
   ++mCounters.mTriesNoAnswer;
   aRequest.mMayHaveRun = true;
-  mBalancer.HandleEnd(
-    aTry.mTarget, aTry.mSend, try_end::kNoAnswer, 0, aNow);
+  mBalancer.HandleEnd(aTry.mTarget, aTry.mSend, try_end::kNoAnswer, 0, aNow);
   if (!aRequest.mRoute->mIdempotent) {
     FinishFailed(aRequest, FailureName(aResult), aNow);
     return;
--- a/Parsleystair/Gateway/GatewaySettings.cpp
+++ b/Parsleystair/Gateway/GatewaySettings.cpp
@@ -125,8 +125,7 @@
     get("shutdownGraceSeconds").Seconds(settings.mShutdownGrace, kLongest);
   settings.mMaxHold =
     get("maxHoldSeconds").Seconds(settings.mMaxHold, kLongest);
-  settings.mRetryRatio =
-    get("retryRatio").Number(settings.mRetryRatio, 0, 1);
+  settings.mRetryRatio = get("retryRatio").Number(settings.mRetryRatio, 0, 1);
   constexpr double kMaxSlack = 1'000'000;
   settings.mRetrySlack = static_cast<uint32_t>(
     get("retrySlack").Number(settings.mRetrySlack, 0, kMaxSlack));
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -23,13 +23,13 @@
 /// Busy keys change within seconds.
 constexpr duration kReportInterval = 500ms;
 constexpr duration kReportTimeout = 400ms;
-/// Longest wait for the former leader's answer, and the pause before it is asked
-/// again: a process that was killed is back within seconds.
+/// Longest wait for the former leader's answer, and the pause before it is
+/// asked again: a process that was killed is back within seconds.
 constexpr duration kFormerLeaderTimeout = 300ms;
 /// A router without a report for this long has gone.
 constexpr duration kReporterTime = 3s;
-/// Time after which the platform has seen two readiness checks fail and sends no
-/// new connections while other machines are ready.
+/// Time after which the platform has seen two readiness checks fail and sends
+/// no new connections while other machines are ready.
 constexpr duration kLeaveTime = 2500ms;
 /// Time before the platform kills the process in which the last answers leave.
 constexpr duration kShutdownMargin = 300ms;
@@ -138,8 +138,8 @@
   , mReadiness(aLoop,
                {},
                [this](exchange_id aExchange, const http_request&) {
-                 mReadiness.Respond(
-                   aExchange, { IsReady() ? kOk : kUnavailable, {}, "" });
+                 mReadiness.Respond(aExchange,
+                                    { IsReady() ? kOk : kUnavailable, {}, "" });
                })
   , mOperators(aLoop,
                {},
@@ -178,9 +178,8 @@
       },
       aSeed + 5)
 {
-  mCallers.OnClose([this](exchange_id aExchange) {
-    mForwarder.HandleCallerGone(aExchange);
-  });
+  mCallers.OnClose(
+    [this](exchange_id aExchange) { mForwarder.HandleCallerGone(aExchange); });
   mPeers.OnClose(
     [this](exchange_id aExchange) { mFeedServer.HandleGone(aExchange); });
   mElection.OnChange([this] { HandleLeadership(); });
@@ -217,11 +216,10 @@
       ApplyLeader(aItems.empty() ? std::nullopt : std::optional(aItems[0]));
     },
     [this](const item_change& aChange) {
-      ApplyLeader(
-        aChange.mValue
-          ? std::optional(
-              stored_item{ aChange.mKey, *aChange.mValue, aChange.mRevision })
-          : std::nullopt);
+      ApplyLeader(aChange.mValue
+                    ? std::optional(stored_item{
+                        aChange.mKey, *aChange.mValue, aChange.mRevision })
+                    : std::nullopt);
     },
     aSeed + 4);
 
@@ -262,9 +260,8 @@
     return;
   }
   // Reads of the store may be older than what is in force.
-  const uint64_t current = mView.mRoutes == nullptr
-                             ? 0
-                             : mView.mRoutes->Configuration().mVersion;
+  const uint64_t current =
+    mView.mRoutes == nullptr ? 0 : mView.mRoutes->Configuration().mVersion;
   if (mView.mRoutes != nullptr && configuration->mVersion <= current) {
     log_line(log_severity::kInfo, "configuration_ignored")
       .Add("version", configuration->mVersion)
@@ -282,7 +279,8 @@
       keyed.insert(name);
     }
   }
-  mView.mRoutes = std::make_shared<const route_table>(std::move(*configuration));
+  mView.mRoutes =
+    std::make_shared<const route_table>(std::move(*configuration));
   mRanges.SetServices(keyed);
   HandleTargetsChanged();
 }
@@ -325,8 +323,8 @@
     return;
   }
   const known_target* known = mView.mDirectory.Find(target->mName);
-  const bool same = known != nullptr && !known->mMissingUntil &&
-                    known->mTarget == *target;
+  const bool same =
+    known != nullptr && !known->mMissingUntil && known->mTarget == *target;
   if (same) {
     return;
   }
@@ -407,11 +405,10 @@
   request.mMethod = "POST";
   request.mPath = "/abdicate";
   request.mBody = std::to_string(former->mIncarnation.Value());
-  mFormerConnection->Call(request,
-                          kFormerLeaderTimeout,
-                          [this](const http_result& aResult) {
-                            HandleFormerLeader(aResult);
-                          });
+  mFormerConnection->Call(
+    request, kFormerLeaderTimeout, [this](const http_result& aResult) {
+      HandleFormerLeader(aResult);
+    });
 }
 
 void gateway_task::HandleFormerLeader(const http_result& aResult)
@@ -519,11 +516,10 @@
   request.mPath = "/load";
   request.mBody = EncodeLoadReport(report);
   // A lost report only makes the load look smaller for a second.
-  mReportConnection->Call(request,
-                          kReportTimeout,
-                          [this](const http_result& aResult) {
-                            HandleReportAnswer(aResult);
-                          });
+  mReportConnection->Call(
+    request, kReportTimeout, [this](const http_result& aResult) {
+      HandleReportAnswer(aResult);
+    });
 }
 
 void gateway_task::HandleReportAnswer(const http_result& aResult)
@@ -620,9 +616,8 @@
     .Add("open_requests", uint64_t{ mForwarder.Open() });
   mCallers.CloseAfterAnswers();
   mElection.Leave();
-  mShutdownTimer.StartRepeating(mLoop, kShutdownStep, [this] {
-    StepShutdown();
-  });
+  mShutdownTimer.StartRepeating(
+    mLoop, kShutdownStep, [this] { StepShutdown(); });
 }
 
 void gateway_task::StepShutdown()
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -3,12 +3,12 @@
 #include "Parsleystair/Gateway/Forwarder.h"
 #include "Parsleystair/Gateway/GatewaySettings.h"
 #include "Parsleystair/Gateway/LeaderElection.h"
-#include "Parsleystair/KeyRanges/LoadReport.h"
 #include "Parsleystair/Gateway/OwnerFeed.h"
 #include "Parsleystair/Gateway/PlatformCatalog.h"
 #include "Parsleystair/Gateway/PrefixFollower.h"
 #include "Parsleystair/Gateway/RangeDriver.h"
 #include "Parsleystair/Http/HttpConnection.h"
+#include "Parsleystair/KeyRanges/LoadReport.h"
 
 #include <functional>
 #include <memory>
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -45,8 +45,7 @@
     aText += "parsleystair_" + aName + "_bucket{le=\"" + bound + "\"} " +
              std::to_string(total) + "\n";
   }
-  aText +=
-    "parsleystair_" + aName + "_count " + std::to_string(total) + "\n";
+  aText += "parsleystair_" + aName + "_count " + std::to_string(total) + "\n";
 }
 
 } // namespace
@@ -63,8 +62,7 @@
   const std::string ended = "requests_ended_total";
   AppendLabelled(text, ended, "outcome", "answered", counts.mAnswered);
   AppendLabelled(text, ended, "outcome", "not-run", counts.mRefusedNotRun);
-  AppendLabelled(
-    text, ended, "outcome", "unknown-route", counts.mUnknownRoute);
+  AppendLabelled(text, ended, "outcome", "unknown-route", counts.mUnknownRoute);
   AppendLabelled(text, ended, "outcome", "no-answer", counts.mNoAnswer);
   AppendLabelled(text, ended, "outcome", "time-over", counts.mTimeOver);
   AppendLabelled(text, ended, "outcome", "caller-gone", counts.mCallerGone);
@@ -96,13 +94,13 @@
   AppendLabelled(
     text, "orders_total", "kind", "release-failed", orders.mReleasesFailed);
   AppendLabelled(text, "orders_total", "kind", "record", orders.mRecordWrites);
-  AppendMetric(text,
-               "configuration_version",
-               "gauge",
-               mView.mRoutes == nullptr
-                 ? 0
-                 : static_cast<double>(
-                     mView.mRoutes->Configuration().mVersion));
+  AppendMetric(
+    text,
+    "configuration_version",
+    "gauge",
+    mView.mRoutes == nullptr
+      ? 0
+      : static_cast<double>(mView.mRoutes->Configuration().mVersion));
   AppendMetric(text, "leading", "gauge", mElection.IsLeading() ? 1 : 0);
   AppendMetric(
     text, "open_requests", "gauge", static_cast<double>(mForwarder.Open()));
@@ -110,8 +108,7 @@
                "targets",
                "gauge",
                static_cast<double>(mView.mDirectory.All().size()));
-  AppendHistogram(
-    text, "request_seconds", mForwarder.Latency().Buckets());
+  AppendHistogram(text, "request_seconds", mForwarder.Latency().Buckets());
   return text;
 }
 
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -23,11 +23,12 @@
 
 std::string EncodeLeaderEntry(const leader_entry& aEntry)
 {
-  return nlohmann::json{ { "vm", aEntry.mVm.Value() },
-                         { "incarnation", aEntry.mIncarnation.Value() },
-                         { "host", aEntry.mHost },
-                         { "port", aEntry.mPort } }
-    .dump();
+  return nlohmann::json{
+    { "vm", aEntry.mVm.Value() },
+    { "incarnation", aEntry.mIncarnation.Value() },
+    { "host", aEntry.mHost },
+    { "port", aEntry.mPort }
+  }.dump();
 }
 
 leader_entry DecodeLeaderEntry(const std::string& aText)
--- a/Parsleystair/Gateway/OwnerFeed.cpp
+++ b/Parsleystair/Gateway/OwnerFeed.cpp
@@ -196,11 +196,10 @@
   request.mMethod = "POST";
   request.mPath = "/owners";
   request.mBody = EncodeOwnerRevisions(mKnown());
-  mConnection->Call(request,
-                    kQuestionTimeout,
-                    [this](const http_result& aResult) {
-                      HandleAnswer(aResult);
-                    });
+  mConnection->Call(
+    request, kQuestionTimeout, [this](const http_result& aResult) {
+      HandleAnswer(aResult);
+    });
 }
 
 void owner_feed_client::AskLater(duration aPause)
--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -77,14 +77,12 @@
 void prefix_follower::Watch()
 {
   const uint64_t number = ++mWatchNumber;
-  mStore.Watch(mPrefix,
-               mRevision,
-               kWatchWait,
-               [this, number](const watch_reply& aReply) {
-                 if (number == mWatchNumber) {
-                   HandleWatch(aReply);
-                 }
-               });
+  mStore.Watch(
+    mPrefix, mRevision, kWatchWait, [this, number](const watch_reply& aReply) {
+      if (number == mWatchNumber) {
+        HandleWatch(aReply);
+      }
+    });
 }
 
 void prefix_follower::CheckAfterGap(time_point aAt)
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -58,8 +58,7 @@
 void range_driver::SetServices(const std::set<service_name>& aServices)
 {
   for (const service_name& service : aServices) {
-    const auto [position, isNew] =
-      mControllers.try_emplace(service, mSettings);
+    const auto [position, isNew] = mControllers.try_emplace(service, mSettings);
     if (isNew && mLeading) {
       position->second.StartLeading(MonotonicNow());
     }
@@ -260,8 +259,7 @@
         .Add("fence", aOrder.mFence.Value())
         .Add("end", EndName(end));
       if (range_controller* controller = Find(aService)) {
-        controller->HandleReleaseEnd(
-          aOrder.mId, end, handover, MonotonicNow());
+        controller->HandleReleaseEnd(aOrder.mId, end, handover, MonotonicNow());
         StepLater();
       }
     },
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -43,7 +43,10 @@
   /// Called with each record that this router wrote.
   using record_handler =
     std::function<void(const service_name&, const versioned_record&)>;
-  void OnRecord(record_handler aHandler) { mRecordHandler = std::move(aHandler); }
+  void OnRecord(record_handler aHandler)
+  {
+    mRecordHandler = std::move(aHandler);
+  }
 
   /// Called when the outcome of a write is not known.
   void OnDoubt(std::function<void()> aHandler)
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -8,8 +8,8 @@
 
 /// Idle time of a connection whose target doesn't say how long it keeps it.
 constexpr duration kDefaultKeepAlive = 1s;
-/// Idle connections that are kept for longer than a short time. A target takes a
-/// bounded number from all routers together.
+/// Idle connections that are kept for longer than a short time. A target takes
+/// a bounded number from all routers together.
 constexpr size_t kMaxSpare = 2;
 constexpr duration kSpareTime = 1s;
 /// A connection that its target is about to close is not used: the request
@@ -43,8 +43,7 @@
   while (!from.mIdle.empty()) {
     idle_connection last = std::move(from.mIdle.back());
     from.mIdle.pop_back();
-    const bool fresh =
-      aNow - last.mSince < from.mKeepAlive - kCloseMargin;
+    const bool fresh = aNow - last.mSince < from.mKeepAlive - kCloseMargin;
     if (fresh && last.mConnection->IsOpen()) {
       ++mReused;
       return std::move(last.mConnection);
@@ -98,8 +97,7 @@
   }
 }
 
-bool target_connections::IsFull(const target_name& aTarget,
-                                size_t aLimit) const
+bool target_connections::IsFull(const target_name& aTarget, size_t aLimit) const
 {
   const auto found = mPools.find(aTarget);
   return found != mPools.end() && found->second.mIdle.empty() &&
@@ -138,17 +136,15 @@
 {
   const auto found = mPools.find(aTarget);
   return found != mPools.end() &&
-         std::erase_if(found->second.mIdle,
-                       [](const idle_connection& aIdle) {
-                         return !aIdle.mConnection->IsOpen();
-                       }) > 0;
+         std::erase_if(found->second.mIdle, [](const idle_connection& aIdle) {
+           return !aIdle.mConnection->IsOpen();
+         }) > 0;
 }
 
 void target_connections::Retain(const target_directory& aDirectory)
 {
   std::erase_if(mPools, [&](const auto& aPool) {
-    return aPool.second.mBusy == 0 &&
-           aDirectory.Find(aPool.first) == nullptr;
+    return aPool.second.mBusy == 0 && aDirectory.Find(aPool.first) == nullptr;
   });
 }
 
--- a/Parsleystair/Http/HttpServer.cpp
+++ b/Parsleystair/Http/HttpServer.cpp
@@ -112,8 +112,7 @@
 server_connection* http_server::state::Find(exchange_id aExchange)
 {
   const auto found = mOpen.find(aExchange);
-  return found == mOpen.end() ? nullptr
-                              : mConnections.at(found->second).get();
+  return found == mOpen.end() ? nullptr : mConnections.at(found->second).get();
 }
 
 server_connection* http_server::state::Take(exchange_id aExchange)
--- a/Parsleystair/Http/MessageParser.cpp
+++ b/Parsleystair/Http/MessageParser.cpp
@@ -87,9 +87,8 @@
     return "";
   }
   const size_t end = aTarget.find_first_of("/?", kScheme.size());
-  std::string host =
-    aTarget.substr(kScheme.size(),
-                   end == std::string::npos ? end : end - kScheme.size());
+  std::string host = aTarget.substr(
+    kScheme.size(), end == std::string::npos ? end : end - kScheme.size());
   std::string rest = end == std::string::npos ? "" : aTarget.substr(end);
   aTarget = rest.empty() || rest.front() == '?' ? "/" + rest : rest;
   return host;
@@ -465,8 +464,8 @@
   if (mState->mFailed) {
     return parse_state::kFailed;
   }
-  const bool done = mState->mParser->is_done() &&
-                    mState->mParser->mStatus >= kFirstFinalStatus;
+  const bool done =
+    mState->mParser->is_done() && mState->mParser->mStatus >= kFirstFinalStatus;
   return done ? parse_state::kComplete : parse_state::kIncomplete;
 }
 
--- a/Parsleystair/Http/MessageText.cpp
+++ b/Parsleystair/Http/MessageText.cpp
@@ -90,8 +90,8 @@
   constexpr int kHexadecimal = 16;
   constexpr size_t kMaxDigits = 16;
   char digits[kMaxDigits]; // NOLINT: filled by to_chars
-  const auto result = std::to_chars(
-    digits, digits + kMaxDigits, aChunk.size(), kHexadecimal);
+  const auto result =
+    std::to_chars(digits, digits + kMaxDigits, aChunk.size(), kHexadecimal);
   std::string text(digits, result.ptr);
   text += "\r\n";
   text += aChunk;
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -40,10 +40,10 @@
     SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
   }
   if (aSettings.mUserTimeout > duration::zero()) {
-    const auto milliseconds = static_cast<int>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-        aSettings.mUserTimeout)
-        .count());
+    const auto milliseconds =
+      static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                         aSettings.mUserTimeout)
+                         .count());
     SetOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
   }
 }
@@ -60,8 +60,8 @@
         text.c_str(), reinterpret_cast<sockaddr*>(&address), &length) != 0) {
     return -1;
   }
-  const int descriptor = socket(
-    address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int descriptor =
+    socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     return -1;
   }
@@ -306,8 +306,7 @@
 {
   if (mState->mDescriptor >= 0) {
     const linger none{ 1, 0 };
-    setsockopt(
-      mState->mDescriptor, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+    setsockopt(mState->mDescriptor, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
   }
 }
 
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -138,8 +138,7 @@
   }
   for (const known_target* each : aTargets) {
     owner_state& state = mOwners[each->mTarget.mName];
-    const bool restarted =
-      state.mTarget.mStartedMs != each->mTarget.mStartedMs;
+    const bool restarted = state.mTarget.mStartedMs != each->mTarget.mStartedMs;
     state.mTarget = each->mTarget;
     state.mListed = true;
     state.mUsable = each->IsUsable() && !each->mMissingUntil;
@@ -429,8 +428,8 @@
                                       time_point aNow) const
 {
   const auto owner = mOwners.find(aRange.mOwner.mName);
-  time_point last = owner == mOwners.end() ? time_point::min()
-                                           : owner->second.mLastGrant;
+  time_point last =
+    owner == mOwners.end() ? time_point::min() : owner->second.mLastGrant;
   const bool foreign = std::any_of(
     mForeign.begin(), mForeign.end(), [&](const owned_range& aForeign) {
       return aForeign.mOwner.mName == aRange.mOwner.mName &&
@@ -566,8 +565,7 @@
       each.mWeight += each.mName == next->mTo ? weight : 0;
       each.mWeight -= each.mName == range->mOwner.mName ? weight : 0;
     }
-    AssignKeys(planned,
-               { next->mKeys, { next->mTo, 0 }, range->mFence, "" });
+    AssignKeys(planned, { next->mKeys, { next->mTo, 0 }, range->mFence, "" });
   }
 }
 
@@ -598,8 +596,7 @@
   }
 }
 
-std::vector<owner_candidate> range_controller::Candidates(
-  time_point aNow) const
+std::vector<owner_candidate> range_controller::Candidates(time_point aNow) const
 {
   std::vector<owner_candidate> candidates;
   for (const auto& [name, owner] : mOwners) {
@@ -664,11 +661,10 @@
     return;
   }
   std::vector<owner_candidate> candidates = Candidates(aNow);
-  const bool anyReady = std::any_of(mMoves.begin(),
-                                    mMoves.end(),
-                                    [](const move& aMove) {
-                                      return aMove.mReady;
-                                    });
+  const bool anyReady =
+    std::any_of(mMoves.begin(), mMoves.end(), [](const move& aMove) {
+      return aMove.mReady;
+    });
   if (!anyReady) {
     return;
   }
--- a/Parsleystair/KeyRanges/RangePlanner.cpp
+++ b/Parsleystair/KeyRanges/RangePlanner.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// Load relative to capacity, over the mean, from which keys are moved, when the
-/// load is known well, and how much more it takes with few requests: counts of
-/// n requests vary by their root.
+/// Load relative to capacity, over the mean, from which keys are moved, when
+/// the load is known well, and how much more it takes with few requests: counts
+/// of n requests vary by their root.
 constexpr double kImbalanceToMove = 1.15;
 constexpr double kNoiseFactor = 2;
 /// A candidate without keys gets some at any imbalance.
@@ -147,8 +147,7 @@
   key_interval left = aKeys;
   for (size_t piece = pieces; piece > 0; --piece) {
     const double wanted = aLoad.WeightOf(left) / static_cast<double>(piece);
-    const uint32_t end =
-      piece == 1 ? left.mTo : CutAt(left, aLoad, wanted);
+    const uint32_t end = piece == 1 ? left.mTo : CutAt(left, aLoad, wanted);
     const key_interval keys{ left.mFrom, end };
     owner_candidate& owner = LeastLoaded(aCandidates);
     owner.mWeight += aLoad.WeightOf(keys);
@@ -182,15 +181,15 @@
   }
   const double mean = weight / capacity;
   const bool hasEmpty = RelativeWeight(*least) < kEmptyPart * mean;
-  const double requests = std::max(
-    1.0, aLoad.Requests() / static_cast<double>(aCandidates.size()));
+  const double requests =
+    std::max(1.0, aLoad.Requests() / static_cast<double>(aCandidates.size()));
   const double limit = kImbalanceToMove + kNoiseFactor / std::sqrt(requests);
   if (!hasEmpty && RelativeWeight(*most) < limit * mean) {
     return std::nullopt;
   }
   // Levels the two, or fills an empty one up to its share.
-  const double excess = std::min(RelativeWeight(*most) - mean,
-                                 mean - RelativeWeight(*least));
+  const double excess =
+    std::min(RelativeWeight(*most) - mean, mean - RelativeWeight(*least));
   const double wanted = std::max(excess, mean / 2) * least->mCapacity;
   const auto piece = FindPiece(aRecord, most->mName, aLoad, wanted);
   if (!piece) {
--- a/Parsleystair/KeyRanges/RangePlanner.h
+++ b/Parsleystair/KeyRanges/RangePlanner.h
@@ -27,9 +27,10 @@
 
 /// Spreads keys without an owner over the candidates, in few pieces. Adds what
 /// it gives out to the candidates' weights. Empty without candidates.
-std::vector<planned_range> PlanOwners(const key_interval& aKeys,
-                                      const key_load& aLoad,
-                                      std::vector<owner_candidate>& aCandidates);
+std::vector<planned_range> PlanOwners(
+  const key_interval& aKeys,
+  const key_load& aLoad,
+  std::vector<owner_candidate>& aCandidates);
 
 /// One move from the most to the least loaded candidate, or nothing while they
 /// are close enough.
--- a/Parsleystair/KeyRanges/RangeRecord.cpp
+++ b/Parsleystair/KeyRanges/RangeRecord.cpp
@@ -101,9 +101,9 @@
                        range.mFence.Value(),
                        range.mHandover });
   }
-  return nlohmann::json{ { "nextFence", aRecord.mNextFence },
-                         { "ranges", std::move(ranges) } }
-    .dump();
+  return nlohmann::json{
+    { "nextFence", aRecord.mNextFence }, { "ranges", std::move(ranges) }
+  }.dump();
 }
 
 range_record DecodeRangeRecord(const std::string& aText)
--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -33,9 +33,8 @@
               Handle(aExchange, aRequest);
             })
 {
-  mServer.OnClose([this](exchange_id aExchange) {
-    mCancelled += mRunning.erase(aExchange);
-  });
+  mServer.OnClose(
+    [this](exchange_id aExchange) { mCancelled += mRunning.erase(aExchange); });
 }
 
 void keyed_target::Listen(const std::string& aHost, uint16_t aPort)
@@ -46,16 +45,17 @@
 std::string keyed_target::Entry(const std::string& aService,
                                 const std::string& aState) const
 {
-  return json{ { "service", aService },
-               { "address", "127.0.0.1:" + std::to_string(Port()) },
-               { "zone", "asti-a" },
-               { "version", "v1" },
-               { "slots", 4 },
-               { "state", aState },
-               { "slow_start_s_time", 0 },
-               { "seq", 1 },
-               { "born", 1000 } }
-    .dump();
+  return json{
+    { "service", aService },
+    { "address", "127.0.0.1:" + std::to_string(Port()) },
+    { "zone", "asti-a" },
+    { "version", "v1" },
+    { "slots", 4 },
+    { "state", aState },
+    { "slow_start_s_time", 0 },
+    { "seq", 1 },
+    { "born", 1000 }
+  }.dump();
 }
 
 bool keyed_target::Holds(uint32_t aKey) const
@@ -87,10 +87,9 @@
   held_keys keys{ body.at("from").get<uint32_t>(),
                   body.at("to").get<uint32_t>(),
                   body.at("fence").get<uint64_t>(),
-                  MonotonicNow() +
-                    std::chrono::duration_cast<duration>(
-                      std::chrono::duration<double>(
-                        body.at("hold_s").get<double>())) };
+                  MonotonicNow() + std::chrono::duration_cast<duration>(
+                                     std::chrono::duration<double>(
+                                       body.at("hold_s").get<double>())) };
   const bool fenced =
     std::any_of(mHeld.begin(), mHeld.end(), [&](const held_keys& aHeld) {
       return aHeld.mFrom <= keys.mTo && keys.mFrom <= aHeld.mTo &&
@@ -144,8 +143,8 @@
     return;
   }
   const std::string key = Header(aRequest, "X-Shard-Key");
-  if (mKeyed && (key.empty() ||
-                 !Holds(static_cast<uint32_t>(std::stoul(key))))) {
+  if (mKeyed &&
+      (key.empty() || !Holds(static_cast<uint32_t>(std::stoul(key))))) {
     Refuse(aExchange, kMisdirected);
     return;
   }
--- a/StandIns/standin_users_platform/KvServer.cpp
+++ b/StandIns/standin_users_platform/KvServer.cpp
@@ -272,8 +272,7 @@
 void kv_server::HandleLease(exchange_id aExchange, const http_request& aRequest)
 {
   const uint64_t id = mNextLease++;
-  const double ttl =
-    json::parse(aRequest.mBody).at("ttl_s_time").get<double>();
+  const double ttl = json::parse(aRequest.mBody).at("ttl_s_time").get<double>();
   mLeases[id].mTtl = ttl;
   StartLeaseTimer(id);
   Answer(aExchange, kOk, { { "lease", id }, { "ttl_s_time", ttl } });
--- a/StandIns/standin_users_platform/Main.cpp
+++ b/StandIns/standin_users_platform/Main.cpp
@@ -44,8 +44,8 @@
      "Targets of each service",
      cxxopts::value<uint32_t>()->default_value("3"));
   const auto arguments = options.parse(aCount, aArguments);
-  const std::string config = ReadTextFile(
-    arguments["config"].as<std::string>(), kMaxConfigurationBytes);
+  const std::string config =
+    ReadTextFile(arguments["config"].as<std::string>(), kMaxConfigurationBytes);
   StartLog(log_severity::kInfo);
   event_loop loop;
   kv_server store(loop);
--- /dev/null
+++ b/UnitTests/Balancing/TargetBalancerTest.cpp
@@ -0,0 +1,149 @@
+#include "Parsleystair/Balancing/TargetBalancer.h"
+
+#include <gtest/gtest.h>
+
+namespace parsleystair {
+
+namespace {
+
+class target_balancer_test : public testing::Test
+{
+protected:
+  target_balancer_test()
+  {
+    for (const char* name : { "near", "far", "other" }) {
+      known_target known;
+      known.mTarget.mName = target_name(name);
+      known.mTarget.mService = service_name("s");
+      known.mTarget.mFailureDomain = failure_domain_name(name);
+      mKnown.push_back(known);
+    }
+    mRequest.mService = service_name("s");
+    mRequest.mLatencyTarget = 1s;
+    mRequest.mIdempotent = true;
+  }
+
+  static balancer_site Site()
+  {
+    balancer_site site;
+    site.mFailureDomain = failure_domain_name("near");
+    site.mRegions = { { failure_domain_name("near"), region_name("r") },
+                      { failure_domain_name("far"), region_name("r") },
+                      { failure_domain_name("other"), region_name("q") } };
+    return site;
+  }
+
+  std::string Choose()
+  {
+    std::vector<const known_target*> targets;
+    for (const known_target& each : mKnown) {
+      targets.push_back(&each);
+    }
+    const known_target* chosen = mBalancer.Choose(mRequest, targets, mNow);
+    return chosen == nullptr ? "" : chosen->mTarget.mName.Value();
+  }
+
+  void Serve(const std::string& aTarget, duration aLatency, try_end aEnd)
+  {
+    const target_name name(aTarget);
+    const send_id send = mBalancer.HandleSent(name, service_name("s"), mNow);
+    mNow += aLatency;
+    mBalancer.HandleEnd(name, send, aEnd, 1000, mNow);
+  }
+
+  void ServeAll(duration aLatency)
+  {
+    for (int i = 0; i < 20; ++i) {
+      for (const known_target& each : mKnown) {
+        Serve(each.mTarget.mName.Value(), aLatency, try_end::kAnswered);
+      }
+    }
+  }
+
+  time_point mNow{ 1h };
+  std::vector<known_target> mKnown;
+  choice_request mRequest;
+  target_balancer mBalancer{ Site(), 7 };
+};
+
+} // namespace
+
+// Guards against bytes between regions that buy nothing.
+TEST_F(target_balancer_test, PrefersNearTargetWhenAllAreAlike)
+{
+  ServeAll(50ms);
+  for (int i = 0; i < 50; ++i) {
+    EXPECT_NE(Choose(), "other");
+  }
+}
+
+// Guards against a late answer from near where one in time comes from far.
+TEST_F(target_balancer_test, LeavesSlowTarget)
+{
+  ServeAll(50ms);
+  for (int i = 0; i < 10; ++i) {
+    Serve("near", 1200ms, try_end::kAnswered);
+  }
+  EXPECT_EQ(Choose(), "far");
+}
+
+// Guards against requests to a target that fails while others work.
+TEST_F(target_balancer_test, LeavesFailingTarget)
+{
+  ServeAll(50ms);
+  for (int i = 0; i < 6; ++i) {
+    Serve("near", 1ms, try_end::kFailedAnswer);
+  }
+  EXPECT_EQ(Choose(), "far");
+  // It is tried again when its failures are old.
+  mNow += 30s;
+  EXPECT_EQ(Choose(), "near");
+}
+
+// Guards against requests to a target that has gone silent.
+TEST_F(target_balancer_test, LeavesSilentTarget)
+{
+  ServeAll(50ms);
+  mBalancer.HandleSent(target_name("near"), service_name("s"), mNow);
+  mNow += 400ms;
+  EXPECT_TRUE(mBalancer.IsSilent(target_name("near"), mNow));
+  EXPECT_EQ(Choose(), "far");
+}
+
+// Guards against a target that is back without a health check, and one that is
+// never checked.
+TEST_F(target_balancer_test, SetAsideTargetReturnsAfterHealthCheck)
+{
+  ServeAll(50ms);
+  Serve("near", 1ms, try_end::kNotConnected);
+  EXPECT_TRUE(mBalancer.IsSetAside(target_name("near")));
+  EXPECT_TRUE(mBalancer.TakeProbes(mNow).empty());
+  mNow += 1s;
+  ASSERT_EQ(mBalancer.TakeProbes(mNow).size(), 1u);
+  EXPECT_TRUE(mBalancer.TakeProbes(mNow).empty());
+  mBalancer.HandleProbe(target_name("near"), false, mNow);
+  mNow += 1s;
+  ASSERT_EQ(mBalancer.TakeProbes(mNow).size(), 1u);
+  mBalancer.HandleProbe(target_name("near"), true, mNow);
+  EXPECT_FALSE(mBalancer.IsSetAside(target_name("near")));
+}
+
+// Guards against a service that is given up because of a fault of the router's
+// own path.
+TEST_F(target_balancer_test, ChoosesOneEvenIfAllAreSetAside)
+{
+  for (const known_target& each : mKnown) {
+    Serve(each.mTarget.mName.Value(), 1ms, try_end::kNotConnected);
+  }
+  EXPECT_NE(Choose(), "");
+}
+
+// Guards against a repeat at the target that failed the request.
+TEST_F(target_balancer_test, AvoidsTriedTargets)
+{
+  ServeAll(50ms);
+  mRequest.mTried = { target_name("near") };
+  EXPECT_EQ(Choose(), "far");
+}
+
+} // namespace parsleystair
--- a/UnitTests/Gateway/GatewayTest.cpp
+++ b/UnitTests/Gateway/GatewayTest.cpp
@@ -10,8 +10,7 @@
   request.mQuery = "day=mon%20day";
   const http_result result = Call(gateway, request);
   ASSERT_EQ(result.mAnswer.mStatus, 200u);
-  EXPECT_EQ(result.mAnswer.mBody.substr(7),
-            " ran /read/menu?day=mon%20day");
+  EXPECT_EQ(result.mAnswer.mBody.substr(7), " ran /read/menu?day=mon%20day");
   EXPECT_EQ(FindHeader(result.mAnswer.mHeaders, "X-Request-Id"), "r-1");
   EXPECT_TRUE(FindHeader(result.mAnswer.mHeaders, "X-Response-Signature"));
   EXPECT_EQ(Runs("r-1"), 1u);
@@ -21,12 +20,12 @@
 TEST_F(gateway_test, FindsRoutesByHostAndPrefix)
 {
   const gateway_instance& gateway = StartGateway("a");
-  EXPECT_EQ(
-    Call(gateway, Request("GET", "/nothing/x", "r-1")).mAnswer.mStatus, 404u);
-  EXPECT_EQ(
-    Call(gateway, Request("GET", "/read", "r-2")).mAnswer.mStatus, 404u);
-  EXPECT_EQ(
-    Call(gateway, Request("GET", "/read/", "r-3")).mAnswer.mStatus, 200u);
+  EXPECT_EQ(Call(gateway, Request("GET", "/nothing/x", "r-1")).mAnswer.mStatus,
+            404u);
+  EXPECT_EQ(Call(gateway, Request("GET", "/read", "r-2")).mAnswer.mStatus,
+            404u);
+  EXPECT_EQ(Call(gateway, Request("GET", "/read/", "r-3")).mAnswer.mStatus,
+            200u);
 }
 
 // Guards against an unsafe request that runs twice after a lost answer, and a
@@ -102,8 +101,7 @@
   mTargets.at("plain-1")->SetWork(10s);
   mTargets.at("plain-2")->SetWork(10s);
   const time_point start = MonotonicNow();
-  const http_result result =
-    Call(gateway, Request("GET", "/read/x", "r-1"));
+  const http_result result = Call(gateway, Request("GET", "/read/x", "r-1"));
   EXPECT_EQ(result.mAnswer.mStatus, 504u);
   EXPECT_GE(MonotonicNow() - start, 200ms);
 }
@@ -212,8 +210,9 @@
 {
   mKv.Put("servers/odd-1", "no json");
   mKv.Put("servers/odd-2", R"({"service":"plain","address":7})");
-  mKv.Put("servers/odd-3", R"({"service":"plain","address":"127.0.0.1:1",)"
-                           R"("zone":"z","slots":4,"state":"odd"})");
+  mKv.Put("servers/odd-3",
+          R"({"service":"plain","address":"127.0.0.1:1",)"
+          R"("zone":"z","slots":4,"state":"odd"})");
   const gateway_instance& gateway = StartGateway("a");
   EXPECT_EQ(Call(gateway, Request("GET", "/read/x", "r-1")).mAnswer.mStatus,
             200u);
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -175,8 +175,7 @@
   GiveTargets();
   const auto releases = Orders<release_order>();
   ASSERT_EQ(releases.size(), 1u);
-  mController.HandleReleaseEnd(
-    releases[0].mId, order_end::kRejected, "", mNow);
+  mController.HandleReleaseEnd(releases[0].mId, order_end::kRejected, "", mNow);
   Step();
   ASSERT_EQ(mController.Record().mRanges.size(), 2u);
   for (const owned_range& range : mController.Record().mRanges) {
--- a/UnitTests/KeyRanges/RangeWorld.h
+++ b/UnitTests/KeyRanges/RangeWorld.h
@@ -209,10 +209,7 @@
     return holders;
   }
 
-  bool IsLost()
-  {
-    return mNow < mLostUntil && mRandom() % 100 < mLostShare;
-  }
+  bool IsLost() { return mNow < mLostUntil && mRandom() % 100 < mLostShare; }
 
   duration Delay() { return duration(1ms) * (1 + mRandom() % 25); }
 
@@ -460,8 +457,7 @@
     SeeFence(aTarget, aOrder.mKeys, aOrder.mFence.Value());
     RemoveKeys(aTarget, aOrder.mKeys);
     // The target's clock may run two percent slow.
-    const auto hold =
-      std::chrono::duration_cast<duration>(aOrder.mHold * 1.02);
+    const auto hold = std::chrono::duration_cast<duration>(aOrder.mHold * 1.02);
     aTarget.mHeld.push_back(
       { aOrder.mKeys, aOrder.mFence.Value(), mNow + hold });
     return order_end::kAccepted;
@@ -493,9 +489,8 @@
         continue;
       }
       if (held.mKeys.mFrom < aKeys.mFrom) {
-        rest.push_back({ { held.mKeys.mFrom, aKeys.mFrom - 1 },
-                         held.mFence,
-                         held.mUntil });
+        rest.push_back(
+          { { held.mKeys.mFrom, aKeys.mFrom - 1 }, held.mFence, held.mUntil });
       }
       if (held.mKeys.mTo > aKeys.mTo) {
         rest.push_back(
@@ -509,8 +504,8 @@
   {
     for (uint32_t sample = 0; sample < kSamples; ++sample) {
       const std::vector<size_t> holders = Holders(sample);
-      ASSERT_LE(holders.size(), 1u)
-        << "key " << SampleKey(sample) << " at " << mNow.time_since_epoch().count();
+      ASSERT_LE(holders.size(), 1u) << "key " << SampleKey(sample) << " at "
+                                    << mNow.time_since_epoch().count();
       if (holders.empty()) {
         continue;
       }
--- /dev/null
+++ b/UnitTests/Routing/RoutingTest.cpp
@@ -0,0 +1,78 @@
+#include "Parsleystair/Routing/RouteTable.h"
+#include "Parsleystair/Routing/WeightedChoice.h"
+
+#include <gtest/gtest.h>
+
+namespace parsleystair {
+
+namespace {
+
+route MakeRoute(const std::string& aName,
+                const std::string& aHost,
+                const std::string& aPrefix)
+{
+  route made;
+  made.mName = route_name(aName);
+  made.mHost = aHost;
+  made.mPrefix = aPrefix;
+  made.mServices = { { service_name("s"), 1 } };
+  return made;
+}
+
+std::string Found(const route_table& aTable,
+                  const std::string& aHost,
+                  const std::string& aPath)
+{
+  const auto found = aTable.Find(aHost, aPath);
+  return found == nullptr ? "" : found->mName.Value();
+}
+
+} // namespace
+
+// Guards against a request that goes to a shorter prefix, another host, or a
+// prefix that ends within a path segment.
+TEST(RouteTable, LongestPrefixOfTheHostWins)
+{
+  route_configuration configuration;
+  configuration.mRoutes = { MakeRoute("root", "A.example", "/"),
+                            MakeRoute("menus", "a.example", "/menus/"),
+                            MakeRoute("today", "a.example", "/menus/today/"),
+                            MakeRoute("other", "b.example", "/x/") };
+  const route_table table(configuration);
+  EXPECT_EQ(Found(table, "a.example", "/menus/today/soup"), "today");
+  EXPECT_EQ(Found(table, "a.example", "/menus/today"), "menus");
+  EXPECT_EQ(Found(table, "a.example", "/menusx/"), "root");
+  EXPECT_EQ(Found(table, "a.EXAMPLE:80", "/menus/"), "menus");
+  EXPECT_EQ(Found(table, "b.example", "/y"), "");
+  EXPECT_EQ(Found(table, "c.example", "/"), "");
+  EXPECT_EQ(Found(table, "b.example", "x"), "");
+}
+
+// Guards against shares that differ from their weights over any run of
+// requests.
+TEST(WeightedChoice, FollowsTheWeights)
+{
+  route split = MakeRoute("r", "a", "/");
+  split.mServices = { { service_name("big"), 9 },
+                      { service_name("small"), 1 } };
+  weighted_choice choice;
+  int small = 0;
+  for (int i = 1; i <= 1000; ++i) {
+    small += choice.Next(split) == service_name("small") ? 1 : 0;
+    EXPECT_NEAR(small, i / 10.0, 1.0);
+  }
+}
+
+// Guards against credits of removed services that decide for new ones.
+TEST(WeightedChoice, StartsAnewWhenServicesChange)
+{
+  route split = MakeRoute("r", "a", "/");
+  split.mServices = { { service_name("x"), 1 }, { service_name("y"), 1 } };
+  weighted_choice choice;
+  choice.Next(split);
+  split.mServices = { { service_name("z"), 1 }, { service_name("y"), 0 } };
+  EXPECT_EQ(choice.Next(split), service_name("z"));
+  EXPECT_EQ(choice.Next(split), service_name("z"));
+}
+
+} // namespace parsleystair
