--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -7,8 +7,8 @@
 #include <algorithm>
 #include <limits>
 
-// Steps of a request on the caller's side, and waiting. Tries at targets are in
-// ForwarderTries.cpp.
+// Steps of a request on the caller's side. Tries at targets are in
+// ForwarderTries.cpp, waiting is in ForwarderWaiting.cpp.
 
 namespace parsleystair {
 
@@ -22,16 +22,11 @@
 constexpr duration kAnswerGrace = 60ms;
 /// Timeout of routes that have none.
 constexpr duration kDefaultTimeout = 30s;
-/// Longest wait for an owner of a key, as part of the latency target. Callers
-/// are better served by a refusal that tells them when to come back.
-constexpr int kParkDivisor = 4;
 
 /// Part of a target's connections that routers share evenly; the rest is for
 /// orders and health checks.
 constexpr double kConnectionPart = 0.95;
 constexpr size_t kMinConnections = 2;
-/// Wait before the owner's connections are looked at again.
-constexpr duration kConnectionWait = 25ms;
 
 http_connection_settings TargetConnectionSettings()
 {
@@ -197,51 +192,6 @@
   return sameLife && target->IsUsable() ? target : nullptr;
 }
 
-void forwarder::Park(open_request& aRequest,
-                     const std::string& aReason,
-                     time_point aNow)
-{
-  const time_point latest =
-    aRequest.mArrived + aRequest.mRoute->mLatencyTarget / kParkDivisor;
-  if (aNow >= latest) {
-    FinishFailed(aRequest, aReason, aNow);
-    return;
-  }
-  ++mCounters.mParked;
-  aRequest.mParkedUntil = latest;
-  SetWake(aRequest, aNow);
-}
-
-void forwarder::ParkForConnection(open_request& aRequest, time_point aNow)
-{
-  const time_point latest =
-    aRequest.mArrived + aRequest.mRoute->mLatencyTarget / kParkDivisor;
-  if (aNow >= latest) {
-    FinishFailed(aRequest, "the owner's connections are in use", aNow);
-    return;
-  }
-  aRequest.mParkedUntil = aNow + kConnectionWait;
-  SetWake(aRequest, aNow);
-}
-
-void forwarder::HandleViewChanged()
-{
-  const time_point now = MonotonicNow();
-  std::vector<forward_id> parked;
-  for (const auto& [id, request] : mRequests) {
-    if (!request.mParkedUntil) {
-      continue;
-    }
-    const owned_range* range = FindOwnedRange(request);
-    if (range != nullptr && range->mFence != request.mRefusedFence) {
-      parked.push_back(id);
-    }
-  }
-  for (const forward_id id : parked) {
-    Dispatch(mRequests.at(id), now);
-  }
-}
-
 void forwarder::Deliver(open_request& aRequest,
                         http_answer aAnswer,
                         time_point aNow)
@@ -337,66 +287,6 @@
   Finish(request, now);
 }
 
-void forwarder::SetWake(open_request& aRequest, time_point aNow)
-{
-  time_point wake = aRequest.mAnswerBy;
-  if (aRequest.mParkedUntil) {
-    wake = std::min(wake, *aRequest.mParkedUntil);
-  }
-  const bool mayHedge = aRequest.mRoute->mIdempotent && !aRequest.mHedged &&
-                        !aRequest.mKeyed && !aRequest.mTries.empty();
-  if (mayHedge) {
-    const time_point hedge =
-      aRequest.mTries.begin()->second.mSentAt + HedgeDelay(aRequest);
-    wake = std::min(wake, std::max(hedge, aNow));
-  }
-  mWakes.erase({ aRequest.mWake, aRequest.mId });
-  aRequest.mWake = wake;
-  mWakes.insert({ wake, aRequest.mId });
-  ScheduleTimer(aNow);
-}
-
-void forwarder::ScheduleTimer(time_point aNow)
-{
-  if (mWakes.empty()) {
-    return;
-  }
-  // A timer that fires too early for its request costs less than moving it for
-  // each request.
-  const time_point next = mWakes.begin()->first;
-  if (next >= mTimerAt) {
-    return;
-  }
-  mTimerAt = next;
-  mTimer.StartOnce(
-    mLoop, std::max(next - aNow, duration::zero()), [this] { HandleTimer(); });
-}
-
-void forwarder::HandleTimer()
-{
-  const time_point now = MonotonicNow();
-  mTimerAt = time_point::max();
-  while (!mWakes.empty() && mWakes.begin()->first <= now) {
-    const forward_id id = mWakes.begin()->second;
-    mWakes.erase(mWakes.begin());
-    Wake(mRequests.at(id), now);
-  }
-  ScheduleTimer(now);
-}
-
-void forwarder::Wake(open_request& aRequest, time_point aNow)
-{
-  if (aNow >= aRequest.mAnswerBy) {
-    FinishFailed(aRequest, "the time is over", aNow);
-    return;
-  }
-  if (aRequest.mParkedUntil && aNow >= *aRequest.mParkedUntil) {
-    Dispatch(aRequest, aNow);
-    return;
-  }
-  MayHedge(aRequest, aNow);
-}
-
 void forwarder::SetRetries(const shared_budget_settings& aSettings)
 {
   if (mSettings.mRetries != aSettings) {
@@ -415,44 +305,6 @@
   return std::exchange(mLoad, {});
 }
 
-void forwarder::Tick(time_point aNow)
-{
-  mConnections.Sweep(mView.mDirectory, aNow);
-  mBalancer.Retain(mView.mDirectory);
-  for (const target_name& target : mBalancer.TakeProbes(aNow)) {
-    Probe(target, aNow);
-  }
-}
-
-void forwarder::Probe(const target_name& aTarget, time_point aNow)
-{
-  const known_target* known = mView.mDirectory.Find(aTarget);
-  const routed_service* service =
-    known == nullptr || mView.mRoutes == nullptr
-      ? nullptr
-      : mView.mRoutes->FindService(known->mTarget.mService);
-  if (service == nullptr) {
-    mBalancer.HandleProbe(aTarget, false, aNow);
-    return;
-  }
-  constexpr duration kProbeTimeout = 500ms;
-  ++mCounters.mProbes;
-  mConnections.Call(
-    known->mTarget,
-    mProtocol.HealthCheck(service->mHealthPath),
-    kProbeTimeout,
-    aNow,
-    [this, aTarget](const http_result& aResult) {
-      const bool healthy = aResult.mStatus == http_status::kAnswered &&
-                           mProtocol.IsHealthy(aResult.mAnswer, aTarget);
-      log_line(log_severity::kInfo, "target_probed")
-        .Add("target", aTarget.Value())
-        .Add("healthy", healthy);
-      mBalancer.HandleProbe(aTarget, healthy, MonotonicNow());
-    },
-    nullptr);
-}
-
 shared_retry_budget& forwarder::BudgetOf(const service_name& aService)
 {
   return mBudgets.try_emplace(aService, shared_retry_budget(mSettings.mRetries))
--- /dev/null
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -0,0 +1,253 @@
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Core/Log.h"
+#include "Parsleystair/Gateway/GatewayTask.h"
+
+#include <sstream>
+
+// Who leads, who owns which keys, and what routers tell each other of both.
+
+namespace parsleystair {
+
+namespace {
+
+constexpr uint32_t kOk = 200;
+constexpr uint32_t kBadRequest = 400;
+constexpr uint32_t kNotFound = 404;
+
+constexpr duration kReportTimeout = 400ms;
+/// Longest wait for the former leader's answer, and the pause before it is
+/// asked again: a process that was killed is back within seconds.
+constexpr duration kFormerLeaderTimeout = 300ms;
+/// A router without a report for this long has gone.
+constexpr duration kReporterTime = 3s;
+
+} // namespace
+
+void gateway_task::ApplyLeader(const std::optional<stored_item>& aItem)
+{
+  mElection.HandleKey(aItem);
+  const auto& leader = mElection.Leader();
+  mFeedClient.SetLeader(mElection.IsLeading() ? std::nullopt : leader);
+}
+
+void gateway_task::HandleLeadership()
+{
+  if (!mElection.IsLeading()) {
+    mFeedServer.Stop();
+    mFormerConnection.reset();
+    mFormerTimer.Cancel();
+    mRanges.HandleLeadership(MonotonicNow());
+    return;
+  }
+  // A leader starts from the records as they are in the store now.
+  mFeedClient.SetLeader(std::nullopt);
+  ReadOwners();
+}
+
+void gateway_task::ReadOwners()
+{
+  const time_point asked = MonotonicNow();
+  mPlatform.mStore.ReadPrefix(
+    kRangesPrefix, [this, asked](const prefix_reply& aReply) {
+      if (aReply.mOutcome != call_outcome::kDone) {
+        // Asked again by the periodic work.
+        return;
+      }
+      for (const stored_item& item : aReply.mItems) {
+        const std::string prefix = kRangesPrefix;
+        const service_name service(item.mKey.substr(prefix.size()));
+        try {
+          ApplyOwners(service,
+                      { item.mRevision, DecodeRangeRecord(item.mValue) });
+        } catch (const parse_error& exception) {
+          log_line(log_severity::kError, "owners_unreadable")
+            .Add("service", service.Value())
+            .Add("error", exception.what());
+        }
+      }
+      if (mElection.IsLeading() && !mRanges.IsLeading()) {
+        mRanges.HandleLeadership(asked);
+        AskFormerLeader();
+      }
+    });
+}
+
+void gateway_task::AskFormerLeader()
+{
+  const auto& former = mElection.Former();
+  if (!former || !mElection.IsLeading()) {
+    return;
+  }
+  mFormerConnection = std::make_unique<http_connection>(
+    mLoop, former->mHost, former->mPort, http_connection_settings{});
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/abdicate";
+  request.mBody = std::to_string(former->mIncarnation.Value());
+  mFormerConnection->Call(
+    request, kFormerLeaderTimeout, [this](const http_result& aResult) {
+      HandleFormerLeader(aResult);
+    });
+}
+
+void gateway_task::HandleFormerLeader(const http_result& aResult)
+{
+  // A refused connection proves nothing: a cut may look the same.
+  if (aResult.mStatus == http_status::kAnswered &&
+      aResult.mAnswer.mStatus == kOk) {
+    log_line(log_severity::kInfo, "former_leader_gone")
+      .Add("vm", mElection.Former()->mVm.Value());
+    mRanges.HandleFormerLeaderGone(MonotonicNow());
+    return;
+  }
+  mFormerTimer.StartOnce(
+    mLoop, kFormerLeaderTimeout, [this] { AskFormerLeader(); });
+}
+
+void gateway_task::AnswerAbdication(exchange_id aExchange,
+                                    const http_request& aRequest)
+{
+  // A process with another incarnation stands where the former leader was, so
+  // that one has ended.
+  const std::string own = std::to_string(mIncarnation);
+  if (aRequest.mBody == own) {
+    mElection.Abdicate();
+  }
+  mPeers.Respond(aExchange, { kOk, {}, "" });
+}
+
+void gateway_task::ApplyOwners(const service_name& aService,
+                               const versioned_record& aRecord)
+{
+  versioned_record& current = mOwners[aService];
+  if (aRecord.mRevision <= current.mRevision) {
+    return;
+  }
+  log_line(log_severity::kInfo, "owners_changed")
+    .Add("service", aService.Value())
+    .Add("revision", aRecord.mRevision.Value())
+    .Add("previous", current.mRevision.Value())
+    .Add("ranges", uint64_t{ aRecord.mRecord.mRanges.size() });
+  current = aRecord;
+  mView.mRanges[aService] = aRecord.mRecord;
+  mRanges.HandleRecord(aService, aRecord.mRecord, aRecord.mRevision);
+  mForwarder.HandleViewChanged();
+  if (mElection.IsLeading()) {
+    mFeedServer.HandleRecords(mOwners);
+  }
+}
+
+owner_revisions gateway_task::KnownOwners() const
+{
+  owner_revisions known;
+  for (const auto& [service, versioned] : mOwners) {
+    known[service] = versioned.mRevision;
+  }
+  return known;
+}
+
+void gateway_task::SendReport()
+{
+  const load_report report = mForwarder.TakeLoad();
+  const auto& leader =
+    mElection.IsLeading() ? mElection.Leader() : mFeedClient.Leader();
+  if (!leader) {
+    return;
+  }
+  if (mElection.IsLeading()) {
+    mForwarder.SetRouters(LiveRouters(MonotonicNow()).size());
+    for (const auto& [service, load] : report) {
+      mRanges.HandleLoad(service, load, MonotonicNow());
+    }
+    return;
+  }
+  if (mReportLeader != leader) {
+    mReportLeader = leader;
+    mReportConnection =
+      std::make_unique<http_connection>(mLoop, leader->mHost, leader->mPort);
+  }
+  if (mReportConnection->IsBusy()) {
+    return;
+  }
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/load";
+  request.mBody = EncodeLoadReport(report);
+  // A lost report only makes the load look smaller for a second.
+  mReportConnection->Call(
+    request, kReportTimeout, [this](const http_result& aResult) {
+      HandleReportAnswer(aResult);
+    });
+}
+
+void gateway_task::HandleReportAnswer(const http_result& aResult)
+{
+  // Routers that don't lead answer without a list.
+  if (aResult.mStatus != http_status::kAnswered ||
+      aResult.mAnswer.mBody.empty()) {
+    return;
+  }
+  std::vector<std::string> routers;
+  std::istringstream text(aResult.mAnswer.mBody);
+  for (std::string host; text >> host;) {
+    routers.push_back(host);
+  }
+  mForwarder.SetRouters(routers.size());
+  std::erase(routers, mSettings.mPeers.mHost);
+  mFeedClient.SetPeers(std::move(routers));
+}
+
+std::vector<std::string> gateway_task::LiveRouters(time_point aNow)
+{
+  std::erase_if(mReporters, [&](const auto& aReporter) {
+    return aNow - aReporter.second > kReporterTime;
+  });
+  std::vector<std::string> hosts{ mSettings.mPeers.mHost };
+  for (const auto& [host, at] : mReporters) {
+    hosts.push_back(host);
+  }
+  return hosts;
+}
+
+void gateway_task::HandlePeer(exchange_id aExchange,
+                              const http_request& aRequest)
+{
+  if (aRequest.mPath == "/load") {
+    HandleReport(aExchange, aRequest);
+  } else if (aRequest.mPath == "/abdicate") {
+    AnswerAbdication(aExchange, aRequest);
+  } else if (aRequest.mPath != "/owners") {
+    mPeers.Respond(aExchange, { kNotFound, {}, "" });
+  } else if (mElection.IsLeading()) {
+    mFeedServer.HandleQuestion(aExchange, aRequest, mOwners);
+  } else {
+    mFeedServer.Decline(aExchange, mElection.Leader());
+  }
+}
+
+void gateway_task::HandleReport(exchange_id aExchange,
+                                const http_request& aRequest)
+{
+  try {
+    for (const auto& [service, load] : DecodeLoadReport(aRequest.mBody)) {
+      mRanges.HandleLoad(service, load, MonotonicNow());
+    }
+    const time_point now = MonotonicNow();
+    mReporters[aRequest.mRemoteHost] = now;
+    std::string hosts;
+    if (mElection.IsLeading()) {
+      for (const std::string& host : LiveRouters(now)) {
+        hosts += host + "\n";
+      }
+    }
+    mPeers.Respond(aExchange, { kOk, {}, hosts });
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kWarning, "report_unreadable")
+      .Add("peer", aRequest.mRemoteHost)
+      .Add("error", exception.what());
+    mPeers.Respond(aExchange, { kBadRequest, {}, "" });
+  }
+}
+
+} // namespace parsleystair
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -160,7 +160,8 @@
 {
   const time_point now = MonotonicNow();
   std::optional<time_point> next;
-  for (auto& [service, controller] : mControllers) {
+  for (auto& [name, controller] : mControllers) {
+    const service_name& service = name;
     for (const range_action& action : controller.Step(now)) {
       std::visit([&](const auto& aAction) { Execute(service, aAction); },
                  action);
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -116,7 +116,8 @@
 void target_connections::Sweep(const target_directory& aDirectory,
                                time_point aNow)
 {
-  for (auto& [name, each] : mPools) {
+  for (auto& [name, found] : mPools) {
+    pool& each = found;
     const known_target* known = aDirectory.Find(name);
     const bool unused = known == nullptr || !known->IsUsable();
     std::erase_if(each.mIdle, [&](const idle_connection& aIdle) {
--- a/Parsleystair/Http/MessageParser.cpp
+++ b/Parsleystair/Http/RequestParser.cpp
@@ -1,11 +1,9 @@
 #include "Parsleystair/Http/MessageParser.h"
 
 #include "Parsleystair/Core/Invariant.h"
+#include "Parsleystair/Http/CollectingParser.h"
 
 #include <algorithm>
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/basic_parser.hpp>
-#include <boost/beast/http/error.hpp>
 
 // Boost.Beast reads the messages: evhttp's own parser takes requests without a
 // host, control bytes in values and malformed escapes, and can't be made to
@@ -15,23 +13,13 @@
 
 namespace {
 
-namespace beast = boost::beast;
-using beast::http::error;
+using boost::beast::http::error;
 
 constexpr uint32_t kBadRequest = 400;
 constexpr uint32_t kContentTooLarge = 413;
 constexpr uint32_t kHeaderFieldsTooLarge = 431;
 constexpr uint32_t kNotImplemented = 501;
 
-constexpr uint32_t kFirstFinalStatus = 200;
-/// Longest header of an answer, in bytes; above what servers send in practice.
-constexpr uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
-
-std::string ToString(beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 bool IsHexDigit(char aCharacter)
 {
   return (aCharacter >= '0' && aCharacter <= '9') ||
@@ -60,15 +48,6 @@
   return true;
 }
 
-/// Tells if a field value has no control characters but tabs.
-bool IsValidValue(std::string_view aValue)
-{
-  return std::none_of(aValue.begin(), aValue.end(), [](char aCharacter) {
-    const auto byte = static_cast<unsigned char>(aCharacter);
-    return (byte < ' ' && byte != '\t') || byte == 0x7f;
-  });
-}
-
 /// Tells if a text may stand in a Host field.
 bool IsValidHost(std::string_view aHost)
 {
@@ -94,90 +73,6 @@
   return host;
 }
 
-/// Fields and body that both kinds of message collect.
-struct message_content
-{
-  std::vector<http_header> mHeaders;
-  std::string mBody;
-};
-
-/// Collects the parts of a message that Beast reports. `IsRequest` selects the
-/// kind of message.
-template<bool IsRequest>
-class collecting_parser : public beast::http::basic_parser<IsRequest>
-{
-public:
-  std::string mMethod;
-  std::string mTarget;
-  uint32_t mStatus = 0;
-  int mVersion = 0;
-  message_content mContent;
-
-private:
-  using error_code = boost::system::error_code;
-
-  void on_request_impl(beast::http::verb /*aVerb*/,
-                       beast::string_view aMethod,
-                       beast::string_view aTarget,
-                       int aVersion,
-                       error_code& /*aError*/) override
-  {
-    mMethod = ToString(aMethod);
-    mTarget = ToString(aTarget);
-    mVersion = aVersion;
-  }
-
-  void on_response_impl(int aCode,
-                        beast::string_view /*aReason*/,
-                        int aVersion,
-                        error_code& /*aError*/) override
-  {
-    mStatus = static_cast<uint32_t>(aCode);
-    mVersion = aVersion;
-  }
-
-  void on_field_impl(beast::http::field /*aField*/,
-                     beast::string_view aName,
-                     beast::string_view aValue,
-                     error_code& aError) override
-  {
-    mContent.mHeaders.push_back({ ToString(aName), ToString(aValue) });
-    if (!IsValidValue(mContent.mHeaders.back().mValue)) {
-      aError = error::bad_value;
-    }
-  }
-
-  void on_header_impl(error_code& /*aError*/) override {}
-
-  void on_body_init_impl(boost::optional<uint64_t> const& /*aLength*/,
-                         error_code& /*aError*/) override
-  {
-  }
-
-  std::size_t on_body_impl(beast::string_view aBody,
-                           error_code& /*aError*/) override
-  {
-    mContent.mBody.append(aBody.data(), aBody.size());
-    return aBody.size();
-  }
-
-  void on_chunk_header_impl(uint64_t /*aSize*/,
-                            beast::string_view /*aExtensions*/,
-                            error_code& /*aError*/) override
-  {
-  }
-
-  std::size_t on_chunk_body_impl(uint64_t /*aRemaining*/,
-                                 beast::string_view aBody,
-                                 error_code& /*aError*/) override
-  {
-    mContent.mBody.append(aBody.data(), aBody.size());
-    return aBody.size();
-  }
-
-  void on_finish_impl(error_code& /*aError*/) override {}
-};
-
 /// Number of fields with a name.
 size_t CountFields(const std::vector<http_header>& aHeaders,
                    std::string_view aName)
@@ -188,25 +83,6 @@
     }));
 }
 
-/// Feeds a parser; returns the bytes consumed and sets the error of bytes that
-/// are no message.
-template<bool IsRequest>
-size_t FeedParser(collecting_parser<IsRequest>& aParser,
-                  std::string_view aBytes,
-                  boost::system::error_code& aError)
-{
-  aError = {};
-  if (aBytes.empty()) {
-    return 0;
-  }
-  const size_t used =
-    aParser.put(boost::asio::buffer(aBytes.data(), aBytes.size()), aError);
-  if (aError == error::need_more) {
-    aError = {};
-  }
-  return used;
-}
-
 uint32_t StatusOf(const boost::system::error_code& aError)
 {
   if (aError == error::header_limit || aError == error::buffer_overflow) {
@@ -393,104 +269,4 @@
   return mState->mFailureReason;
 }
 
-struct answer_parser::state
-{
-  std::unique_ptr<collecting_parser<false>> mParser;
-  uint32_t mMaxBodyBytes = 0;
-  bool mToHead = false;
-  bool mFailed = false;
-  bool mStarted = false;
-
-  void Start()
-  {
-    mParser = std::make_unique<collecting_parser<false>>();
-    mParser->header_limit(kMaxAnswerHeaderBytes);
-    mParser->body_limit(mMaxBodyBytes);
-    mParser->eager(false);
-    mParser->skip(mToHead);
-  }
-};
-
-answer_parser::answer_parser(uint32_t aMaxBodyBytes, bool aToHead)
-  : mState(std::make_unique<state>())
-{
-  mState->mMaxBodyBytes = aMaxBodyBytes;
-  mState->mToHead = aToHead;
-  mState->Start();
-}
-
-answer_parser::~answer_parser() = default;
-answer_parser::answer_parser(answer_parser&&) noexcept = default;
-answer_parser& answer_parser::operator=(answer_parser&&) noexcept = default;
-
-size_t answer_parser::Feed(std::string_view aBytes)
-{
-  size_t consumed = 0;
-  while (State() == parse_state::kIncomplete) {
-    boost::system::error_code failure;
-    const size_t used =
-      FeedParser(*mState->mParser, aBytes.substr(consumed), failure);
-    consumed += used;
-    mState->mStarted = mState->mStarted || !aBytes.empty();
-    if (failure) {
-      mState->mFailed = true;
-      break;
-    }
-    const bool interim = mState->mParser->is_done() &&
-                         mState->mParser->mStatus < kFirstFinalStatus;
-    if (interim) {
-      mState->Start();
-      continue;
-    }
-    if (used == 0) {
-      break;
-    }
-  }
-  return consumed;
-}
-
-void answer_parser::FeedEnd()
-{
-  if (State() != parse_state::kIncomplete) {
-    return;
-  }
-  boost::system::error_code failure;
-  mState->mParser->put_eof(failure);
-  mState->mFailed = static_cast<bool>(failure) || !mState->mParser->is_done();
-}
-
-parse_state answer_parser::State() const
-{
-  if (mState->mFailed) {
-    return parse_state::kFailed;
-  }
-  const bool done =
-    mState->mParser->is_done() && mState->mParser->mStatus >= kFirstFinalStatus;
-  return done ? parse_state::kComplete : parse_state::kIncomplete;
-}
-
-bool answer_parser::HasStarted() const
-{
-  return mState->mStarted;
-}
-
-bool answer_parser::EndsWithStream() const
-{
-  return mState->mParser->is_header_done() && mState->mParser->need_eof();
-}
-
-bool answer_parser::EndsConnection() const
-{
-  return !mState->mParser->keep_alive();
-}
-
-http_answer answer_parser::Take()
-{
-  PARSLEYSTAIR_INVARIANT(State() == parse_state::kComplete);
-  collecting_parser<false>& parser = *mState->mParser;
-  return { parser.mStatus,
-           std::move(parser.mContent.mHeaders),
-           std::move(parser.mContent.mBody) };
-}
-
 } // namespace parsleystair
--- a/UnitTests/Gateway/GatewayFixture.h
+++ b/UnitTests/Gateway/GatewayFixture.h
@@ -189,7 +189,7 @@
       mLoop, "127.0.0.1", aGateway.mSettings.mCallers.mPort);
     std::optional<http_result> result;
     connection.Call(
-      aRequest, kLimit, [&](http_result aResult) { result = aResult; });
+      aRequest, kLimit, [&](const http_result& aResult) { result = aResult; });
     RunUntil([&] { return result.has_value(); });
     return result.value_or(http_result());
   }
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -125,7 +125,7 @@
   Step();
   const auto grants = Orders<grant_order>();
   ASSERT_EQ(grants.size(), 2u);
-  const grant_order late = grants[0];
+  const grant_order& late = grants[0];
   // Meanwhile half of the keys got another owner.
   range_record record = mController.Record();
   const uint32_t middle = (late.mKeys.mFrom + late.mKeys.mTo) / 2;
--- a/UnitTests/KeyRanges/RangeWorld.h
+++ b/UnitTests/KeyRanges/RangeWorld.h
@@ -364,7 +364,9 @@
     });
   }
 
-  void Return(size_t aRouter, time_point aAt, std::function<void()> aAnswer)
+  void Return(size_t aRouter,
+              time_point aAt,
+              const std::function<void()>& aAnswer)
   {
     At(aAt, [this, aRouter, aAnswer] {
       const router& each = mRouters[aRouter];
