--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -12,6 +12,9 @@
 /// Longest wait of one watch. Each watch is a paid call, and a lost connection
 /// is found by the system's keep-alive.
 constexpr duration kWatchWait = 20s;
+/// Wait of the first watch after a failure: it shows soon whether the store
+/// still answers watches on this path.
+constexpr duration kFirstWatchWait = 300ms;
 /// Pause after changes, so that changes which come together cost one call. It
 /// is a small part of the seconds within which a change must be in force.
 constexpr duration kGatherTime = 100ms;
@@ -21,7 +24,7 @@
 /// Delay after the first failure; doubles with each further one up to the
 /// longest delay. Failed calls are paid, too.
 constexpr duration kFirstRetry = 100ms;
-constexpr duration kMaxRetry = 800ms;
+constexpr duration kMaxRetry = 600ms;
 /// Failures after which the store counts as lost.
 constexpr uint32_t kFailuresToLose = 2;
 
@@ -77,12 +80,14 @@
 void prefix_follower::Watch()
 {
   const uint64_t number = ++mWatchNumber;
-  mStore.Watch(
-    mPrefix, mRevision, kWatchWait, [this, number](const watch_reply& aReply) {
-      if (number == mWatchNumber) {
-        HandleWatch(aReply);
-      }
-    });
+  mStore.Watch(mPrefix,
+               mRevision,
+               mFailures > 0 ? kFirstWatchWait : kWatchWait,
+               [this, number](const watch_reply& aReply) {
+                 if (number == mWatchNumber) {
+                   HandleWatch(aReply);
+                 }
+               });
 }
 
 void prefix_follower::CheckAfterGap(time_point aAt)
--- a/UnitTests/Gateway/GatewayTest.cpp
+++ b/UnitTests/Gateway/GatewayTest.cpp
@@ -205,6 +205,25 @@
             std::string::npos);
 }
 
+// Guards against a watch that the store has lost, and that is waited for as
+// long as for a calm one, after an outage (found as DRAIN on civ-gateway,
+// scale-2).
+TEST_F(gateway_test, GivesUpLostWatchSoonAfterAnOutage)
+{
+  const gateway_instance& gateway = StartGateway("a");
+  mKv.SetDown(true);
+  RunFor(1500ms);
+  mKv.SetSilent(true);
+  mKv.SetDown(false);
+  RunFor(900ms);
+  mKv.SetSilent(false);
+  PutConfiguration(5);
+  EXPECT_TRUE(RunUntil([&] {
+    return gateway.mTask->DumpText().find("\"configurationVersion\": 5") !=
+           std::string::npos;
+  }));
+}
+
 // Guards against entries that can't be read taking others with them.
 TEST_F(gateway_test, LeavesOutUnreadableEntries)
 {
