--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -85,6 +85,13 @@
     text, "connections_total", "use", "opened", connections.Opened());
   AppendLabelled(
     text, "connections_total", "use", "reused", connections.Reused());
+  const coordination_counters& store = mPlatform.mStore.Counters();
+  text += "# TYPE parsleystair_store_calls_total counter\n";
+  AppendLabelled(text, "store_calls_total", "outcome", "done", store.mDone);
+  AppendLabelled(
+    text, "store_calls_total", "outcome", "refused", store.mRefused);
+  AppendLabelled(
+    text, "store_calls_total", "outcome", "unanswered", store.mUnknown);
   const range_driver_counters& orders = mRanges.Counters();
   text += "# TYPE parsleystair_orders_total counter\n";
   AppendLabelled(text, "orders_total", "kind", "grant", orders.mGrants);
--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -65,12 +65,6 @@
   Read();
 }
 
-duration prefix_follower::Age(time_point aNow) const
-{
-  return mAnsweredAt == time_point::min() ? duration::max()
-                                          : aNow - mAnsweredAt;
-}
-
 void prefix_follower::Read()
 {
   mStore.ReadPrefix(mPrefix,
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -43,8 +43,6 @@
   /// unless the store answers this follower's own watch soon.
   void CheckAfterGap(time_point aAt);
 
-  /// Time since the store last answered this follower.
-  [[nodiscard]] duration Age(time_point aNow) const;
   /// True after the first whole read.
   [[nodiscard]] bool HasRead() const { return mHasRead; }
 
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -149,13 +149,4 @@
   });
 }
 
-size_t target_connections::Idle() const
-{
-  size_t count = 0;
-  for (const auto& [name, each] : mPools) {
-    count += each.mIdle.size();
-  }
-  return count;
-}
-
 } // namespace parsleystair
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -53,7 +53,6 @@
 
   [[nodiscard]] uint64_t Opened() const { return mOpened; }
   [[nodiscard]] uint64_t Reused() const { return mReused; }
-  [[nodiscard]] size_t Idle() const;
 
 private:
   struct idle_connection
--- a/Parsleystair/Http/HttpServer.cpp
+++ b/Parsleystair/Http/HttpServer.cpp
@@ -244,11 +244,6 @@
   return mState->mOpen.size();
 }
 
-size_t http_server::Connections() const
-{
-  return mState->mConnections.size();
-}
-
 void http_server::SetLimits(const http_server_settings& aSettings)
 {
   mState->mSettings = aSettings;
--- a/Parsleystair/Http/HttpServer.h
+++ b/Parsleystair/Http/HttpServer.h
@@ -72,9 +72,6 @@
   /// Requests that have no answer yet.
   [[nodiscard]] size_t OpenRequests() const;
 
-  /// Open connections.
-  [[nodiscard]] size_t Connections() const;
-
   /// Replaces the limits and timeouts for requests that start from now on.
   void SetLimits(const http_server_settings& aSettings);
 
--- a/Parsleystair/Http/ServerConnection.h
+++ b/Parsleystair/Http/ServerConnection.h
@@ -42,8 +42,6 @@
   void SendChunk(const std::string& aChunk);
   void EndStream();
 
-  [[nodiscard]] bool HasOpenRequest() const { return mAwaitsAnswer; }
-
   /// Tells if no request is open and none has started to arrive.
   [[nodiscard]] bool IsIdle() const;
 
--- a/Parsleystair/Platform/CoordinationStore.h
+++ b/Parsleystair/Platform/CoordinationStore.h
@@ -104,6 +104,17 @@
   duration mTtl{};
 };
 
+/// Calls of one process by how they ended; all only grow.
+struct coordination_counters
+{
+  uint64_t mCalls = 0;
+  uint64_t mDone = 0;
+  uint64_t mRefused = 0;
+  uint64_t mUnknown = 0;
+
+  bool operator==(const coordination_counters&) const = default;
+};
+
 /// A key-value store with revisions, watches, conditional writes and leases.
 /// Each call ends with one call of its callback, on the task that made it and
 /// never inside the call itself.
@@ -133,6 +144,8 @@
 
   virtual void EndLease(lease_id aLease,
                         std::function<void(lease_reply)> aCallback) = 0;
+
+  [[nodiscard]] virtual const coordination_counters& Counters() const = 0;
 };
 
 } // namespace parsleystair
