Close three ways to two owners that the state test found

The traces also showed that the test's world delivered orders that were on their way to a process after it had ended, which a connection does not do.

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -160,6 +160,7 @@
 {
   const time_point now = MonotonicNow();
   std::optional<time_point> next;
+  mBroken.clear();
   for (auto& [name, controller] : mControllers) {
     const service_name& service = name;
     for (const range_action& action : controller.Step(now)) {
@@ -192,7 +193,11 @@
   ++mCounters.mGrants;
   // A connection that broke is a sign that the target restarted: its new life
   // must not take the fence that the old one had.
+  // That holds for all orders of one step, which were decided before.
   if (mConnections.DropBroken(aOrder.mTo.mTarget)) {
+    mBroken.insert(aOrder.mTo.mTarget);
+  }
+  if (mBroken.contains(aOrder.mTo.mTarget)) {
     HandleGrantEnd(aService, aOrder, order_end::kNotSent);
     return;
   }
@@ -275,8 +280,9 @@
   conditional_write write;
   write.mConditions = { mElection.Condition(), { key, aWrite.mExpected } };
   write.mWrites = { { key, EncodeRangeRecord(aWrite.mRecord), lease_id(0) } };
+  const order_id id = aWrite.mId;
   const range_record record = aWrite.mRecord;
-  mStore.Write(write, [this, aService, record](const write_reply& aReply) {
+  mStore.Write(write, [this, aService, id, record](const write_reply& aReply) {
     const bool written = aReply.mOutcome == call_outcome::kDone;
     mCounters.mRecordWritesFailed += written ? 0 : 1;
     log_line(log_severity::kInfo, "record_written")
@@ -284,7 +290,7 @@
       .Add("done", written)
       .Add("revision", aReply.mRevision.Value());
     if (range_controller* controller = Find(aService)) {
-      controller->HandleWriteEnd(written, aReply.mRevision, MonotonicNow());
+      controller->HandleWriteEnd(id, written, aReply.mRevision, MonotonicNow());
       StepLater();
     }
     if (written) {
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -95,6 +95,8 @@
   target_connections mConnections;
   std::map<service_name, range_controller> mControllers;
   range_driver_counters mCounters;
+  /// Targets whose connections were found broken in the present step.
+  std::set<target_name> mBroken;
   record_handler mRecordHandler;
   std::function<void()> mDoubtHandler;
   bool mLeading = false;
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -48,6 +48,7 @@
 /// router still leads.
 struct write_record
 {
+  order_id mId;
   range_record mRecord;
   /// Revision of the old record; 0 if there is none.
   store_revision mExpected;
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -269,11 +269,12 @@
   found->mNextRelease = aNow + kRetryTime;
 }
 
-void range_controller::HandleWriteEnd(bool aWritten,
+void range_controller::HandleWriteEnd(order_id aWrite,
+                                      bool aWritten,
                                       store_revision aRevision,
                                       time_point aNow)
 {
-  if (!mWriting) {
+  if (!mWriting || aWrite != mWrite) {
     return;
   }
   const range_record written = *mWriting;
@@ -316,7 +317,8 @@
 {
   const auto owner = mOwners.find(aRange.mOwner.mName);
   return owner != mOwners.end() && owner->second.mListed &&
-         aRange.mFence <= owner->second.mLostFence;
+         (aRange.mFence <= owner->second.mLostFence ||
+          IsOwnerRestarted(aRange.mOwner));
 }
 
 bool range_controller::MustMove(const owned_range& aRange,
@@ -328,8 +330,7 @@
   }
   const owner_state& owner = found->second;
   // A target whose entry is late after an outage of the store keeps its keys.
-  return owner.mTarget.mDraining || IsOwnerRestarted(aRange.mOwner) ||
-         IsFailing(owner, aNow);
+  return owner.mTarget.mDraining || IsFailing(owner, aNow);
 }
 
 time_point range_controller::HoldEnd(time_point aGranted) const
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -71,8 +71,12 @@
                         order_end aEnd,
                         const std::string& aHandover,
                         time_point aNow);
-  /// `aRevision`: of the record, when it was written.
-  void HandleWriteEnd(bool aWritten, store_revision aRevision, time_point aNow);
+  /// `aRevision`: of the record, when it was written. The end of an earlier
+  /// write than the last one is ignored: the store tells what it wrote.
+  void HandleWriteEnd(order_id aWrite,
+                      bool aWritten,
+                      store_revision aRevision,
+                      time_point aNow);
 
   /// All that is to be done now. Call again after each event and at `NextStep`.
   std::vector<range_action> Step(time_point aNow);
@@ -187,6 +191,7 @@
   std::optional<time_point> mFirstListed;
   std::vector<move> mMoves;
   std::optional<range_record> mWriting;
+  order_id mWrite;
   time_point mNextWrite = time_point::min();
   time_point mNextBalance = time_point::min();
   uint64_t mNextOrder = 1;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -122,7 +122,7 @@
   move added;
   added.mKeys = aKeys;
   added.mTo = aTo;
-  added.mReady = aOwner == nullptr || IsOwnerRestarted(aOwner->mOwner);
+  added.mReady = aOwner == nullptr;
   if (aOwner != nullptr) {
     PARSLEYSTAIR_INVARIANT(aOwner->mKeys.Contains(aKeys.mFrom) &&
                            aOwner->mKeys.Contains(aKeys.mTo));
@@ -150,7 +150,8 @@
     }
   }
 
-  // Keys whose owner may have restarted.
+  // Keys whose owner has restarted, or may have. It stays the owner: its new
+  // life may hold the keys already by a grant that was meant for the old one.
   for (const owned_range& range : mRecord.mRanges) {
     if (NeedsFence(range) &&
         aNow >= mOwners.at(range.mOwner.mName).mNextFence) {
@@ -330,7 +331,8 @@
   }
   ValidateRecord(changed);
   mWriting = changed;
-  aActions.emplace_back(write_record{ std::move(changed), mRevision });
+  mWrite = order_id(mNextOrder++);
+  aActions.emplace_back(write_record{ mWrite, std::move(changed), mRevision });
 }
 
 void range_controller::StepGrants(time_point aNow,
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -56,8 +56,9 @@
     mController.HandleProof(mNow);
     std::vector<range_action> orders;
     for (const range_action& action : mController.Step(mNow)) {
-      if (std::holds_alternative<write_record>(action)) {
-        mController.HandleWriteEnd(true, store_revision(++mRevision), mNow);
+      if (const auto* write = std::get_if<write_record>(&action)) {
+        mController.HandleWriteEnd(
+          write->mId, true, store_revision(++mRevision), mNow);
       } else {
         orders.push_back(action);
       }
@@ -185,6 +186,35 @@
   }
 }
 
+// Guards against the late answer to an earlier write that is taken for the
+// answer to the last one (found by RangeState.ServesAllKeysAfterFaults, seed
+// 20261204, 81st case: two owners of key 52229).
+TEST_F(range_controller_test, LateAnswerOfEarlierWriteIsIgnored)
+{
+  std::vector<write_record> writes;
+  const auto collect = [&] {
+    mController.HandleProof(mNow);
+    for (const range_action& action : mController.Step(mNow)) {
+      if (const auto* write = std::get_if<write_record>(&action)) {
+        writes.push_back(*write);
+      }
+    }
+  };
+  collect();
+  mController.StopLeading();
+  mTargets.push_back(Known("c", 3));
+  mController.StartLeading(mNow);
+  GiveTargets();
+  collect();
+  ASSERT_EQ(writes.size(), 2u);
+  ASSERT_NE(writes[0].mRecord, writes[1].mRecord);
+  mController.HandleWriteEnd(
+    writes[0].mId, true, store_revision(++mRevision), mNow);
+  EXPECT_TRUE(mController.Record().mRanges.empty());
+  mController.HandleRecord(writes[0].mRecord, store_revision(mRevision));
+  EXPECT_EQ(mController.Record(), writes[0].mRecord);
+}
+
 // Guards against a new leader that gives keys of an unreachable owner away
 // while an earlier leader may still renew them.
 TEST_F(range_controller_test, NewLeaderWaitsForEarlierRenewals)
--- a/UnitTests/KeyRanges/RangeWorld.h
+++ b/UnitTests/KeyRanges/RangeWorld.h
@@ -22,7 +22,9 @@
   static constexpr size_t kTargets = 5;
   /// Keys at which the oracle looks.
   static constexpr uint32_t kSamples = 64;
-  static constexpr duration kTick = 10ms;
+  static constexpr duration kTick = 20ms;
+  /// Time between two looks of a router at the targets' entries.
+  static constexpr duration kEntriesInterval = 100ms;
   static constexpr duration kCallTimeout = 600ms;
 
   explicit range_world(uint64_t aSeed)
@@ -172,11 +174,13 @@
     time_point mNoStoreUntil = time_point::min();
     time_point mPausedUntil = time_point::min();
     time_point mNextRenewal = time_point::min();
+    time_point mNextEntries = time_point::min();
     uint64_t mSeenRevision = 0;
     bool mLeads = false;
     uint64_t mLeaderRevision = 0;
     /// Life of the target to which the order connection was opened.
     std::array<uint64_t, kTargets> mConnectedLife{};
+    std::array<time_point, kTargets> mBrokenAt{};
   };
 
   struct event
@@ -308,7 +312,10 @@
   {
     router& each = mRouters[aRouter];
     ReadRecord(each);
-    GiveTargets(each);
+    if (mNow >= each.mNextEntries) {
+      each.mNextEntries = mNow + kEntriesInterval;
+      GiveTargets(each);
+    }
     if (!each.mLeads || mNow < each.mNextRenewal) {
       return;
     }
@@ -353,15 +360,19 @@
   {
     const time_point sent = mNow;
     const bool lost = IsLost();
-    At(mNow + Delay(), [this, aRouter, aTarget, sent, lost, aTake, aAnswer] {
-      target& to = mTargets[aTarget];
-      const bool reached = to.mUp && mNow >= to.mCutUntil;
-      const order_end end = reached ? aTake() : order_end::kUnanswered;
-      const bool answered = reached && !lost;
-      const time_point at = answered ? mNow + Delay() : sent + kCallTimeout;
-      const order_end seen = answered ? end : order_end::kUnanswered;
-      Return(aRouter, at, [aAnswer, seen] { aAnswer(seen); });
-    });
+    // What is on its way ends with the process that it was sent to.
+    const uint64_t life = mTargets[aTarget].mStartedMs;
+    At(mNow + Delay(),
+       [this, aRouter, aTarget, sent, lost, life, aTake, aAnswer] {
+         target& to = mTargets[aTarget];
+         const bool reached =
+           to.mUp && mNow >= to.mCutUntil && to.mStartedMs == life;
+         const order_end end = reached ? aTake() : order_end::kUnanswered;
+         const bool answered = reached && !lost;
+         const time_point at = answered ? mNow + Delay() : sent + kCallTimeout;
+         const order_end seen = answered ? end : order_end::kUnanswered;
+         Return(aRouter, at, [aAnswer, seen] { aAnswer(seen); });
+       });
   }
 
   void Return(size_t aRouter,
@@ -392,7 +403,12 @@
       return;
     }
     const uint64_t known = std::exchange(life, mTargets[to].mStartedMs);
+    time_point& broken = mRouters[aRouter].mBrokenAt[to];
     if (known != 0 && known != mTargets[to].mStartedMs) {
+      broken = mNow;
+    }
+    // The orders of one step were decided before the break was found.
+    if (broken == mNow) {
       Return(aRouter, mNow + kTick, [this, aRouter, aOrder] {
         mRouters[aRouter].mController->HandleGrantEnd(
           aOrder.mId, order_end::kNotSent, mNow);
@@ -442,9 +458,9 @@
     }
     const uint64_t revision = mRecordRevision;
     const bool told = done && !IsLost();
-    Return(aRouter, mNow + Delay(), [this, aRouter, told, revision] {
+    Return(aRouter, mNow + Delay(), [this, aRouter, aWrite, told, revision] {
       mRouters[aRouter].mController->HandleWriteEnd(
-        told, store_revision(told ? revision : 0), mNow);
+        aWrite.mId, told, store_revision(told ? revision : 0), mNow);
     });
   }
 
