Let one piece of code serve twins of the gateway's change

- Core/SystemAddress, moved from Peers, serves the HTTP server and client too.
Its type shared the name socket_address with the settings' type, which was an error of two definitions in one namespace.
- Without() cuts key intervals for the record, the moves and the foreign grants.
- FindSocketAddress() reads addresses for the settings and the catalog; it also refuses hosts that are no IP addresses.
- The range driver reads the end of both kinds of order in one place; both ways of parking a request share their limit.
- Removed: a generator that nothing used and a reloaded setting that nothing read.

--- a/Parsleystair/Balancing/TargetBalancer.cpp
+++ b/Parsleystair/Balancing/TargetBalancer.cpp
@@ -46,11 +46,6 @@
 /// Time between health checks of a target that is set aside.
 constexpr duration kProbeInterval = 500ms;
 
-double ToSeconds(duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 /// Part of old knowledge that still counts.
 double Remaining(time_point aThen, time_point aNow)
 {
@@ -308,10 +303,8 @@
 duration target_balancer::MeanLatency(const service_name& aService) const
 {
   const auto found = mServices.find(aService);
-  return found == mServices.end()
-           ? duration::zero()
-           : std::chrono::duration_cast<duration>(
-               std::chrono::duration<double>(found->second.mLatency));
+  return found == mServices.end() ? duration::zero()
+                                  : FromSeconds(found->second.mLatency);
 }
 
 bool target_balancer::IsSilent(const target_state& aState,
--- a/Parsleystair/Peers/SocketAddress.cpp
+++ b/Parsleystair/Core/SystemAddress.cpp
@@ -1,4 +1,4 @@
-#include "Parsleystair/Peers/SocketAddress.h"
+#include "Parsleystair/Core/SystemAddress.h"
 
 #include "Parsleystair/Core/Error.h"
 
@@ -6,7 +6,8 @@
 
 namespace parsleystair {
 
-socket_address ParseSocketAddress(const std::string& aHost, uint16_t aPort)
+std::optional<system_address> FindSystemAddress(const std::string& aHost,
+                                                uint16_t aPort)
 {
   const bool isV6 = aHost.find(':') != std::string::npos;
   std::string text = isV6 ? "[" + aHost + "]" : aHost;
@@ -14,13 +15,22 @@
   if (aPort != 0) {
     text += ":" + std::to_string(aPort);
   }
-  socket_address address;
+  system_address address;
   address.mLength = sizeof(address.mStorage);
   if (evutil_parse_sockaddr_port(
         text.c_str(), address.Get(), &address.mLength) != 0) {
-    throw system_error("no IP address: " + aHost);
+    return std::nullopt;
   }
   return address;
 }
 
+system_address ParseSystemAddress(const std::string& aHost, uint16_t aPort)
+{
+  const auto address = FindSystemAddress(aHost, aPort);
+  if (!address) {
+    throw system_error("no IP address: " + aHost);
+  }
+  return *address;
+}
+
 } // namespace parsleystair
--- a/Parsleystair/Core/Time.h
+++ b/Parsleystair/Core/Time.h
@@ -35,4 +35,16 @@
 
 using namespace std::chrono_literals;
 
+/// Seconds with fractions, and back; for messages, settings and averages.
+constexpr double ToSeconds(duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+constexpr duration FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<duration>(
+    std::chrono::duration<double>(aSeconds));
+}
+
 } // namespace parsleystair
--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -22,7 +22,6 @@
 constexpr duration kAnswerGrace = 60ms;
 /// Timeout of routes that have none.
 constexpr duration kDefaultTimeout = 30s;
-
 /// Part of a target's connections that routers share evenly; the rest is for
 /// orders and health checks.
 constexpr double kConnectionPart = 0.95;
@@ -55,7 +54,6 @@
   , mProtocol(aProtocol)
   , mView(aView)
   , mServer(aServer)
-  , mRandom(aSeed)
   , mBalancer(aSettings.mSite, aSeed)
   , mConnections(aLoop, TargetConnectionSettings())
 {
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -13,7 +13,6 @@
 
 #include <map>
 #include <memory>
-#include <random>
 #include <set>
 #include <unordered_map>
 
@@ -169,6 +168,9 @@
             const std::string& aReason,
             time_point aNow);
   void ParkForConnection(open_request& aRequest, time_point aNow);
+  /// Latest time until which a request waits for its owner.
+  static time_point ParkLimit(const open_request& aRequest);
+  void ParkUntil(open_request& aRequest, time_point aUntil, time_point aNow);
   void SetWake(open_request& aRequest, time_point aNow);
   void ScheduleTimer(time_point aNow);
   void HandleTimer();
@@ -186,7 +188,6 @@
   const request_protocol& mProtocol;
   const forwarder_view& mView;
   http_server& mServer;
-  std::mt19937_64 mRandom;
   target_balancer mBalancer;
   target_connections mConnections;
   weighted_choice mWeights;
--- a/Parsleystair/Gateway/ForwarderTries.cpp
+++ b/Parsleystair/Gateway/ForwarderTries.cpp
@@ -25,7 +25,6 @@
 /// Wait before a key's owner is asked again after it refused the key. Another
 /// owner that is told meanwhile is asked at once.
 constexpr duration kOwnerRetry = 80ms;
-
 /// Wait before an owner without room is asked again: the time in which a place
 /// in its queue gets free.
 constexpr duration kFullOwnerRetry = 100ms;
@@ -219,9 +218,8 @@
   }
   const owned_range* range = FindOwnedRange(aRequest);
   aRequest.mRefusedFence = range == nullptr ? fence() : range->mFence;
-  aRequest.mParkedUntil =
-    aNow + (aTerms.mMisdirected ? kOwnerRetry : kFullOwnerRetry);
-  SetWake(aRequest, aNow);
+  const duration wait = aTerms.mMisdirected ? kOwnerRetry : kFullOwnerRetry;
+  ParkUntil(aRequest, aNow + wait, aNow);
 }
 
 void forwarder::HandleNotConnected(open_request& aRequest, time_point aNow)
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -22,26 +22,33 @@
                      const std::string& aReason,
                      time_point aNow)
 {
-  const time_point latest =
-    aRequest.mArrived + aRequest.mRoute->mLatencyTarget / kParkDivisor;
-  if (aNow >= latest) {
+  if (aNow >= ParkLimit(aRequest)) {
     FinishFailed(aRequest, aReason, aNow);
     return;
   }
   ++mCounters.mParked;
-  aRequest.mParkedUntil = latest;
-  SetWake(aRequest, aNow);
+  ParkUntil(aRequest, ParkLimit(aRequest), aNow);
 }
 
 void forwarder::ParkForConnection(open_request& aRequest, time_point aNow)
 {
-  const time_point latest =
-    aRequest.mArrived + aRequest.mRoute->mLatencyTarget / kParkDivisor;
-  if (aNow >= latest) {
+  if (aNow >= ParkLimit(aRequest)) {
     FinishFailed(aRequest, "the owner's connections are in use", aNow);
     return;
   }
-  aRequest.mParkedUntil = aNow + kConnectionWait;
+  ParkUntil(aRequest, aNow + kConnectionWait, aNow);
+}
+
+time_point forwarder::ParkLimit(const open_request& aRequest)
+{
+  return aRequest.mArrived + aRequest.mRoute->mLatencyTarget / kParkDivisor;
+}
+
+void forwarder::ParkUntil(open_request& aRequest,
+                          time_point aUntil,
+                          time_point aNow)
+{
+  aRequest.mParkedUntil = aUntil;
   SetWake(aRequest, aNow);
 }
 
--- a/Parsleystair/Gateway/GatewaySettings.cpp
+++ b/Parsleystair/Gateway/GatewaySettings.cpp
@@ -2,7 +2,6 @@
 
 #include "Parsleystair/Core/Error.h"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace parsleystair {
@@ -40,15 +39,8 @@
   /// An IP address and a port, as "10.0.0.1:80".
   [[nodiscard]] socket_address Address() const
   {
-    const std::string text = Text();
-    const size_t colon = text.rfind(':');
-    uint16_t port = 0;
-    if (colon != std::string::npos) {
-      const char* end = text.data() + text.size();
-      const auto result = std::from_chars(text.data() + colon + 1, end, port);
-      if (result.ec == std::errc() && result.ptr == end) {
-        return { text.substr(0, colon), port };
-      }
+    if (const auto address = FindSocketAddress(Text())) {
+      return *address;
     }
     Fail("an IP address and a port, as 10.0.0.1:80");
   }
@@ -69,10 +61,7 @@
 
   [[nodiscard]] duration Seconds(duration aDefault, duration aMax) const
   {
-    using seconds = std::chrono::duration<double>;
-    const double value =
-      Number(seconds(aDefault).count(), 0, seconds(aMax).count());
-    return std::chrono::duration_cast<duration>(seconds(value));
+    return FromSeconds(Number(ToSeconds(aDefault), 0, ToSeconds(aMax)));
   }
 
   [[nodiscard]] std::map<failure_domain_name, region_name> Regions() const
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -237,7 +237,6 @@
   log_line(log_severity::kInfo, "settings_reloaded")
     .Add("changed", aSettings != mSettings);
   mSettings.mShutdownGrace = aSettings.mShutdownGrace;
-  mSettings.mMaxHold = aSettings.mMaxHold;
   mSettings.mRetryRatio = aSettings.mRetryRatio;
   mSettings.mRetrySlack = aSettings.mRetrySlack;
   mForwarder.SetRetries({ mSettings.mRetryRatio, mSettings.mRetrySlack });
@@ -263,7 +262,7 @@
     .Add("version", configuration->mVersion)
     .Add("previous", current)
     .Add("routes", uint64_t{ configuration->mRoutes.size() });
-  ApplyLimits(configuration->mLimits);
+  mCallers.SetLimits(CallerSettings(configuration->mLimits));
   std::set<service_name> keyed;
   for (const auto& [name, service] : configuration->mServices) {
     if (service.mKeyed) {
@@ -276,11 +275,6 @@
   HandleTargetsChanged();
 }
 
-void gateway_task::ApplyLimits(const request_limits& aLimits)
-{
-  mCallers.SetLimits(CallerSettings(aLimits));
-}
-
 void gateway_task::ApplyTargets(const std::vector<stored_item>& aItems)
 {
   std::vector<discovered_target> targets;
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -38,8 +38,8 @@
   gateway_task(const gateway_task&) = delete;
   gateway_task& operator=(const gateway_task&) = delete;
 
-  /// Takes over changed settings. Addresses and names stay as they were at the
-  /// start.
+  /// Takes over the limits on repeats and the grace time. All other settings
+  /// stay as they were at the start.
   void ApplySettings(const gateway_settings& aSettings);
 
   /// Starts a graceful shutdown; the loop stops when it is done.
@@ -70,7 +70,6 @@
                    const versioned_record& aRecord);
   [[nodiscard]] owner_revisions KnownOwners() const;
   void HandleTargetsChanged();
-  void ApplyLimits(const request_limits& aLimits);
   [[nodiscard]] http_answer AnswerOperator(const http_request& aRequest) const;
   void HandlePeer(exchange_id aExchange, const http_request& aRequest);
   void HandleReport(exchange_id aExchange, const http_request& aRequest);
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -55,8 +55,8 @@
         return;
       }
       for (const stored_item& item : aReply.mItems) {
-        const std::string prefix = kRangesPrefix;
-        const service_name service(item.mKey.substr(prefix.size()));
+        const service_name service(
+          item.mKey.substr(std::string_view(kRangesPrefix).size()));
         try {
           ApplyOwners(service,
                       { item.mRevision, DecodeRangeRecord(item.mValue) });
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -38,10 +38,7 @@
     total += bucket.mCount;
     const bool last = bucket.mUpperBound == duration::max();
     const std::string bound =
-      last ? "+Inf"
-           : nlohmann::json(
-               std::chrono::duration<double>(bucket.mUpperBound).count())
-               .dump();
+      last ? "+Inf" : nlohmann::json(ToSeconds(bucket.mUpperBound)).dump();
     aText += "parsleystair_" + aName + "_bucket{le=\"" + bound + "\"} " +
              std::to_string(total) + "\n";
   }
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -187,13 +187,26 @@
   return target;
 }
 
+order_end range_driver::EndOf(const http_result& aResult) const
+{
+  switch (aResult.mStatus) {
+    case http_status::kAnswered:
+      return mProtocol.ReadOrderAnswer(aResult.mAnswer);
+    case http_status::kNotSent:
+      return order_end::kNotSent;
+    case http_status::kNoAnswer:
+      return order_end::kUnanswered;
+  }
+  return order_end::kUnanswered;
+}
+
 void range_driver::Execute(const service_name& aService,
                            const grant_order& aOrder)
 {
   ++mCounters.mGrants;
   // A connection that broke is a sign that the target restarted: its new life
-  // must not take the fence that the old one had.
-  // That holds for all orders of one step, which were decided before.
+  // must not take the fence that the old one had. That holds for all orders of
+  // one step, which were decided before.
   if (mConnections.DropBroken(aOrder.mTo.mTarget)) {
     mBroken.insert(aOrder.mTo.mTarget);
   }
@@ -207,13 +220,7 @@
     kGrantTimeout,
     MonotonicNow(),
     [this, aService, aOrder](const http_result& aResult) {
-      order_end end = order_end::kUnanswered;
-      if (aResult.mStatus == http_status::kNotSent) {
-        end = order_end::kNotSent;
-      } else if (aResult.mStatus == http_status::kAnswered) {
-        end = mProtocol.ReadOrderAnswer(aResult.mAnswer);
-      }
-      HandleGrantEnd(aService, aOrder, end);
+      HandleGrantEnd(aService, aOrder, EndOf(aResult));
     },
     nullptr);
 }
@@ -248,14 +255,8 @@
     kReleaseTimeout,
     MonotonicNow(),
     [this, aService, aOrder](const http_result& aResult) {
-      order_end end = order_end::kUnanswered;
-      std::string handover;
-      if (aResult.mStatus == http_status::kNotSent) {
-        end = order_end::kNotSent;
-      } else if (aResult.mStatus == http_status::kAnswered) {
-        end = mProtocol.ReadOrderAnswer(aResult.mAnswer);
-        handover = mProtocol.ReadHandover(aResult.mAnswer);
-      }
+      const order_end end = EndOf(aResult);
+      const std::string handover = mProtocol.ReadHandover(aResult.mAnswer);
       mCounters.mReleasesFailed += end == order_end::kAccepted ? 0 : 1;
       log_line(log_severity::kInfo, "keys_released")
         .Add("service", aService.Value())
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -84,6 +84,7 @@
   void HandleGrantEnd(const service_name& aService,
                       const grant_order& aOrder,
                       order_end aEnd);
+  [[nodiscard]] order_end EndOf(const http_result& aResult) const;
   range_controller* Find(const service_name& aService);
   discovered_target TargetOf(const order_address& aAddress) const;
 
--- a/Parsleystair/Http/HttpServer.cpp
+++ b/Parsleystair/Http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/Http/HttpServer.h"
 
 #include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Core/SystemAddress.h"
 #include "Parsleystair/Http/ServerConnection.h"
 
 #include <array>
@@ -146,17 +147,7 @@
 
 void http_server::Listen(const std::string& aHost, uint16_t aPort)
 {
-  sockaddr_storage address{};
-  int length = sizeof(address);
-  const bool isIpv6 = aHost.find(':') != std::string::npos;
-  const std::string host = isIpv6 ? "[" + aHost + "]" : aHost;
-  // libevent takes no port 0 in the text and means it when there is none.
-  const std::string text =
-    aPort == 0 ? host : host + ":" + std::to_string(aPort);
-  if (evutil_parse_sockaddr_port(
-        text.c_str(), reinterpret_cast<sockaddr*>(&address), &length) != 0) {
-    throw system_error("not an IP address: " + aHost);
-  }
+  system_address address = ParseSystemAddress(aHost, aPort);
   unsigned flags =
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
   if (mState->mSettings.mReusePort) {
@@ -178,10 +169,11 @@
     mState.get(),
     flags,
     kListenBacklog,
-    reinterpret_cast<sockaddr*>(&address),
-    length);
+    address.Get(),
+    address.mLength);
   if (mState->mListener == nullptr) {
-    throw system_error("could not listen on " + text);
+    throw system_error("could not listen on " + aHost + ":" +
+                       std::to_string(aPort));
   }
   mState->mPort = LocalPort(evconnlistener_get_fd(mState->mListener));
 }
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -1,12 +1,12 @@
 #include "Parsleystair/Http/SocketStream.h"
 
 #include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Core/SystemAddress.h"
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <event2/event.h>
-#include <event2/util.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -51,23 +51,17 @@
 /// Opens a socket and starts to connect it; -1 when that fails at once.
 int StartConnect(const std::string& aHost, uint16_t aPort)
 {
-  sockaddr_storage address{};
-  int length = sizeof(address);
-  const bool isIpv6 = aHost.find(':') != std::string::npos;
-  const std::string text =
-    (isIpv6 ? "[" + aHost + "]" : aHost) + ":" + std::to_string(aPort);
-  if (evutil_parse_sockaddr_port(
-        text.c_str(), reinterpret_cast<sockaddr*>(&address), &length) != 0) {
+  auto address = FindSystemAddress(aHost, aPort);
+  if (!address) {
     return -1;
   }
-  const int descriptor =
-    socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int descriptor = socket(
+    address->mStorage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     return -1;
   }
-  const int result = connect(descriptor,
-                             reinterpret_cast<sockaddr*>(&address),
-                             static_cast<socklen_t>(length));
+  const int result = connect(
+    descriptor, address->Get(), static_cast<socklen_t>(address->mLength));
   if (result != 0 && errno != EINPROGRESS) {
     close(descriptor);
     return -1;
--- a/Parsleystair/KeyRanges/KeyLoad.cpp
+++ b/Parsleystair/KeyRanges/KeyLoad.cpp
@@ -45,8 +45,7 @@
   if (aNow - mFadedAt < kFadeStep) {
     return;
   }
-  const double seconds = std::chrono::duration<double>(aNow - mFadedAt).count();
-  const double factor = std::exp(-seconds / kFadeSeconds);
+  const double factor = std::exp(-ToSeconds(aNow - mFadedAt) / kFadeSeconds);
   for (double& weight : mWeights) {
     weight *= factor;
   }
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -207,18 +207,13 @@
 {
   std::vector<owned_range> rest;
   for (const owned_range& range : mForeign) {
-    if (range.mOwner.mName != aTarget || !range.mKeys.Overlaps(aKeys)) {
+    if (range.mOwner.mName != aTarget) {
       rest.push_back(range);
       continue;
     }
-    owned_range piece = range;
-    if (range.mKeys.mFrom < aKeys.mFrom) {
-      piece.mKeys = { range.mKeys.mFrom, aKeys.mFrom - 1 };
-      rest.push_back(piece);
-    }
-    if (range.mKeys.mTo > aKeys.mTo) {
-      piece.mKeys = { aKeys.mTo + 1, range.mKeys.mTo };
-      rest.push_back(piece);
+    for (const key_interval& piece : Without(range.mKeys, aKeys)) {
+      rest.push_back(range);
+      rest.back().mKeys = piece;
     }
   }
   mForeign = std::move(rest);
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -98,16 +98,8 @@
   for (const move& each : mMoves) {
     std::vector<key_interval> rest;
     for (const key_interval& piece : pieces) {
-      if (!piece.Overlaps(each.mKeys)) {
-        rest.push_back(piece);
-        continue;
-      }
-      if (piece.mFrom < each.mKeys.mFrom) {
-        rest.push_back({ piece.mFrom, each.mKeys.mFrom - 1 });
-      }
-      if (piece.mTo > each.mKeys.mTo) {
-        rest.push_back({ each.mKeys.mTo + 1, piece.mTo });
-      }
+      const std::vector<key_interval> left = Without(piece, each.mKeys);
+      rest.insert(rest.end(), left.begin(), left.end());
     }
     pieces = std::move(rest);
   }
--- a/Parsleystair/KeyRanges/RangeRecord.cpp
+++ b/Parsleystair/KeyRanges/RangeRecord.cpp
@@ -32,6 +32,22 @@
 
 } // namespace
 
+std::vector<key_interval> Without(const key_interval& aKeys,
+                                  const key_interval& aRemoved)
+{
+  if (!aKeys.Overlaps(aRemoved)) {
+    return { aKeys };
+  }
+  std::vector<key_interval> rest;
+  if (aKeys.mFrom < aRemoved.mFrom) {
+    rest.push_back({ aKeys.mFrom, aRemoved.mFrom - 1 });
+  }
+  if (aKeys.mTo > aRemoved.mTo) {
+    rest.push_back({ aRemoved.mTo + 1, aKeys.mTo });
+  }
+  return rest;
+}
+
 const owned_range* FindRange(const range_record& aRecord, uint32_t aKey)
 {
   const auto after =
@@ -52,19 +68,9 @@
 {
   std::vector<owned_range> ranges;
   for (const owned_range& old : aRecord.mRanges) {
-    if (!old.mKeys.Overlaps(aRange.mKeys)) {
+    for (const key_interval& rest : Without(old.mKeys, aRange.mKeys)) {
       ranges.push_back(old);
-      continue;
-    }
-    if (old.mKeys.mFrom < aRange.mKeys.mFrom) {
-      owned_range left = old;
-      left.mKeys.mTo = aRange.mKeys.mFrom - 1;
-      ranges.push_back(left);
-    }
-    if (old.mKeys.mTo > aRange.mKeys.mTo) {
-      owned_range right = old;
-      right.mKeys.mFrom = aRange.mKeys.mTo + 1;
-      ranges.push_back(right);
+      ranges.back().mKeys = rest;
     }
   }
   ranges.push_back(aRange);
--- a/Parsleystair/KeyRanges/RangeRecord.h
+++ b/Parsleystair/KeyRanges/RangeRecord.h
@@ -32,6 +32,10 @@
   auto operator<=>(const key_interval&) const = default; // NOLINT
 };
 
+/// Keys of an interval that are not in another one, in order.
+std::vector<key_interval> Without(const key_interval& aKeys,
+                                  const key_interval& aRemoved);
+
 /// One life of a target: a restarted one with the same name is another owner.
 struct target_life
 {
--- a/Parsleystair/Peers/BuffereventStream.cpp
+++ b/Parsleystair/Peers/BuffereventStream.cpp
@@ -1,6 +1,6 @@
 #include "Parsleystair/Peers/BuffereventStream.h"
 
-#include "Parsleystair/Peers/SocketAddress.h"
+#include "Parsleystair/Core/SystemAddress.h"
 
 #include <algorithm>
 #include <event2/buffer.h>
@@ -85,7 +85,7 @@
 
   kj::Promise<void> Connect(const std::string& aHost, uint16_t aPort)
   {
-    socket_address address = ParseSocketAddress(aHost, aPort);
+    system_address address = ParseSystemAddress(aHost, aPort);
     auto pair = kj::newPromiseAndFulfiller<void>();
     mConnected = kj::mv(pair.fulfiller);
     if (bufferevent_socket_connect(mBuffer, address.Get(), address.mLength) !=
--- a/Parsleystair/Peers/PeerServer.cpp
+++ b/Parsleystair/Peers/PeerServer.cpp
@@ -2,9 +2,9 @@
 
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Log.h"
+#include "Parsleystair/Core/SystemAddress.h"
 #include "Parsleystair/Peers/BuffereventStream.h"
 #include "Parsleystair/Peers/PeerCodec.h"
-#include "Parsleystair/Peers/SocketAddress.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <event2/listener.h>
@@ -200,7 +200,7 @@
   void Listen(const std::string& aHost, uint16_t aPort)
   {
     constexpr int kBacklog = 256;
-    socket_address address = ParseSocketAddress(aHost, aPort);
+    system_address address = ParseSystemAddress(aHost, aPort);
     mListener = evconnlistener_new_bind(
       mLoop.Loop().Base(),
       &state::HandleAccept,
--- a/Parsleystair/Settings/RouterSettings.cpp
+++ b/Parsleystair/Settings/RouterSettings.cpp
@@ -5,6 +5,7 @@
 #include "Parsleystair/Settings/Names.h"
 
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -193,6 +194,24 @@
 
 } // namespace
 
+std::optional<socket_address> FindSocketAddress(const std::string& aText)
+{
+  const size_t colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  socket_address address{ aText.substr(0, colon), 0 };
+  if (address.mHost.starts_with('[') && address.mHost.ends_with(']')) {
+    address.mHost = address.mHost.substr(1, address.mHost.size() - 2);
+  }
+  const char* end = aText.data() + aText.size();
+  const auto port =
+    std::from_chars(aText.data() + colon + 1, end, address.mPort);
+  const bool valid =
+    IsIpAddress(address.mHost) && port.ec == std::errc() && port.ptr == end;
+  return valid ? std::optional(address) : std::nullopt;
+}
+
 router_settings ParseRouterSettings(const std::string& aText)
 {
   const std::vector<value_problem> problems = json_shape(kSchema).Check(aText);
--- a/Parsleystair/Settings/RouterSettings.h
+++ b/Parsleystair/Settings/RouterSettings.h
@@ -4,6 +4,7 @@
 #include "Parsleystair/Core/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,9 @@
   bool operator==(const socket_address&) const = default;
 };
 
+/// Reads "10.0.0.1:80", or "[::1]:80" for IPv6. Nothing for another text.
+std::optional<socket_address> FindSocketAddress(const std::string& aText);
+
 /// A router that is asked for configuration and group records when a process
 /// starts while the store is down.
 struct seed_peer
--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -87,9 +87,8 @@
   held_keys keys{ body.at("from").get<uint32_t>(),
                   body.at("to").get<uint32_t>(),
                   body.at("fence").get<uint64_t>(),
-                  MonotonicNow() + std::chrono::duration_cast<duration>(
-                                     std::chrono::duration<double>(
-                                       body.at("hold_s").get<double>())) };
+                  MonotonicNow() +
+                    FromSeconds(body.at("hold_s").get<double>()) };
   const bool fenced =
     std::any_of(mHeld.begin(), mHeld.end(), [&](const held_keys& aHeld) {
       return aHeld.mFrom <= keys.mTo && keys.mFrom <= aHeld.mTo &&
--- a/StandIns/standin_users_platform/KvServer.cpp
+++ b/StandIns/standin_users_platform/KvServer.cpp
@@ -282,13 +282,10 @@
 {
   lease& each = mLeases.at(aLease);
   each.mTimer = std::make_unique<timer>();
-  each.mTimer->StartOnce(mLoop,
-                         std::chrono::duration_cast<duration>(
-                           std::chrono::duration<double>(each.mTtl)),
-                         [this, aLease] {
-                           EndLease(aLease);
-                           WakeWatches();
-                         });
+  each.mTimer->StartOnce(mLoop, FromSeconds(each.mTtl), [this, aLease] {
+    EndLease(aLease);
+    WakeWatches();
+  });
 }
 
 void kv_server::HandleKeep(exchange_id aExchange, uint64_t aLease)
--- a/UnitTests/KeyRanges/RangeWorld.h
+++ b/UnitTests/KeyRanges/RangeWorld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Parsleystair/KeyRanges/RangeController.h"
+#include "RangeTarget.h"
 
 #include <gtest/gtest.h>
 
@@ -20,8 +21,6 @@
 public:
   static constexpr size_t kRouters = 3;
   static constexpr size_t kTargets = 5;
-  /// Keys at which the oracle looks.
-  static constexpr uint32_t kSamples = 64;
   static constexpr duration kTick = 20ms;
   /// Time between two looks of a router at the targets' entries.
   static constexpr duration kEntriesInterval = 100ms;
@@ -52,7 +51,7 @@
   {
     target& each = mTargets[aTarget % kTargets];
     each.mUp = false;
-    each.mHeld.clear();
+    each.mKeys = {};
     each.mBackAt = mNow + duration(1ms) * (aFor % 8000);
     each.mEntryGoneAt = mNow + 2600ms;
   }
@@ -140,20 +139,13 @@
   [[nodiscard]] size_t UnownedSamples() const
   {
     size_t count = 0;
-    for (uint32_t sample = 0; sample < kSamples; ++sample) {
+    for (uint32_t sample = 0; sample < kSampleKeys; ++sample) {
       count += Holders(sample).empty() ? 1 : 0;
     }
     return count;
   }
 
 private:
-  struct held_keys
-  {
-    key_interval mKeys;
-    uint64_t mFence;
-    time_point mUntil;
-  };
-
   struct target
   {
     bool mUp = true;
@@ -164,8 +156,7 @@
     time_point mHiddenUntil = time_point::min();
     time_point mFullUntil = time_point::min();
     time_point mEntryGoneAt = time_point::max();
-    std::vector<held_keys> mHeld;
-    std::array<uint64_t, kSamples> mSeenFence{};
+    range_target mKeys;
   };
 
   struct router
@@ -189,11 +180,6 @@
     std::function<void()> mRun;
   };
 
-  static uint32_t SampleKey(uint32_t aSample)
-  {
-    return aSample * ((kMaxKeyNumber + 1) / kSamples) + 5;
-  }
-
   static target_name NameOf(size_t aTarget)
   {
     return target_name("t" + std::to_string(aTarget));
@@ -203,11 +189,8 @@
   {
     std::vector<size_t> holders;
     for (size_t i = 0; i < kTargets; ++i) {
-      for (const held_keys& held : mTargets[i].mHeld) {
-        if (held.mUntil > mNow && held.mKeys.Contains(SampleKey(aSample))) {
-          holders.push_back(i);
-          break;
-        }
+      if (mTargets[i].mKeys.Holds(aSample, mNow)) {
+        holders.push_back(i);
       }
     }
     return holders;
@@ -253,7 +236,6 @@
       if (!each.mUp && mNow >= each.mBackAt) {
         each.mUp = true;
         each.mStartedMs += kTargets;
-        each.mSeenFence = {};
         each.mEntryGoneAt = time_point::max();
       }
     }
@@ -418,7 +400,7 @@
     Carry(
       aRouter,
       to,
-      [this, to, aOrder] { return TakeGrant(mTargets[to], aOrder); },
+      [this, to, aOrder] { return mTargets[to].mKeys.TakeGrant(aOrder, mNow); },
       [this, aRouter, aOrder](order_end aEnd) {
         mRouters[aRouter].mController->HandleGrantEnd(aOrder.mId, aEnd, mNow);
       });
@@ -437,7 +419,7 @@
     Carry(
       aRouter,
       to,
-      [this, to, aOrder] { return TakeRelease(mTargets[to], aOrder); },
+      [this, to, aOrder] { return mTargets[to].mKeys.TakeRelease(aOrder); },
       [this, aRouter, aOrder](order_end aEnd) {
         mRouters[aRouter].mController->HandleReleaseEnd(
           aOrder.mId, aEnd, "h", mNow);
@@ -464,63 +446,9 @@
     });
   }
 
-  order_end TakeGrant(target& aTarget, const grant_order& aOrder)
-  {
-    for (uint32_t sample = 0; sample < kSamples; ++sample) {
-      if (aOrder.mKeys.Contains(SampleKey(sample)) &&
-          aTarget.mSeenFence[sample] > aOrder.mFence.Value()) {
-        return order_end::kFenced;
-      }
-    }
-    SeeFence(aTarget, aOrder.mKeys, aOrder.mFence.Value());
-    RemoveKeys(aTarget, aOrder.mKeys);
-    // The target's clock may run two percent slow.
-    const auto hold = std::chrono::duration_cast<duration>(aOrder.mHold * 1.02);
-    aTarget.mHeld.push_back(
-      { aOrder.mKeys, aOrder.mFence.Value(), mNow + hold });
-    return order_end::kAccepted;
-  }
-
-  order_end TakeRelease(target& aTarget, const release_order& aOrder)
-  {
-    SeeFence(aTarget, aOrder.mKeys, aOrder.mFence.Value());
-    RemoveKeys(aTarget, aOrder.mKeys);
-    return order_end::kAccepted;
-  }
-
-  void SeeFence(target& aTarget, const key_interval& aKeys, uint64_t aFence)
-  {
-    for (uint32_t sample = 0; sample < kSamples; ++sample) {
-      if (aKeys.Contains(SampleKey(sample))) {
-        aTarget.mSeenFence[sample] =
-          std::max(aTarget.mSeenFence[sample], aFence);
-      }
-    }
-  }
-
-  static void RemoveKeys(target& aTarget, const key_interval& aKeys)
-  {
-    std::vector<held_keys> rest;
-    for (const held_keys& held : aTarget.mHeld) {
-      if (!held.mKeys.Overlaps(aKeys)) {
-        rest.push_back(held);
-        continue;
-      }
-      if (held.mKeys.mFrom < aKeys.mFrom) {
-        rest.push_back(
-          { { held.mKeys.mFrom, aKeys.mFrom - 1 }, held.mFence, held.mUntil });
-      }
-      if (held.mKeys.mTo > aKeys.mTo) {
-        rest.push_back(
-          { { aKeys.mTo + 1, held.mKeys.mTo }, held.mFence, held.mUntil });
-      }
-    }
-    aTarget.mHeld = std::move(rest);
-  }
-
   void Check()
   {
-    for (uint32_t sample = 0; sample < kSamples; ++sample) {
+    for (uint32_t sample = 0; sample < kSampleKeys; ++sample) {
       const std::vector<size_t> holders = Holders(sample);
       ASSERT_LE(holders.size(), 1u) << "key " << SampleKey(sample) << " at "
                                     << mNow.time_since_epoch().count();
@@ -529,11 +457,8 @@
       }
       const target& owner = mTargets[holders[0]];
       const target_life life{ NameOf(holders[0]), owner.mStartedMs };
-      for (const held_keys& held : owner.mHeld) {
-        if (held.mUntil > mNow && held.mKeys.Contains(SampleKey(sample))) {
-          CheckFence(sample, life, held.mFence);
-        }
-      }
+      const auto held = owner.mKeys.Holds(sample, mNow);
+      CheckFence(sample, life, held->Value());
     }
   }
 
--- a/UnitTests/Settings/RouterSettingsTest.cpp
+++ b/UnitTests/Settings/RouterSettingsTest.cpp
@@ -121,4 +121,23 @@
   EXPECT_THROW(LoadRouterSettings("/nonexistent/settings.json"), system_error);
 }
 
+// Guards against an address that is read wrongly, or taken though it is none.
+TEST(RouterSettings, ReadsAddressTexts)
+{
+  EXPECT_EQ(FindSocketAddress("10.0.0.1:80"),
+            (socket_address{ "10.0.0.1", 80 }));
+  EXPECT_EQ(FindSocketAddress("[::1]:65535"), (socket_address{ "::1", 65535 }));
+  for (const char* text : { "",
+                            "10.0.0.1",
+                            "10.0.0.1:",
+                            "10.0.0.1:x",
+                            "10.0.0.1:80x",
+                            "10.0.0.1:65536",
+                            "10.0.0.1:-1",
+                            ":80",
+                            "host:80" }) {
+    EXPECT_FALSE(FindSocketAddress(text)) << text;
+  }
+}
+
 } // namespace parsleystair
