--- a/Parsleystair/Balancing/TargetBalancer.cpp
+++ b/Parsleystair/Balancing/TargetBalancer.cpp
@@ -1,5 +1,7 @@
 #include "Parsleystair/Balancing/TargetBalancer.h"
 
+#include "Parsleystair/Core/Log.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -215,13 +217,13 @@
       return;
     case try_end::kNotConnected:
       CountFailure(state, 1, aNow);
-      SetAside(state, aNow);
+      SetAside(aTarget, state, "not connected", aNow);
       return;
     case try_end::kNoAnswer:
       CountFailure(state, 1, aNow);
       state.mLost += 1;
       if (state.mLost >= kLostToSetAside) {
-        SetAside(state, aNow);
+        SetAside(aTarget, state, "no answers", aNow);
       }
       return;
     case try_end::kCancelled:
@@ -254,12 +256,22 @@
   aState.mLastFailure = aNow;
 }
 
-void target_balancer::SetAside(target_state& aState, time_point aNow)
+void target_balancer::SetAside(const target_name& aTarget,
+                               target_state& aState,
+                               const char* aReason,
+                               time_point aNow)
 {
-  if (!aState.mSetAside) {
-    aState.mSetAside = true;
-    aState.mNextProbe = aNow + kProbeInterval;
+  if (aState.mSetAside) {
+    return;
   }
+  aState.mSetAside = true;
+  aState.mNextProbe = aNow + kProbeInterval;
+  log_line(log_severity::kInfo, "target_set_aside")
+    .Add("target", aTarget.Value())
+    .Add("service", aState.mService.Value())
+    .Add("reason", aReason)
+    .Add("lost", uint64_t{ aState.mLost })
+    .Add("in_flight", uint64_t{ aState.mInFlight.size() });
 }
 
 void target_balancer::HandleProbe(const target_name& aTarget,
--- a/Parsleystair/Balancing/TargetBalancer.h
+++ b/Parsleystair/Balancing/TargetBalancer.h
@@ -135,7 +135,10 @@
   static void CountFailure(target_state& aState,
                            double aWeight,
                            time_point aNow);
-  static void SetAside(target_state& aState, time_point aNow);
+  static void SetAside(const target_name& aTarget,
+                       target_state& aState,
+                       const char* aReason,
+                       time_point aNow);
 
   balancer_site mSite;
   std::mt19937_64 mRandom;
--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -41,6 +41,21 @@
   return settings;
 }
 
+request_end EndOf(refusal_kind aKind)
+{
+  switch (aKind) {
+    case refusal_kind::kNotRun:
+      return request_end::kNotRun;
+    case refusal_kind::kUnknownRoute:
+      return request_end::kUnknownRoute;
+    case refusal_kind::kNoAnswer:
+      return request_end::kNoAnswer;
+    case refusal_kind::kTimeOver:
+      break;
+  }
+  return request_end::kTimeOver;
+}
+
 } // namespace
 
 forwarder::forwarder(event_loop& aLoop,
@@ -194,8 +209,9 @@
                         http_answer aAnswer,
                         time_point aNow)
 {
-  ++mCounters.mAnswered;
-  mLatency.Add(aNow - aRequest.mArrived);
+  const duration held = aNow - aRequest.mArrived;
+  mSums.Count(aRequest.mService, request_end::kAnswered, held, "");
+  mLatency.Add(held);
   aAnswer.mHeaders = EndToEndHeaders(aAnswer.mHeaders);
   mServer.Respond(aRequest.mExchange, aAnswer);
   Finish(aRequest, aNow);
@@ -206,37 +222,35 @@
                        const std::string& aReason,
                        time_point aNow)
 {
-  const char* outcome = "not-run";
+  const request_end end = EndOf(aKind);
+  const duration held = aNow - aRequest.mArrived;
+  mSums.Count(aRequest.mService, end, held, aReason);
+  LogRefusal(aRequest, end, aReason, held);
   refusal why{ aKind, aReason, {} };
-  switch (aKind) {
-    case refusal_kind::kNotRun:
-      ++mCounters.mRefusedNotRun;
-      why.mRetryAfter = kRetryAfter;
-      break;
-    case refusal_kind::kUnknownRoute:
-      ++mCounters.mUnknownRoute;
-      outcome = "unknown-route";
-      break;
-    case refusal_kind::kNoAnswer:
-      ++mCounters.mNoAnswer;
-      outcome = "no-answer";
-      break;
-    case refusal_kind::kTimeOver:
-      ++mCounters.mTimeOver;
-      outcome = "time-over";
-      break;
+  if (aKind == refusal_kind::kNotRun) {
+    why.mRetryAfter = kRetryAfter;
   }
+  mServer.Respond(aRequest.mExchange,
+                  mProtocol.RefusalAnswer(why, aRequest.mTerms.mRequestId));
+  Finish(aRequest, aNow);
+}
+
+void forwarder::LogRefusal(const open_request& aRequest,
+                           request_end aEnd,
+                           const std::string& aReason,
+                           duration aHeld) const
+{
   log_line line(log_severity::kInfo, "request_refused");
   line.Add("request", aRequest.mTerms.mRequestId)
-    .Add("outcome", outcome)
+    .Add("outcome", RequestEndName(aEnd))
     .Add("reason", aReason)
     .Add("service", aRequest.mService.Value())
     .Add("version",
          mView.mRoutes == nullptr ? uint64_t{ 0 }
                                   : mView.mRoutes->Configuration().mVersion)
     .Add("tries", uint64_t{ aRequest.mAttempts })
-    .Add("held_us", int64_t{ (aNow - aRequest.mArrived).count() });
-  if (aKind == refusal_kind::kUnknownRoute) {
+    .Add("held_us", int64_t{ aHeld.count() });
+  if (aEnd == request_end::kUnknownRoute) {
     line
       .Add("host", FindHeader(aRequest.mRequest.mHeaders, "host").value_or(""))
       .Add("path", aRequest.mRequest.mPath);
@@ -247,9 +261,6 @@
   if (!aRequest.mTried.empty()) {
     line.Add("target", aRequest.mTried.back().Value());
   }
-  mServer.Respond(aRequest.mExchange,
-                  mProtocol.RefusalAnswer(why, aRequest.mTerms.mRequestId));
-  Finish(aRequest, aNow);
 }
 
 void forwarder::Finish(open_request& aRequest, time_point aNow)
@@ -271,11 +282,12 @@
   }
   open_request& request = mRequests.at(found->second);
   const time_point now = MonotonicNow();
-  ++mCounters.mCallerGone;
+  const duration held = now - request.mArrived;
+  mSums.Count(request.mService, request_end::kCallerGone, held, "");
   log_line(log_severity::kInfo, "caller_gone")
     .Add("request", request.mTerms.mRequestId)
     .Add("tries", uint64_t{ request.mAttempts })
-    .Add("held_us", int64_t{ (now - request.mArrived).count() });
+    .Add("held_us", int64_t{ held.count() });
   // Work that can't be repeated is not broken off; its answer is dropped.
   if (!request.mRoute->mIdempotent && !request.mTries.empty()) {
     request.mCallerGone = true;
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -4,6 +4,7 @@
 #include "Parsleystair/Dump/LatencyHistogram.h"
 #include "Parsleystair/Gateway/ForwarderCounters.h"
 #include "Parsleystair/Gateway/RequestProtocol.h"
+#include "Parsleystair/Gateway/RequestSums.h"
 #include "Parsleystair/Gateway/TargetConnections.h"
 #include "Parsleystair/Http/HttpServer.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
@@ -68,13 +69,14 @@
   /// From now on new requests are refused; open ones go on.
   void RefuseNew();
 
-  /// Periodic work: health checks, idle connections.
+  /// Periodic work: health checks, idle connections, sums for the log.
   void Tick(time_point aNow);
 
   /// What was seen of the keyed services since the last call.
   load_report TakeLoad();
 
   [[nodiscard]] const forwarder_counters& Counters() const { return mCounters; }
+  [[nodiscard]] const request_sums& Sums() const { return mSums; }
   [[nodiscard]] const latency_histogram& Latency() const { return mLatency; }
   [[nodiscard]] const target_balancer& Balancer() const { return mBalancer; }
   [[nodiscard]] const target_connections& Connections() const
@@ -140,6 +142,10 @@
               refusal_kind aKind,
               const std::string& aReason,
               time_point aNow);
+  void LogRefusal(const open_request& aRequest,
+                  request_end aEnd,
+                  const std::string& aReason,
+                  duration aHeld) const;
   void Finish(open_request& aRequest, time_point aNow);
 
   // Ends of tries.
@@ -201,6 +207,7 @@
   std::unordered_map<service_name, shared_retry_budget> mBudgets;
   load_report mLoad;
   forwarder_counters mCounters;
+  request_sums mSums;
   latency_histogram mLatency;
   time_point mTimerAt = time_point::max();
   timer mTimer;
--- a/Parsleystair/Gateway/ForwarderCounters.h
+++ b/Parsleystair/Gateway/ForwarderCounters.h
@@ -8,13 +8,6 @@
 struct forwarder_counters
 {
   uint64_t mReceived = 0;
-  /// Ends of requests.
-  uint64_t mAnswered = 0;
-  uint64_t mRefusedNotRun = 0;
-  uint64_t mUnknownRoute = 0;
-  uint64_t mNoAnswer = 0;
-  uint64_t mTimeOver = 0;
-  uint64_t mCallerGone = 0;
   /// Tries at targets and how they ended.
   uint64_t mTries = 0;
   uint64_t mTriesNotConnected = 0;
--- a/Parsleystair/Gateway/ForwarderTries.cpp
+++ b/Parsleystair/Gateway/ForwarderTries.cpp
@@ -262,6 +262,11 @@
     return true;
   }
   ++mCounters.mBudgetEmpty;
+  log_line(log_severity::kInfo, "repeat_refused")
+    .Add("request", aRequest.mTerms.mRequestId)
+    .Add("reason", "the budget of repeats is used up")
+    .Add("service", aRequest.mService.Value())
+    .Add("tries", uint64_t{ aRequest.mAttempts });
   return false;
 }
 
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -27,6 +27,14 @@
     return;
   }
   ++mCounters.mParked;
+  const owned_range* range = FindOwnedRange(aRequest);
+  log_line(log_severity::kInfo, "request_waits")
+    .Add("request", aRequest.mTerms.mRequestId)
+    .Add("reason", aReason)
+    .Add("service", aRequest.mService.Value())
+    .Add("key", uint64_t{ aRequest.mTerms.mKey.value_or(0) })
+    .Add("owner", range == nullptr ? "" : range->mOwner.mName.Value())
+    .Add("longest_us", int64_t{ (ParkLimit(aRequest) - aNow).count() });
   ParkUntil(aRequest, ParkLimit(aRequest), aNow);
 }
 
@@ -132,6 +140,7 @@
 
 void forwarder::Tick(time_point aNow)
 {
+  mSums.WriteDue(aNow);
   mConnections.Sweep(mView.mDirectory, aNow);
   mBalancer.Retain(mView.mDirectory);
   for (const target_name& target : mBalancer.TakeProbes(aNow)) {
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -45,6 +45,24 @@
   aText += "parsleystair_" + aName + "_count " + std::to_string(total) + "\n";
 }
 
+void AppendSums(std::string& aText, const request_sums& aSums)
+{
+  aText += "# TYPE parsleystair_requests_ended_total counter\n";
+  for (const auto& [service, counts] : aSums.Totals()) {
+    for (const request_end end : kRequestEnds) {
+      aText += "parsleystair_requests_ended_total{service=\"" +
+               service.Value() + "\",outcome=\"" +
+               std::string(RequestEndName(end)) + "\"} " +
+               std::to_string(counts.Of(end)) + "\n";
+    }
+  }
+  aText += "# TYPE parsleystair_requests_refused_total counter\n";
+  for (const auto& [reason, count] : aSums.Reasons()) {
+    AppendLabelled(
+      aText, "requests_refused_total", "reason", reason.c_str(), count);
+  }
+}
+
 } // namespace
 
 std::string gateway_task::MetricsText() const
@@ -55,14 +73,7 @@
                "requests_received_total",
                "counter",
                static_cast<double>(counts.mReceived));
-  text += "# TYPE parsleystair_requests_ended_total counter\n";
-  const std::string ended = "requests_ended_total";
-  AppendLabelled(text, ended, "outcome", "answered", counts.mAnswered);
-  AppendLabelled(text, ended, "outcome", "not-run", counts.mRefusedNotRun);
-  AppendLabelled(text, ended, "outcome", "unknown-route", counts.mUnknownRoute);
-  AppendLabelled(text, ended, "outcome", "no-answer", counts.mNoAnswer);
-  AppendLabelled(text, ended, "outcome", "time-over", counts.mTimeOver);
-  AppendLabelled(text, ended, "outcome", "caller-gone", counts.mCallerGone);
+  AppendSums(text, mForwarder.Sums());
   text += "# TYPE parsleystair_tries_total counter\n";
   const std::string tries = "tries_total";
   AppendLabelled(text, tries, "result", "sent", counts.mTries);
--- a/Parsleystair/Operator/OperatorArguments.cpp
+++ b/Parsleystair/Operator/OperatorArguments.cpp
@@ -29,10 +29,15 @@
   status                   show the routers and their configuration
   owner SERVICE KEY        show which target owns a key
   dump VM                  show the state of a router
+  explain REQUEST LOG...   show what the logs say of a request, and the state
+                           that decided
+  report LOG...            sum up logs: outcomes, worst seconds, targets set
+                           aside, moves of keys
 
 Exit codes:
   0  done
-  1  refused, in conflict with another note, or not in force everywhere
+  1  refused, in conflict with another note, not in force everywhere, or no
+     log names the request
   2  wrong arguments or input
   3  platform or router unreachable; nothing has changed
   4  outcome unknown; submit the same note again to learn it
@@ -55,7 +60,7 @@
     ("rebase", "submit: put the note on top of notes accepted meanwhile") //
     ("timeout", "seconds, 30 by default", cxxopts::value<std::string>())  //
     ("limit",
-     "list: newest notes, 20 by default",
+     "list: newest notes; report: worst seconds; 20 by default",
      cxxopts::value<std::string>())   //
     ("json", "print one JSON object") //
     ("version", "show the version")   //
--- a/Parsleystair/Operator/OperatorArguments.h
+++ b/Parsleystair/Operator/OperatorArguments.h
@@ -25,7 +25,7 @@
   bool mVersion = false;
   /// Longest time of the whole command.
   duration mTimeout = 30s;
-  /// Newest notes that are listed.
+  /// Newest notes, or worst seconds, that are listed.
   uint32_t mLimit = 20;
 
   /// Throws `command_error` when the option is missing.
--- a/Parsleystair/Operator/OperatorCommand.cpp
+++ b/Parsleystair/Operator/OperatorCommand.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/Operator/OperatorCommand.h"
 
 #include "Parsleystair/Operator/FileCommands.h"
+#include "Parsleystair/Operator/LogCommands.h"
 #include "Parsleystair/Operator/OperatorArguments.h"
 #include "Parsleystair/Operator/ReleaseCommands.h"
 #include "Parsleystair/Operator/Reports.h"
@@ -50,12 +51,24 @@
     "see parsleystair --help");
 }
 
+/// Words after the first `aCount`.
+words Rest(const words& aWords, size_t aCount)
+{
+  return { aWords.begin() + static_cast<std::ptrdiff_t>(aCount), aWords.end() };
+}
+
 command_result Run(const operator_arguments& aArguments)
 {
   const words& given = aArguments.mWords;
   if (!given.empty() && given.front() == "release") {
     return RunRelease(aArguments);
   }
+  if (given.size() >= 3 && given.front() == "explain") {
+    return RunExplain(given[1], Rest(given, 2));
+  }
+  if (given.size() >= 2 && given.front() == "report") {
+    return RunReport(aArguments, Rest(given, 1));
+  }
   if (Is(given, { "check" }, 1)) {
     return RunCheck(aArguments, given[1]);
   }
--- a/UnitTests/Operator/OperatorCommandTest.cpp
+++ b/UnitTests/Operator/OperatorCommandTest.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/Operator/OperatorWorld.h"
 
 #include <fstream>
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace parsleystair {
@@ -202,4 +203,40 @@
   EXPECT_EQ(RunJson({ "dump", "vm-2", world.Router() })["exitCode"], 2);
 }
 
+// Guards against a request whose chain can't be read from files, and an id that
+// no log names but that looks found.
+TEST(OperatorCommand, ExplainsARequestFromLogs)
+{
+  const std::string log = WriteFile(
+    "vm-1.log",
+    "time=2026-12-04T07:00:00.1 level=info event=try_failed request=r-1 "
+    "target=t-1 failure=\"timed out\"\n"
+    "time=2026-12-04T07:00:00.2 level=info event=request_refused request=r-1 "
+    "outcome=no-answer\n");
+  const json found = RunJson({ "explain", "r-1", log });
+  EXPECT_EQ(found["exitCode"], 0) << found;
+  ASSERT_EQ(found["lines"].size(), 2U);
+  EXPECT_EQ(found["lines"][0]["fields"]["failure"], "timed out");
+  EXPECT_EQ(found["lines"][0]["source"], "vm-1.log");
+  EXPECT_EQ(RunCommand({ "explain", "r-2", log }).mCode, 1);
+  EXPECT_EQ(RunCommand({ "explain", "r-1", log + ".none" }).mCode, 2);
+}
+
+// Guards against a report that leaves out outcomes or the worst seconds.
+TEST(OperatorCommand, ReportsADayFromLogs)
+{
+  const std::string log = WriteFile(
+    "vm-2.log",
+    "time=2026-12-04T07:00:01.0 level=info event=requests_ended service=menus "
+    "answered=9 not_run=2\n"
+    "time=2026-12-04T07:00:02.0 level=info event=requests_ended service=menus "
+    "answered=9 not_run=4\n");
+  const json report = RunJson({ "report", log, "--limit=1" });
+  EXPECT_EQ(report["services"]["menus"]["answered"], 18);
+  ASSERT_EQ(report["worstSeconds"].size(), 1U);
+  EXPECT_EQ(report["worstSeconds"][0]["second"], "2026-12-04T07:00:02");
+  EXPECT_THAT(RunCommand({ "report", log }).mOut,
+              testing::HasSubstr("menus: 18 answered, 6 not run"));
+}
+
 } // namespace parsleystair
