Watch the store once a failure domain

Owners of keys and the list of routers went to each router across the regions' border: half of its bytes.

One router of each failure domain with six routers or more now watches for the others, and its answers carry a proof that is at most 1.5 s old; a router that gets none asks the store.

--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -76,7 +76,7 @@
     : mTask(aTask)
     , mItems(std::move(aItems))
     , mChange(std::move(aChange))
-    , mFollower(aTask.mLoop, aTask.mPlatform.mStore, aPrefix, *this, aSeed)
+    , mFollower(aTask.mLoop, aTask.mFollowed, aPrefix, *this, aSeed)
   {
   }
 
@@ -142,6 +142,8 @@
            [this](exchange_id aExchange, const http_request& aRequest) {
              HandlePeer(aExchange, aRequest);
            })
+  , mRelays(aSettings.mPeers.mHost, aSettings.mFailureDomain)
+  , mFollowed(aLoop, aPlatform.mStore, mRelays, mPeers, aSettings.mPeers.mPort)
   , mForwarder(aLoop,
                ForwarderSettings(aSettings),
                aPlatform.mRequests,
@@ -171,8 +173,10 @@
 {
   mCallers.OnClose(
     [this](exchange_id aExchange) { mForwarder.HandleCallerGone(aExchange); });
-  mPeers.OnClose(
-    [this](exchange_id aExchange) { mFeedServer.HandleGone(aExchange); });
+  mPeers.OnClose([this](exchange_id aExchange) {
+    mFeedServer.HandleGone(aExchange);
+    mFollowed.HandleGone(aExchange);
+  });
   mElection.OnChange([this] { HandleLeadership(); });
   mRanges.OnRecord(
     [this](const service_name& aService, const versioned_record& aRecord) {
@@ -339,6 +343,7 @@
   if (now >= mNextReport) {
     mNextReport = now + kReportInterval;
     SendReport();
+    ChooseOwnerSource();
   }
   // Without a leader that answers, the store itself is asked.
   const bool waits = mElection.IsLeading() && !mRanges.IsLeading();
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -4,9 +4,11 @@
 #include "Parsleystair/Gateway/GatewaySettings.h"
 #include "Parsleystair/Gateway/LeaderElection.h"
 #include "Parsleystair/Gateway/OwnerFeed.h"
+#include "Parsleystair/Gateway/PeerReport.h"
 #include "Parsleystair/Gateway/PlatformCatalog.h"
 #include "Parsleystair/Gateway/PrefixFollower.h"
 #include "Parsleystair/Gateway/RangeDriver.h"
+#include "Parsleystair/Gateway/RelayedStore.h"
 #include "Parsleystair/Http/HttpConnection.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
 
@@ -76,8 +78,14 @@
   void Tick();
   void SendReport();
   void HandleReportAnswer(const http_result& aResult);
-  /// IP addresses of the routers that report to this one, and its own.
-  std::vector<std::string> LiveRouters(time_point aNow);
+  void ApplyRouters(const router_list& aRouters);
+  [[nodiscard]] listed_router SelfListed() const;
+  /// This router leads, and all others have reported to it.
+  [[nodiscard]] bool KnowsRouters(time_point aNow) const;
+  /// Routers that report to this one, and itself.
+  router_list LiveRouters(time_point aNow);
+  /// Asks the relay for owners, or the leader itself.
+  void ChooseOwnerSource();
   void StepShutdown();
 
   event_loop& mLoop;
@@ -89,6 +97,8 @@
   http_server mReadiness;
   http_server mOperators;
   http_server mPeers;
+  relay_choice mRelays;
+  relayed_store mFollowed;
   forwarder mForwarder;
   leader_election mElection;
   range_driver mRanges;
@@ -101,7 +111,14 @@
   std::unique_ptr<http_connection> mFormerConnection;
   timer mFormerTimer;
   /// When each router last reported to this one.
-  std::map<std::string, time_point> mReporters;
+  std::map<listed_router, time_point> mReporters;
+  /// Routers as the leader lists them, and their digest.
+  router_list mRouters;
+  uint64_t mRoutersDigest = 0;
+  time_point mLeadingSince = time_point::min();
+  /// The relay that is asked for owners; the leader if there is none.
+  std::optional<std::string> mOwnerRelay;
+  time_point mNextRelayTry = time_point::min();
   time_point mNextOwnersRead = time_point::min();
   std::unique_ptr<http_connection> mReportConnection;
   std::optional<leader_entry> mReportLeader;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -3,7 +3,7 @@
 #include "Parsleystair/Core/Log.h"
 #include "Parsleystair/Gateway/GatewayTask.h"
 
-#include <sstream>
+#include <algorithm>
 
 // Who leads, who owns which keys, and what routers tell each other of both.
 
@@ -21,6 +21,10 @@
 constexpr duration kFormerLeaderTimeout = 300ms;
 /// A router without a report for this long has gone.
 constexpr duration kReporterTime = 3s;
+/// Time after which all routers have reported twice to a new leader.
+constexpr duration kFirstListDelay = 1s;
+/// Pause before a relay that named the leader instead is asked again.
+constexpr duration kRelayRetryInterval = 3s;
 
 } // namespace
 
@@ -28,7 +32,37 @@
 {
   mElection.HandleKey(aItem);
   const auto& leader = mElection.Leader();
-  mFeedClient.SetLeader(mElection.IsLeading() ? std::nullopt : leader);
+  if (mElection.IsLeading()) {
+    mFeedClient.SetLeader(std::nullopt);
+  } else if (!mOwnerRelay) {
+    mFeedClient.SetLeader(leader);
+  }
+}
+
+void gateway_task::ChooseOwnerSource()
+{
+  const time_point now = MonotonicNow();
+  const auto& leader = mElection.Leader();
+  if (mElection.IsLeading() || !leader) {
+    return;
+  }
+  const auto relay = mRelays.Current(now);
+  const bool onRelay =
+    mFeedClient.Leader() && mFeedClient.Leader()->mHost == relay;
+  if (!relay) {
+    if (mOwnerRelay) {
+      mOwnerRelay.reset();
+      mFeedClient.SetLeader(leader);
+    }
+  } else if (!onRelay && now >= mNextRelayTry) {
+    // A relay that does not know yet that it is one names the leader instead.
+    mNextRelayTry = now + kRelayRetryInterval;
+    mOwnerRelay = relay;
+    leader_entry source;
+    source.mHost = *relay;
+    source.mPort = mSettings.mPeers.mPort;
+    mFeedClient.SetLeader(source);
+  }
 }
 
 void gateway_task::HandleLeadership()
@@ -40,6 +74,7 @@
     mRanges.HandleLeadership(MonotonicNow());
     return;
   }
+  mLeadingSince = MonotonicNow();
   // A leader starts from the records as they are in the store now.
   mFeedClient.SetLeader(std::nullopt);
   ReadOwners();
@@ -133,9 +168,7 @@
   mView.mRanges[aService] = aRecord.mRecord;
   mRanges.HandleRecord(aService, aRecord.mRecord, aRecord.mRevision);
   mForwarder.HandleViewChanged();
-  if (mElection.IsLeading()) {
-    mFeedServer.HandleRecords(mOwners);
-  }
+  mFeedServer.HandleRecords(mOwners);
 }
 
 owner_revisions gateway_task::KnownOwners() const
@@ -150,13 +183,16 @@
 void gateway_task::SendReport()
 {
   const load_report report = mForwarder.TakeLoad();
-  const auto& leader =
-    mElection.IsLeading() ? mElection.Leader() : mFeedClient.Leader();
+  const bool storeTells = mElection.IsLeading() || mOwnerRelay.has_value();
+  const auto& leader = storeTells ? mElection.Leader() : mFeedClient.Leader();
   if (!leader) {
     return;
   }
   if (mElection.IsLeading()) {
-    mForwarder.SetRouters(LiveRouters(MonotonicNow()).size());
+    const time_point now = MonotonicNow();
+    if (KnowsRouters(now)) {
+      ApplyRouters(LiveRouters(now));
+    }
     for (const auto& [service, load] : report) {
       mRanges.HandleLoad(service, load, MonotonicNow());
     }
@@ -173,7 +209,7 @@
   http_request request;
   request.mMethod = "POST";
   request.mPath = "/load";
-  request.mBody = EncodeLoadReport(report);
+  request.mBody = EncodePeerReport({ SelfListed(), mRoutersDigest, report });
   // A lost report only makes the load look smaller for a second.
   mReportConnection->Call(
     request, kReportTimeout, [this](const http_result& aResult) {
@@ -183,31 +219,60 @@
 
 void gateway_task::HandleReportAnswer(const http_result& aResult)
 {
-  // Routers that don't lead answer without a list.
+  // Routers that don't lead, and a leader whose list is known, send none.
   if (aResult.mStatus != http_status::kAnswered ||
       aResult.mAnswer.mBody.empty()) {
     return;
   }
-  std::vector<std::string> routers;
-  std::istringstream text(aResult.mAnswer.mBody);
-  for (std::string host; text >> host;) {
-    routers.push_back(host);
+  try {
+    ApplyRouters(DecodeRouterList(aResult.mAnswer.mBody));
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kWarning, "routers_unreadable")
+      .Add("error", exception.what());
   }
-  mForwarder.SetRouters(routers.size());
-  std::erase(routers, mSettings.mPeers.mHost);
-  mFeedClient.SetPeers(std::move(routers));
 }
 
-std::vector<std::string> gateway_task::LiveRouters(time_point aNow)
+void gateway_task::ApplyRouters(const router_list& aRouters)
+{
+  if (aRouters == mRouters) {
+    return;
+  }
+  log_line(log_severity::kInfo, "routers_changed")
+    .Add("routers", uint64_t{ aRouters.size() });
+  mRouters = aRouters;
+  mRoutersDigest = DigestOf(aRouters);
+  mRelays.SetRouters(aRouters);
+  mForwarder.SetRouters(aRouters.size());
+  std::vector<std::string> peers;
+  for (const listed_router& router : aRouters) {
+    if (router.mHost != mSettings.mPeers.mHost) {
+      peers.push_back(router.mHost);
+    }
+  }
+  mFeedClient.SetPeers(std::move(peers));
+}
+
+listed_router gateway_task::SelfListed() const
+{
+  return { mSettings.mPeers.mHost, mSettings.mFailureDomain };
+}
+
+bool gateway_task::KnowsRouters(time_point aNow) const
+{
+  return mElection.IsLeading() && aNow >= mLeadingSince + kFirstListDelay;
+}
+
+router_list gateway_task::LiveRouters(time_point aNow)
 {
   std::erase_if(mReporters, [&](const auto& aReporter) {
     return aNow - aReporter.second > kReporterTime;
   });
-  std::vector<std::string> hosts{ mSettings.mPeers.mHost };
-  for (const auto& [host, at] : mReporters) {
-    hosts.push_back(host);
+  router_list routers{ SelfListed() };
+  for (const auto& [router, at] : mReporters) {
+    routers.push_back(router);
   }
-  return hosts;
+  std::sort(routers.begin(), routers.end());
+  return routers;
 }
 
 void gateway_task::HandlePeer(exchange_id aExchange,
@@ -217,9 +282,11 @@
     HandleReport(aExchange, aRequest);
   } else if (aRequest.mPath == "/abdicate") {
     AnswerAbdication(aExchange, aRequest);
+  } else if (aRequest.mPath == "/watch") {
+    mFollowed.HandleQuestion(aExchange, aRequest);
   } else if (aRequest.mPath != "/owners") {
     mPeers.Respond(aExchange, { kNotFound, {}, "" });
-  } else if (mElection.IsLeading()) {
+  } else if (mElection.IsLeading() || mRelays.IsRelay(MonotonicNow())) {
     mFeedServer.HandleQuestion(aExchange, aRequest, mOwners);
   } else {
     mFeedServer.Decline(aExchange, mElection.Leader());
@@ -230,18 +297,18 @@
                                 const http_request& aRequest)
 {
   try {
-    for (const auto& [service, load] : DecodeLoadReport(aRequest.mBody)) {
-      mRanges.HandleLoad(service, load, MonotonicNow());
-    }
+    const peer_report report = DecodePeerReport(aRequest.mBody);
     const time_point now = MonotonicNow();
-    mReporters[aRequest.mRemoteHost] = now;
-    std::string hosts;
-    if (mElection.IsLeading()) {
-      for (const std::string& host : LiveRouters(now)) {
-        hosts += host + "\n";
-      }
+    for (const auto& [service, load] : report.mLoad) {
+      mRanges.HandleLoad(service, load, now);
     }
-    mPeers.Respond(aExchange, { kOk, {}, hosts });
+    mReporters[report.mRouter] = now;
+    const bool isBehind = report.mKnownRouters != mRoutersDigest;
+    mPeers.Respond(
+      aExchange,
+      { kOk,
+        {},
+        KnowsRouters(now) && isBehind ? EncodeRouterList(mRouters) : "" });
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "report_unreadable")
       .Add("peer", aRequest.mRemoteHost)
--- /dev/null
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -0,0 +1,251 @@
+#include "Parsleystair/Gateway/RelayedStore.h"
+
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Core/Log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace parsleystair {
+
+namespace {
+
+constexpr uint32_t kOk = 200;
+constexpr uint32_t kBadRequest = 400;
+constexpr uint32_t kUnavailable = 503;
+
+/// Longest wait of a relay's own watch. Each answer of the store shows the
+/// routers behind it that they have missed nothing.
+constexpr duration kProofInterval = 1s;
+/// Time for a relay's answer: its own watch and the way there and back. A
+/// change that a silent relay holds back is found this much later, which must
+/// stay below the seconds within which changes are to be in force.
+constexpr duration kQuestionTimeout = 1500ms;
+/// Longest wait of a watch at the store while the relay can't answer.
+constexpr duration kFallbackWait = 3s;
+
+http_connection_settings LinkSettings()
+{
+  http_connection_settings settings;
+  // Within a failure domain a connection takes a millisecond; a lost packet is
+  // sent again after 200 ms.
+  settings.mConnectTimeout = 500ms;
+  return settings;
+}
+
+} // namespace
+
+relayed_store::relayed_store(event_loop& aLoop,
+                             coordination_store& aStore,
+                             relay_choice& aRelays,
+                             http_server& aPeers,
+                             uint16_t aPort)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mRelays(aRelays)
+  , mPeers(aPeers)
+  , mPort(aPort)
+{
+}
+
+void relayed_store::Watch(const std::string& aPrefix,
+                          store_revision aAfter,
+                          duration aWait,
+                          watch_callback aCallback)
+{
+  const time_point now = MonotonicNow();
+  const auto relay = mRelays.Current(now);
+  if (!relay) {
+    const duration longest = mRelays.IsRelay(now) ? kProofInterval : aWait;
+    WatchStore(aPrefix, aAfter, std::min(aWait, longest), std::move(aCallback));
+    return;
+  }
+  relay_link& link = LinkTo(*relay, aPrefix);
+  if (link.mConnection->IsBusy()) {
+    // The follower gave up an earlier watch of this prefix.
+    WatchStore(
+      aPrefix, aAfter, std::min(aWait, kFallbackWait), std::move(aCallback));
+    return;
+  }
+  WatchRelay(link, aPrefix, aAfter, std::move(aCallback));
+}
+
+relayed_store::relay_link& relayed_store::LinkTo(const std::string& aHost,
+                                                 const std::string& aPrefix)
+{
+  relay_link& link = mLinks[aPrefix];
+  if (link.mHost != aHost) {
+    log_line(log_severity::kInfo, "relay_chosen")
+      .Add("host", aHost)
+      .Add("prefix", aPrefix);
+    link.mHost = aHost;
+    link.mConnection =
+      std::make_unique<http_connection>(mLoop, aHost, mPort, LinkSettings());
+  }
+  return link;
+}
+
+void relayed_store::WatchRelay(relay_link& aLink,
+                               const std::string& aPrefix,
+                               store_revision aAfter,
+                               watch_callback aCallback)
+{
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/watch";
+  request.mBody =
+    nlohmann::json{ { "prefix", aPrefix }, { "after", aAfter.Value() } }.dump();
+  const std::string host = aLink.mHost;
+  aLink.mConnection->Call(
+    request,
+    kQuestionTimeout,
+    [this, host, aPrefix, aAfter, callback = std::move(aCallback)](
+      const http_result& aResult) {
+      if (const auto reply = ReadAnswer(aResult, host)) {
+        callback(*reply);
+        return;
+      }
+      WatchStore(aPrefix, aAfter, kFallbackWait, callback);
+    });
+}
+
+std::optional<watch_reply> relayed_store::ReadAnswer(const http_result& aResult,
+                                                     const std::string& aHost)
+{
+  const bool whole = aResult.mStatus == http_status::kAnswered;
+  if (whole && aResult.mAnswer.mStatus == kUnavailable) {
+    // It has no proof of its own now, and may have one soon.
+    return std::nullopt;
+  }
+  try {
+    if (whole && aResult.mAnswer.mStatus == kOk) {
+      return DecodeWatchReply(aResult.mAnswer.mBody);
+    }
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kWarning, "relay_answer_unreadable")
+      .Add("host", aHost)
+      .Add("error", exception.what());
+  }
+  log_line(log_severity::kInfo, "relay_lost")
+    .Add("host", aHost)
+    .Add("timed_out", aResult.mTimedOut);
+  mRelays.HandleFailure(aHost, MonotonicNow());
+  return std::nullopt;
+}
+
+void relayed_store::WatchStore(const std::string& aPrefix,
+                               store_revision aAfter,
+                               duration aWait,
+                               watch_callback aCallback)
+{
+  mStore.Watch(aPrefix,
+               aAfter,
+               aWait,
+               [this, aPrefix, aAfter, callback = std::move(aCallback)](
+                 const watch_reply& aReply) {
+                 HandleStoreAnswer(aPrefix, aAfter, aReply);
+                 callback(aReply);
+               });
+}
+
+void relayed_store::HandleStoreAnswer(const std::string& aPrefix,
+                                      store_revision aAfter,
+                                      const watch_reply& aReply)
+{
+  watch_history& history = mHistories[aPrefix];
+  if (aReply.mOutcome == call_outcome::kDone) {
+    history.HandleAnswer(aAfter, aReply, MonotonicNow());
+  } else {
+    history.HandleFailure();
+  }
+  AnswerWaiting(aPrefix);
+}
+
+void relayed_store::AnswerWaiting(const std::string& aPrefix)
+{
+  const watch_history& history = mHistories[aPrefix];
+  const time_point now = MonotonicNow();
+  std::erase_if(mWaiting, [&](const auto& aWaiting) {
+    const auto& [exchange, question] = aWaiting;
+    if (question.mPrefix != aPrefix) {
+      return false;
+    }
+    if (history.Covers(question.mAfter, now)) {
+      mPeers.Respond(
+        exchange,
+        { kOk, {}, EncodeWatchReply(history.After(question.mAfter)) });
+    } else {
+      mPeers.Respond(exchange, { kUnavailable, {}, "" });
+    }
+    return true;
+  });
+}
+
+void relayed_store::HandleQuestion(exchange_id aExchange,
+                                   const http_request& aRequest)
+{
+  try {
+    const nlohmann::json json = nlohmann::json::parse(aRequest.mBody);
+    const waiting_question question{ json.at("prefix").get<std::string>(),
+                                     store_revision(
+                                       json.at("after").get<uint64_t>()) };
+    const watch_history& history = mHistories[question.mPrefix];
+    if (!history.Covers(question.mAfter, MonotonicNow())) {
+      mPeers.Respond(aExchange, { kUnavailable, {}, "" });
+      return;
+    }
+    const watch_reply reply = history.After(question.mAfter);
+    if (reply.mChanges.empty()) {
+      mWaiting[aExchange] = question;
+      return;
+    }
+    mPeers.Respond(aExchange, { kOk, {}, EncodeWatchReply(reply) });
+  } catch (const nlohmann::json::exception& exception) {
+    log_line(log_severity::kWarning, "question_unreadable")
+      .Add("peer", aRequest.mRemoteHost)
+      .Add("error", exception.what());
+    mPeers.Respond(aExchange, { kBadRequest, {}, "" });
+  }
+}
+
+void relayed_store::HandleGone(exchange_id aExchange)
+{
+  mWaiting.erase(aExchange);
+}
+
+void relayed_store::ReadPrefix(const std::string& aPrefix,
+                               std::function<void(prefix_reply)> aCallback)
+{
+  mStore.ReadPrefix(aPrefix, std::move(aCallback));
+}
+
+void relayed_store::Write(const conditional_write& aWrite,
+                          std::function<void(write_reply)> aCallback)
+{
+  mStore.Write(aWrite, std::move(aCallback));
+}
+
+void relayed_store::OpenLease(duration aTtl,
+                              std::function<void(lease_reply)> aCallback)
+{
+  mStore.OpenLease(aTtl, std::move(aCallback));
+}
+
+void relayed_store::RenewLease(lease_id aLease,
+                               std::function<void(lease_reply)> aCallback)
+{
+  mStore.RenewLease(aLease, std::move(aCallback));
+}
+
+void relayed_store::EndLease(lease_id aLease,
+                             std::function<void(lease_reply)> aCallback)
+{
+  mStore.EndLease(aLease, std::move(aCallback));
+}
+
+const coordination_counters& relayed_store::Counters() const
+{
+  return mStore.Counters();
+}
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/RelayedStore.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Parsleystair/Core/EventLoop.h"
+#include "Parsleystair/Gateway/RelayChoice.h"
+#include "Parsleystair/Gateway/WatchHistory.h"
+#include "Parsleystair/Http/HttpConnection.h"
+#include "Parsleystair/Http/HttpServer.h"
+
+#include <map>
+#include <memory>
+
+namespace parsleystair {
+
+/// The store, whose watches go through the relay of the own failure domain
+/// while there is one that answers. All other calls go to the store. Also
+/// answers the watches of routers that chose this one as their relay.
+class relayed_store : public coordination_store
+{
+public:
+  /// `aPeers`: server at which other routers ask. `aPort`: port of that server
+  /// at all routers.
+  relayed_store(event_loop& aLoop,
+                coordination_store& aStore,
+                relay_choice& aRelays,
+                http_server& aPeers,
+                uint16_t aPort);
+
+  /// A watch of another router.
+  void HandleQuestion(exchange_id aExchange, const http_request& aRequest);
+  /// The questioner has gone.
+  void HandleGone(exchange_id aExchange);
+
+  void ReadPrefix(const std::string& aPrefix,
+                  std::function<void(prefix_reply)> aCallback) override;
+  void Watch(const std::string& aPrefix,
+             store_revision aAfter,
+             duration aWait,
+             std::function<void(watch_reply)> aCallback) override;
+  void Write(const conditional_write& aWrite,
+             std::function<void(write_reply)> aCallback) override;
+  void OpenLease(duration aTtl,
+                 std::function<void(lease_reply)> aCallback) override;
+  void RenewLease(lease_id aLease,
+                  std::function<void(lease_reply)> aCallback) override;
+  void EndLease(lease_id aLease,
+                std::function<void(lease_reply)> aCallback) override;
+  [[nodiscard]] const coordination_counters& Counters() const override;
+
+private:
+  using watch_callback = std::function<void(watch_reply)>;
+
+  /// Connection to the relay for the watches of one prefix.
+  struct relay_link
+  {
+    std::string mHost;
+    std::unique_ptr<http_connection> mConnection;
+  };
+
+  struct waiting_question
+  {
+    std::string mPrefix;
+    store_revision mAfter;
+  };
+
+  void WatchStore(const std::string& aPrefix,
+                  store_revision aAfter,
+                  duration aWait,
+                  watch_callback aCallback);
+  void WatchRelay(relay_link& aLink,
+                  const std::string& aPrefix,
+                  store_revision aAfter,
+                  watch_callback aCallback);
+  relay_link& LinkTo(const std::string& aHost, const std::string& aPrefix);
+  /// Nothing if the relay gave no usable answer.
+  std::optional<watch_reply> ReadAnswer(const http_result& aResult,
+                                        const std::string& aHost);
+  void HandleStoreAnswer(const std::string& aPrefix,
+                         store_revision aAfter,
+                         const watch_reply& aReply);
+  void AnswerWaiting(const std::string& aPrefix);
+
+  event_loop& mLoop;
+  coordination_store& mStore;
+  relay_choice& mRelays;
+  http_server& mPeers;
+  uint16_t mPort;
+  std::map<std::string, relay_link> mLinks;
+  std::map<std::string, watch_history> mHistories;
+  std::map<exchange_id, waiting_question> mWaiting;
+};
+
+} // namespace parsleystair
--- /dev/null
+++ b/Parsleystair/Gateway/WatchHistory.cpp
@@ -0,0 +1,103 @@
+#include "Parsleystair/Gateway/WatchHistory.h"
+
+#include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Platform/Base64.h"
+
+#include <nlohmann/json.hpp>
+
+namespace parsleystair {
+
+namespace {
+
+/// Changes that are kept: more than a burst brings within the second for which
+/// an asking router may be behind.
+constexpr size_t kMaxChanges = 1'000;
+/// Age up to which the last answer shows that nothing newer is known to the
+/// store: the longest wait of a relay's watch and half a second on the way.
+constexpr duration kFreshTime = 1500ms;
+
+} // namespace
+
+void watch_history::HandleAnswer(store_revision aAfter,
+                                 const watch_reply& aReply,
+                                 time_point aNow)
+{
+  if (aAfter != mTo) {
+    mChanges.clear();
+    mFrom = aAfter;
+    mTo = aAfter;
+  }
+  mChanges.insert(
+    mChanges.end(), aReply.mChanges.begin(), aReply.mChanges.end());
+  mTo = std::max(mTo, aReply.mRevision);
+  while (mChanges.size() > kMaxChanges) {
+    mFrom = mChanges.front().mRevision;
+    mChanges.pop_front();
+  }
+  mAnsweredAt = aNow;
+}
+
+void watch_history::HandleFailure()
+{
+  mAnsweredAt = time_point::min();
+}
+
+bool watch_history::Covers(store_revision aAfter, time_point aNow) const
+{
+  const bool fresh =
+    mAnsweredAt != time_point::min() && aNow - mAnsweredAt <= kFreshTime;
+  return fresh && aAfter >= mFrom;
+}
+
+watch_reply watch_history::After(store_revision aAfter) const
+{
+  watch_reply reply;
+  reply.mOutcome = call_outcome::kDone;
+  reply.mRevision = std::max(mTo, aAfter);
+  for (const item_change& change : mChanges) {
+    if (change.mRevision > aAfter) {
+      reply.mChanges.push_back(change);
+    }
+  }
+  return reply;
+}
+
+std::string EncodeWatchReply(const watch_reply& aReply)
+{
+  nlohmann::json changes = nlohmann::json::array();
+  for (const item_change& change : aReply.mChanges) {
+    nlohmann::json each = { { "key", change.mKey },
+                            { "revision", change.mRevision.Value() } };
+    if (change.mValue) {
+      each["value"] = EncodeBase64(*change.mValue);
+    }
+    changes.push_back(std::move(each));
+  }
+  return nlohmann::json{
+    { "revision", aReply.mRevision.Value() }, { "changes", std::move(changes) }
+  }.dump();
+}
+
+watch_reply DecodeWatchReply(const std::string& aText)
+{
+  try {
+    const nlohmann::json json = nlohmann::json::parse(aText);
+    watch_reply reply;
+    reply.mOutcome = call_outcome::kDone;
+    reply.mRevision = store_revision(json.at("revision").get<uint64_t>());
+    for (const nlohmann::json& each : json.at("changes")) {
+      item_change change;
+      change.mKey = each.at("key").get<std::string>();
+      change.mRevision = store_revision(each.at("revision").get<uint64_t>());
+      if (each.contains("value")) {
+        change.mValue = DecodeBase64(each.at("value").get<std::string>());
+      }
+      reply.mChanges.push_back(std::move(change));
+    }
+    return reply;
+  } catch (const nlohmann::json::exception& exception) {
+    throw parse_error(std::string("not a watch's answer: ") + exception.what());
+  }
+}
+
+} // namespace parsleystair
--- a/UnitTests/Gateway/GatewayFixture.h
+++ b/UnitTests/Gateway/GatewayFixture.h
@@ -121,7 +121,10 @@
     mKv.Put("op/config", config.dump());
   }
 
-  gateway_instance& StartGateway(const std::string& aName)
+  /// `aHost`: loopback address of the gateway. `aPeersPort`: 0 for a free one.
+  gateway_instance& StartGateway(const std::string& aName,
+                                 const std::string& aHost = "127.0.0.1",
+                                 uint16_t aPeersPort = 0)
   {
     gateway_instance& gateway = mGateways[aName];
     gateway_settings& settings = gateway.mSettings;
@@ -129,10 +132,10 @@
     settings.mFailureDomain = failure_domain_name("asti-a");
     settings.mRegions = { { settings.mFailureDomain,
                             region_name("piemonte") } };
-    settings.mCallers = { "127.0.0.1", FreePort() };
-    settings.mReadiness = { "127.0.0.1", FreePort() };
-    settings.mOperators = { "127.0.0.1", FreePort() };
-    settings.mPeers = { "127.0.0.1", FreePort() };
+    settings.mCallers = { aHost, FreePort() };
+    settings.mReadiness = { aHost, FreePort() };
+    settings.mOperators = { aHost, FreePort() };
+    settings.mPeers = { aHost, aPeersPort == 0 ? FreePort() : aPeersPort };
     settings.mStore = { "127.0.0.1", mKv.Port() };
     settings.mShutdownGrace = 4s;
     gateway.mStore = std::make_unique<platform::kv_store>(
@@ -185,8 +188,9 @@
   http_result Call(const gateway_instance& aGateway,
                    const http_request& aRequest)
   {
-    http_connection connection(
-      mLoop, "127.0.0.1", aGateway.mSettings.mCallers.mPort);
+    http_connection connection(mLoop,
+                               aGateway.mSettings.mCallers.mHost,
+                               aGateway.mSettings.mCallers.mPort);
     std::optional<http_result> result;
     connection.Call(
       aRequest, kLimit, [&](const http_result& aResult) { result = aResult; });
--- /dev/null
+++ b/UnitTests/Gateway/RelayTest.cpp
@@ -0,0 +1,254 @@
+#include "GatewayFixture.h"
+#include "Parsleystair/Core/Error.h"
+
+#include <gmock/gmock.h>
+
+namespace parsleystair {
+
+namespace {
+
+const failure_domain_name kDomain("asti-a");
+
+router_list Routers(size_t aCount, const std::string& aDomain = "asti-a")
+{
+  router_list routers;
+  for (size_t index = 1; index <= aCount; ++index) {
+    routers.push_back(
+      { "10.0.0." + std::to_string(index), failure_domain_name(aDomain) });
+  }
+  return routers;
+}
+
+item_change Change(const std::string& aKey, uint64_t aRevision)
+{
+  return { aKey, "v", store_revision(aRevision) };
+}
+
+watch_reply Reply(std::vector<item_change> aChanges, uint64_t aRevision)
+{
+  return { call_outcome::kDone,
+           std::move(aChanges),
+           store_revision(aRevision) };
+}
+
+} // namespace
+
+// Guards against routers of one failure domain that choose different relays, or
+// a router of another one.
+TEST(RelayChoice, AllChooseTheSameRouterOfTheirFailureDomain)
+{
+  router_list routers = Routers(8);
+  const router_list others = Routers(20, "verona-b");
+  routers.insert(routers.end(), others.begin(), others.end());
+  std::set<std::string> chosen;
+  size_t relays = 0;
+  for (const listed_router& self : Routers(8)) {
+    relay_choice choice(self.mHost, kDomain);
+    choice.SetRouters(routers);
+    const auto current = choice.Current(time_point());
+    chosen.insert(current.value_or(self.mHost));
+    relays += choice.IsRelay(time_point()) ? 1 : 0;
+  }
+  EXPECT_EQ(chosen.size(), 1U);
+  EXPECT_EQ(relays, 1U);
+}
+
+// Guards against a relay where it costs more than it saves.
+TEST(RelayChoice, SmallFailureDomainsAskTheStore)
+{
+  relay_choice choice("10.0.0.1", kDomain);
+  choice.SetRouters(Routers(5));
+  EXPECT_FALSE(choice.Current(time_point()));
+  EXPECT_FALSE(choice.IsRelay(time_point()));
+}
+
+// Guards against a lost relay that is asked again and again, or never again.
+TEST(RelayChoice, PassesOverARouterThatDidNotAnswerForAWhile)
+{
+  relay_choice choice("10.0.0.99", kDomain);
+  choice.SetRouters(Routers(8));
+  const time_point start = time_point(100s);
+  const std::string first = *choice.Current(start);
+  choice.HandleFailure(first, start);
+  EXPECT_NE(choice.Current(start), first);
+  EXPECT_NE(choice.Current(start + 5s), first);
+  EXPECT_EQ(choice.Current(start + 6s), first);
+}
+
+// Guards against an answer that leaves out changes, after a gap in what the
+// relay itself has seen or when it has dropped the oldest.
+TEST(WatchHistory, CoversOnlyWhatItHasSeenWithoutAGap)
+{
+  watch_history history;
+  const time_point now = time_point(100s);
+  EXPECT_FALSE(history.Covers(store_revision(5), now));
+  history.HandleAnswer(store_revision(5), Reply({ Change("a", 7) }, 8), now);
+  EXPECT_TRUE(history.Covers(store_revision(5), now));
+  EXPECT_FALSE(history.Covers(store_revision(4), now));
+  EXPECT_EQ(history.After(store_revision(5)).mChanges.size(), 1U);
+  EXPECT_TRUE(history.After(store_revision(7)).mChanges.empty());
+  EXPECT_EQ(history.After(store_revision(5)).mRevision, store_revision(8));
+
+  history.HandleAnswer(store_revision(20), Reply({ Change("a", 21) }, 21), now);
+  EXPECT_FALSE(history.Covers(store_revision(8), now));
+
+  std::vector<item_change> many;
+  for (uint64_t revision = 22; revision < 3022; ++revision) {
+    many.push_back(Change("a", revision));
+  }
+  history.HandleAnswer(store_revision(21), Reply(many, 3021), now);
+  EXPECT_FALSE(history.Covers(store_revision(21), now));
+  EXPECT_TRUE(history.Covers(store_revision(3000), now));
+  EXPECT_EQ(history.After(store_revision(3000)).mChanges.size(), 21U);
+}
+
+// Guards against a relay that is cut off from the store and still answers as if
+// nothing had changed.
+TEST(WatchHistory, CoversNothingWithoutAFreshAnswerOfTheStore)
+{
+  watch_history history;
+  const time_point now = time_point(100s);
+  history.HandleAnswer(store_revision(5), Reply({}, 8), now);
+  EXPECT_TRUE(history.Covers(store_revision(8), now + 1500ms));
+  EXPECT_FALSE(history.Covers(store_revision(8), now + 1501ms));
+  history.HandleAnswer(store_revision(8), Reply({}, 8), now + 2s);
+  history.HandleFailure();
+  EXPECT_FALSE(history.Covers(store_revision(8), now + 2s));
+}
+
+// Guards against values that a relay changes on their way.
+TEST(WatchHistory, EncodedReplyReadsAsItWas)
+{
+  watch_reply reply = Reply({ { "k", std::string("\xff\0\"x", 4), {} } }, 9);
+  reply.mChanges[0].mRevision = store_revision(9);
+  reply.mChanges.push_back({ "gone", std::nullopt, store_revision(8) });
+  const watch_reply read = DecodeWatchReply(EncodeWatchReply(reply));
+  EXPECT_EQ(read.mChanges, reply.mChanges);
+  EXPECT_EQ(read.mRevision, reply.mRevision);
+  EXPECT_THROW(DecodeWatchReply("{}"), parse_error);
+}
+
+namespace {
+
+/// Seven gateways of one failure domain, at loopback addresses of their own.
+class relay_test : public gateway_test
+{
+protected:
+  static constexpr size_t kGateways = 7;
+
+  relay_test()
+  {
+    const uint16_t port = FreePort();
+    for (size_t index = 1; index <= kGateways; ++index) {
+      const std::string number = std::to_string(index);
+      StartGateway("g" + number, "127.0.0.1" + number, port);
+    }
+    RunUntil([&] {
+      return Count("\"relay\": \"127") == kGateways - 1 && !Relay().empty();
+    });
+  }
+
+  /// Gateways whose state holds a text.
+  size_t Count(const std::string& aText)
+  {
+    return static_cast<size_t>(
+      std::count_if(mGateways.begin(), mGateways.end(), [&](auto& aGateway) {
+        return aGateway.second.mTask->DumpText().find(aText) !=
+               std::string::npos;
+      }));
+  }
+
+  std::string Relay()
+  {
+    for (const auto& [name, gateway] : mGateways) {
+      if (gateway.mTask->DumpText().find("\"isRelay\": true") !=
+          std::string::npos) {
+        return name;
+      }
+    }
+    return "";
+  }
+};
+
+} // namespace
+
+// Guards against store calls that grow with routers times changes.
+TEST_F(relay_test, ChangesCostFewerCallsThanRouters)
+{
+  ASSERT_FALSE(Relay().empty());
+  RunFor(4s);
+  const uint64_t before = mKv.Calls();
+  constexpr uint32_t kChanges = 10;
+  for (uint32_t change = 1; change <= kChanges; ++change) {
+    PutConfiguration(1 + change);
+    RunFor(200ms);
+  }
+  RunUntil([&] { return Count("\"configurationVersion\": 11") == kGateways; });
+  EXPECT_EQ(Count("\"configurationVersion\": 11"), kGateways);
+  EXPECT_LT(mKv.Calls() - before, kChanges * kGateways / 2);
+}
+
+// Guards against routers that miss changes once their relay has ended.
+TEST_F(relay_test, ChangesArriveInTimeAfterTheRelayEnds)
+{
+  const std::string relay = Relay();
+  ASSERT_FALSE(relay.empty());
+  StopGateway(relay);
+  PutConfiguration(2);
+  const time_point start = MonotonicNow();
+  RunUntil(
+    [&] { return Count("\"configurationVersion\": 2,") == kGateways - 1; });
+  EXPECT_LT(MonotonicNow() - start, 2s);
+  EXPECT_TRUE(RunUntil([&] { return !Relay().empty(); }));
+}
+
+// Guards against a relay that is frozen, or cut off from the store, and hides
+// changes for longer than they may take to be in force.
+TEST_F(gateway_test, ChangesArriveInTimeWithASilentRelay)
+{
+  http_server silent(mLoop, {}, [](exchange_id, const http_request&) {});
+  silent.Listen("127.0.0.77", 0);
+  http_server peers(mLoop, {}, [](exchange_id, const http_request&) {});
+  relay_choice relays("127.0.0.88", kDomain);
+  router_list routers = Routers(5);
+  for (listed_router& router : routers) {
+    relays.HandleFailure(router.mHost, MonotonicNow());
+  }
+  routers.push_back({ "127.0.0.77", kDomain });
+  relays.SetRouters(routers);
+  ASSERT_EQ(relays.Current(MonotonicNow()), "127.0.0.77");
+
+  platform::kv_store direct(mLoop, "127.0.0.1", mKv.Port());
+  relayed_store store(mLoop, direct, relays, peers, silent.Port());
+  std::optional<prefix_reply> read;
+  store.ReadPrefix("op/", [&](const prefix_reply& aReply) { read = aReply; });
+  RunUntil([&] { return read.has_value(); });
+  PutConfiguration(2);
+  std::optional<watch_reply> changes;
+  const time_point start = MonotonicNow();
+  store.Watch("op/", read->mRevision, 20s, [&](const watch_reply& aReply) {
+    changes = aReply;
+  });
+  RunUntil([&] { return changes.has_value(); });
+  EXPECT_LT(MonotonicNow() - start, 2s);
+  ASSERT_EQ(changes->mChanges.size(), 1U);
+  EXPECT_FALSE(relays.Current(MonotonicNow()));
+}
+
+// Guards against reports that lose the load or the router's place.
+TEST(PeerReport, EncodedReportReadsAsItWas)
+{
+  peer_report report;
+  report.mRouter = { "10.0.0.7", kDomain };
+  report.mKnownRouters = UINT64_MAX;
+  report.mLoad[service_name("s")].mCounts[key_bucket(7)] = 3;
+  EXPECT_EQ(DecodePeerReport(EncodePeerReport(report)), report);
+  EXPECT_THROW(DecodePeerReport("[]"), parse_error);
+  EXPECT_EQ(DecodeRouterList(EncodeRouterList(Routers(8))), [] {
+    router_list sorted = Routers(8);
+    std::sort(sorted.begin(), sorted.end());
+    return sorted;
+  }());
+}
+
+} // namespace parsleystair
