Take a long answer of the store as long as its bytes arrive

All read all routes and targets at once over the link between regions; a read that took over 1 s was cut and started anew, which kept the link full. A started answer now has 1 s from its last bytes.

--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -8,7 +8,9 @@
 
 namespace parsleystair {
 
-struct http_connection::state : stream_handler
+struct http_connection::state
+  : stream_handler
+  , std::enable_shared_from_this<state>
 {
   event_loop& mLoop;
   std::string mHost;
@@ -44,6 +46,7 @@
   void HandleConnected() override;
 
   void Connect();
+  void StartDeadline(duration aTimeout);
   void StartParser();
   void ReadAnswers();
   void FinishAnswered();
@@ -64,6 +67,16 @@
   mStream->StartTimer(mSettings.mConnectTimeout);
 }
 
+void http_connection::state::StartDeadline(duration aTimeout)
+{
+  mDeadline.StartOnce(mLoop, aTimeout, [this] {
+    // The callback may destroy the connection, so the state is kept until the
+    // end.
+    const std::shared_ptr<state> kept = shared_from_this();
+    kept->Fail(http_failure::kAborted, true);
+  });
+}
+
 void http_connection::state::StartParser()
 {
   mParser.emplace(mSettings.mMaxBodyBytes, mToHead);
@@ -86,6 +99,9 @@
     Close(true);
     return;
   }
+  if (mSettings.mSilenceTimeout) {
+    StartDeadline(*mSettings.mSilenceTimeout);
+  }
   mInput += aBytes;
   ReadAnswers();
 }
@@ -221,7 +237,7 @@
   mState->mSkipped = false;
   mState->Connect();
   mState->StartParser();
-  mState->mDeadline.StartOnce(mState->mLoop, aTimeout, [this] { Abort(true); });
+  mState->StartDeadline(aTimeout);
   mState->mStream->Write(RequestText(aRequest, mState->mHost));
 }
 
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace parsleystair {
@@ -57,6 +58,9 @@
   /// Takes an answer without a length as whole when its connection ends in
   /// order. Otherwise such an answer counts as cut.
   bool mTakesUnframedAnswers = false;
+  /// When set, an answer that has begun may take longer than the call's time,
+  /// as long as bytes arrive at least this often.
+  std::optional<duration> mSilenceTimeout;
   /// How a silent peer is detected.
   stream_settings mStream;
 };
--- /dev/null
+++ b/UnitTests/UsersPlatform/KvStoreTest.cpp
@@ -0,0 +1,84 @@
+#include "platform/KvStore.h"
+
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Http/HttpServer.h"
+
+#include <gtest/gtest.h>
+
+namespace parsleystair {
+
+namespace {
+
+/// Sends the answer to a read in pieces.
+class slow_answer
+{
+public:
+  slow_answer(event_loop& aLoop, duration aPause, size_t aPieces)
+    : mLoop(aLoop)
+    , mPause(aPause)
+    , mPieces(aPieces)
+    , mServer(aLoop, {}, [this](exchange_id aExchange, const http_request&) {
+      mServer.StartStream(aExchange, { 200, {}, "" });
+      mServer.SendChunk(aExchange, R"({"items":[],"store_revision":7)");
+      mTimer.StartRepeating(
+        mLoop, mPause, [this, aExchange] { SendPiece(aExchange); });
+    })
+  {
+    mServer.Listen("127.0.0.1", 0);
+  }
+
+  [[nodiscard]] uint16_t Port() const { return mServer.Port(); }
+
+private:
+  void SendPiece(exchange_id aExchange)
+  {
+    if (mPieces-- > 0) {
+      mServer.SendChunk(aExchange, std::string(10, ' '));
+      return;
+    }
+    mTimer.Cancel();
+    mServer.SendChunk(aExchange, "}");
+    mServer.EndStream(aExchange);
+  }
+
+  event_loop& mLoop;
+  duration mPause;
+  size_t mPieces;
+  http_server mServer;
+  timer mTimer;
+};
+
+call_outcome ReadOutcome(event_loop& aLoop, uint16_t aPort)
+{
+  platform::kv_store store(aLoop, "127.0.0.1", aPort);
+  call_outcome outcome = call_outcome::kConflict;
+  store.ReadPrefix("op/", [&](const prefix_reply& aReply) {
+    outcome = aReply.mOutcome;
+    aLoop.Stop();
+  });
+  aLoop.Run();
+  return outcome;
+}
+
+} // namespace
+
+// Guards against reads that are cut and started anew for ever when all routers
+// restart at once and the link to the store is full.
+TEST(KvStore, TakesAnAnswerThatArrivesSlowly)
+{
+  event_loop loop;
+  const slow_answer server(loop, 300ms, 6);
+  EXPECT_EQ(ReadOutcome(loop, server.Port()), call_outcome::kDone);
+}
+
+// Guards against a read that waits for ever for the rest of an answer.
+TEST(KvStore, GivesUpAnAnswerThatStops)
+{
+  event_loop loop;
+  const slow_answer server(loop, 10s, 1);
+  const time_point start = MonotonicNow();
+  EXPECT_EQ(ReadOutcome(loop, server.Port()), call_outcome::kUnknown);
+  EXPECT_LT(MonotonicNow() - start, 2s);
+}
+
+} // namespace parsleystair
