Send few orders at once, and take only real signs for restarts

An owner takes 110 connections; 68 routers with two each and a leader with one for each of its ranges went beyond that, so it reset the leader's. A lost connection counted as a sign of a restart, so all keys of the owner got new fences and were granted anew, over as many connections.

A router has one connection to an owner where that is its share; the leader sends an owner two grants at a time, and one that waited in vain says nothing of the owner; idle connections that the owner closes are no sign of a restart while there are others; a leader steps at most 50 times a second.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -25,7 +25,9 @@
 /// Part of a target's connections that routers share evenly; the rest is for
 /// orders and health checks.
 constexpr double kConnectionPart = 0.95;
-constexpr size_t kMinConnections = 2;
+constexpr size_t kMinConnections = 1;
+/// Idle time of a connection until its target has said how long it keeps it.
+constexpr duration kKeepAlive = 1s;
 
 http_connection_settings TargetConnectionSettings()
 {
@@ -70,7 +72,7 @@
   , mView(aView)
   , mServer(aServer)
   , mBalancer(aSettings.mSite, aSeed)
-  , mConnections(aLoop, TargetConnectionSettings())
+  , mConnections(aLoop, TargetConnectionSettings(), kKeepAlive)
 {
 }
 
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -9,6 +9,12 @@
 
 /// Longest wait for the answer to a grant; shorter than the renewal interval.
 constexpr duration kGrantTimeout = 600ms;
+/// Idle time of a connection for orders: some renewals long, so that a restart
+/// of the target shows on it.
+constexpr duration kOrderKeepAlive = 4s;
+/// Pause between an event and the step that answers it. A leader gets hundreds
+/// of answers a second, and a step looks at all ranges.
+constexpr duration kStepPause = 20ms;
 /// A release is answered when the work on its keys has ended. The old grant
 /// runs out earlier than this, so that nothing waits longer.
 constexpr duration kReleaseTimeout = 6s;
@@ -33,6 +39,8 @@
       return "rejected";
     case order_end::kNotSent:
       return "not-sent";
+    case order_end::kHeldBack:
+      return "held-back";
     case order_end::kUnanswered:
       return "unanswered";
   }
@@ -51,7 +59,7 @@
   , mStore(aStore)
   , mProtocol(aProtocol)
   , mElection(aElection)
-  , mConnections(aLoop, OrderConnectionSettings())
+  , mConnections(aLoop, OrderConnectionSettings(), kOrderKeepAlive)
 {
 }
 
@@ -69,6 +77,10 @@
 void range_driver::HandleLeadership(time_point aNow)
 {
   mLeading = mElection.IsLeading();
+  // Grants that wait were decided under the former lead.
+  for (auto& [target, queue] : mGrantQueues) {
+    queue.Clear();
+  }
   for (auto& [service, controller] : mControllers) {
     if (mLeading) {
       controller.StartLeading(aNow);
@@ -149,7 +161,7 @@
   // Events that come together are handled in one step.
   if (!mStepPlanned && mLeading) {
     mStepPlanned = true;
-    mSoonTimer.StartOnce(mLoop, duration::zero(), [this] {
+    mSoonTimer.StartOnce(mLoop, kStepPause, [this] {
       mStepPlanned = false;
       StepAll();
     });
@@ -204,27 +216,56 @@
                            const grant_order& aOrder)
 {
   ++mCounters.mGrants;
+  if (mGrantQueues[aOrder.mTo.mTarget].Add(aService, aOrder, MonotonicNow())) {
+    SendGrant(aService, aOrder);
+  }
+}
+
+void range_driver::SendGrant(const service_name& aService,
+                             const grant_order& aOrder)
+{
   // A connection that broke is a sign that the target restarted: its new life
-  // must not take the fence that the old one had. That holds for all orders of
-  // one step, which were decided before.
-  if (mConnections.DropBroken(aOrder.mTo.mTarget)) {
-    mBroken.insert(aOrder.mTo.mTarget);
+  // must not take the fence that the old one had. That holds for all orders
+  // that were decided before.
+  const target_name& target = aOrder.mTo.mTarget;
+  const time_point now = MonotonicNow();
+  if (mConnections.DropBroken(target, now)) {
+    mBroken.insert(target);
   }
-  if (mBroken.contains(aOrder.mTo.mTarget)) {
+  if (mBroken.contains(target)) {
     HandleGrantEnd(aService, aOrder, order_end::kNotSent);
+    SendWaitingGrants(target, order_end::kNotSent);
     return;
   }
   mConnections.Call(
     TargetOf(aOrder.mTo),
     mProtocol.GrantRequest(aOrder),
     kGrantTimeout,
-    MonotonicNow(),
+    now,
     [this, aService, aOrder](const http_result& aResult) {
-      HandleGrantEnd(aService, aOrder, EndOf(aResult));
+      const order_end end = EndOf(aResult);
+      HandleGrantEnd(aService, aOrder, end);
+      SendWaitingGrants(aOrder.mTo.mTarget, end);
     },
     nullptr);
 }
 
+void range_driver::SendWaitingGrants(const target_name& aTarget,
+                                     order_end aLast)
+{
+  const auto queue = mGrantQueues.find(aTarget);
+  const auto next = queue->second.HandleEnd(aLast, MonotonicNow());
+  if (queue->second.IsIdle()) {
+    mGrantQueues.erase(queue);
+  }
+  for (const auto& each : next.mSend) {
+    SendGrant(each.mService, each.mOrder);
+  }
+  for (const auto& each : next.mGiveUp) {
+    HandleGrantEnd(each.mService, each.mOrder, order_end::kHeldBack);
+  }
+}
+
 void range_driver::HandleGrantEnd(const service_name& aService,
                                   const grant_order& aOrder,
                                   order_end aEnd)
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Parsleystair/Gateway/GrantQueue.h"
 #include "Parsleystair/Gateway/LeaderElection.h"
 #include "Parsleystair/Gateway/OwnerFeed.h"
 #include "Parsleystair/Gateway/RequestProtocol.h"
@@ -81,6 +82,8 @@
   void Execute(const service_name& aService, const grant_order& aOrder);
   void Execute(const service_name& aService, const release_order& aOrder);
   void Execute(const service_name& aService, const write_record& aWrite);
+  void SendGrant(const service_name& aService, const grant_order& aOrder);
+  void SendWaitingGrants(const target_name& aTarget, order_end aLast);
   void HandleGrantEnd(const service_name& aService,
                       const grant_order& aOrder,
                       order_end aEnd);
@@ -94,6 +97,7 @@
   const order_protocol& mProtocol;
   leader_election& mElection;
   target_connections mConnections;
+  std::map<target_name, grant_queue> mGrantQueues;
   std::map<service_name, range_controller> mControllers;
   range_driver_counters mCounters;
   /// Targets whose connections were found broken in the present step.
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -2,12 +2,12 @@
 
 #include "Parsleystair/Core/Clock.h"
 
+#include <algorithm>
+
 namespace parsleystair {
 
 namespace {
 
-/// Idle time of a connection whose target doesn't say how long it keeps it.
-constexpr duration kDefaultKeepAlive = 1s;
 /// Idle connections that are kept for longer than a short time. A target takes
 /// a bounded number from all routers together.
 constexpr size_t kMaxSpare = 2;
@@ -20,9 +20,11 @@
 
 target_connections::target_connections(
   event_loop& aLoop,
-  const http_connection_settings& aSettings)
+  const http_connection_settings& aSettings,
+  duration aDefaultKeepAlive)
   : mLoop(aLoop)
   , mSettings(aSettings)
+  , mDefaultKeepAlive(aDefaultKeepAlive)
 {
 }
 
@@ -33,7 +35,7 @@
   const auto [position, isNew] = mPools.try_emplace(aTarget.mName);
   pool& from = position->second;
   if (isNew) {
-    from.mKeepAlive = kDefaultKeepAlive;
+    from.mKeepAlive = mDefaultKeepAlive;
   }
   if (from.mHost != aTarget.mHost || from.mPort != aTarget.mPort) {
     from.mHost = aTarget.mHost;
@@ -133,11 +135,22 @@
   Retain(aDirectory);
 }
 
-bool target_connections::DropBroken(const target_name& aTarget)
+bool target_connections::DropBroken(const target_name& aTarget, time_point aNow)
 {
   const auto found = mPools.find(aTarget);
-  return found != mPools.end() &&
-         std::erase_if(found->second.mIdle, [](const idle_connection& aIdle) {
+  if (found == mPools.end()) {
+    return false;
+  }
+  pool& each = found->second;
+  const auto isOld = [&](const idle_connection& aIdle) {
+    return aNow - aIdle.mSince >= each.mKeepAlive - kCloseMargin;
+  };
+  // Targets close what has been idle for long, so an old connection says
+  // nothing while there are others.
+  if (!std::all_of(each.mIdle.begin(), each.mIdle.end(), isOld)) {
+    std::erase_if(each.mIdle, isOld);
+  }
+  return std::erase_if(each.mIdle, [](const idle_connection& aIdle) {
            return !aIdle.mConnection->IsOpen();
          }) > 0;
 }
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -19,8 +19,11 @@
   using callback = http_connection::callback;
   using answer_filter = http_connection::answer_filter;
 
+  /// `aDefaultKeepAlive`: idle time of a connection whose target doesn't say
+  /// how long it keeps it.
   target_connections(event_loop& aLoop,
-                     const http_connection_settings& aSettings);
+                     const http_connection_settings& aSettings,
+                     duration aDefaultKeepAlive);
 
   /// Sends a request over an idle connection or a new one.
   call_id Call(const discovered_target& aTarget,
@@ -46,7 +49,7 @@
 
   /// Removes the idle connections of a target that broke since their last call
   /// and tells if there were any: the target may have restarted.
-  bool DropBroken(const target_name& aTarget);
+  bool DropBroken(const target_name& aTarget, time_point aNow);
 
   /// Forgets targets that are no longer known.
   void Retain(const target_directory& aDirectory);
@@ -83,6 +86,7 @@
 
   event_loop& mLoop;
   http_connection_settings mSettings;
+  duration mDefaultKeepAlive;
   uint64_t mNextCall = 1;
   uint64_t mOpened = 0;
   uint64_t mReused = 0;
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -68,6 +68,8 @@
   kRejected,
   /// The order never left this router.
   kNotSent,
+  /// This router did not try to send the order; says nothing of the target.
+  kHeldBack,
   /// The target may have taken the order, or may take it later.
   kUnanswered,
 };
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -18,6 +18,8 @@
 
 /// Time between tries of a release, of a failed grant and of a failed write.
 constexpr duration kRetryTime = 300ms;
+/// Pause before a grant that waited in vain behind others is tried again.
+constexpr duration kHeldBackTime = 50ms;
 /// Latencies by which the speed of a target is judged; they cover a few
 /// seconds.
 constexpr size_t kLatencySamples = 48;
@@ -172,6 +174,10 @@
   const open_grant grant = found->second;
   mOpenGrants.erase(found);
   owner_state& owner = mOwners[grant.mTarget];
+  if (aEnd == order_end::kHeldBack) {
+    mNextGrant[grant.mKeys.mFrom] = aNow + kHeldBackTime;
+    return;
+  }
   if (aEnd != order_end::kNotSent) {
     owner.mLastGrant = aNow;
     owner.mGrantedFence = std::max(owner.mGrantedFence, grant.mFence);
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Core/Invariant.h"
 
 #include <algorithm>
+#include <map>
 
 // What a leader does next: which keys move, where they go, which grants are
 // due. Events are handled in RangeController.cpp.
@@ -22,6 +23,9 @@
 /// slowest release, and busy keys may have to be spread over many owners.
 constexpr size_t kMinBalanceMoves = 6;
 constexpr size_t kOwnersPerBalanceMove = 2;
+/// Moves of one step from one owner. Each takes a connection until the work on
+/// its keys has ended, and an owner has few to spare.
+constexpr size_t kMaxMovesOfOwner = 8;
 /// Requests without which the counted load says nothing.
 constexpr double kMinRequests = 40;
 /// Fewest latencies by which a target's speed is judged, and the quantile of
@@ -33,7 +37,8 @@
 
 } // namespace
 
-double range_controller::CapacityOf(const owner_state &aOwner) {
+double range_controller::CapacityOf(const owner_state& aOwner)
+{
   const auto concurrency = static_cast<double>(aOwner.mTarget.mConcurrency);
   if (aOwner.mLatencies.size() < kMinLatencySamples) {
     return concurrency / kAssumedLatency;
@@ -43,22 +48,24 @@
   std::vector<uint32_t> sorted(aOwner.mLatencies.begin(),
                                aOwner.mLatencies.end());
   const auto quantile =
-      sorted.begin() + static_cast<ptrdiff_t>(sorted.size() / kQuantileDivisor);
+    sorted.begin() + static_cast<ptrdiff_t>(sorted.size() / kQuantileDivisor);
   std::nth_element(sorted.begin(), quantile, sorted.end());
   return concurrency / std::max<uint32_t>(1, *quantile);
 }
 
-void range_controller::AddRefences(const target_name &aOwner) {
-  for (const owned_range &range : mRecord.mRanges) {
+void range_controller::AddRefences(const target_name& aOwner)
+{
+  for (const owned_range& range : mRecord.mRanges) {
     if (range.mOwner.mName == aOwner && NeedsFence(range)) {
       AddRefence(range.mKeys, range);
     }
   }
 }
 
-void range_controller::AddRefence(const key_interval &aKeys,
-                                  const owned_range &aRange) {
-  for (const key_interval &piece : WithoutMoves(aKeys)) {
+void range_controller::AddRefence(const key_interval& aKeys,
+                                  const owned_range& aRange)
+{
+  for (const key_interval& piece : WithoutMoves(aKeys)) {
     move added;
     added.mKeys = piece;
     added.mFrom = aRange.mOwner;
@@ -71,7 +78,8 @@
   }
 }
 
-std::vector<range_action> range_controller::Step(time_point aNow) {
+std::vector<range_action> range_controller::Step(time_point aNow)
+{
   std::vector<range_action> actions;
   if (!mLeading) {
     return actions;
@@ -90,12 +98,13 @@
   return actions;
 }
 
-std::vector<key_interval>
-range_controller::WithoutMoves(const key_interval &aKeys) const {
-  std::vector<key_interval> pieces{aKeys};
-  for (const move &each : mMoves) {
+std::vector<key_interval> range_controller::WithoutMoves(
+  const key_interval& aKeys) const
+{
+  std::vector<key_interval> pieces{ aKeys };
+  for (const move& each : mMoves) {
     std::vector<key_interval> rest;
-    for (const key_interval &piece : pieces) {
+    for (const key_interval& piece : pieces) {
       const std::vector<key_interval> left = Without(piece, each.mKeys);
       rest.insert(rest.end(), left.begin(), left.end());
     }
@@ -104,9 +113,11 @@
   return pieces;
 }
 
-void range_controller::AddMove(const key_interval &aKeys,
-                               const owned_range *aOwner,
-                               const target_name &aTo, time_point aNow) {
+void range_controller::AddMove(const key_interval& aKeys,
+                               const owned_range* aOwner,
+                               const target_name& aTo,
+                               time_point aNow)
+{
   move added;
   added.mKeys = aKeys;
   added.mTo = aTo;
@@ -121,25 +132,26 @@
   mMoves.push_back(std::move(added));
 }
 
-void range_controller::AddMoves(time_point aNow) {
+void range_controller::AddMoves(time_point aNow)
+{
   // The owner of such a move may have left since; then its keys go elsewhere.
-  std::erase_if(mMoves, [&](const move &aMove) {
+  std::erase_if(mMoves, [&](const move& aMove) {
     return aMove.mSameOwner && !mOwners[aMove.mTo].mListed;
   });
 
   // Keys whose owner can't keep them.
-  for (const owned_range &range : mRecord.mRanges) {
+  for (const owned_range& range : mRecord.mRanges) {
     if (!MustMove(range, aNow)) {
       continue;
     }
-    for (const key_interval &piece : WithoutMoves(range.mKeys)) {
+    for (const key_interval& piece : WithoutMoves(range.mKeys)) {
       AddMove(piece, &range, {}, aNow);
     }
   }
 
   // Keys whose owner has restarted, or may have. It stays the owner: its new
   // life may hold the keys already by a grant that was meant for the old one.
-  for (const owned_range &range : mRecord.mRanges) {
+  for (const owned_range& range : mRecord.mRanges) {
     if (NeedsFence(range) &&
         aNow >= mOwners.at(range.mOwner.mName).mNextFence) {
       mOwners.at(range.mOwner.mName).mNextFence = aNow + kRefenceInterval;
@@ -160,23 +172,24 @@
   }
   uint32_t next = 0;
   std::vector<key_interval> gaps;
-  for (const owned_range &range : mRecord.mRanges) {
+  for (const owned_range& range : mRecord.mRanges) {
     if (range.mKeys.mFrom > next) {
-      gaps.push_back({next, range.mKeys.mFrom - 1});
+      gaps.push_back({ next, range.mKeys.mFrom - 1 });
     }
     next = range.mKeys.mTo + 1;
   }
   if (next <= kMaxKeyNumber) {
-    gaps.push_back({next, kMaxKeyNumber});
+    gaps.push_back({ next, kMaxKeyNumber });
   }
-  for (const key_interval &gap : gaps) {
-    for (const key_interval &piece : WithoutMoves(gap)) {
+  for (const key_interval& gap : gaps) {
+    for (const key_interval& piece : WithoutMoves(gap)) {
       AddMove(piece, nullptr, {}, aNow);
     }
   }
 }
 
-void range_controller::AddBalanceMoves(time_point aNow) {
+void range_controller::AddBalanceMoves(time_point aNow)
+{
   if (aNow < mNextBalance || !mMoves.empty() ||
       mLoad.Requests() < kMinRequests) {
     return;
@@ -185,32 +198,35 @@
   std::vector<owner_candidate> candidates = Candidates(aNow);
   range_record planned = mRecord;
   const size_t moves =
-      std::max(kMinBalanceMoves, candidates.size() / kOwnersPerBalanceMove);
+    std::max(kMinBalanceMoves, candidates.size() / kOwnersPerBalanceMove);
+  std::map<target_name, size_t> movesOf;
   for (size_t count = 0; count < moves; ++count) {
     const auto next = PlanBalance(planned, mLoad, candidates);
-    if (!next || WithoutMoves(next->mKeys) != std::vector{next->mKeys}) {
+    if (!next || WithoutMoves(next->mKeys) != std::vector{ next->mKeys }) {
       return;
     }
-    const owned_range *range = FindRange(mRecord, next->mKeys.mFrom);
+    const owned_range* range = FindRange(mRecord, next->mKeys.mFrom);
     PARSLEYSTAIR_INVARIANT(range != nullptr);
-    if (!range->mKeys.Contains(next->mKeys.mTo)) {
+    if (!range->mKeys.Contains(next->mKeys.mTo) ||
+        ++movesOf[range->mOwner.mName] > kMaxMovesOfOwner) {
       return;
     }
     AddMove(next->mKeys, range, next->mTo, aNow);
 
     // The next one starts from the state after this one.
     const double weight = mLoad.WeightOf(next->mKeys);
-    for (owner_candidate &each : candidates) {
+    for (owner_candidate& each : candidates) {
       each.mWeight += each.mName == next->mTo ? weight : 0;
       each.mWeight -= each.mName == range->mOwner.mName ? weight : 0;
     }
-    AssignKeys(planned, {next->mKeys, {next->mTo, 0}, range->mFence, ""});
+    AssignKeys(planned, { next->mKeys, { next->mTo, 0 }, range->mFence, "" });
   }
 }
 
 void range_controller::StepMoves(time_point aNow,
-                                 std::vector<range_action> &aActions) {
-  for (move &each : mMoves) {
+                                 std::vector<range_action>& aActions)
+{
+  for (move& each : mMoves) {
     if (!each.mReady && aNow >= each.mExpires &&
         !HasOpenGrant(each.mFrom.mName, each.mKeys)) {
       each.mReady = true;
@@ -225,24 +241,24 @@
       continue;
     }
     each.mRelease = order_id(mNextOrder++);
-    const discovered_target &target = owner->second.mTarget;
+    const discovered_target& target = owner->second.mTarget;
     aActions.emplace_back(
-        release_order{*each.mRelease,
-                      {target.mName, target.mHost, target.mPort},
-                      each.mKeys,
-                      fence(mRecord.mNextFence)});
+      release_order{ *each.mRelease,
+                     { target.mName, target.mHost, target.mPort },
+                     each.mKeys,
+                     fence(mRecord.mNextFence) });
   }
 }
 
-std::vector<owner_candidate>
-range_controller::Candidates(time_point aNow) const {
+std::vector<owner_candidate> range_controller::Candidates(time_point aNow) const
+{
   std::vector<owner_candidate> candidates;
-  for (const auto &[name, owner] : mOwners) {
+  for (const auto& [name, owner] : mOwners) {
     if (!owner.mUsable || owner.mFailingSince) {
       continue;
     }
-    owner_candidate candidate{name, CapacityOf(owner), 0};
-    for (const owned_range &range : mRecord.mRanges) {
+    owner_candidate candidate{ name, CapacityOf(owner), 0 };
+    for (const owned_range& range : mRecord.mRanges) {
       if (range.mOwner.mName == name && !MustMove(range, aNow)) {
         candidate.mWeight += mLoad.WeightOf(range.mKeys);
       }
@@ -253,38 +269,44 @@
 }
 
 void range_controller::PlaceMove(
-    const move &aMove, range_record &aRecord,
-    std::vector<owner_candidate> &aCandidates) const {
+  const move& aMove,
+  range_record& aRecord,
+  std::vector<owner_candidate>& aCandidates) const
+{
   if (aMove.mSameOwner) {
-    const owner_state &owner = mOwners.at(aMove.mTo);
+    const owner_state& owner = mOwners.at(aMove.mTo);
     if (owner.mListed) {
-      AssignKeys(aRecord, {aMove.mKeys,
-                           {aMove.mTo, owner.mTarget.mStartedMs},
-                           fence(mRecord.mNextFence),
-                           aMove.mHandover});
+      AssignKeys(aRecord,
+                 { aMove.mKeys,
+                   { aMove.mTo, owner.mTarget.mStartedMs },
+                   fence(mRecord.mNextFence),
+                   aMove.mHandover });
     }
     return;
   }
   const auto chosen = std::find_if(
-      aCandidates.begin(), aCandidates.end(),
-      [&](const auto &aCandidate) { return aCandidate.mName == aMove.mTo; });
+    aCandidates.begin(), aCandidates.end(), [&](const auto& aCandidate) {
+      return aCandidate.mName == aMove.mTo;
+    });
   std::vector<planned_range> plan;
   if (chosen != aCandidates.end()) {
-    plan.push_back({aMove.mKeys, aMove.mTo});
+    plan.push_back({ aMove.mKeys, aMove.mTo });
   } else {
     plan = PlanOwners(aMove.mKeys, mLoad, aCandidates);
   }
-  for (const planned_range &each : plan) {
-    const discovered_target &owner = mOwners.at(each.mTo).mTarget;
-    AssignKeys(aRecord, {each.mKeys,
-                         {owner.mName, owner.mStartedMs},
-                         fence(mRecord.mNextFence),
-                         aMove.mHandover});
+  for (const planned_range& each : plan) {
+    const discovered_target& owner = mOwners.at(each.mTo).mTarget;
+    AssignKeys(aRecord,
+               { each.mKeys,
+                 { owner.mName, owner.mStartedMs },
+                 fence(mRecord.mNextFence),
+                 aMove.mHandover });
   }
 }
 
 void range_controller::StepWrite(time_point aNow,
-                                 std::vector<range_action> &aActions) {
+                                 std::vector<range_action>& aActions)
+{
   if (mWriting) {
     return;
   }
@@ -294,14 +316,15 @@
   }
   std::vector<owner_candidate> candidates = Candidates(aNow);
   const bool anyReady =
-      std::any_of(mMoves.begin(), mMoves.end(),
-                  [](const move &aMove) { return aMove.mReady; });
+    std::any_of(mMoves.begin(), mMoves.end(), [](const move& aMove) {
+      return aMove.mReady;
+    });
   if (!anyReady) {
     return;
   }
   range_record changed = mRecord;
   changed.mNextFence = mRecord.mNextFence + 1;
-  for (const move &each : mMoves) {
+  for (const move& each : mMoves) {
     if (each.mReady) {
       PlaceMove(each, changed, candidates);
     }
@@ -312,25 +335,28 @@
   ValidateRecord(changed);
   mWriting = changed;
   mWrite = order_id(mNextOrder++);
-  aActions.emplace_back(write_record{mWrite, std::move(changed), mRevision});
+  aActions.emplace_back(write_record{ mWrite, std::move(changed), mRevision });
 }
 
 void range_controller::StepGrants(time_point aNow,
-                                  std::vector<range_action> &aActions) {
-  for (const owned_range &range : mRecord.mRanges) {
+                                  std::vector<range_action>& aActions)
+{
+  for (const owned_range& range : mRecord.mRanges) {
     const auto owner = mOwners.find(range.mOwner.mName);
     if (owner == mOwners.end() || MustMove(range, aNow) || NeedsFence(range)) {
       continue;
     }
-    for (const key_interval &piece : WithoutMoves(range.mKeys)) {
+    for (const key_interval& piece : WithoutMoves(range.mKeys)) {
       GrantPiece(piece, range, aNow, aActions);
     }
   }
 }
 
-void range_controller::GrantPiece(const key_interval &aKeys,
-                                  const owned_range &aRange, time_point aNow,
-                                  std::vector<range_action> &aActions) {
+void range_controller::GrantPiece(const key_interval& aKeys,
+                                  const owned_range& aRange,
+                                  time_point aNow,
+                                  std::vector<range_action>& aActions)
+{
   if (HasOpenGrant(aRange.mOwner.mName, aKeys)) {
     return;
   }
@@ -342,14 +368,15 @@
   next->second = aNow + mSettings.mRenewEvery;
   mNextStep = std::min(mNextStep, next->second);
   const order_id order(mNextOrder++);
-  const discovered_target &target = mOwners.at(aRange.mOwner.mName).mTarget;
-  mOpenGrants[order] = {target.mName, aKeys, aRange.mFence};
-  aActions.emplace_back(grant_order{order,
-                                    {target.mName, target.mHost, target.mPort},
-                                    aKeys,
-                                    aRange.mFence,
-                                    mSettings.mHold,
-                                    aRange.mHandover});
+  const discovered_target& target = mOwners.at(aRange.mOwner.mName).mTarget;
+  mOpenGrants[order] = { target.mName, aKeys, aRange.mFence };
+  aActions.emplace_back(
+    grant_order{ order,
+                 { target.mName, target.mHost, target.mPort },
+                 aKeys,
+                 aRange.mFence,
+                 mSettings.mHold,
+                 aRange.mHandover });
 }
 
 } // namespace parsleystair
--- /dev/null
+++ b/UnitTests/Gateway/TargetConnectionsTest.cpp
@@ -0,0 +1,103 @@
+#include "Parsleystair/Gateway/TargetConnections.h"
+
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Http/HttpServer.h"
+
+#include <gtest/gtest.h>
+
+namespace parsleystair {
+
+namespace {
+
+/// A target that closes connections after some idle time, and the connections
+/// to it.
+class target_connections_test : public testing::Test
+{
+protected:
+  static constexpr duration kIdleTime = 300ms;
+  static constexpr duration kKeepAlive = 600ms;
+
+  target_connections_test()
+    : mConnections(mLoop, {}, kKeepAlive)
+  {
+    http_server_settings settings;
+    settings.mIdleTimeout = kIdleTime;
+    mServer = std::make_unique<http_server>(
+      mLoop, settings, [this](exchange_id aExchange, const http_request&) {
+        mServer->Respond(aExchange, { 200, {}, "" });
+      });
+    mServer->Listen("127.0.0.1", 0);
+    mTarget.mName = target_name("t");
+    mTarget.mHost = "127.0.0.1";
+    mTarget.mPort = mServer->Port();
+  }
+
+  /// Makes calls at one time and waits for all answers.
+  void Call(size_t aCount)
+  {
+    size_t open = aCount;
+    http_request request;
+    request.mMethod = "GET";
+    request.mPath = "/";
+    for (size_t call = 0; call < aCount; ++call) {
+      mConnections.Call(
+        mTarget,
+        request,
+        1s,
+        MonotonicNow(),
+        [this, &open](const http_result&) {
+          if (--open == 0) {
+            mLoop.Stop();
+          }
+        },
+        nullptr);
+    }
+    mLoop.Run();
+  }
+
+  void RunFor(duration aTime)
+  {
+    timer end;
+    end.StartOnce(mLoop, aTime, [this] { mLoop.Stop(); });
+    mLoop.Run();
+  }
+
+  event_loop mLoop;
+  target_connections mConnections;
+  std::unique_ptr<http_server> mServer;
+  discovered_target mTarget;
+};
+
+} // namespace
+
+// Guards against an idle connection that a target closes in order, which counts
+// as its restart, so that all its keys get new fences.
+TEST_F(target_connections_test, ClosedIdleConnectionIsNoRestart)
+{
+  Call(2);
+  RunFor(250ms);
+  Call(1);
+  RunFor(150ms);
+  EXPECT_FALSE(mConnections.DropBroken(mTarget.mName, MonotonicNow()));
+}
+
+// Guards against a restart of a target that stays unnoticed.
+TEST_F(target_connections_test, LostConnectionsAreARestart)
+{
+  Call(2);
+  EXPECT_FALSE(mConnections.DropBroken(mTarget.mName, MonotonicNow()));
+  mServer.reset();
+  RunFor(50ms);
+  EXPECT_TRUE(mConnections.DropBroken(mTarget.mName, MonotonicNow()));
+}
+
+// Guards against a restart that stays unnoticed since nothing was sent to the
+// target for a while.
+TEST_F(target_connections_test, LossOfOldConnectionsAloneIsARestart)
+{
+  Call(1);
+  RunFor(400ms);
+  EXPECT_TRUE(mConnections.DropBroken(mTarget.mName, MonotonicNow()));
+}
+
+} // namespace parsleystair
