--- a/UnitTests/Gateway/GatewayTest.cpp
+++ b/UnitTests/Gateway/GatewayTest.cpp
@@ -278,4 +278,23 @@
               mTargets.at("keyed-2")->Holds(100));
 }
 
+// Guards against a paid call for each of many changes that follow each other.
+TEST_F(gateway_test, ManyChangesCostFewCalls)
+{
+  const gateway_instance& gateway = StartGateway("a");
+  RunFor(500ms);
+  const uint64_t before = mKv.Calls();
+  constexpr uint32_t kChanges = 60;
+  for (uint32_t change = 1; change <= kChanges; ++change) {
+    PutConfiguration(1 + change);
+    RunFor(30ms);
+  }
+  // Two renewals of the leader's lease a second, and a watch each 0.4 s.
+  EXPECT_LE(mKv.Calls() - before, 13U);
+  EXPECT_TRUE(RunUntil([&] {
+    return gateway.mTask->DumpText().find("\"configurationVersion\": 61") !=
+           std::string::npos;
+  }));
+}
+
 } // namespace parsleystair
