Add a fault soak of the gateway

Seven routers as processes, with a loopback proxy on the way of each to the store and to each target, signals, faults of the store and of targets, and changes of the configuration, overlapping. It checks what callers and targets see while it runs and that all is served afterwards.

--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -32,64 +32,82 @@
 /// Failures after which the store counts as lost.
 constexpr uint32_t kFailuresToLose = 2;
 
-const char *OutcomeName(call_outcome aOutcome) {
+const char* OutcomeName(call_outcome aOutcome)
+{
   switch (aOutcome) {
-  case call_outcome::kDone:
-    return "done";
-  case call_outcome::kConflict:
-    return "conflict";
-  case call_outcome::kGone:
-    return "gone";
-  case call_outcome::kRefused:
-    return "refused";
-  case call_outcome::kUnknown:
-    return "unanswered";
+    case call_outcome::kDone:
+      return "done";
+    case call_outcome::kConflict:
+      return "conflict";
+    case call_outcome::kGone:
+      return "gone";
+    case call_outcome::kRefused:
+      return "refused";
+    case call_outcome::kUnknown:
+      return "unanswered";
   }
   return "unanswered";
 }
 
 } // namespace
 
-prefix_follower::prefix_follower(event_loop &aLoop, coordination_store &aStore,
+prefix_follower::prefix_follower(event_loop& aLoop,
+                                 coordination_store& aStore,
                                  std::string aPrefix,
-                                 prefix_listener &aListener, uint64_t aSeed)
-    : mLoop(aLoop), mStore(aStore), mPrefix(std::move(aPrefix)),
-      mListener(aListener), mRandom(aSeed) {}
+                                 prefix_listener& aListener,
+                                 uint64_t aSeed)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mPrefix(std::move(aPrefix))
+  , mListener(aListener)
+  , mRandom(aSeed)
+{
+}
 
-void prefix_follower::Start() { Read(); }
+void prefix_follower::Start()
+{
+  Read();
+}
 
-void prefix_follower::Read() {
+void prefix_follower::Read()
+{
   mStore.ReadPrefix(mPrefix,
-                    [this](const prefix_reply &aReply) { HandleRead(aReply); });
+                    [this](const prefix_reply& aReply) { HandleRead(aReply); });
 }
 
-void prefix_follower::Watch() {
+void prefix_follower::Watch()
+{
   const uint64_t number = ++mWatchNumber;
-  mStore.Watch(mPrefix, mRevision, mFailures > 0 ? kFirstWatchWait : kWatchWait,
-               [this, number](const watch_reply &aReply) {
+  mStore.Watch(mPrefix,
+               mRevision,
+               mFailures > 0 ? kFirstWatchWait : kWatchWait,
+               [this, number](const watch_reply& aReply) {
                  if (number == mWatchNumber) {
                    HandleWatch(aReply);
                  }
                });
 }
 
-void prefix_follower::CheckAfterGap(time_point aAt) {
-  mGapTimer.StartOnce(mLoop, kGapCheckDelay,
-                      [this, aAt] { HandleGapChecked(aAt); });
+void prefix_follower::CheckAfterGap(time_point aAt)
+{
+  mGapTimer.StartOnce(
+    mLoop, kGapCheckDelay, [this, aAt] { HandleGapChecked(aAt); });
 }
 
-void prefix_follower::HandleGapChecked(time_point aAt) {
+void prefix_follower::HandleGapChecked(time_point aAt)
+{
   if (!mHasRead || mAnsweredAt >= aAt - kGapCheckDelay) {
     return;
   }
   log_line(log_severity::kInfo, "watch_given_up")
-      .Add("prefix", mPrefix)
-      .Add("revision", mRevision.Value());
+    .Add("prefix", mPrefix)
+    .Add("revision", mRevision.Value());
   ++mWatchNumber;
   Read();
 }
 
-void prefix_follower::HandleRead(const prefix_reply &aReply) {
+void prefix_follower::HandleRead(const prefix_reply& aReply)
+{
   if (aReply.mOutcome != call_outcome::kDone) {
     RetryLater(aReply.mOutcome, true);
     return;
@@ -101,11 +119,12 @@
   Watch();
 }
 
-void prefix_follower::HandleWatch(const watch_reply &aReply) {
+void prefix_follower::HandleWatch(const watch_reply& aReply)
+{
   if (aReply.mOutcome == call_outcome::kGone) {
     log_line(log_severity::kInfo, "history_gone")
-        .Add("prefix", mPrefix)
-        .Add("revision", mRevision.Value());
+      .Add("prefix", mPrefix)
+      .Add("revision", mRevision.Value());
     NoteAnswer();
     mListener.HandleGap();
     Read();
@@ -117,7 +136,7 @@
   }
   NoteAnswer();
   mRevision = std::max(mRevision, aReply.mRevision);
-  for (const item_change &change : aReply.mChanges) {
+  for (const item_change& change : aReply.mChanges) {
     mListener.HandleChange(change);
   }
   if (aReply.mChanges.empty()) {
@@ -126,13 +145,14 @@
   }
   const time_point now = MonotonicNow();
   const bool busy =
-      mChangedAt != time_point::min() && now - mChangedAt < kBusyTime;
+    mChangedAt != time_point::min() && now - mChangedAt < kBusyTime;
   mChangedAt = now;
-  mTimer.StartOnce(mLoop, busy ? kBusyGatherTime : kGatherTime,
-                   [this] { Watch(); });
+  mTimer.StartOnce(
+    mLoop, busy ? kBusyGatherTime : kGatherTime, [this] { Watch(); });
 }
 
-void prefix_follower::NoteAnswer() {
+void prefix_follower::NoteAnswer()
+{
   mAnsweredAt = MonotonicNow();
   if (mFailures >= kFailuresToLose) {
     log_line(log_severity::kInfo, "store_back").Add("prefix", mPrefix);
@@ -141,16 +161,17 @@
   mFailures = 0;
 }
 
-void prefix_follower::RetryLater(call_outcome aOutcome, bool aRead) {
+void prefix_follower::RetryLater(call_outcome aOutcome, bool aRead)
+{
   constexpr uint32_t kMaxDoublings = 3;
   const duration longest = std::min(
-      kMaxRetry, kFirstRetry * (1 << std::min(mFailures, kMaxDoublings)));
+    kMaxRetry, kFirstRetry * (1 << std::min(mFailures, kMaxDoublings)));
   ++mFailures;
   if (mFailures == kFailuresToLose) {
     log_line(log_severity::kWarning, "store_lost")
-        .Add("prefix", mPrefix)
-        .Add("outcome", OutcomeName(aOutcome))
-        .Add("revision", mRevision.Value());
+      .Add("prefix", mPrefix)
+      .Add("outcome", OutcomeName(aOutcome))
+      .Add("revision", mRevision.Value());
     mListener.HandleLost();
   }
   std::uniform_int_distribution<int64_t> delay(longest.count() / 2,
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -10,13 +10,14 @@
 namespace parsleystair {
 
 /// What a follower tells of its part of the store.
-class prefix_listener {
+class prefix_listener
+{
 public:
   virtual ~prefix_listener() = default;
 
   /// All keys of the prefix, after a start or a gap in the history.
-  virtual void HandleItems(const std::vector<stored_item> &aItems) = 0;
-  virtual void HandleChange(const item_change &aChange) = 0;
+  virtual void HandleItems(const std::vector<stored_item>& aItems) = 0;
+  virtual void HandleChange(const item_change& aChange) = 0;
   /// The store stopped answering, and answers again.
   virtual void HandleLost() = 0;
   virtual void HandleBack() = 0;
@@ -25,13 +26,16 @@
 };
 
 /// Keeps a listener up to date with all keys of one prefix by waiting watches.
-class prefix_follower {
+class prefix_follower
+{
 public:
-  prefix_follower(event_loop &aLoop, coordination_store &aStore,
-                  std::string aPrefix, prefix_listener &aListener,
+  prefix_follower(event_loop& aLoop,
+                  coordination_store& aStore,
+                  std::string aPrefix,
+                  prefix_listener& aListener,
                   uint64_t aSeed);
-  prefix_follower(const prefix_follower &) = delete;
-  prefix_follower &operator=(const prefix_follower &) = delete;
+  prefix_follower(const prefix_follower&) = delete;
+  prefix_follower& operator=(const prefix_follower&) = delete;
 
   void Start();
 
@@ -45,16 +49,16 @@
 private:
   void Read();
   void Watch();
-  void HandleRead(const prefix_reply &aReply);
-  void HandleWatch(const watch_reply &aReply);
+  void HandleRead(const prefix_reply& aReply);
+  void HandleWatch(const watch_reply& aReply);
   void HandleGapChecked(time_point aAt);
   void NoteAnswer();
   void RetryLater(call_outcome aOutcome, bool aRead);
 
-  event_loop &mLoop;
-  coordination_store &mStore;
+  event_loop& mLoop;
+  coordination_store& mStore;
   std::string mPrefix;
-  prefix_listener &mListener;
+  prefix_listener& mListener;
   std::mt19937_64 mRandom;
   store_revision mRevision;
   bool mHasRead = false;
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -20,8 +20,8 @@
   /// before grants run out.
   duration mRenewEvery = 800ms;
   /// Longest time for which a leader renews grants though the store does not
-  /// confirm that it leads. With the hold, bridges outages of the store of up to
-  /// 9 s; the keys of an owner that is lost together with the leader wait as
+  /// confirm that it leads. With the hold, bridges outages of the store of up
+  /// to 9 s; the keys of an owner that is lost together with the leader wait as
   /// long.
   duration mUnprovenTime = 7s;
   /// Longest age of the proof with which a leader takes keys away. An owner
--- a/Parsleystair/KeyRanges/RangePlanner.cpp
+++ b/Parsleystair/KeyRanges/RangePlanner.cpp
@@ -23,13 +23,16 @@
 /// A bucket that overshoots the wanted weight by this factor stays.
 constexpr double kOvershoot = 1.5;
 
-double RelativeWeight(const owner_candidate &aCandidate) {
+double RelativeWeight(const owner_candidate& aCandidate)
+{
   return aCandidate.mWeight / aCandidate.mCapacity;
 }
 
-owner_candidate &LeastLoaded(std::vector<owner_candidate> &aCandidates) {
-  return *std::min_element(aCandidates.begin(), aCandidates.end(),
-                           [](const auto &aLeft, const auto &aRight) {
+owner_candidate& LeastLoaded(std::vector<owner_candidate>& aCandidates)
+{
+  return *std::min_element(aCandidates.begin(),
+                           aCandidates.end(),
+                           [](const auto& aLeft, const auto& aRight) {
                              return RelativeWeight(aLeft) <
                                     RelativeWeight(aRight);
                            });
@@ -37,8 +40,10 @@
 
 /// Number of pieces into which a weight is cut, so that one candidate doesn't
 /// get more than its share.
-size_t PieceCount(double aWeight, double aTotal,
-                  const std::vector<owner_candidate> &aCandidates) {
+size_t PieceCount(double aWeight,
+                  double aTotal,
+                  const std::vector<owner_candidate>& aCandidates)
+{
   const auto count = static_cast<double>(aCandidates.size());
   const double pieces = std::ceil(aWeight * count / std::max(aTotal, 1e-9));
   return static_cast<size_t>(std::clamp(pieces, 1.0, count));
@@ -46,15 +51,15 @@
 
 /// End of the longest run of keys from the start of an interval whose weight
 /// does not pass a bound by much; at least one bucket.
-uint32_t CutAt(const key_interval &aKeys, const key_load &aLoad,
-               double aWanted) {
+uint32_t CutAt(const key_interval& aKeys, const key_load& aLoad, double aWanted)
+{
   double weight = 0;
   uint32_t end = aKeys.mFrom;
   uint32_t key = aKeys.mFrom;
   while (key <= aKeys.mTo) {
     const uint32_t bucketEnd =
-        std::min(key | (key_load::kKeysPerBucket - 1), aKeys.mTo);
-    const double added = aLoad.WeightOf({key, bucketEnd});
+      std::min(key | (key_load::kKeysPerBucket - 1), aKeys.mTo);
+    const double added = aLoad.WeightOf({ key, bucketEnd });
     if (key != aKeys.mFrom && weight + added / 2 > aWanted) {
       break;
     }
@@ -66,46 +71,54 @@
 }
 
 /// Piece at one edge of a range whose weight is close to the wanted one.
-struct edge_piece {
+struct edge_piece
+{
   key_interval mKeys;
   double mWeight = 0;
 };
 
-edge_piece LeftPiece(const key_interval &aKeys, const key_load &aLoad,
-                     double aWanted) {
-  const key_interval piece{aKeys.mFrom, CutAt(aKeys, aLoad, aWanted)};
-  return {piece, aLoad.WeightOf(piece)};
+edge_piece LeftPiece(const key_interval& aKeys,
+                     const key_load& aLoad,
+                     double aWanted)
+{
+  const key_interval piece{ aKeys.mFrom, CutAt(aKeys, aLoad, aWanted) };
+  return { piece, aLoad.WeightOf(piece) };
 }
 
-edge_piece RightPiece(const key_interval &aKeys, const key_load &aLoad,
-                      double aWanted) {
+edge_piece RightPiece(const key_interval& aKeys,
+                      const key_load& aLoad,
+                      double aWanted)
+{
   const double rest = aLoad.WeightOf(aKeys) - aWanted;
   const uint32_t cut = CutAt(aKeys, aLoad, rest);
   if (cut >= aKeys.mTo) {
     return {};
   }
-  const key_interval piece{cut + 1, aKeys.mTo};
-  return {piece, aLoad.WeightOf(piece)};
+  const key_interval piece{ cut + 1, aKeys.mTo };
+  return { piece, aLoad.WeightOf(piece) };
 }
 
 /// Best piece among the edges of all ranges of an owner.
-std::optional<key_interval> FindPiece(const range_record &aRecord,
-                                      const target_name &aOwner,
-                                      const key_load &aLoad, double aWanted) {
+std::optional<key_interval> FindPiece(const range_record& aRecord,
+                                      const target_name& aOwner,
+                                      const key_load& aLoad,
+                                      double aWanted)
+{
   std::optional<key_interval> best;
   double bestCost = std::numeric_limits<double>::max();
-  for (const owned_range &range : aRecord.mRanges) {
+  for (const owned_range& range : aRecord.mRanges) {
     if (range.mOwner.mName != aOwner) {
       continue;
     }
-    for (const edge_piece &piece : {LeftPiece(range.mKeys, aLoad, aWanted),
-                                    RightPiece(range.mKeys, aLoad, aWanted)}) {
+    for (const edge_piece& piece :
+         { LeftPiece(range.mKeys, aLoad, aWanted),
+           RightPiece(range.mKeys, aLoad, aWanted) }) {
       const bool fits = piece.mWeight <= aWanted * kOvershoot &&
                         piece.mWeight >= aWanted * kSmallestPart;
       const double keys = static_cast<double>(piece.mKeys.Size()) /
                           static_cast<double>(kMaxKeyNumber);
       const double cost =
-          std::abs(piece.mWeight - aWanted) / aWanted + kKeyCost * keys;
+        std::abs(piece.mWeight - aWanted) / aWanted + kKeyCost * keys;
       if (fits && cost < bestCost) {
         best = piece.mKeys;
         bestCost = cost;
@@ -117,15 +130,16 @@
 
 } // namespace
 
-std::vector<planned_range>
-PlanOwners(const key_interval &aKeys, const key_load &aLoad,
-           std::vector<owner_candidate> &aCandidates) {
+std::vector<planned_range> PlanOwners(const key_interval& aKeys,
+                                      const key_load& aLoad,
+                                      std::vector<owner_candidate>& aCandidates)
+{
   if (aCandidates.empty()) {
     return {};
   }
   const double weight = aLoad.WeightOf(aKeys);
   double total = weight;
-  for (const owner_candidate &each : aCandidates) {
+  for (const owner_candidate& each : aCandidates) {
     total += each.mWeight;
   }
   const size_t pieces = PieceCount(weight, total, aCandidates);
@@ -134,10 +148,10 @@
   for (size_t piece = pieces; piece > 0; --piece) {
     const double wanted = aLoad.WeightOf(left) / static_cast<double>(piece);
     const uint32_t end = piece == 1 ? left.mTo : CutAt(left, aLoad, wanted);
-    const key_interval keys{left.mFrom, end};
-    owner_candidate &owner = LeastLoaded(aCandidates);
+    const key_interval keys{ left.mFrom, end };
+    owner_candidate& owner = LeastLoaded(aCandidates);
     owner.mWeight += aLoad.WeightOf(keys);
-    plan.push_back({keys, owner.mName});
+    plan.push_back({ keys, owner.mName });
     if (end >= left.mTo) {
       break;
     }
@@ -146,32 +160,34 @@
   return plan;
 }
 
-std::optional<planned_range>
-PlanBalance(const range_record &aRecord, const key_load &aLoad,
-            const std::vector<owner_candidate> &aCandidates) {
+std::optional<planned_range> PlanBalance(
+  const range_record& aRecord,
+  const key_load& aLoad,
+  const std::vector<owner_candidate>& aCandidates)
+{
   if (aCandidates.size() < 2) {
     return std::nullopt;
   }
   std::vector<owner_candidate> byLoad = aCandidates;
-  std::sort(byLoad.begin(), byLoad.end(),
-            [](const auto &aLeft, const auto &aRight) {
-              return RelativeWeight(aLeft) > RelativeWeight(aRight);
-            });
-  const owner_candidate &least = byLoad.back();
+  std::sort(
+    byLoad.begin(), byLoad.end(), [](const auto& aLeft, const auto& aRight) {
+      return RelativeWeight(aLeft) > RelativeWeight(aRight);
+    });
+  const owner_candidate& least = byLoad.back();
   double weight = 0;
   double capacity = 0;
-  for (const owner_candidate &each : aCandidates) {
+  for (const owner_candidate& each : aCandidates) {
     weight += each.mWeight;
     capacity += each.mCapacity;
   }
   const double mean = weight / capacity;
   const bool hasEmpty = RelativeWeight(least) < kEmptyPart * mean;
   const double requests =
-      std::max(1.0, aLoad.Requests() / static_cast<double>(aCandidates.size()));
+    std::max(1.0, aLoad.Requests() / static_cast<double>(aCandidates.size()));
   const double limit = kImbalanceToMove + kNoiseFactor / std::sqrt(requests);
   // An owner whose load lies on one bucket can't be relieved; the next one may
   // be.
-  for (const owner_candidate &most : byLoad) {
+  for (const owner_candidate& most : byLoad) {
     const double load = RelativeWeight(most);
     const bool isOver = load >= limit * mean || (hasEmpty && load > mean);
     if (!isOver) {
@@ -181,7 +197,7 @@
     const double excess = std::min(load - mean, mean - RelativeWeight(least));
     const double wanted = std::max(excess, mean / 2) * least.mCapacity;
     if (const auto piece = FindPiece(aRecord, most.mName, aLoad, wanted)) {
-      return planned_range{*piece, least.mName};
+      return planned_range{ *piece, least.mName };
     }
   }
   return std::nullopt;
--- /dev/null
+++ b/PerformanceTest/gateway_soak/SoakWorld.cpp
@@ -0,0 +1,369 @@
+#include "PerformanceTest/gateway_soak/SoakWorld.h"
+
+#include "Parsleystair/Core/Clock.h"
+
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+// The deployment, its traffic, and the checks. Faults are in SoakFaults.cpp.
+
+namespace parsleystair {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr uint16_t kCallersPort = 18001;
+constexpr uint16_t kReadinessPort = 18002;
+constexpr uint16_t kOperatorsPort = 18003;
+constexpr uint16_t kPeersPort = 18004;
+
+/// Loopback networks, of which a run takes one.
+constexpr uint64_t kNetworks = 200;
+
+constexpr duration kRequestInterval = 4ms;
+constexpr duration kOwnersCheckInterval = 20ms;
+constexpr duration kStartTime = 3s;
+/// Time after the last fault in which all is to be served again: a lost
+/// owner's keys wait for the longest renewal without proof and the hold.
+constexpr duration kHealTime = 12s;
+constexpr duration kFinalTime = 3s;
+constexpr double kFinalShare = 0.98;
+constexpr uint32_t kKeys = 64;
+constexpr uint32_t kKeyStep = 1024;
+
+json Rule(const char* aName, const char* aKind, const char* aService)
+{
+  return {
+    { "name", aName },
+    { "kind", aKind },
+    { "target_latency_s", 1.0 },
+    { "priority", 1 },
+    { "match", { { "prefix", std::string("/") + aName + "/" } } },
+    { "action",
+      { { "service", aService }, { "timeout_s", 2.0 }, { "max_attempts", 3 } } }
+  };
+}
+
+json Cluster(const char* aName, bool aKeyed)
+{
+  json cluster = { { "name", aName },
+                   { "health_path", "/health" },
+                   { "max_connections", 100 } };
+  if (aKeyed) {
+    cluster["sharded"] = true;
+    cluster["warm_s"] = 0.1;
+  }
+  return cluster;
+}
+
+} // namespace
+
+soak_world::soak_world(const soak_settings& aSettings)
+  : mSettings(aSettings)
+  , mStore(mLoop)
+  , mRandom(aSettings.mSeed)
+{
+  mStore.Listen("127.0.0.1", 0);
+  PutConfiguration();
+  AddTargets("plain", 3);
+  AddTargets("orders", 3);
+  AddTargets("keyed", 4);
+  mGateways.resize(kGateways);
+  for (size_t index = 0; index < kGateways; ++index) {
+    AddGateway(index);
+  }
+}
+
+soak_world::~soak_world() = default;
+
+void soak_world::PutConfiguration()
+{
+  char version[16]; // NOLINT: filled by snprintf
+  std::snprintf(version, sizeof(version), "%08x", ++mVersion);
+  const json configuration = {
+    { "version", version },
+    { "limits",
+      { { "max_header_bytes", 16384 },
+        { "max_body_bytes", 100000 },
+        { "header_timeout_s", 3 },
+        { "idle_timeout_s", 15 } } },
+    { "listeners",
+      { { { "host", "shop.example" },
+          { "rules",
+            { Rule("read", "safe", "plain"),
+              Rule("order", "unsafe", "orders"),
+              Rule("history", "safe", "keyed") } } } } },
+    { "clusters",
+      { Cluster("plain", false),
+        Cluster("orders", false),
+        Cluster("keyed", true) } }
+  };
+  mStore.Put("op/config", configuration.dump());
+}
+
+void soak_world::AddTargets(const std::string& aService, size_t aCount)
+{
+  for (size_t number = 1; number <= aCount; ++number) {
+    const std::string name = aService + "-" + std::to_string(number);
+    mTargets[name].mService = aService;
+    StartTarget(name);
+  }
+}
+
+void soak_world::StartTarget(const std::string& aName)
+{
+  target& each = mTargets.at(aName);
+  each.mTarget =
+    std::make_unique<keyed_target>(mLoop, aName, each.mService == "keyed");
+  each.mTarget->Listen("127.0.0.1", 0);
+  each.mTarget->SetWork(10ms);
+  each.mTarget->SetStarted(++each.mStartedMs);
+  each.mTarget->OnRun([this](const std::string& aId) { CountRun(aId); });
+  if (each.mProxy == nullptr) {
+    each.mProxy = std::make_unique<fault_proxy>(mLoop, each.mTarget->Port());
+  }
+  each.mProxy->SetTo(each.mTarget->Port());
+  Register(aName, "ready");
+}
+
+void soak_world::Register(const std::string& aName, const std::string& aState)
+{
+  const target& each = mTargets.at(aName);
+  json entry = json::parse(each.mTarget->Entry(each.mService, aState));
+  entry["address"] = "127.0.0.1:" + std::to_string(each.mProxy->Port());
+  mStore.Put("servers/" + aName, entry.dump());
+}
+
+void soak_world::AddGateway(size_t aIndex)
+{
+  gateway& each = mGateways[aIndex];
+  const std::string name = "front-" + std::to_string(aIndex + 1);
+  // Runs with different seeds can go on at the same time.
+  each.mHost = "127.0." + std::to_string(1 + mSettings.mSeed % kNetworks) +
+               "." + std::to_string(aIndex + 1);
+  each.mStoreProxy = std::make_unique<fault_proxy>(mLoop, mStore.Port());
+  const auto address = [&](uint16_t aPort) {
+    return each.mHost + ":" + std::to_string(aPort);
+  };
+  const json settings = {
+    { "vm", name },
+    { "failureDomain", "asti-a" },
+    { "failureDomains", { { "asti-a", "piemonte" } } },
+    { "callers", address(kCallersPort) },
+    { "readiness", address(kReadinessPort) },
+    { "operators", address(kOperatorsPort) },
+    { "peers", address(kPeersPort) },
+    { "store", "127.0.0.1:" + std::to_string(each.mStoreProxy->Port()) },
+    { "shutdownGraceSeconds", 4 }
+  };
+  each.mSettingsPath = mSettings.mDirectory + "/" + name + ".json";
+  std::ofstream(each.mSettingsPath) << settings.dump(2);
+  StartGateway(each);
+}
+
+void soak_world::StartGateway(gateway& aGateway)
+{
+  aGateway.mConnections.clear();
+  aGateway.mEnding = false;
+  aGateway.mProcess =
+    std::make_unique<gateway_process>(mSettings.mProgram,
+                                      aGateway.mSettingsPath,
+                                      aGateway.mSettingsPath + ".log");
+}
+
+std::vector<std::string> soak_world::Run()
+{
+  RunFor(kStartTime);
+  mTraffic.StartRepeating(mLoop, kRequestInterval, [this] { SendRequest(); });
+  mOwnersCheck.StartRepeating(
+    mLoop, kOwnersCheckInterval, [this] { CheckOwners(); });
+  Inject();
+  RunFor(mSettings.mTime);
+  mFaultTimer.Cancel();
+  PutConfiguration();
+  RunFor(kHealTime);
+  mFinal = true;
+  RunFor(kFinalTime);
+  mTraffic.Cancel();
+  RunFor(kFinalTime);
+  CheckServed();
+  CheckConfiguration();
+  CheckLedger();
+  return mViolations;
+}
+
+http_connection& soak_world::ConnectionTo(gateway& aGateway)
+{
+  for (const auto& each : aGateway.mConnections) {
+    if (!each->IsBusy()) {
+      return *each;
+    }
+  }
+  aGateway.mConnections.push_back(
+    std::make_unique<http_connection>(mLoop, aGateway.mHost, kCallersPort));
+  return *aGateway.mConnections.back();
+}
+
+void soak_world::SendRequest()
+{
+  static const std::vector<std::string> kKinds = { "read", "order", "history" };
+  const std::string& kind = kKinds[Random(kKinds.size())];
+  std::string id = "r-";
+  id += std::to_string(mNextRequest++);
+  http_request request;
+  request.mMethod = kind == "order" ? "POST" : "GET";
+  request.mPath = "/" + kind + "/" + std::to_string(Random(1000));
+  request.mHeaders = { { "Host", "shop.example" },
+                       { "X-Request-Id", id },
+                       { "X-Deadline-Ms", "3000" },
+                       { "X-Shard-Key",
+                         std::to_string(Random(kKeys) * kKeyStep) } };
+  mRequests[id] = { kind == "order", false, request.mPath, 0 };
+  mFinalSent += mFinal ? 1 : 0;
+  constexpr duration kCallerTimeout = 4s;
+  ConnectionTo(mGateways[Random(kGateways)])
+    .Call(request, kCallerTimeout, [this, id](const http_result& aResult) {
+      HandleResult(id, aResult);
+    });
+}
+
+void soak_world::HandleResult(const std::string& aId,
+                              const http_result& aResult)
+{
+  constexpr uint32_t kOk = 200;
+  constexpr uint32_t kNotFound = 404;
+  constexpr uint32_t kUnavailable = 503;
+  sent_request& request = mRequests.at(aId);
+  const uint32_t status =
+    aResult.mStatus == http_status::kAnswered ? aResult.mAnswer.mStatus : 0;
+  ++mStatuses[status];
+  if (status == kUnavailable) {
+    request.mRefused = true;
+  }
+  if (status == kNotFound) {
+    Violation("404 for a configured route: " + aId);
+  }
+  if (status != kOk) {
+    return;
+  }
+  mFinalServed += mFinal ? 1 : 0;
+  const auto& headers = aResult.mAnswer.mHeaders;
+  const bool own = FindHeader(headers, "X-Request-Id") == aId &&
+                   FindHeader(headers, "X-Response-Signature") &&
+                   aResult.mAnswer.mBody.ends_with(" ran " + request.mPath);
+  if (!own || request.mRuns == 0) {
+    Violation("an answer of another request, or of none, for " + aId);
+  }
+}
+
+void soak_world::CountRun(const std::string& aId)
+{
+  const auto found = mRequests.find(aId);
+  if (found == mRequests.end()) {
+    Violation("a request that nobody sent ran: " + aId);
+    return;
+  }
+  ++found->second.mRuns;
+}
+
+void soak_world::CheckOwners()
+{
+  for (uint32_t key = 0; key < kKeys * kKeyStep; key += kKeyStep) {
+    std::string owners;
+    size_t count = 0;
+    for (const auto& [name, each] : mTargets) {
+      if (each.mService == "keyed" && each.mTarget->Holds(key)) {
+        owners += " " + name;
+        ++count;
+      }
+    }
+    if (count > 1) {
+      Violation("two owners of key " + std::to_string(key) + ":" + owners);
+    }
+  }
+}
+
+void soak_world::CheckServed()
+{
+  const double share = static_cast<double>(mFinalServed) /
+                       static_cast<double>(std::max<size_t>(mFinalSent, 1));
+  if (share < kFinalShare) {
+    Violation("after all faults " + std::to_string(mFinalServed) + " of " +
+              std::to_string(mFinalSent) + " requests were served");
+  }
+}
+
+void soak_world::CheckConfiguration()
+{
+  for (gateway& each : mGateways) {
+    http_connection connection(mLoop, each.mHost, kOperatorsPort);
+    http_request request;
+    request.mMethod = "GET";
+    request.mPath = "/dump";
+    std::string body;
+    connection.Call(request, 1s, [&](const http_result& aResult) {
+      body = aResult.mAnswer.mBody;
+      mLoop.Stop();
+    });
+    mLoop.Run();
+    const std::string expected =
+      "\"configurationVersion\": " + std::to_string(mVersion);
+    if (body.find(expected) == std::string::npos) {
+      Violation(each.mHost + " has an old configuration");
+    }
+  }
+}
+
+void soak_world::CheckLedger()
+{
+  for (const auto& [id, request] : mRequests) {
+    if (request.mUnsafe && request.mRuns > 1) {
+      Violation("an unsafe request ran twice: " + id);
+    }
+    if (request.mUnsafe && request.mRefused && request.mRuns > 0) {
+      Violation("a request that was refused as not run has run: " + id);
+    }
+  }
+}
+
+void soak_world::Violation(const std::string& aText)
+{
+  if (mSeen.insert(aText).second) {
+    mViolations.push_back(aText);
+  }
+}
+
+std::string soak_world::Summary() const
+{
+  std::string text = std::to_string(mRequests.size()) + " requests; status";
+  for (const auto& [status, count] : mStatuses) {
+    text += " " + std::to_string(status) + ": " + std::to_string(count) + ",";
+  }
+  text += " faults";
+  for (const auto& [name, count] : mFaults) {
+    text += " " + name + ": " + std::to_string(count) + ",";
+  }
+  return text;
+}
+
+void soak_world::RunFor(duration aTime)
+{
+  timer end;
+  end.StartOnce(mLoop, aTime, [this] { mLoop.Stop(); });
+  mLoop.Run();
+}
+
+size_t soak_world::Random(size_t aCount)
+{
+  return std::uniform_int_distribution<size_t>(0, aCount - 1)(mRandom);
+}
+
+duration soak_world::RandomTime(duration aLongest)
+{
+  return duration(
+    static_cast<int64_t>(Random(static_cast<size_t>(aLongest.count())) + 1));
+}
+
+} // namespace parsleystair
--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -54,7 +54,7 @@
     { "state", aState },
     { "slow_start_s_time", 0 },
     { "seq", 1 },
-    { "born", 1000 }
+    { "born", mStartedMs }
   }.dump();
 }
 
@@ -152,6 +152,9 @@
     return;
   }
   mRan.push_back(Header(aRequest, "X-Request-Id"));
+  if (mRunHandler) {
+    mRunHandler(mRan.back());
+  }
   auto& running = mRunning[aExchange];
   running = std::make_unique<timer>();
   running->StartOnce(mLoop, mWork, [this, aExchange, aRequest] {
--- a/StandIns/standin_users_platform/KeyedTarget.h
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -4,6 +4,7 @@
 #include "Parsleystair/Core/Time.h"
 #include "Parsleystair/Http/HttpServer.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -30,6 +31,13 @@
   [[nodiscard]] std::string Entry(const std::string& aService,
                                   const std::string& aState) const;
 
+  /// Start of this life, as its entry says: Unix time in milliseconds.
+  void SetStarted(uint64_t aStartedMs) { mStartedMs = aStartedMs; }
+  /// Called with the id of each request that begins to run.
+  void OnRun(std::function<void(const std::string&)> aHandler)
+  {
+    mRunHandler = std::move(aHandler);
+  }
   /// Time that each request runs.
   void SetWork(duration aWork) { mWork = aWork; }
   /// Refuses all requests without running them.
@@ -72,6 +80,8 @@
   bool mAnswersOthers = false;
   size_t mGrants = 0;
   size_t mCancelled = 0;
+  uint64_t mStartedMs = 1000;
+  std::function<void(const std::string&)> mRunHandler;
   std::vector<std::string> mRan;
   std::vector<held_keys> mHeld;
   std::map<exchange_id, std::unique_ptr<timer>> mRunning;
--- a/UnitTests/KeyRanges/RangePlannerTest.cpp
+++ b/UnitTests/KeyRanges/RangePlannerTest.cpp
@@ -9,19 +9,21 @@
 
 namespace {
 
-std::vector<owner_candidate> Candidates(size_t aCount) {
+std::vector<owner_candidate> Candidates(size_t aCount)
+{
   std::vector<owner_candidate> candidates;
   for (size_t i = 0; i < aCount; ++i) {
-    candidates.push_back({target_name("t" + std::to_string(i)), 1, 0});
+    candidates.push_back({ target_name("t" + std::to_string(i)), 1, 0 });
   }
   return candidates;
 }
 
-range_record RecordOf(const std::vector<planned_range> &aPlan) {
+range_record RecordOf(const std::vector<planned_range>& aPlan)
+{
   range_record record;
   record.mNextFence = 2;
-  for (const planned_range &each : aPlan) {
-    AssignKeys(record, {each.mKeys, {each.mTo, 1}, fence(1), ""});
+  for (const planned_range& each : aPlan) {
+    AssignKeys(record, { each.mKeys, { each.mTo, 1 }, fence(1), "" });
   }
   return record;
 }
@@ -29,12 +31,13 @@
 } // namespace
 
 // Guards against keys that are left out or given out twice.
-TEST(RangePlanner, GivesEachKeyToOneOwner) {
+TEST(RangePlanner, GivesEachKeyToOneOwner)
+{
   const key_load load;
   auto candidates = Candidates(7);
-  const auto plan = PlanOwners({0, kMaxKeyNumber}, load, candidates);
+  const auto plan = PlanOwners({ 0, kMaxKeyNumber }, load, candidates);
   uint32_t next = 0;
-  for (const planned_range &each : plan) {
+  for (const planned_range& each : plan) {
     EXPECT_EQ(each.mKeys.mFrom, next);
     next = each.mKeys.mTo + 1;
   }
@@ -43,7 +46,8 @@
 }
 
 // Guards against one owner that gets all the busy keys.
-TEST(RangePlanner, BusyKeysAreSpread) {
+TEST(RangePlanner, BusyKeysAreSpread)
+{
   key_load load;
   key_counts counts;
   for (uint32_t bucket = 100; bucket < 160; ++bucket) {
@@ -51,24 +55,26 @@
   }
   load.Add(counts, time_point(1h));
   auto candidates = Candidates(6);
-  PlanOwners({0, kMaxKeyNumber}, load, candidates);
-  for (const owner_candidate &each : candidates) {
+  PlanOwners({ 0, kMaxKeyNumber }, load, candidates);
+  for (const owner_candidate& each : candidates) {
     EXPECT_NEAR(each.mWeight, 200, 60);
   }
 }
 
 // Guards against moves that follow the noise of small counts.
-TEST(RangePlanner, LeavesSmallDifferencesAlone) {
+TEST(RangePlanner, LeavesSmallDifferencesAlone)
+{
   key_load load;
   auto candidates = Candidates(2);
-  const auto plan = PlanOwners({0, kMaxKeyNumber}, load, candidates);
-  load.Add({{key_bucket(10), 12}, {key_bucket(8000), 20}}, time_point(1h));
+  const auto plan = PlanOwners({ 0, kMaxKeyNumber }, load, candidates);
+  load.Add({ { key_bucket(10), 12 }, { key_bucket(8000), 20 } },
+           time_point(1h));
   const range_record record = RecordOf(plan);
-  for (owner_candidate &each : candidates) {
+  for (owner_candidate& each : candidates) {
     each.mWeight = 0;
-    for (const owned_range &range : record.mRanges) {
+    for (const owned_range& range : record.mRanges) {
       each.mWeight +=
-          range.mOwner.mName == each.mName ? load.WeightOf(range.mKeys) : 0;
+        range.mOwner.mName == each.mName ? load.WeightOf(range.mKeys) : 0;
     }
   }
   EXPECT_FALSE(PlanBalance(record, load, candidates));
@@ -76,7 +82,8 @@
 
 // Guards against a new owner that gets nothing, and a move that makes the most
 // loaded owner worse off.
-TEST(RangePlanner, FillsEmptyOwner) {
+TEST(RangePlanner, FillsEmptyOwner)
+{
   key_load load;
   key_counts counts;
   for (uint32_t bucket = 0; bucket < key_load::kBuckets; bucket += 64) {
@@ -85,8 +92,8 @@
   load.Add(counts, time_point(1h));
   auto candidates = Candidates(3);
   const range_record record =
-      RecordOf(PlanOwners({0, kMaxKeyNumber}, load, candidates));
-  candidates.push_back({target_name("new"), 1, 0});
+    RecordOf(PlanOwners({ 0, kMaxKeyNumber }, load, candidates));
+  candidates.push_back({ target_name("new"), 1, 0 });
   const auto move = PlanBalance(record, load, candidates);
   ASSERT_TRUE(move.has_value());
   EXPECT_EQ(move->mTo, target_name("new"));
@@ -95,7 +102,8 @@
 
 // Guards against an owner that stays overloaded because another one, whose
 // load lies on one key, can't be relieved.
-TEST(RangePlanner, RelievesTheNextOwnerWhenTheFirstHasOneBusyKey) {
+TEST(RangePlanner, RelievesTheNextOwnerWhenTheFirstHasOneBusyKey)
+{
   key_load load;
   key_counts counts;
   counts[key_bucket(0)] = 500;
@@ -104,10 +112,11 @@
   }
   load.Add(counts, time_point(1h));
   range_record record;
-  AssignKeys(record, {{0, 7}, {target_name("t0"), 1}, fence(1), ""});
-  AssignKeys(record, {{8, 40000}, {target_name("t1"), 1}, fence(1), ""});
-  AssignKeys(record,
-             {{40001, kMaxKeyNumber}, {target_name("t2"), 1}, fence(1), ""});
+  AssignKeys(record, { { 0, 7 }, { target_name("t0"), 1 }, fence(1), "" });
+  AssignKeys(record, { { 8, 40000 }, { target_name("t1"), 1 }, fence(1), "" });
+  AssignKeys(
+    record,
+    { { 40001, kMaxKeyNumber }, { target_name("t2"), 1 }, fence(1), "" });
   auto candidates = Candidates(3);
   candidates[0].mWeight = 500;
   candidates[1].mWeight = 300;
@@ -119,11 +128,12 @@
 }
 
 // Guards against records that change on their way through the store.
-TEST(RangeRecord, SurvivesItsEncoding) {
+TEST(RangeRecord, SurvivesItsEncoding)
+{
   range_record record;
   record.mNextFence = 9;
-  AssignKeys(record, {{0, 99}, {target_name("a"), 5}, fence(3), "state"});
-  AssignKeys(record, {{50, 60}, {target_name("b"), 6}, fence(8), ""});
+  AssignKeys(record, { { 0, 99 }, { target_name("a"), 5 }, fence(3), "state" });
+  AssignKeys(record, { { 50, 60 }, { target_name("b"), 6 }, fence(8), "" });
   EXPECT_EQ(DecodeRangeRecord(EncodeRangeRecord(record)), record);
   ASSERT_EQ(record.mRanges.size(), 3u);
   EXPECT_EQ(FindRange(record, 55)->mOwner.mName, target_name("b"));
@@ -131,15 +141,16 @@
   EXPECT_EQ(FindRange(record, 100), nullptr);
   EXPECT_THROW(DecodeRangeRecord("{}"), parse_error);
   EXPECT_THROW(
-      DecodeRangeRecord(R"({"nextFence":1,"ranges":[[5,2,"a",1,0,""]]})"),
-      parse_error);
+    DecodeRangeRecord(R"({"nextFence":1,"ranges":[[5,2,"a",1,0,""]]})"),
+    parse_error);
 }
 
 // Guards against load that is lost or changed between routers.
-TEST(LoadReport, SurvivesItsEncoding) {
+TEST(LoadReport, SurvivesItsEncoding)
+{
   load_report report;
-  report[service_name("s")] = {{{key_bucket(3), 4}},
-                               {{target_name("t"), {20, 30}}}};
+  report[service_name("s")] = { { { key_bucket(3), 4 } },
+                                { { target_name("t"), { 20, 30 } } } };
   EXPECT_EQ(DecodeLoadReport(EncodeLoadReport(report)), report);
   EXPECT_THROW(DecodeLoadReport("[1]"), parse_error);
 }
--- a/UnitTests/LogReading/EventPageTest.cpp
+++ b/UnitTests/LogReading/EventPageTest.cpp
@@ -24,10 +24,10 @@
 /// the next one or the end of the function.
 void CollectEvents(const std::string& aSource, event_fields& aEvents)
 {
-  static const std::regex sToken(
+  static const std::regex kToken(
     R"re(log_line(?: \w+)?\(\s*log_severity::\w+,\s*"(\w+)"\)|\.Add\(\s*"(\w+)"|\n(\}))re");
   std::string event;
-  for (std::sregex_iterator token(aSource.begin(), aSource.end(), sToken), end;
+  for (std::sregex_iterator token(aSource.begin(), aSource.end(), kToken), end;
        token != end;
        ++token) {
     const std::smatch& match = *token;
@@ -63,16 +63,16 @@
   event_fields events;
   std::ifstream page(std::string(PARSLEYSTAIR_SOURCE_DIRECTORY) +
                      "/docs/operators/log-events.md");
-  static const std::regex sRow(R"(^\| `(\w+)` \| (.+) \| (.*) \|$)");
-  static const std::regex sField(R"(`(\w+)`)");
+  static const std::regex kRow(R"(^\| `(\w+)` \| (.+) \| (.*) \|$)");
+  static const std::regex kField(R"(`(\w+)`)");
   for (std::string line; std::getline(page, line);) {
     std::smatch row;
-    if (!std::regex_match(line, row, sRow)) {
+    if (!std::regex_match(line, row, kRow)) {
       continue;
     }
     std::set<std::string>& fields = events[row[1]];
     const std::string cell = row[3];
-    for (std::sregex_iterator field(cell.begin(), cell.end(), sField), end;
+    for (std::sregex_iterator field(cell.begin(), cell.end(), kField), end;
          field != end;
          ++field) {
       fields.insert((*field)[1]);
--- a/UnitTests/Support/LogCapture.h
+++ b/UnitTests/Support/LogCapture.h
@@ -14,11 +14,11 @@
 public:
   log_capture()
   {
-    static const bool sStarted = [] {
+    static const bool kStarted = [] {
       StartLog(log_severity::kInfo);
       return true;
     }();
-    (void)sStarted;
+    (void)kStarted;
     testing::internal::CaptureStdout();
   }
   ~log_capture()
