Find lost watches soon, and never stop asking for owners

- A watch that the store took while it was silent was waited for up to 21 s: four routers applied versions 3 to 5 16 s late.
The watch of the configuration now waits 3 s at most, and after a call without an answer the others are checked too, as after a dropped history.
- A router whose owner feed failed three times picked a peer at random; when that was the one that it asked already, it never asked again and routed by old owners for good.

--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -15,6 +15,13 @@
 /// Work without an event of its own: health checks, old connections, late
 /// entries.
 constexpr duration kTickInterval = 250ms;
+/// Longest wait of a watch. A lost connection is found by the system's
+/// keep-alive.
+constexpr duration kWatchWait = 20s;
+/// Longest wait of the watch that shows for all of them whether the store lost
+/// them while it was silent. With the time for its answer, 1 s, and one for the
+/// next try, a change is in force 5 s after the silence.
+constexpr duration kConfigurationWait = 3s;
 /// Time between reads of the owners by a router that nobody tells them.
 constexpr duration kOwnersReadInterval = 1s;
 /// Busy keys change within seconds.
@@ -82,11 +89,17 @@
            const std::string& aPrefix,
            items_handler aItems,
            change_handler aChange,
+           duration aLongestWait,
            uint64_t aSeed)
     : mTask(aTask)
     , mItems(std::move(aItems))
     , mChange(std::move(aChange))
-    , mFollower(aTask.mLoop, aTask.mFollowed, aPrefix, *this, aSeed)
+    , mFollower(aTask.mLoop,
+                aTask.mFollowed,
+                aPrefix,
+                *this,
+                aLongestWait,
+                aSeed)
   {
   }
 
@@ -208,12 +221,14 @@
         ApplyConfiguration(aChange.mKey, *aChange.mValue);
       }
     },
+    kConfigurationWait,
     aSeed + 2);
   mTargets = std::make_unique<follower>(
     *this,
     aPlatform.mCatalog.TargetPrefix(),
     [this](const std::vector<stored_item>& aItems) { ApplyTargets(aItems); },
     [this](const item_change& aChange) { ApplyTarget(aChange); },
+    kWatchWait,
     aSeed + 3);
   mLeadership = std::make_unique<follower>(
     *this,
@@ -227,6 +242,7 @@
                         aChange.mKey, *aChange.mValue, aChange.mRevision })
                     : std::nullopt);
     },
+    kWatchWait,
     aSeed + 4);
 
   mReadiness.Listen(mSettings.mReadiness.mHost, mSettings.mReadiness.mPort);
--- a/Parsleystair/Gateway/OwnerFeed.cpp
+++ b/Parsleystair/Gateway/OwnerFeed.cpp
@@ -249,14 +249,12 @@
   try {
     const leader_entry hint = DecodeLeaderEntry(aText);
     mTimer.StartOnce(mLoop, kRetryTime, [this, hint] {
-      if (mLeader == hint) {
-        Ask();
-        return;
+      if (mLeader != hint) {
+        log_line(log_severity::kInfo, "leader_told")
+          .Add("vm", hint.mVm.Value())
+          .Add("host", hint.mHost);
       }
-      log_line(log_severity::kInfo, "leader_told")
-        .Add("vm", hint.mVm.Value())
-        .Add("host", hint.mHost);
-      SetLeader(hint);
+      AskAt(hint);
     });
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "leader_entry_unreadable")
@@ -265,6 +263,15 @@
   }
 }
 
+void owner_feed_client::AskAt(const leader_entry& aRouter)
+{
+  if (mLeader == aRouter) {
+    Ask();
+  } else {
+    SetLeader(aRouter);
+  }
+}
+
 void owner_feed_client::AskPeer()
 {
   std::uniform_int_distribution<size_t> pick(0, mPeers.size() - 1);
@@ -272,7 +279,7 @@
   peer.mHost = mPeers[pick(mRandom)];
   // All routers of a deployment listen on the same ports.
   peer.mPort = mLeader->mPort;
-  mTimer.StartOnce(mLoop, kRetryTime, [this, peer] { SetLeader(peer); });
+  mTimer.StartOnce(mLoop, kRetryTime, [this, peer] { AskAt(peer); });
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Gateway/OwnerFeed.h
+++ b/Parsleystair/Gateway/OwnerFeed.h
@@ -111,6 +111,8 @@
   void HandleRecords(const std::string& aText);
   void FollowHint(const std::string& aText);
   void AskPeer();
+  /// Asks again, or another router than before.
+  void AskAt(const leader_entry& aRouter);
 
   event_loop& mLoop;
   known_source mKnown;
--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -4,14 +4,12 @@
 #include "Parsleystair/Core/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleystair {
 
 namespace {
 
-/// Longest wait of one watch. Each watch is a paid call, and a lost connection
-/// is found by the system's keep-alive.
-constexpr duration kWatchWait = 20s;
 /// Wait of the first watch after a failure: it shows soon whether the store
 /// still answers watches on this path.
 constexpr duration kFirstWatchWait = 300ms;
@@ -55,11 +53,13 @@
                                  coordination_store& aStore,
                                  std::string aPrefix,
                                  prefix_listener& aListener,
+                                 duration aLongestWait,
                                  uint64_t aSeed)
   : mLoop(aLoop)
   , mStore(aStore)
   , mPrefix(std::move(aPrefix))
   , mListener(aListener)
+  , mLongestWait(aLongestWait)
   , mRandom(aSeed)
 {
 }
@@ -80,7 +80,7 @@
   const uint64_t number = ++mWatchNumber;
   mStore.Watch(mPrefix,
                mRevision,
-               mFailures > 0 ? kFirstWatchWait : kWatchWait,
+               mFailures > 0 ? kFirstWatchWait : mLongestWait,
                [this, number](const watch_reply& aReply) {
                  if (number == mWatchNumber) {
                    HandleWatch(aReply);
@@ -96,13 +96,15 @@
 
 void prefix_follower::HandleGapChecked(time_point aAt)
 {
-  if (!mHasRead || mAnsweredAt >= aAt - kGapCheckDelay) {
+  const bool retries = mFailures > 0;
+  if (!mHasRead || retries || mAnsweredAt >= aAt - kGapCheckDelay) {
     return;
   }
   log_line(log_severity::kInfo, "watch_given_up")
     .Add("prefix", mPrefix)
     .Add("revision", mRevision.Value());
   ++mWatchNumber;
+  mTimer.Cancel();
   Read();
 }
 
@@ -159,6 +161,9 @@
     mListener.HandleBack();
   }
   mFailures = 0;
+  if (std::exchange(mUnanswered, false)) {
+    mListener.HandleGap();
+  }
 }
 
 void prefix_follower::RetryLater(call_outcome aOutcome, bool aRead)
@@ -167,6 +172,7 @@
   const duration longest = std::min(
     kMaxRetry, kFirstRetry * (1 << std::min(mFailures, kMaxDoublings)));
   ++mFailures;
+  mUnanswered |= aOutcome == call_outcome::kUnknown;
   if (mFailures == kFailuresToLose) {
     log_line(log_severity::kWarning, "store_lost")
       .Add("prefix", mPrefix)
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -21,7 +21,8 @@
   /// The store stopped answering, and answers again.
   virtual void HandleLost() = 0;
   virtual void HandleBack() = 0;
-  /// The store dropped its history, so that other watches may miss changes.
+  /// The store dropped its history, or answers again after a call without an
+  /// answer, so that other watches may be lost and miss changes.
   virtual void HandleGap() = 0;
 };
 
@@ -29,18 +30,21 @@
 class prefix_follower
 {
 public:
+  /// `aLongestWait`: of one watch. Each is a paid call; one that the store took
+  /// and lost is found this much later.
   prefix_follower(event_loop& aLoop,
                   coordination_store& aStore,
                   std::string aPrefix,
                   prefix_listener& aListener,
+                  duration aLongestWait,
                   uint64_t aSeed);
   prefix_follower(const prefix_follower&) = delete;
   prefix_follower& operator=(const prefix_follower&) = delete;
 
   void Start();
 
-  /// Another watch met a gap in the history at `aAt`. Reads everything again
-  /// unless the store answers this follower's own watch soon.
+  /// Another watch met a gap at `aAt`. Reads everything again unless the store
+  /// answers this follower's own watch soon.
   void CheckAfterGap(time_point aAt);
 
   /// True after the first whole read.
@@ -59,10 +63,13 @@
   coordination_store& mStore;
   std::string mPrefix;
   prefix_listener& mListener;
+  duration mLongestWait;
   std::mt19937_64 mRandom;
   store_revision mRevision;
   bool mHasRead = false;
   uint32_t mFailures = 0;
+  /// A call was not answered, and none has been since.
+  bool mUnanswered = false;
   time_point mAnsweredAt = time_point::min();
   /// The last answer with changes.
   time_point mChangedAt = time_point::min();
--- a/UnitTests/Gateway/GatewayTest.cpp
+++ b/UnitTests/Gateway/GatewayTest.cpp
@@ -297,4 +297,33 @@
   }));
 }
 
+// Guards against a change that a router misses for as long as it waits for a
+// watch that the store took while it was silent. Found by gateway_soak, seed 8.
+TEST_F(gateway_test, FindsChangesSoonAfterASilentStore)
+{
+  const gateway_instance& gateway = StartGateway("a");
+  const auto inForce = [&](const std::string& aVersion) {
+    return gateway.mTask->DumpText().find("\"configurationVersion\": " +
+                                          aVersion) != std::string::npos;
+  };
+  RunFor(300ms);
+  PutConfiguration(2);
+  ASSERT_TRUE(RunUntil([&] { return inForce("2,"); }));
+  // The next watch starts 0.1 s after the change, and is never answered.
+  mKv.SetSilent(true);
+  RunFor(500ms);
+  mKv.SetSilent(false);
+  PutConfiguration(3);
+  mTargets.at("plain-1")->SetFull(true);
+  mKv.Remove("servers/plain-2");
+  const time_point start = MonotonicNow();
+  RunUntil([&] { return inForce("3,"); });
+  EXPECT_LT(MonotonicNow() - start, 5s);
+  // All other watches were lost, too.
+  RunUntil([&] {
+    return gateway.mTask->DumpText().find("plain-2") == std::string::npos;
+  });
+  EXPECT_LT(MonotonicNow() - start, 8s);
+}
+
 } // namespace parsleystair
--- /dev/null
+++ b/UnitTests/Gateway/OwnerFeedTest.cpp
@@ -0,0 +1,45 @@
+#include "Parsleystair/Gateway/OwnerFeed.h"
+
+#include <gtest/gtest.h>
+
+namespace parsleystair {
+
+// Guards against a router that stops asking for owners for good when the router
+// that it picks after failures is the one that it asked before. Found by
+// gateway_soak, seed 8.
+TEST(OwnerFeedClient, AsksAgainWhenTheOnlyPeerFailed)
+{
+  constexpr size_t kFailures = 5;
+  event_loop loop;
+  size_t asked = 0;
+  std::unique_ptr<http_server> server;
+  server = std::make_unique<http_server>(
+    loop, http_server_settings{}, [&](exchange_id aExchange, http_request) {
+      const bool fails = ++asked <= kFailures;
+      const owner_records none;
+      server->Respond(
+        aExchange,
+        { fails ? 503U : 200U, {}, fails ? "" : EncodeOwnerRecords(none) });
+    });
+  server->Listen("127.0.0.1", 0);
+  bool answered = false;
+  owner_feed_client client(
+    loop,
+    [] { return owner_revisions(); },
+    [&](const owner_records&) {
+      answered = true;
+      loop.Stop();
+    },
+    1);
+  client.SetPeers({ "127.0.0.1" });
+  leader_entry source;
+  source.mHost = "127.0.0.1";
+  source.mPort = server->Port();
+  client.SetLeader(source);
+  timer limit;
+  limit.StartOnce(loop, 5s, [&] { loop.Stop(); });
+  loop.Run();
+  EXPECT_TRUE(answered);
+}
+
+} // namespace parsleystair
