--- a/UnitTests/Gateway/OwnerFeedTest.cpp
+++ b/UnitTests/Gateway/OwnerFeedTest.cpp
@@ -14,7 +14,9 @@
   size_t asked = 0;
   std::unique_ptr<http_server> server;
   server = std::make_unique<http_server>(
-    loop, http_server_settings{}, [&](exchange_id aExchange, http_request) {
+    loop,
+    http_server_settings{},
+    [&](exchange_id aExchange, const http_request&) {
       const bool fails = ++asked <= kFailures;
       const owner_records none;
       server->Respond(
