Keep the users' platform's stand-in on the one key-value core

kv_server had items, revisions, transactions, leases and a history of its own beside key_value_core of standin_platform, which does all of that. It now speaks the protocol over that core. Conditions are checked after leases, so a call with both faults is answered 404 and not 412; no test or program has one.

--- a/StandIns/standin_users_platform/KvServer.cpp
+++ b/StandIns/standin_users_platform/KvServer.cpp
@@ -1,6 +1,11 @@
 #include "StandIns/standin_users_platform/KvServer.h"
 
+#include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Platform/Base64.h"
+#include "StandIns/standin_platform/KeyValueError.h"
+
+#include <algorithm>
+#include <limits>
 
 namespace parsleystair {
 
@@ -15,6 +20,9 @@
 constexpr uint32_t kPreconditionFailed = 412;
 constexpr uint32_t kUnavailable = 503;
 constexpr size_t kPageItems = 50;
+constexpr uint64_t kWholeHistory = std::numeric_limits<uint64_t>::max();
+/// Leases end this much late at most; they last for more than a second.
+constexpr duration kLeaseCheckInterval = 10ms;
 
 uint64_t ToNumber(const std::string& aText)
 {
@@ -27,10 +35,65 @@
   return aPath.starts_with(aPrefix) ? aPath.substr(aPrefix.size()) : "";
 }
 
+kv_interval KeysWith(const std::string& aPrefix)
+{
+  // Keys are text, so no key with the prefix is above this.
+  return { aPrefix, aPrefix + '\xff' };
+}
+
+json ToJson(const kv_entry& aEntry)
+{
+  if (aEntry.IsDeleted()) {
+    return { { "key", aEntry.mKey },
+             { "revision", aEntry.mModRevision },
+             { "deleted", true } };
+  }
+  return { { "key", aEntry.mKey },
+           { "value", EncodeBase64(aEntry.mValue) },
+           { "revision", aEntry.mModRevision },
+           { "created", aEntry.mCreateRevision },
+           { "lease", aEntry.mLease } };
+}
+
+/// Reads the conditions and writes of a call.
+kv_transaction ReadTransaction(const json& aBody)
+{
+  kv_transaction transaction;
+  for (const json& each : aBody.at("if_revision")) {
+    transaction.mCompares.push_back({ kv_compare_target::kMod,
+                                      kv_compare_result::kEqual,
+                                      each.at("key").get<std::string>(),
+                                      each.at("revision").get<uint64_t>(),
+                                      "" });
+  }
+  for (const json& each : aBody.at("set_keys")) {
+    transaction.mSuccess.emplace_back(
+      kv_put{ each.at("key").get<std::string>(),
+              DecodeBase64(each.at("value").get<std::string>()),
+              each.value("lease", uint64_t{ 0 }) });
+  }
+  for (const json& key : aBody.at("remove")) {
+    transaction.mSuccess.emplace_back(
+      kv_delete{ { key.get<std::string>(), "" } });
+  }
+  return transaction;
+}
+
+bool WritesReservedKey(const kv_transaction& aTransaction)
+{
+  return std::any_of(aTransaction.mSuccess.begin(),
+                     aTransaction.mSuccess.end(),
+                     [](const kv_operation& aOperation) {
+                       const auto* put = std::get_if<kv_put>(&aOperation);
+                       return put != nullptr && put->mKey.starts_with("op/");
+                     });
+}
+
 } // namespace
 
 kv_server::kv_server(event_loop& aLoop)
   : mLoop(aLoop)
+  , mCore(kWholeHistory)
   , mServer(aLoop,
             {},
             [this](exchange_id aExchange, const http_request& aRequest) {
@@ -38,6 +101,10 @@
             })
 {
   mServer.OnClose([this](exchange_id aExchange) { mWatches.erase(aExchange); });
+  mLeaseTimer.StartRepeating(mLoop, kLeaseCheckInterval, [this] {
+    mCore.ExpireLeases(MonotonicNow());
+    WakeWatches();
+  });
 }
 
 void kv_server::Listen(const std::string& aHost, uint16_t aPort)
@@ -47,20 +114,28 @@
 
 void kv_server::Put(const std::string& aKey, const std::string& aValue)
 {
-  Set(aKey, aValue, 0);
+  mCore.Transact({ {}, { kv_put{ aKey, aValue, 0 } }, {} });
   WakeWatches();
 }
 
 void kv_server::Remove(const std::string& aKey)
 {
-  Erase(aKey);
+  mCore.Transact({ {}, { kv_delete{ { aKey, "" } } }, {} });
   WakeWatches();
 }
 
 std::string kv_server::Get(const std::string& aKey) const
 {
-  const auto found = mItems.find(aKey);
-  return found == mItems.end() ? "" : found->second.mValue;
+  const auto found = Find(aKey);
+  return found ? found->mValue : "";
+}
+
+std::optional<kv_entry> kv_server::Find(const std::string& aKey) const
+{
+  kv_range range;
+  range.mKeys.mFrom = aKey;
+  const auto entries = mCore.Range(range).mEntries;
+  return entries.empty() ? std::nullopt : std::optional(entries.front());
 }
 
 void kv_server::SetDown(bool aDown)
@@ -77,8 +152,7 @@
 
 void kv_server::DropHistory()
 {
-  mHistory.clear();
-  mFirstRevision = mRevision;
+  mFirstRevision = mCore.Head();
   const auto watches = std::move(mWatches);
   mWatches.clear();
   for (const auto& [exchange, watch] : watches) {
@@ -125,68 +199,51 @@
     { aStatus, { { "Content-Type", "application/json" } }, aBody.dump() });
 }
 
-json kv_server::ToJson(const std::string& aKey, const item& aItem) const
-{
-  return { { "key", aKey },
-           { "value", EncodeBase64(aItem.mValue) },
-           { "revision", aItem.mRevision },
-           { "created", aItem.mCreated },
-           { "lease", aItem.mLease } };
-}
-
 void kv_server::HandleRange(exchange_id aExchange, const http_request& aRequest)
 {
   const auto prefix = FindQueryValue(aRequest.mQuery, "prefix").value_or("");
   const auto after = FindQueryValue(aRequest.mQuery, "after").value_or("");
+  kv_range range;
+  range.mKeys = KeysWith(prefix);
+  // The next key after one is that key and a zero byte.
+  range.mKeys.mFrom = std::max(prefix, after + '\0');
+  range.mLimit = kPageItems;
+  const kv_range_result result = mCore.Range(range);
   json items = json::array();
-  bool more = false;
-  for (const auto& [key, value] : mItems) {
-    if (!key.starts_with(prefix) || key <= after) {
-      continue;
-    }
-    if (items.size() == kPageItems) {
-      more = true;
-      break;
-    }
-    items.push_back(ToJson(key, value));
+  for (const kv_entry& entry : result.mEntries) {
+    items.push_back(ToJson(entry));
   }
   Answer(aExchange,
          kOk,
          { { "items", items },
-           { "has_more", more },
-           { "store_revision", mRevision } });
+           { "has_more", result.mMore },
+           { "store_revision", mCore.Head() } });
 }
 
 void kv_server::HandleKey(exchange_id aExchange, const http_request& aRequest)
 {
-  const auto key = FindQueryValue(aRequest.mQuery, "key").value_or("");
-  const auto found = mItems.find(key);
-  if (found == mItems.end()) {
-    Answer(aExchange, kNotFound, { { "store_revision", mRevision } });
-    return;
-  }
-  json body = ToJson(key, found->second);
-  body["store_revision"] = mRevision;
-  Answer(aExchange, kOk, body);
+  const auto found = Find(FindQueryValue(aRequest.mQuery, "key").value_or(""));
+  json body = found ? ToJson(*found) : json::object();
+  body["store_revision"] = mCore.Head();
+  Answer(aExchange, found ? kOk : kNotFound, body);
 }
 
 json kv_server::EventsFor(const waiting_watch& aWatch) const
 {
   json events = json::array();
-  for (const change& each : mHistory) {
-    if (each.mRevision > aWatch.mAfter &&
-        each.mKey.starts_with(aWatch.mPrefix)) {
-      events.push_back(each.mEvent);
-    }
+  for (const kv_entry& entry :
+       mCore.EventsSince(aWatch.mAfter + 1, KeysWith(aWatch.mPrefix))) {
+    events.push_back(ToJson(entry));
   }
   return events;
 }
 
 void kv_server::AnswerWatch(exchange_id aExchange, const waiting_watch& aWatch)
 {
-  Answer(aExchange,
-         kOk,
-         { { "events", EventsFor(aWatch) }, { "store_revision", mRevision } });
+  Answer(
+    aExchange,
+    kOk,
+    { { "events", EventsFor(aWatch) }, { "store_revision", mCore.Head() } });
 }
 
 void kv_server::HandleWatch(exchange_id aExchange, const http_request& aRequest)
@@ -231,34 +288,21 @@
 void kv_server::HandleTransaction(exchange_id aExchange,
                                   const http_request& aRequest)
 {
-  const json body = json::parse(aRequest.mBody);
-  for (const json& each : body.at("if_revision")) {
-    const auto found = mItems.find(each.at("key").get<std::string>());
-    const uint64_t revision =
-      found == mItems.end() ? 0 : found->second.mRevision;
-    if (revision != each.at("revision").get<uint64_t>()) {
-      Answer(aExchange, kPreconditionFailed, { { "items", json::array() } });
-      return;
-    }
+  const kv_transaction transaction =
+    ReadTransaction(json::parse(aRequest.mBody));
+  if (WritesReservedKey(transaction)) {
+    Answer(aExchange, kForbidden, json::object());
+    return;
   }
-  for (const json& each : body.at("set_keys")) {
-    const uint64_t leaseOf = each.value("lease", uint64_t{ 0 });
-    if (leaseOf != 0 && !mLeases.contains(leaseOf)) {
-      Answer(aExchange, kNotFound, json::object());
-      return;
-    }
-    if (each.at("key").get<std::string>().starts_with("op/")) {
-      Answer(aExchange, kForbidden, json::object());
+  try {
+    if (!mCore.Transact(transaction).mSucceeded) {
+      Answer(aExchange, kPreconditionFailed, { { "items", json::array() } });
       return;
     }
-  }
-  for (const json& each : body.at("set_keys")) {
-    Set(each.at("key").get<std::string>(),
-        DecodeBase64(each.at("value").get<std::string>()),
-        each.value("lease", uint64_t{ 0 }));
-  }
-  for (const json& key : body.at("remove")) {
-    Erase(key.get<std::string>());
+  } catch (const key_value_error&) {
+    // The only fault that a well-formed call can have: its lease has ended.
+    Answer(aExchange, kNotFound, json::object());
+    return;
   }
   WakeWatches();
   if (mLoseAnswers > 0) {
@@ -266,84 +310,35 @@
     mServer.Drop(aExchange);
     return;
   }
-  Answer(aExchange, kOk, { { "revision", mRevision } });
+  Answer(aExchange, kOk, { { "revision", mCore.Head() } });
 }
 
 void kv_server::HandleLease(exchange_id aExchange, const http_request& aRequest)
 {
-  const uint64_t id = mNextLease++;
   const double ttl = json::parse(aRequest.mBody).at("ttl_s_time").get<double>();
-  mLeases[id].mTtl = ttl;
-  StartLeaseTimer(id);
+  const uint64_t id = mCore.GrantLease(0, FromSeconds(ttl), MonotonicNow());
   Answer(aExchange, kOk, { { "lease", id }, { "ttl_s_time", ttl } });
 }
 
-void kv_server::StartLeaseTimer(uint64_t aLease)
-{
-  lease& each = mLeases.at(aLease);
-  each.mTimer = std::make_unique<timer>();
-  each.mTimer->StartOnce(mLoop, FromSeconds(each.mTtl), [this, aLease] {
-    EndLease(aLease);
-    WakeWatches();
-  });
-}
-
 void kv_server::HandleKeep(exchange_id aExchange, uint64_t aLease)
 {
-  const auto found = mLeases.find(aLease);
-  if (found == mLeases.end()) {
+  const duration ttl = mCore.KeepLeaseAlive(aLease, MonotonicNow());
+  if (ttl == duration::zero()) {
     Answer(aExchange, kNotFound, json::object());
     return;
   }
-  StartLeaseTimer(aLease);
-  Answer(aExchange, kOk, { { "ttl_s_time", found->second.mTtl } });
+  Answer(aExchange, kOk, { { "ttl_s_time", ToSeconds(ttl) } });
 }
 
 void kv_server::HandleLeaseEnd(exchange_id aExchange, uint64_t aLease)
 {
-  EndLease(aLease);
+  try {
+    mCore.RevokeLease(aLease);
+  } catch (const key_value_error&) {
+    // It has ended already, which is what the call asks for.
+  }
   WakeWatches();
   Answer(aExchange, kOk, json::object());
 }
 
-void kv_server::EndLease(uint64_t aLease)
-{
-  std::vector<std::string> keys;
-  for (const auto& [key, value] : mItems) {
-    if (value.mLease == aLease) {
-      keys.push_back(key);
-    }
-  }
-  for (const std::string& key : keys) {
-    Erase(key);
-  }
-  // The timer may be the caller.
-  const auto ended = std::make_shared<lease>(std::move(mLeases[aLease]));
-  mLeases.erase(aLease);
-}
-
-void kv_server::Set(const std::string& aKey,
-                    const std::string& aValue,
-                    uint64_t aLease)
-{
-  ++mRevision;
-  item& each = mItems[aKey];
-  each.mValue = aValue;
-  each.mRevision = mRevision;
-  each.mCreated = each.mCreated == 0 ? mRevision : each.mCreated;
-  each.mLease = aLease;
-  mHistory.push_back({ mRevision, aKey, ToJson(aKey, each) });
-}
-
-void kv_server::Erase(const std::string& aKey)
-{
-  if (mItems.erase(aKey) > 0) {
-    ++mRevision;
-    mHistory.push_back(
-      { mRevision,
-        aKey,
-        { { "key", aKey }, { "revision", mRevision }, { "deleted", true } } });
-  }
-}
-
 } // namespace parsleystair
--- a/StandIns/standin_users_platform/KvServer.h
+++ b/StandIns/standin_users_platform/KvServer.h
@@ -2,17 +2,18 @@
 
 #include "Parsleystair/Core/EventLoop.h"
 #include "Parsleystair/Http/HttpServer.h"
+#include "StandIns/standin_platform/KeyValueCore.h"
 
 #include <nlohmann/json.hpp>
 
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 
 namespace parsleystair {
 
-/// Stand-in of the users' platform's key-value store: items with revisions,
-/// conditional writes, leases and waiting watches, in memory.
+/// Stand-in of the users' platform's key-value store: speaks its protocol and
+/// waits with watches over the same store as `standin_platform`.
 class kv_server
 {
 public:
@@ -42,27 +43,6 @@
   [[nodiscard]] uint64_t Calls() const { return mCalls; }
 
 private:
-  struct item
-  {
-    std::string mValue;
-    uint64_t mRevision = 0;
-    uint64_t mCreated = 0;
-    uint64_t mLease = 0;
-  };
-
-  struct change
-  {
-    uint64_t mRevision = 0;
-    std::string mKey;
-    nlohmann::json mEvent;
-  };
-
-  struct lease
-  {
-    double mTtl = 0;
-    std::unique_ptr<timer> mTimer;
-  };
-
   struct waiting_watch
   {
     std::string mPrefix;
@@ -83,23 +63,16 @@
               const nlohmann::json& aBody);
   void AnswerWatch(exchange_id aExchange, const waiting_watch& aWatch);
   [[nodiscard]] nlohmann::json EventsFor(const waiting_watch& aWatch) const;
-  [[nodiscard]] nlohmann::json ToJson(const std::string& aKey,
-                                      const item& aItem) const;
-  void Set(const std::string& aKey, const std::string& aValue, uint64_t aLease);
-  void Erase(const std::string& aKey);
-  void EndLease(uint64_t aLease);
-  void StartLeaseTimer(uint64_t aLease);
+  [[nodiscard]] std::optional<kv_entry> Find(const std::string& aKey) const;
   void WakeWatches();
 
   event_loop& mLoop;
+  key_value_core mCore;
   http_server mServer;
-  std::map<std::string, item> mItems;
-  std::vector<change> mHistory;
-  std::map<uint64_t, lease> mLeases;
   std::map<exchange_id, waiting_watch> mWatches;
-  uint64_t mRevision = 1;
+  timer mLeaseTimer;
+  /// Watches from an earlier revision are told that its history is gone.
   uint64_t mFirstRevision = 1;
-  uint64_t mNextLease = 1;
   uint64_t mCalls = 0;
   uint32_t mLoseAnswers = 0;
   bool mDown = false;
