Keep the users' platform's messages of the soak and the fixture in its stand-in

The soak and the gateway's fixture each wrote the operator's configuration and a caller's request, with the platform's names. OperatorConfiguration and CallerMessages of standin_users_platform write them for both; a target's entry takes the port of a proxy before it. The soak's keyed service is warm after 1 s in its configuration, as the fixture's, and not 0.1 s; no router reads it there.

--- a/PerformanceTest/gateway_soak/SoakWorld.cpp
+++ b/PerformanceTest/gateway_soak/SoakWorld.cpp
@@ -1,6 +1,8 @@
 #include "PerformanceTest/gateway_soak/SoakWorld.h"
 
 #include "Parsleystair/Core/Clock.h"
+#include "StandIns/standin_users_platform/CallerMessages.h"
+#include "StandIns/standin_users_platform/OperatorConfiguration.h"
 
 #include <algorithm>
 #include <fstream>
@@ -33,31 +35,6 @@
 constexpr uint32_t kKeys = 64;
 constexpr uint32_t kKeyStep = 1024;
 
-json Rule(const char* aName, const char* aKind, const char* aService)
-{
-  return {
-    { "name", aName },
-    { "kind", aKind },
-    { "target_latency_s", 1.0 },
-    { "priority", 1 },
-    { "match", { { "prefix", std::string("/") + aName + "/" } } },
-    { "action",
-      { { "service", aService }, { "timeout_s", 2.0 }, { "max_attempts", 3 } } }
-  };
-}
-
-json Cluster(const char* aName, bool aKeyed)
-{
-  json cluster = { { "name", aName },
-                   { "health_path", "/health" },
-                   { "max_connections", 100 } };
-  if (aKeyed) {
-    cluster["sharded"] = true;
-    cluster["warm_s"] = 0.1;
-  }
-  return cluster;
-}
-
 } // namespace
 
 soak_world::soak_world(const soak_settings& aSettings)
@@ -80,27 +57,15 @@
 
 void soak_world::PutConfiguration()
 {
-  char version[16]; // NOLINT: filled by snprintf
-  std::snprintf(version, sizeof(version), "%08x", ++mVersion);
-  const json configuration = {
-    { "version", version },
-    { "limits",
-      { { "max_header_bytes", 16384 },
-        { "max_body_bytes", 100000 },
-        { "header_timeout_s", 3 },
-        { "idle_timeout_s", 15 } } },
-    { "listeners",
-      { { { "host", "shop.example" },
-          { "rules",
-            { Rule("read", "safe", "plain"),
-              Rule("order", "unsafe", "orders"),
-              Rule("history", "safe", "keyed") } } } } },
-    { "clusters",
-      { Cluster("plain", false),
-        Cluster("orders", false),
-        Cluster("keyed", true) } }
-  };
-  mStore.Put("op/config", configuration.dump());
+  constexpr duration kTimeout = 2s;
+  constexpr uint32_t kMaxAttempts = 3;
+  mStore.Put(kConfigurationKey,
+             EncodeOperatorConfiguration(
+               ++mVersion,
+               { { "read", true, "plain", kTimeout, kMaxAttempts },
+                 { "order", false, "orders", kTimeout, kMaxAttempts },
+                 { "history", true, "keyed", kTimeout, kMaxAttempts } },
+               { { "plain" }, { "orders" }, { "keyed", true } }));
 }
 
 void soak_world::AddTargets(const std::string& aService, size_t aCount)
@@ -125,15 +90,14 @@
     each.mProxy = std::make_unique<fault_proxy>(mLoop, each.mTarget->Port());
   }
   each.mProxy->SetTo(each.mTarget->Port());
+  each.mTarget->SetPublicPort(each.mProxy->Port());
   Register(aName, "ready");
 }
 
 void soak_world::Register(const std::string& aName, const std::string& aState)
 {
   const target& each = mTargets.at(aName);
-  json entry = json::parse(each.mTarget->Entry(each.mService, aState));
-  entry["address"] = "127.0.0.1:" + std::to_string(each.mProxy->Port());
-  mStore.Put("servers/" + aName, entry.dump());
+  mStore.Put(TargetKey(aName), each.mTarget->Entry(each.mService, aState));
 }
 
 void soak_world::AddGateway(size_t aIndex)
@@ -212,14 +176,11 @@
   const std::string& kind = kKinds[Random(kKinds.size())];
   std::string id = "r-";
   id += std::to_string(mNextRequest++);
-  http_request request;
-  request.mMethod = kind == "order" ? "POST" : "GET";
-  request.mPath = "/" + kind + "/" + std::to_string(Random(1000));
-  request.mHeaders = { { "Host", "shop.example" },
-                       { "X-Request-Id", id },
-                       { "X-Deadline-Ms", "3000" },
-                       { "X-Shard-Key",
-                         std::to_string(Random(kKeys) * kKeyStep) } };
+  constexpr duration kTimeLeft = 3s;
+  const std::string path = "/" + kind + "/" + std::to_string(Random(1000));
+  const auto key = static_cast<uint32_t>(Random(kKeys)) * kKeyStep;
+  const http_request request =
+    CallerRequest(kind == "order" ? "POST" : "GET", path, id, kTimeLeft, key);
   mRequests[id] = { kind == "order", false, request.mPath, 0 };
   mFinalSent += mFinal ? 1 : 0;
   constexpr duration kCallerTimeout = 4s;
@@ -249,9 +210,7 @@
     return;
   }
   mFinalServed += mFinal ? 1 : 0;
-  const auto& headers = aResult.mAnswer.mHeaders;
-  const bool own = FindHeader(headers, "X-Request-Id") == aId &&
-                   FindHeader(headers, "X-Response-Signature") &&
+  const bool own = IsSignedAnswer(aResult.mAnswer, aId) &&
                    aResult.mAnswer.mBody.ends_with(" ran " + request.mPath);
   if (!own || request.mRuns == 0) {
     Violation("an answer of another request, or of none, for " + aId);
--- a/StandIns/standin_users_platform/KeyedTarget.h
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
 
   void Listen(const std::string& aHost, uint16_t aPort);
   [[nodiscard]] uint16_t Port() const { return mServer.Port(); }
+  /// Port in its entry, where it differs: of a proxy before it.
+  void SetPublicPort(uint16_t aPort) { mPublicPort = aPort; }
   [[nodiscard]] const std::string& Name() const { return mName; }
 
   /// Entry of this target in the platform's store.
@@ -74,6 +77,7 @@
   std::string mName;
   bool mKeyed;
   http_server mServer;
+  std::optional<uint16_t> mPublicPort;
   duration mWork{};
   bool mFull = false;
   bool mLosesAnswers = false;
--- a/StandIns/standin_users_platform/Main.cpp
+++ b/StandIns/standin_users_platform/Main.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Settings/RouterSettings.h"
 #include "StandIns/standin_users_platform/KeyedTarget.h"
 #include "StandIns/standin_users_platform/KvServer.h"
+#include "StandIns/standin_users_platform/OperatorConfiguration.h"
 
 #include <cxxopts.hpp>
 #include <iostream>
@@ -29,7 +30,7 @@
     keyed_target& target = *aTargets.back();
     target.Listen(kHost, 0);
     target.SetWork(5ms);
-    aStore.Put("servers/" + name, target.Entry(aService, "ready"));
+    aStore.Put(TargetKey(name), target.Entry(aService, "ready"));
   }
 }
 
@@ -50,7 +51,7 @@
   event_loop loop;
   kv_server store(loop);
   store.Listen(kHost, arguments["port"].as<uint16_t>());
-  store.Put("op/config", config);
+  store.Put(kConfigurationKey, config);
   std::vector<std::unique_ptr<keyed_target>> targets;
   for (const auto& service : nlohmann::json::parse(config).at("clusters")) {
     AddTargets(loop,
--- a/UnitTests/Gateway/GatewayFixture.h
+++ b/UnitTests/Gateway/GatewayFixture.h
@@ -2,8 +2,10 @@
 
 #include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Gateway/GatewayTask.h"
+#include "StandIns/standin_users_platform/CallerMessages.h"
 #include "StandIns/standin_users_platform/KeyedTarget.h"
 #include "StandIns/standin_users_platform/KvServer.h"
+#include "StandIns/standin_users_platform/OperatorConfiguration.h"
 #include "platform/Catalog.h"
 #include "platform/KvStore.h"
 #include "platform/Protocols.h"
@@ -67,58 +69,20 @@
   {
     auto target = std::make_unique<keyed_target>(mLoop, aName, aKeyed);
     target->Listen("127.0.0.1", 0);
-    mKv.Put("servers/" + aName, target->Entry(aService, "ready"));
+    mKv.Put(TargetKey(aName), target->Entry(aService, "ready"));
     mTargets[aName] = std::move(target);
   }
 
-  /// `aTimeout`: of the routes to the plain service, in seconds.
-  void PutConfiguration(uint32_t aVersion, double aTimeout = 5)
+  /// `aTimeout`: of the routes to the plain service.
+  void PutConfiguration(uint32_t aVersion, duration aTimeout = 5s)
   {
-    const auto rule = [&](const char* aName,
-                          const char* aKind,
-                          const char* aService,
-                          double aLongest) {
-      return nlohmann::json{
-        { "name", aName },
-        { "kind", aKind },
-        { "target_latency_s", 1.0 },
-        { "priority", 1 },
-        { "match", { { "prefix", std::string("/") + aName + "/" } } },
-        { "action",
-          { { "service", aService },
-            { "timeout_s", aLongest },
-            { "max_attempts", 2 } } }
-      };
-    };
-    char version[16]; // NOLINT: filled by snprintf
-    std::snprintf(version, sizeof(version), "%08x", aVersion);
-    const nlohmann::json config = {
-      { "version", version },
-      { "limits",
-        { { "max_header_bytes", 16384 },
-          { "max_body_bytes", 100000 },
-          { "header_timeout_s", 3 },
-          { "idle_timeout_s", 15 } } },
-      { "listeners",
-        { { { "host", "shop.example" },
-            { "rules",
-              { rule("read", "safe", "plain", aTimeout),
-                rule("order", "unsafe", "orders", 5),
-                rule("history", "safe", "keyed", 5) } } } } },
-      { "clusters",
-        { { { "name", "plain" },
-            { "health_path", "/health" },
-            { "max_connections", 100 } },
-          { { "name", "orders" },
-            { "health_path", "/health" },
-            { "max_connections", 100 } },
-          { { "name", "keyed" },
-            { "health_path", "/health" },
-            { "max_connections", 100 },
-            { "sharded", true },
-            { "warm_s", 1 } } } }
-    };
-    mKv.Put("op/config", config.dump());
+    mKv.Put(kConfigurationKey,
+            EncodeOperatorConfiguration(
+              aVersion,
+              { { "read", true, "plain", aTimeout },
+                { "order", false, "orders" },
+                { "history", true, "keyed" } },
+              { { "plain" }, { "orders" }, { "keyed", true } }));
   }
 
   /// `aHost`: loopback address of the gateway. `aPeersPort`: 0 for a free one.
@@ -176,13 +140,7 @@
                               const std::string& aPath,
                               const std::string& aId)
   {
-    http_request request;
-    request.mMethod = aMethod;
-    request.mPath = aPath;
-    request.mHeaders = { { "Host", "shop.example" },
-                         { "X-Request-Id", aId },
-                         { "X-Deadline-Ms", "4000" } };
-    return request;
+    return CallerRequest(aMethod, aPath, aId, 4s);
   }
 
   http_result Call(const gateway_instance& aGateway,
--- a/UnitTests/Gateway/GatewayTest.cpp
+++ b/UnitTests/Gateway/GatewayTest.cpp
@@ -96,7 +96,7 @@
 // Guards against a request that is held past its route's timeout.
 TEST_F(gateway_test, AnswersAtTheRoutesTimeout)
 {
-  PutConfiguration(2, 0.2);
+  PutConfiguration(2, 200ms);
   const gateway_instance& gateway = StartGateway("a");
   mTargets.at("plain-1")->SetWork(10s);
   mTargets.at("plain-2")->SetWork(10s);
