Remove counters that nothing reads, and simplify the choice of the owners' source

No metric or test reads the counts of parked requests, of health checks and of failed record writes. Whether owners come from the relay is one flag and not a second copy of its address; the choice returns early instead of nesting. A grant that was held back no longer looks up its owner. Behaviour is as before.

--- a/Parsleystair/Gateway/ForwarderCounters.h
+++ b/Parsleystair/Gateway/ForwarderCounters.h
@@ -18,9 +18,6 @@
   uint64_t mRetries = 0;
   uint64_t mHedges = 0;
   uint64_t mBudgetEmpty = 0;
-  /// Requests that waited for an owner of their key.
-  uint64_t mParked = 0;
-  uint64_t mProbes = 0;
 
   bool operator==(const forwarder_counters&) const = default;
 };
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -26,7 +26,6 @@
     FinishFailed(aRequest, aReason, aNow);
     return;
   }
-  ++mCounters.mParked;
   const owned_range* range = FindOwnedRange(aRequest);
   log_line(log_severity::kInfo, "request_waits")
     .Add("request", aRequest.mTerms.mRequestId)
@@ -160,7 +159,6 @@
     return;
   }
   constexpr duration kProbeTimeout = 500ms;
-  ++mCounters.mProbes;
   mConnections.Call(
     known->mTarget,
     mProtocol.HealthCheck(service->mHealthPath),
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -116,8 +116,8 @@
   router_list mRouters;
   uint64_t mRoutersDigest = 0;
   time_point mLeadingSince = time_point::min();
-  /// The relay that is asked for owners; the leader if there is none.
-  std::optional<std::string> mOwnerRelay;
+  /// Owners are asked of the relay and not of the leader.
+  bool mOwnersFromRelay = false;
   time_point mNextRelayTry = time_point::min();
   time_point mNextOwnersRead = time_point::min();
   std::unique_ptr<http_connection> mReportConnection;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -4,6 +4,7 @@
 #include "Parsleystair/Gateway/GatewayTask.h"
 
 #include <algorithm>
+#include <utility>
 
 // Who leads, who owns which keys, and what routers tell each other of both.
 
@@ -34,7 +35,7 @@
   const auto& leader = mElection.Leader();
   if (mElection.IsLeading()) {
     mFeedClient.SetLeader(std::nullopt);
-  } else if (!mOwnerRelay) {
+  } else if (!mOwnersFromRelay) {
     mFeedClient.SetLeader(leader);
   }
 }
@@ -47,22 +48,23 @@
     return;
   }
   const auto relay = mRelays.Current(now);
-  const bool onRelay =
-    mFeedClient.Leader() && mFeedClient.Leader()->mHost == relay;
   if (!relay) {
-    if (mOwnerRelay) {
-      mOwnerRelay.reset();
+    if (std::exchange(mOwnersFromRelay, false)) {
       mFeedClient.SetLeader(leader);
     }
-  } else if (!onRelay && now >= mNextRelayTry) {
-    // A relay that does not know yet that it is one names the leader instead.
-    mNextRelayTry = now + kRelayRetryInterval;
-    mOwnerRelay = relay;
-    leader_entry source;
-    source.mHost = *relay;
-    source.mPort = mSettings.mPeers.mPort;
-    mFeedClient.SetLeader(source);
+    return;
+  }
+  const auto& asked = mFeedClient.Leader();
+  if ((asked && asked->mHost == *relay) || now < mNextRelayTry) {
+    return;
   }
+  // A relay that does not know yet that it is one names the leader instead.
+  mNextRelayTry = now + kRelayRetryInterval;
+  mOwnersFromRelay = true;
+  leader_entry source;
+  source.mHost = *relay;
+  source.mPort = mSettings.mPeers.mPort;
+  mFeedClient.SetLeader(source);
 }
 
 void gateway_task::HandleLeadership()
@@ -183,7 +185,7 @@
 void gateway_task::SendReport()
 {
   const load_report report = mForwarder.TakeLoad();
-  const bool storeTells = mElection.IsLeading() || mOwnerRelay.has_value();
+  const bool storeTells = mElection.IsLeading() || mOwnersFromRelay;
   const auto& leader = storeTells ? mElection.Leader() : mFeedClient.Leader();
   if (!leader) {
     return;
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -3,8 +3,6 @@
 #include "Parsleystair/Core/EventLoop.h"
 #include "Parsleystair/Platform/CoordinationStore.h"
 
-#include <map>
-#include <memory>
 #include <random>
 
 namespace parsleystair {
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -326,7 +326,6 @@
   const range_record record = aWrite.mRecord;
   mStore.Write(write, [this, aService, id, record](const write_reply& aReply) {
     const bool written = aReply.mOutcome == call_outcome::kDone;
-    mCounters.mRecordWritesFailed += written ? 0 : 1;
     log_line(log_severity::kInfo, "record_written")
       .Add("service", aService.Value())
       .Add("done", written)
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -23,7 +23,6 @@
   uint64_t mReleases = 0;
   uint64_t mReleasesFailed = 0;
   uint64_t mRecordWrites = 0;
-  uint64_t mRecordWritesFailed = 0;
 
   bool operator==(const range_driver_counters&) const = default;
 };
--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -56,8 +56,9 @@
   const time_point now = MonotonicNow();
   const auto relay = mRelays.Current(now);
   if (!relay) {
-    const duration longest = mRelays.IsRelay(now) ? kProofInterval : aWait;
-    WatchStore(aPrefix, aAfter, std::min(aWait, longest), std::move(aCallback));
+    const duration wait =
+      mRelays.IsRelay(now) ? std::min(aWait, kProofInterval) : aWait;
+    WatchStore(aPrefix, aAfter, wait, std::move(aCallback));
     return;
   }
   relay_link& link = LinkTo(*relay, aPrefix);
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -173,11 +173,11 @@
   }
   const open_grant grant = found->second;
   mOpenGrants.erase(found);
-  owner_state& owner = mOwners[grant.mTarget];
   if (aEnd == order_end::kHeldBack) {
     mNextGrant[grant.mKeys.mFrom] = aNow + kHeldBackTime;
     return;
   }
+  owner_state& owner = mOwners[grant.mTarget];
   if (aEnd != order_end::kNotSent) {
     owner.mLastGrant = aNow;
     owner.mGrantedFence = std::max(owner.mGrantedFence, grant.mFence);
