Let single routers lose the store or a target in gateway tests

The stand-ins failed for all routers at once, so no test could show what a former leader does that the store turns away while it serves the others.

unreliable_store is one router's access to the store: its calls are refused, or executed or answered late or without a reply, as a rule decides. Routers of a test share one address, so their orders carry a header with the sender; keyed_target ignores the orders of single senders, or holds all orders back. unreliable_store can also announce another port for the gateway, which other gateways then can't reach.

--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace parsleystair {
 
@@ -11,6 +12,8 @@
 
 using nlohmann::json;
 
+constexpr const char* kGrantPath = "/api/grant";
+constexpr const char* kReleasePath = "/api/release";
 constexpr uint32_t kOk = 200;
 constexpr uint32_t kConflict = 409;
 constexpr uint32_t kMisdirected = 421;
@@ -68,10 +71,8 @@
 
 void keyed_target::Handle(exchange_id aExchange, const http_request& aRequest)
 {
-  if (aRequest.mPath == "/api/grant") {
-    HandleGrant(aExchange, aRequest);
-  } else if (aRequest.mPath == "/api/release") {
-    HandleRelease(aExchange, aRequest);
+  if (aRequest.mPath == kGrantPath || aRequest.mPath == kReleasePath) {
+    HandleOrder(aExchange, aRequest);
   } else if (aRequest.mPath == "/health") {
     mServer.Respond(aExchange, { kOk, { { "X-Instance-Id", mName } }, "" });
   } else {
@@ -79,6 +80,44 @@
   }
 }
 
+void keyed_target::HandleOrder(exchange_id aExchange,
+                               const http_request& aRequest)
+{
+  const std::string sender = Header(aRequest, kSenderHeader);
+  if (mIgnoredSenders.contains(sender)) {
+    return;
+  }
+  if (mOrderHandler) {
+    mOrderHandler(sender, aRequest);
+  }
+  if (mOrdersHeld) {
+    mHeldOrders.emplace_back(aExchange, aRequest);
+  } else {
+    ExecuteOrder(aExchange, aRequest);
+  }
+}
+
+void keyed_target::SetOrdersHeld(bool aHeld)
+{
+  mOrdersHeld = aHeld;
+  if (aHeld) {
+    return;
+  }
+  for (const auto& [exchange, request] : std::exchange(mHeldOrders, {})) {
+    ExecuteOrder(exchange, request);
+  }
+}
+
+void keyed_target::ExecuteOrder(exchange_id aExchange,
+                                const http_request& aRequest)
+{
+  if (aRequest.mPath == kGrantPath) {
+    HandleGrant(aExchange, aRequest);
+  } else {
+    HandleRelease(aExchange, aRequest);
+  }
+}
+
 void keyed_target::HandleGrant(exchange_id aExchange,
                                const http_request& aRequest)
 {
--- a/StandIns/standin_users_platform/KeyedTarget.h
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -14,6 +14,10 @@
 
 namespace parsleystair {
 
+/// Header that names the router that sent an order. Tests add it, as all
+/// routers of a test have the same address.
+inline constexpr const char* kSenderHeader = "X-Test-Sender";
+
 /// Stand-in of a back end of the users' platform: signs its answers, tells what
 /// it did not run, takes grants and releases with fences.
 class keyed_target
@@ -47,6 +51,19 @@
   void SetFull(bool aFull) { mFull = aFull; }
   /// Closes connections in place of answers, after running the request.
   void SetDropsResponses(bool aLoses) { mDropsResponses = aLoses; }
+  /// Takes and answers no orders of these routers; see `kSenderHeader`.
+  void SetIgnoredSenders(std::set<std::string> aSenders)
+  {
+    mIgnoredSenders = std::move(aSenders);
+  }
+  /// From now on orders wait, or those that wait are taken and answered.
+  void SetOrdersHeld(bool aHeld);
+  /// Called with the sender of each order that arrives, unless it is ignored.
+  void OnOrder(
+    std::function<void(const std::string&, const http_request&)> aHandler)
+  {
+    mOrderHandler = std::move(aHandler);
+  }
   /// Answers with the id of another request.
   void SetAnswersOthers(bool aOthers) { mAnswersOthers = aOthers; }
 
@@ -67,6 +84,8 @@
   };
 
   void Handle(exchange_id aExchange, const http_request& aRequest);
+  void HandleOrder(exchange_id aExchange, const http_request& aRequest);
+  void ExecuteOrder(exchange_id aExchange, const http_request& aRequest);
   void HandleGrant(exchange_id aExchange, const http_request& aRequest);
   void HandleRelease(exchange_id aExchange, const http_request& aRequest);
   void Run(exchange_id aExchange, const http_request& aRequest);
@@ -86,6 +105,10 @@
   size_t mCancelled = 0;
   uint64_t mStartedMs = 1000;
   std::function<void(const std::string&)> mRunHandler;
+  std::function<void(const std::string&, const http_request&)> mOrderHandler;
+  std::set<std::string> mIgnoredSenders;
+  bool mOrdersHeld = false;
+  std::vector<std::pair<exchange_id, http_request>> mHeldOrders;
   std::vector<std::string> mRan;
   std::vector<held_keys> mHeld;
   std::map<exchange_id, std::unique_ptr<timer>> mRunning;
--- a/UnitTests/Gateway/GatewayFixture.h
+++ b/UnitTests/Gateway/GatewayFixture.h
@@ -6,6 +6,7 @@
 #include "StandIns/standin_users_platform/KeyedTarget.h"
 #include "StandIns/standin_users_platform/KvServer.h"
 #include "StandIns/standin_users_platform/OperatorConfiguration.h"
+#include "StandIns/standin_users_platform/UnreliableStore.h"
 #include "platform/Catalog.h"
 #include "platform/KvStore.h"
 #include "platform/Protocols.h"
@@ -35,11 +36,43 @@
   return ntohs(address.sin_port);
 }
 
-/// A gateway with its settings and its store client.
+/// The platform's orders, with a header that names the gateway that sent them.
+class sender_orders : public platform::wire_orders
+{
+public:
+  explicit sender_orders(std::string aSender)
+    : mSender(std::move(aSender))
+  {
+  }
+
+  [[nodiscard]] http_request GrantRequest(
+    const grant_order& aOrder) const override
+  {
+    return AddSender(platform::wire_orders::GrantRequest(aOrder));
+  }
+  [[nodiscard]] http_request ReleaseRequest(
+    const release_order& aOrder) const override
+  {
+    return AddSender(platform::wire_orders::ReleaseRequest(aOrder));
+  }
+
+private:
+  [[nodiscard]] http_request AddSender(http_request aRequest) const
+  {
+    aRequest.mHeaders.push_back({ kSenderHeader, mSender });
+    return aRequest;
+  }
+
+  std::string mSender;
+};
+
+/// A gateway with its settings, its store client and its orders.
 struct gateway_instance
 {
   gateway_settings mSettings;
-  std::unique_ptr<platform::kv_store> mStore;
+  std::unique_ptr<platform::kv_store> mStoreClient;
+  std::unique_ptr<unreliable_store> mStore;
+  std::unique_ptr<sender_orders> mOrders;
   std::unique_ptr<gateway_task> mTask;
 };
 
@@ -88,10 +121,12 @@
 
   /// Starts a gateway and waits until it is ready. `aHost`: loopback address of
   /// the gateway. `aPeersPort`: port for connections from other gateways, 0 for
-  /// any free port.
+  /// any free port. `aAnnouncedPort`: port to which other gateways connect
+  /// instead, 0 for `aPeersPort`.
   gateway_instance& StartGateway(const std::string& aName,
                                  const std::string& aHost = "127.0.0.1",
-                                 uint16_t aPeersPort = 0)
+                                 uint16_t aPeersPort = 0,
+                                 uint16_t aAnnouncedPort = 0)
   {
     gateway_instance& gateway = mGateways[aName];
     gateway_settings& settings = gateway.mSettings;
@@ -105,12 +140,19 @@
     settings.mPeers = { aHost, aPeersPort == 0 ? FreePort() : aPeersPort };
     settings.mStore = { "127.0.0.1", mKv.Port() };
     settings.mShutdownGrace = 4s;
-    gateway.mStore = std::make_unique<platform::kv_store>(
+    gateway.mStoreClient = std::make_unique<platform::kv_store>(
       mLoop, settings.mStore.mHost, settings.mStore.mPort);
+    gateway.mStore =
+      std::make_unique<unreliable_store>(mLoop, *gateway.mStoreClient);
+    if (aAnnouncedPort != 0) {
+      gateway.mStore->TranslatePort(settings.mPeers.mPort, aAnnouncedPort);
+    }
+    gateway.mOrders = std::make_unique<sender_orders>(aName);
     gateway.mTask = std::make_unique<gateway_task>(
       mLoop,
       settings,
-      gateway_platform{ *gateway.mStore, mCatalog, mRequests, mOrders },
+      gateway_platform{
+        *gateway.mStore, mCatalog, mRequests, *gateway.mOrders },
       mNextSeed += 100);
     EXPECT_TRUE(RunUntil([&] { return gateway.mTask->IsReady(); }));
     return gateway;
@@ -192,7 +234,6 @@
   std::map<std::string, std::unique_ptr<keyed_target>> mTargets;
   const platform::catalog mCatalog;
   const platform::wire_requests mRequests;
-  const platform::wire_orders mOrders;
   uint64_t mNextSeed = 1000;
   std::map<std::string, gateway_instance> mGateways;
 };
