Reproduce keys held by two targets with former leaders

These tests run real gateways, a store and three keyed targets on one loop, and check every 2 ms that each key is held by one target at most.

--- /dev/null
+++ b/UnitTests/Gateway/FormerLeaderTest.cpp
@@ -0,0 +1,408 @@
+#include "GatewayFixture.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+// Former leaders that go on renewing grants while another router leads, and
+// what its successors must wait for.
+
+namespace parsleystair {
+
+namespace {
+
+constexpr const char* kLeaderItem = "parsleystair/leader";
+constexpr const char* kRecordsPrefix = "parsleystair/ranges/";
+constexpr const char* kRecordItem = "parsleystair/ranges/keyed";
+
+/// Checks every few milliseconds that each key is held by one target at most,
+/// and keeps the orders that the targets took, for the message of a failure.
+class former_leader_test : public gateway_test
+{
+protected:
+  static constexpr uint32_t kKeyStep = 255;
+  static constexpr uint32_t kLastKey = 65'535;
+
+  former_leader_test()
+    : mUnanswering(mLoop, {}, [](exchange_id, const http_request&) {})
+  {
+    mUnanswering.Listen("127.0.0.1", 0);
+    AddTarget("keyed-3", "keyed", true);
+    for (const auto& [name, target] : mTargets) {
+      target->OnOrder([this, holder = name](const std::string& aSender,
+                                            const http_request& aRequest) {
+        Note(aSender + " to " + holder + ": " + aRequest.mPath + " " +
+             aRequest.mBody);
+      });
+    }
+    mCheckTimer.StartRepeating(mLoop, 2ms, [this] { CheckHolders(); });
+  }
+
+  void Note(const std::string& aText)
+  {
+    std::ostringstream line;
+    line << std::fixed << std::setprecision(3)
+         << ToSeconds(MonotonicNow() - mStart) << " " << aText << "\n";
+    mTimeline += line.str();
+  }
+
+  /// Targets that hold a key now.
+  [[nodiscard]] std::vector<std::string> Holders(uint32_t aKey) const
+  {
+    std::vector<std::string> holders;
+    for (const auto& [name, target] : mTargets) {
+      if (target->Holds(aKey)) {
+        holders.push_back(name);
+      }
+    }
+    return holders;
+  }
+
+  void CheckHolders()
+  {
+    if (!mViolation.empty()) {
+      return;
+    }
+    for (uint32_t key = 0; key <= kLastKey; key += kKeyStep) {
+      const auto holders = Holders(key);
+      if (holders.size() > 1) {
+        mViolation = "key " + std::to_string(key) + " is held by " +
+                     holders[0] + " and " + holders[1];
+        Note(mViolation);
+        return;
+      }
+    }
+  }
+
+  /// Waits for a condition, or for a key that two targets hold. Returns whether
+  /// the condition holds.
+  bool WaitFor(const std::string& aWhat,
+               const std::function<bool()>& aCondition)
+  {
+    RunUntil([&] { return !mViolation.empty() || aCondition(); });
+    const bool holds = aCondition();
+    Note((holds ? "reached: " : "not reached: ") + aWhat);
+    return holds;
+  }
+
+  void TearDown() override
+  {
+    EXPECT_EQ(mViolation, "");
+    if (HasFailure()) {
+      std::cout << mTimeline;
+    }
+  }
+
+  [[nodiscard]] bool Leads(const std::string& aName) const
+  {
+    return mGateways.at(aName).mTask->DumpText().find("\"leading\": true") !=
+           std::string::npos;
+  }
+
+  [[nodiscard]] bool Observes(const std::string& aName,
+                              const std::string& aLeader) const
+  {
+    return mGateways.at(aName).mTask->DumpText().find(
+             "\"leader\": \"" + aLeader + "\"") != std::string::npos;
+  }
+
+  [[nodiscard]] bool IsRecordedLeader(const std::string& aName) const
+  {
+    return mKv.Get(kLeaderItem).find("\"vm\":\"" + aName + "\"") !=
+           std::string::npos;
+  }
+
+  [[nodiscard]] bool IsRecordedOwner(const std::string& aTarget) const
+  {
+    return mKv.Get(kRecordItem).find("\"" + aTarget + "\"") !=
+           std::string::npos;
+  }
+
+  /// Waits until each key is held and each keyed target holds some.
+  bool WaitForOwners()
+  {
+    return WaitFor("each key is held", [this] {
+      std::set<std::string> owners;
+      for (uint32_t key = 0; key <= kLastKey; key += kKeyStep) {
+        const auto holders = Holders(key);
+        if (holders.empty()) {
+          return false;
+        }
+        owners.insert(holders.begin(), holders.end());
+      }
+      return owners.size() == 3;
+    });
+  }
+
+  /// Waits until the leader has given away the keys of a target that it can't
+  /// reach, and then until the grants of a former leader would show.
+  bool WaitForKeysToMove(const std::string& aFrom)
+  {
+    const bool moved = WaitFor("the keys of " + aFrom + " have other owners",
+                               [&] { return !IsRecordedOwner(aFrom); });
+    const bool granted = WaitFor("each key is held by another target", [&] {
+      for (uint32_t key = 0; key <= kLastKey; key += kKeyStep) {
+        const auto holders = Holders(key);
+        if (holders.empty() || (holders.size() == 1 && holders[0] == aFrom)) {
+          return false;
+        }
+      }
+      return true;
+    });
+    RunFor(1s);
+    return moved && granted;
+  }
+
+  void SetDraining(const std::string& aTarget)
+  {
+    mKv.Put("servers/" + aTarget,
+            mTargets.at(aTarget)->Entry("keyed", "draining"));
+    Note(aTarget + " is draining");
+  }
+
+  /// From now on a target gets the orders of one router only.
+  void ReachOnlyFrom(const std::string& aTarget, const std::string& aRouter)
+  {
+    std::set<std::string> others{ "first", "second",  "third",    "later",
+                                  "late",  "initial", "successor" };
+    others.erase(aRouter);
+    mTargets.at(aTarget)->SetIgnoredSenders(others);
+    Note(aTarget + " is reached only from " + aRouter);
+  }
+
+  const time_point mStart = MonotonicNow();
+  std::string mTimeline;
+  std::string mViolation;
+  /// Takes connections for a gateway that other gateways can't reach.
+  http_server mUnanswering;
+  timer mCheckTimer;
+};
+
+} // namespace
+
+// Guards against a new leader that asks only the last former leader. The store
+// turns the first leader away, so it renews grants for some time; its successor
+// is killed, and another process at the successor's address says that the
+// successor has ended.
+TEST_F(former_leader_test, ThirdLeaderWaitsForFirstLeadersGrants)
+{
+  gateway_instance& first =
+    StartGateway("first", "127.0.0.1", 0, mUnanswering.Port());
+  ASSERT_TRUE(WaitForOwners());
+  StartGateway("second");
+  StartGateway("third");
+  ASSERT_TRUE(WaitFor("the others observe the first leader", [&] {
+    return Observes("second", "first") && Observes("third", "first");
+  }));
+
+  ReachOnlyFrom("keyed-1", "first");
+  Note("the store turns the first leader away");
+  first.mStore->SetFaults(
+    [](store_call, const std::string&) { return store_fault::kRefused; });
+  ASSERT_TRUE(WaitFor("a second leader leads",
+                      [&] { return Leads("second") || Leads("third"); }));
+  const std::string second = Leads("second") ? "second" : "third";
+  const std::string third = second == "second" ? "third" : "second";
+  ASSERT_TRUE(WaitFor("the other router observes it",
+                      [&] { return Observes(third, second); }));
+  const uint16_t secondPort = mGateways.at(second).mSettings.mPeers.mPort;
+  StopGateway(second);
+  Note("the second leader was killed");
+  StartGateway("later", "127.0.0.1", secondPort);
+
+  ASSERT_TRUE(WaitFor("a third leader leads",
+                      [&] { return Leads(third) || Leads("later"); }));
+  EXPECT_TRUE(WaitForKeysToMove("keyed-1"));
+}
+
+// Guards against a router that takes the time at which it learns that it leads
+// as a confirmation of its leadership. The reply to its write of the leader key
+// is lost and its watch is slow, so a successor is elected before.
+TEST_F(former_leader_test, LateNewsOfAnElectionConfirmsNothing)
+{
+  StartGateway("initial");
+  ASSERT_TRUE(WaitForOwners());
+  gateway_instance& late = StartGateway("late");
+  ASSERT_TRUE(WaitFor("the late router observes the initial leader",
+                      [&] { return Observes("late", "initial"); }));
+  bool written = false;
+  late.mStore->SetFaults([&](store_call aCall, const std::string& aKey) {
+    if (aKey == kLeaderItem && aCall == store_call::kWrite) {
+      written = true;
+      return store_fault::kReplyLost;
+    }
+    if (aKey == kLeaderItem && aCall == store_call::kWatch && written) {
+      return store_fault::kReplyHeld;
+    }
+    const bool refused = aCall == store_call::kRenewLease ||
+                         (aCall == store_call::kOpenLease && written);
+    return refused ? store_fault::kRefused : store_fault::kNone;
+  });
+  StopGateway("initial");
+  Note("the initial leader was killed");
+  ASSERT_TRUE(WaitFor("the late router is recorded as the leader",
+                      [&] { return IsRecordedLeader("late"); }));
+  ASSERT_FALSE(Leads("late"));
+  StartGateway("successor");
+  ASSERT_TRUE(WaitFor("the successor observes the late router",
+                      [&] { return Observes("successor", "late"); }));
+  ASSERT_TRUE(
+    WaitFor("the successor leads", [&] { return Leads("successor"); }));
+  ASSERT_TRUE(WaitForOwners());
+  ASSERT_FALSE(Leads("late"));
+
+  ReachOnlyFrom("keyed-1", "late");
+  Note("the late router learns that it was elected");
+  late.mStore->ReleaseAll();
+  EXPECT_TRUE(WaitForKeysToMove("keyed-1"));
+}
+
+// Guards against a former leader that reads a record of its successor and
+// renews the grants in it. The successor takes the fences that it recorded
+// itself to be granted by itself alone, and waits for its own grants.
+TEST_F(former_leader_test, FormerLeaderGrantsNothingOfASuccessorsRecord)
+{
+  gateway_instance& first =
+    StartGateway("first", "127.0.0.1", 0, mUnanswering.Port());
+  ASSERT_TRUE(WaitForOwners());
+  StartGateway("successor");
+  ASSERT_TRUE(WaitFor("the successor observes the first leader",
+                      [&] { return Observes("successor", "first"); }));
+  uint32_t movedKey = 0;
+  while (!mTargets.at("keyed-2")->Holds(movedKey)) {
+    movedKey += kKeyStep;
+    ASSERT_LE(movedKey, kLastKey);
+  }
+  // The store turns the first leader away, but answers one read of the records
+  // late.
+  bool targetsHeld = false;
+  first.mStore->SetFaults([&](store_call aCall, const std::string& aKey) {
+    if (aKey == kRecordsPrefix && aCall == store_call::kRead) {
+      return store_fault::kHeld;
+    }
+    if (aCall == store_call::kWatch && (aKey == kLeaderItem || targetsHeld)) {
+      return store_fault::kReplyHeld;
+    }
+    const bool refused = aCall == store_call::kRenewLease ||
+                         aCall == store_call::kOpenLease ||
+                         aCall == store_call::kWrite;
+    return refused ? store_fault::kRefused : store_fault::kNone;
+  });
+  SetDraining("keyed-2");
+  ASSERT_TRUE(WaitFor("the first leader reads the records",
+                      [&] { return first.mStore->HeldCount() > 0; }));
+  ASSERT_TRUE(
+    WaitFor("the successor leads", [&] { return Leads("successor"); }));
+  ASSERT_TRUE(WaitFor("the successor has moved the keys of keyed-2", [&] {
+    const auto holders = Holders(movedKey);
+    return !IsRecordedOwner("keyed-2") && holders.size() == 1 &&
+           holders[0] != "keyed-2";
+  }));
+  const std::string owner = Holders(movedKey).front();
+  ASSERT_TRUE(Leads("first"));
+
+  targetsHeld = true;
+  Note("the first leader receives the records");
+  first.mStore->ReleaseFirst();
+  ReachOnlyFrom(owner, "first");
+  SetDraining(owner);
+  EXPECT_TRUE(WaitForKeysToMove(owner));
+}
+
+// Guards against a leader that renews another lease than the one of the leader
+// key. Its first write of the key is executed late, after it has opened a
+// second lease; the renewals of that lease confirm nothing when the key's lease
+// has ended.
+TEST_F(former_leader_test, RenewalOfAnotherLeaseConfirmsNothing)
+{
+  StartGateway("initial");
+  ASSERT_TRUE(WaitForOwners());
+  gateway_instance& first =
+    StartGateway("first", "127.0.0.1", 0, mUnanswering.Port());
+  ASSERT_TRUE(WaitFor("the router observes the initial leader",
+                      [&] { return Observes("first", "initial"); }));
+  uint32_t writes = 0;
+  bool watchHeld = false;
+  first.mStore->SetFaults([&](store_call aCall, const std::string& aKey) {
+    if (aKey == kLeaderItem && aCall == store_call::kWrite) {
+      ++writes;
+      return store_fault::kExecutedLate;
+    }
+    if (aKey == kLeaderItem && aCall == store_call::kWatch && watchHeld) {
+      return store_fault::kReplyHeld;
+    }
+    return aCall == store_call::kOpenLease && writes >= 2
+             ? store_fault::kRefused
+             : store_fault::kNone;
+  });
+  StopGateway("initial");
+  Note("the initial leader was killed");
+  ASSERT_TRUE(WaitFor("the router has written the leader key twice",
+                      [&] { return writes == 2; }));
+  first.mStore->ReleaseFirst();
+  ASSERT_TRUE(WaitFor("the first write is executed",
+                      [&] { return IsRecordedLeader("first"); }));
+  ASSERT_TRUE(WaitFor("the router observes it",
+                      [&] { return Observes("first", "first"); }));
+  watchHeld = true;
+  ReachOnlyFrom("keyed-1", "first");
+  StartGateway("successor");
+  ASSERT_TRUE(
+    WaitFor("the successor leads", [&] { return Leads("successor"); }));
+  EXPECT_TRUE(WaitForKeysToMove("keyed-1"));
+}
+
+// Guards against grants that a router sends after it has said that it
+// abdicated, because they waited for the replies to earlier ones.
+TEST_F(former_leader_test, AbdicatedRouterSendsNoQueuedGrants)
+{
+  constexpr uint32_t kRanges = 6;
+  nlohmann::json ranges = nlohmann::json::array();
+  for (uint32_t range = 0; range < kRanges; ++range) {
+    ranges.push_back({ (kLastKey + 1) * range / kRanges,
+                       (kLastKey + 1) * (range + 1) / kRanges - 1,
+                       "keyed-1",
+                       1000,
+                       range + 1,
+                       "" });
+  }
+  mKv.Put(kRecordItem,
+          nlohmann::json{ { "nextFence", kRanges + 1 }, { "ranges", ranges } }
+            .dump());
+  uint32_t grants = 0;
+  keyed_target& target = *mTargets.at("keyed-1");
+  target.OnOrder([&](const std::string&, const http_request&) { ++grants; });
+  target.SetOrdersHeld(true);
+  const gateway_instance& first = StartGateway("first");
+  ASSERT_TRUE(WaitFor("grants are in flight", [&] { return grants > 0; }));
+  RunFor(50ms);
+  // The others are queued.
+  const uint32_t grantsBefore = grants;
+  ASSERT_LT(grantsBefore, kRanges);
+
+  first.mStore->SetFaults([](store_call aCall, const std::string&) {
+    return aCall == store_call::kOpenLease ? store_fault::kRefused
+                                           : store_fault::kNone;
+  });
+  http_connection connection(mLoop, "127.0.0.1", first.mSettings.mPeers.mPort);
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/abdicate";
+  request.mBody = std::to_string(nlohmann::json::parse(mKv.Get(kLeaderItem))
+                                   .at("incarnation")
+                                   .get<uint64_t>());
+  std::optional<http_result> result;
+  connection.Call(request, kTimeout, [&](const http_result& aResult) {
+    result = aResult;
+    target.SetOrdersHeld(false);
+  });
+  ASSERT_TRUE(WaitFor("the router has abdicated", [&] {
+    return result && result->mResponse.mStatus == 200;
+  }));
+  RunFor(1s);
+  EXPECT_EQ(grants, grantsBefore);
+}
+
+} // namespace parsleystair
