Observe the late write by its reply in the test of another lease

RenewalOfAnotherLeaseConfirmsNothing read the leader key every 5 ms to see that the late write was executed. The stand-in now counts the late calls that took effect, and the router's watch is held from the moment at which the key no longer names it.

--- a/StandIns/standin_users_platform/UnreliableStore.cpp
+++ b/StandIns/standin_users_platform/UnreliableStore.cpp
@@ -87,7 +87,6 @@
   std::function<void(std::function<void(Reply)>)> aExecute,
   std::function<void(Reply)> aCallback)
 {
-  const auto ignore = [](const Reply&) {};
   switch (FaultOf(aCall, aKey)) {
     case store_fault::kNone:
       aExecute([this, aCall, aKey, callback = std::move(aCallback)](
@@ -121,8 +120,11 @@
       });
       return;
     case store_fault::kExecutedLate:
-      mHeld.emplace_back(
-        [execute = std::move(aExecute), ignore] { execute(ignore); });
+      mHeld.emplace_back([this, execute = std::move(aExecute)] {
+        execute([this](const Reply& aReply) {
+          mLateCount += aReply.mOutcome == call_outcome::kDone ? 1 : 0;
+        });
+      });
       Post([callback = std::move(aCallback)] { callback(Reply()); });
       return;
     case store_fault::kHeld:
--- a/StandIns/standin_users_platform/UnreliableStore.h
+++ b/StandIns/standin_users_platform/UnreliableStore.h
@@ -60,6 +60,9 @@
   void ReleaseAll();
   [[nodiscard]] size_t HeldCount() const { return mHeld.size(); }
 
+  /// Calls that were executed late and took effect.
+  [[nodiscard]] uint32_t LateCount() const { return mLateCount; }
+
   /// From now on others find this router's port in the values that it writes
   /// as `aAnnounced`, such as that of a proxy before it.
   void TranslatePort(uint16_t aOwn, uint16_t aAnnounced);
@@ -106,6 +109,7 @@
   std::string mOwnPort;
   std::string mAnnouncedPort;
   std::deque<action> mHeld;
+  uint32_t mLateCount = 0;
   std::deque<action> mPosted;
   timer mPostTimer;
 };
--- a/UnitTests/Gateway/FormerLeaderTest.cpp
+++ b/UnitTests/Gateway/FormerLeaderTest.cpp
@@ -324,13 +324,17 @@
   ASSERT_TRUE(WaitFor("the router observes the initial leader",
                       [&] { return Observes("first", "initial"); }));
   uint32_t writes = 0;
-  bool watchHeld = false;
+  const auto& firstStore = *first.mStore;
   first.mStore->SetFaults([&](store_call aCall, const std::string& aKey) {
     if (aKey == kLeaderItem && aCall == store_call::kWrite) {
       ++writes;
       return store_fault::kExecutedLate;
     }
-    if (aKey == kLeaderItem && aCall == store_call::kWatch && watchHeld) {
+    // The router learns of its first write, and of nothing after it.
+    const bool isLeaderWatch =
+      aKey == kLeaderItem && aCall == store_call::kWatch;
+    if (isLeaderWatch && firstStore.LateCount() > 0 &&
+        !IsRecordedLeader("first")) {
       return store_fault::kReplyHeld;
     }
     return aCall == store_call::kOpenLease && writes >= 2
@@ -343,10 +347,7 @@
                       [&] { return writes == 2; }));
   first.mStore->ReleaseFirst();
   ASSERT_TRUE(WaitFor("the first write is executed",
-                      [&] { return IsRecordedLeader("first"); }));
-  ASSERT_TRUE(WaitFor("the router observes it",
-                      [&] { return Observes("first", "first"); }));
-  watchHeld = true;
+                      [&] { return firstStore.LateCount() == 1; }));
   ReachOnlyFrom("keyed-1", "first");
   StartGateway("successor");
   ASSERT_TRUE(
