Let the successor of a late leader wait for no other router

In LateNewsOfAnElectionConfirmsNothing the initial leader was killed for good. A successor that counts every former leader waits 7 s for it, which is longer than the late router renews, so the test could pass with the fault in place. Another process now answers at the initial leader's address.

--- a/UnitTests/Gateway/FormerLeaderTest.cpp
+++ b/UnitTests/Gateway/FormerLeaderTest.cpp
@@ -222,7 +222,7 @@
 // is lost and its watch is slow, so a successor is elected before.
 TEST_F(former_leader_test, LateNewsOfAnElectionConfirmsNothing)
 {
-  StartGateway("initial");
+  const uint16_t initialPort = StartGateway("initial").mSettings.mPeers.mPort;
   ASSERT_TRUE(WaitForOwners());
   gateway_instance& late = StartGateway("late");
   ASSERT_TRUE(WaitFor("the late router observes the initial leader",
@@ -242,6 +242,12 @@
   });
   StopGateway("initial");
   Note("the initial leader was killed");
+  // The process that replaces it says so, and doesn't campaign itself.
+  StartGateway("later", "127.0.0.1", initialPort)
+    .mStore->SetFaults([](store_call aCall, const std::string&) {
+      return aCall == store_call::kOpenLease ? store_fault::kRefused
+                                             : store_fault::kNone;
+    });
   ASSERT_TRUE(WaitFor("the late router is recorded as the leader",
                       [&] { return IsRecordedLeader("late"); }));
   ASSERT_FALSE(Leads("late"));
