Record every leader that may send orders in the store

Callers saw keys that two targets held at the same time: a request ran at a target that had lost its key.

Cause: a new leader took the word of the last leader that it had observed for all former leaders. An earlier one that the store turned away, but that its targets could reach, went on renewing grants for up to 7 s after its last confirmation. A router that had missed a leader asked the wrong one or nobody. The class: one witness speaks for all.

Change: the store keeps the list of all leaders that may still send orders (parsleystair/terms). A router leads only after one conditional write has created the leader key and added the router to the list, so no former leader is unknown, whatever a watch missed. The new leader asks every listed process to abdicate and waits for all, or for the bound that covers each of them. Entries are removed when their routers are gone.

The election is now a decision class without I/O (election_controller), so that a state test can contain it. Two more ways to count a leadership as confirmed without proof end with it: a read of the records, and a renewal of another lease than the one that the leader key is bound to.

NewLeaderWaitsForEarlierRenewals is stricter: nothing is written before the delivery delay and the clock drift are over as well.

--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -76,12 +76,18 @@
            : duration::zero();
 }
 
-leader_entry SelfEntry(const gateway_settings& aSettings, uint64_t aIncarnation)
+election_settings ElectionSettings(const gateway_settings& aSettings,
+                                   uint64_t aIncarnation)
 {
-  return { aSettings.mVm,
-           incarnation(aIncarnation),
-           aSettings.mPeers.mHost,
-           aSettings.mPeers.mPort };
+  election_settings settings;
+  settings.mLeaderKey = kLeaderKey;
+  settings.mTermsKey = kTermsKey;
+  settings.mSelf.mVm = aSettings.mVm;
+  settings.mSelf.mIncarnation = incarnation(aIncarnation);
+  settings.mSelf.mHost = aSettings.mPeers.mHost;
+  settings.mSelf.mPort = aSettings.mPeers.mPort;
+  settings.mCampaignDelay = CandidacyDelay(aSettings);
+  return settings;
 }
 
 } // namespace
@@ -191,9 +197,7 @@
                aSeed)
   , mElection(aLoop,
               aPlatform.mStore,
-              kLeaderKey,
-              SelfEntry(aSettings, aSeed),
-              CandidacyDelay(aSettings),
+              ElectionSettings(aSettings, aSeed),
               aSeed + 1)
   , mRangeDriver(aLoop,
                  RangeSettings(aSettings),
@@ -223,9 +227,10 @@
       ApplyOwners(aService, aRecord);
     });
   mRangeDriver.OnWriteFailed([this] { ReadOwners(); });
-  mElection.OnLeadershipConfirmed([this](time_point aAsked) {
-    mRangeDriver.HandleLeadershipConfirmed(aAsked);
-  });
+  mElection.OnLeadershipConfirmed(
+    [this] { mRangeDriver.HandleLeadershipConfirmed(); });
+  mElection.OnFormerLeadersGone(
+    [this] { mRangeDriver.HandleFormerLeadersGone(MonotonicNow()); });
   mConfigurationFollower = std::make_unique<follower>(
     *this,
     aPlatform.mCatalog.ConfigurationPrefix(),
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -65,8 +65,6 @@
   void ApplyLeader(const std::optional<stored_item>& aItem);
   void HandleLeadershipChange();
   void ReadOwners();
-  void RequestAbdication();
-  void HandleAbdicationResponse(const http_result& aResult);
   void HandleAbdicationRequest(exchange_id aExchange,
                                const http_request& aRequest);
   void ApplyOwners(const service_name& aService,
@@ -113,8 +111,6 @@
   owner_records mOwnerRecords;
   owner_feed_server mOwnerFeedServer;
   owner_feed_client mOwnerFeedClient;
-  std::unique_ptr<http_connection> mFormerLeaderConnection;
-  timer mFormerLeaderTimer;
   /// Time of the last report of each router to this one.
   std::map<router_entry, time_point> mLastReports;
   /// Live routers according to the leader. `mRoutersDigest` is the digest of
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -17,10 +17,6 @@
 constexpr uint32_t kNotFound = 404;
 
 constexpr duration kReportTimeout = 400ms;
-/// Timeout of the abdication request to the former leader, and the delay before
-/// the request is retried. A process that was killed restarts within seconds
-/// and then responds.
-constexpr duration kFormerLeaderTimeout = 300ms;
 /// A router that has sent no report for this long is no longer live.
 constexpr duration kReporterExpiry = 3s;
 /// Time within which all live routers have reported twice to a new leader.
@@ -75,9 +71,7 @@
 {
   if (!mElection.IsLeading()) {
     mOwnerFeedServer.Stop();
-    mFormerLeaderConnection.reset();
-    mFormerLeaderTimer.Cancel();
-    mRangeDriver.HandleLeadership(MonotonicNow());
+    mRangeDriver.StopLeading();
     return;
   }
   mLeadingSince = MonotonicNow();
@@ -88,9 +82,12 @@
 
 void gateway_task::ReadOwners()
 {
-  const time_point requestTime = MonotonicNow();
+  // Records that were read before this router was elected may be changed by a
+  // former leader.
+  const bool isLeading = mElection.IsLeading();
+  const term_number term = mElection.Leadership().mTerm;
   mPlatform.mStore.ReadPrefix(
-    kRangesPrefix, [this, requestTime](const prefix_reply& aReply) {
+    kRangesPrefix, [this, isLeading, term](const prefix_reply& aReply) {
       if (aReply.mOutcome != call_outcome::kDone) {
         // Tick() retries the read.
         return;
@@ -107,55 +104,19 @@
             .Add("error", exception.what());
         }
       }
-      if (mElection.IsLeading() && !mRangeDriver.IsLeading()) {
-        mRangeDriver.HandleLeadership(requestTime);
-        RequestAbdication();
+      if (isLeading && mElection.IsLeading() && !mRangeDriver.IsLeading() &&
+          mElection.Leadership().mTerm == term) {
+        mRangeDriver.StartLeading(MonotonicNow());
       }
     });
 }
 
-void gateway_task::RequestAbdication()
-{
-  const auto& former = mElection.FormerLeader();
-  if (!former || !mElection.IsLeading()) {
-    return;
-  }
-  mFormerLeaderConnection = std::make_unique<http_connection>(
-    mLoop, former->mHost, former->mPort, http_connection_settings{});
-  http_request request;
-  request.mMethod = "POST";
-  request.mPath = "/abdicate";
-  request.mBody = std::to_string(former->mIncarnation.Value());
-  mFormerLeaderConnection->Call(
-    request, kFormerLeaderTimeout, [this](const http_result& aResult) {
-      HandleAbdicationResponse(aResult);
-    });
-}
-
-void gateway_task::HandleAbdicationResponse(const http_result& aResult)
-{
-  // A refused connection doesn't prove that the former leader has ended: a
-  // network partition may look the same.
-  if (aResult.mStatus == http_status::kResponded &&
-      aResult.mResponse.mStatus == kOk) {
-    log_line(log_severity::kInfo, "former_leader_gone")
-      .Add("vm", mElection.FormerLeader()->mVm.Value());
-    mRangeDriver.HandleFormerLeaderGone(MonotonicNow());
-    return;
-  }
-  mFormerLeaderTimer.StartOnce(
-    mLoop, kFormerLeaderTimeout, [this] { RequestAbdication(); });
-}
-
 void gateway_task::HandleAbdicationRequest(exchange_id aExchange,
                                            const http_request& aRequest)
 {
-  // If the incarnations differ, this process has replaced the former leader at
-  // its address, so the former leader has ended.
-  const std::string ownIncarnation = std::to_string(mIncarnation);
-  if (aRequest.mBody == ownIncarnation) {
-    mElection.StepDown();
-  }
+  // The requested process is this one, or it has ended, as this process has
+  // replaced it at its address.
+  mElection.HandleAbdicationRequest(aRequest);
   mPeerServer.Respond(aExchange, { kOk, {}, "" });
 }
 
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -1,10 +1,9 @@
 #include "Parsleystair/Gateway/LeaderElection.h"
 
 #include "Parsleystair/Core/Clock.h"
-#include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Log.h"
 
-#include <nlohmann/json.hpp>
+#include <charconv>
 
 namespace parsleystair {
 
@@ -13,50 +12,51 @@
 /// Time after which a lost leader is replaced. Grants are valid for longer than
 /// this lease and a renewal interval together.
 constexpr duration kLeaseTtl = 1500ms;
-constexpr duration kRenewInterval = 500ms;
-/// Upper bound of the random delay between the removal of the leader key and a
-/// router's campaign, so that most routers see another router's entry before
-/// they write their own.
-constexpr duration kCampaignJitter = 150ms;
-constexpr duration kRetryDelay = 500ms;
+constexpr duration kAbdicationTimeout = 300ms;
+constexpr uint32_t kOk = 200;
+constexpr const char* kTermParameter = "term";
 
-} // namespace
+std::string AddressText(const leader_entry& aEntry)
+{
+  return aEntry.mHost + ":" + std::to_string(aEntry.mPort);
+}
 
-std::string EncodeLeaderEntry(const leader_entry& aEntry)
+std::string DescribeLeaders(const std::vector<leader_entry>& aLeaders)
 {
-  return nlohmann::json{
-    { "vm", aEntry.mVm.Value() },
-    { "incarnation", aEntry.mIncarnation.Value() },
-    { "host", aEntry.mHost },
-    { "port", aEntry.mPort }
-  }.dump();
+  std::string text;
+  for (const leader_entry& each : aLeaders) {
+    text += (text.empty() ? "" : ",") + each.mVm.Value() + "/" +
+            std::to_string(each.mTerm.Value());
+  }
+  return text;
 }
 
-leader_entry DecodeLeaderEntry(const std::string& aText)
+/// Term in the query of an abdication request; empty if a router without terms
+/// sent it.
+std::optional<term_number> ReadTerm(const http_request& aRequest)
 {
-  try {
-    const nlohmann::json json = nlohmann::json::parse(aText);
-    return { vm_name(json.at("vm").get<std::string>()),
-             incarnation(json.at("incarnation").get<uint64_t>()),
-             json.at("host").get<std::string>(),
-             json.at("port").get<uint16_t>() };
-  } catch (const nlohmann::json::exception& exception) {
-    throw parse_error(std::string("invalid leader entry: ") + exception.what());
+  const auto text = FindQueryValue(aRequest.mQuery, kTermParameter);
+  if (!text) {
+    return std::nullopt;
   }
+  uint64_t term = 0;
+  const char* end = text->data() + text->size();
+  const auto result = std::from_chars(text->data(), end, term);
+  return result.ec == std::errc() && result.ptr == end
+           ? std::optional(term_number(term))
+           : std::nullopt;
 }
 
+} // namespace
+
 leader_election::leader_election(event_loop& aLoop,
                                  coordination_store& aStore,
-                                 std::string aKey,
-                                 leader_entry aSelf,
-                                 duration aCampaignDelay,
+                                 const election_settings& aSettings,
                                  uint64_t aSeed)
   : mLoop(aLoop)
   , mStore(aStore)
-  , mKey(std::move(aKey))
-  , mSelf(std::move(aSelf))
-  , mCampaignDelay(aCampaignDelay)
-  , mRandom(aSeed)
+  , mSettings(aSettings)
+  , mController(aSettings, aSeed)
 {
 }
 
@@ -65,161 +65,192 @@
   mChangeHandler = std::move(aHandler);
 }
 
-void leader_election::OnLeadershipConfirmed(lease_confirmed_handler aHandler)
+void leader_election::OnLeadershipConfirmed(change_handler aHandler)
 {
-  mLeaseConfirmedHandler = std::move(aHandler);
+  mConfirmedHandler = std::move(aHandler);
+}
+
+void leader_election::OnFormerLeadersGone(change_handler aHandler)
+{
+  mFormerLeadersGoneHandler = std::move(aHandler);
 }
 
 void leader_election::HandleKey(const std::optional<stored_item>& aItem)
 {
-  mKeyObserved = true;
-  mKeyExists = aItem.has_value();
-  if (!aItem) {
-    mLeader.reset();
-    if (mLeading) {
-      StopLeading("the leader key was removed");
-    }
-    std::uniform_int_distribution<int64_t> jitter(0, kCampaignJitter.count());
-    ScheduleCampaign(mCampaignDelay + duration(jitter(mRandom)));
-    return;
-  }
-  try {
-    mLeader = DecodeLeaderEntry(aItem->mValue);
-  } catch (const parse_error& exception) {
-    log_line(log_severity::kWarning, "leader_entry_unreadable")
-      .Add("error", exception.what());
-    mLeader.reset();
-  }
-  const bool isSelf = mLeader && *mLeader == mSelf;
-  if (mLeader && !isSelf) {
-    mFormerLeader = mLeader;
-  }
-  if (isSelf && !mLeading && mKeyWritePending) {
-    // The reply to the write was lost or is slower than the watch.
-    StartLeading(aItem->mRevision);
-  } else if (!isSelf && mLeading) {
-    StopLeading("another router is the leader");
+  mController.HandleKey(aItem, MonotonicNow());
+  Step();
+}
+
+void leader_election::HandleAbdicationRequest(const http_request& aRequest)
+{
+  const std::optional<term_number> term = ReadTerm(aRequest);
+  // A router without terms names the process that is to abdicate.
+  const bool isNamed =
+    aRequest.mBody == std::to_string(mSettings.mSelf.mIncarnation.Value());
+  if (term || isNamed) {
+    mController.StepDown(term);
+    Step();
   }
 }
 
 void leader_election::StepDown()
 {
-  if (mLeading) {
-    StopLeading("another router is the leader");
-    mKeyExists = true;
-  }
+  mController.StepDown(std::nullopt);
+  Step();
 }
 
 void leader_election::Resign()
 {
-  mResigned = true;
-  mTimer.Cancel();
-  if (!mLeading) {
-    return;
-  }
-  StopLeading("shutdown");
-  mStore.EndLease(mLease, [](const lease_reply&) {});
+  mController.Resign();
+  Step();
 }
 
-void leader_election::ScheduleCampaign(duration aDelay)
+void leader_election::Step()
 {
-  if (mResigned || mLeading) {
-    return;
+  const time_point now = MonotonicNow();
+  ReportChanges();
+  for (const election_action& action : mController.Step(now)) {
+    std::visit([this](const auto& aAction) { Execute(aAction); }, action);
+  }
+  // The time at which former leaders are gone may have passed in this step.
+  ReportChanges();
+  if (const auto next = mController.NextStepTime()) {
+    mTimer.StartOnce(
+      mLoop, std::max(*next - now, duration::zero()), [this] { Step(); });
+  } else {
+    mTimer.Cancel();
   }
-  mTimer.StartOnce(mLoop, aDelay, [this] { Campaign(); });
 }
 
-void leader_election::Campaign()
+void leader_election::ReportChanges()
 {
-  if (mResigned || mLeading || mKeyExists || !mKeyObserved) {
+  const leadership& current = mController.Leadership();
+  const bool isLeading = mController.IsLeading();
+  if (mReportedLeading && !isLeading) {
+    mReportedLeading = false;
+    mAbdicationRequests.clear();
+    log_line(log_severity::kInfo, "leading_ended")
+      .Add("reason", mController.EndReason())
+      .Add("revision", mController.Revision().Value())
+      .Add("term", current.mTerm.Value());
+    mChangeHandler();
+  }
+  if (!isLeading) {
     return;
   }
-  OpenLease();
+  if (!mReportedLeading) {
+    mReportedLeading = true;
+    mReportedConfirmation = time_point::min();
+    mReportedFormerLeadersGone = false;
+    log_line(log_severity::kInfo, "leading_started")
+      .Add("revision", mController.Revision().Value())
+      .Add("lease", mController.Leader()->mLease.Value())
+      .Add("term", current.mTerm.Value())
+      .Add("former", DescribeLeaders(mController.FormerLeaders()));
+    mChangeHandler();
+  }
+  if (mReportedConfirmation < current.mConfirmedAt) {
+    mReportedConfirmation = current.mConfirmedAt;
+    mConfirmedHandler();
+  }
+  if (!mReportedFormerLeadersGone && mController.AreFormerLeadersGone()) {
+    mReportedFormerLeadersGone = true;
+    mFormerLeadersGoneHandler();
+  }
 }
 
-void leader_election::OpenLease()
+void leader_election::Execute(const read_terms& /*aAction*/)
 {
-  mLeaseRequestedAt = MonotonicNow();
-  mStore.OpenLease(kLeaseTtl, [this](const lease_reply& aReply) {
-    if (aReply.mOutcome != call_outcome::kDone) {
-      ScheduleCampaign(kRetryDelay);
-      return;
+  mStore.ReadPrefix(mSettings.mTermsKey, [this](const prefix_reply& aReply) {
+    std::optional<stored_item> item;
+    for (const stored_item& each : aReply.mItems) {
+      if (each.mKey == mSettings.mTermsKey) {
+        item = each;
+      }
     }
-    mLease = aReply.mLease;
-    WriteKey();
+    mController.HandleTermsRead(aReply.mOutcome, item, MonotonicNow());
+    Step();
   });
 }
 
-void leader_election::WriteKey()
+void leader_election::Execute(const open_lease& /*aAction*/)
 {
-  mKeyWritePending = true;
-  conditional_write write;
-  write.mConditions = { { mKey, store_revision(0) } };
-  write.mWrites = { { mKey, EncodeLeaderEntry(mSelf), mLease } };
-  mStore.Write(write,
-               [this](const write_reply& aReply) { HandleKeyWritten(aReply); });
+  mStore.OpenLease(kLeaseTtl, [this](const lease_reply& aReply) {
+    mController.HandleLeaseOpened(aReply, MonotonicNow());
+    Step();
+  });
 }
 
-void leader_election::HandleKeyWritten(const write_reply& aReply)
+void leader_election::Execute(const write_leader& aAction)
 {
-  if (mLeading || mResigned) {
-    return;
-  }
-  if (aReply.mOutcome == call_outcome::kDone) {
-    StartLeading(aReply.mRevision);
-    return;
-  }
-  // If the outcome is unknown, the watch reports the key if it was written.
-  mKeyWritePending = aReply.mOutcome == call_outcome::kUnknown;
-  ScheduleCampaign(kRetryDelay);
+  const time_point sentAt = MonotonicNow();
+  const leader_entry entry = aAction.mEntry;
+  mStore.Write(
+    aAction.mWrite, [this, sentAt, entry](const write_reply& aReply) {
+      mController.HandleLeaderWritten(entry, aReply, sentAt, MonotonicNow());
+      Step();
+    });
 }
 
-void leader_election::StartLeading(store_revision aRevision)
+void leader_election::Execute(const renew_lease& aAction)
 {
-  mLeading = true;
-  mKeyWritePending = false;
-  mKeyExists = true;
-  mLeader = mSelf;
-  mRevision = aRevision;
-  log_line(log_severity::kInfo, "leading_started")
-    .Add("revision", mRevision.Value())
-    .Add("lease", mLease.Value());
-  mTimer.StartRepeating(mLoop, kRenewInterval, [this] { RenewOwnLease(); });
-  mChangeHandler();
+  const time_point sentAt = MonotonicNow();
+  mStore.RenewLease(aAction.mLease,
+                    [this, aAction, sentAt](const lease_reply& aReply) {
+                      mController.HandleLeaseRenewed(
+                        aAction, aReply.mOutcome, sentAt, MonotonicNow());
+                      Step();
+                    });
 }
 
-void leader_election::StopLeading(const char* aReason)
+void leader_election::Execute(const end_lease& aAction)
 {
-  mLeading = false;
-  mKeyWritePending = false;
-  mTimer.Cancel();
-  log_line(log_severity::kInfo, "leading_ended")
-    .Add("reason", aReason)
-    .Add("revision", mRevision.Value());
-  mChangeHandler();
+  mStore.EndLease(aAction.mLease, [](const lease_reply&) {});
 }
 
-void leader_election::RenewOwnLease()
+void leader_election::Execute(const request_abdication& aAction)
 {
-  const time_point sentAt = MonotonicNow();
-  mStore.RenewLease(mLease, [this, sentAt](const lease_reply& aReply) {
-    HandleLeaseRenewed(aReply, sentAt);
-  });
+  const leader_entry& former = aAction.mLeader;
+  auto& connection = mAbdicationRequests[AddressText(former)];
+  connection = std::make_unique<http_connection>(
+    mLoop, former.mHost, former.mPort, http_connection_settings{});
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/abdicate";
+  request.mQuery =
+    kTermParameter + ("=" + std::to_string(aAction.mBefore.Value()));
+  request.mBody = std::to_string(former.mIncarnation.Value());
+  connection->Call(
+    request, kAbdicationTimeout, [this, aAction](const http_result& aResult) {
+      // The extracted node keeps the connection alive until its callback
+      // returns.
+      const auto node =
+        mAbdicationRequests.extract(AddressText(aAction.mLeader));
+      // A refused connection doesn't prove that the former leader has ended: a
+      // network partition may look the same.
+      if (aResult.mStatus != http_status::kResponded ||
+          aResult.mResponse.mStatus != kOk) {
+        log_line(log_severity::kInfo, "former_leader_silent")
+          .Add("vm", aAction.mLeader.mVm.Value())
+          .Add("former_term", aAction.mLeader.mTerm.Value())
+          .Add("term", aAction.mBefore.Value());
+        return;
+      }
+      log_line(log_severity::kInfo, "former_leader_gone")
+        .Add("vm", aAction.mLeader.mVm.Value())
+        .Add("former_term", aAction.mLeader.mTerm.Value())
+        .Add("term", aAction.mBefore.Value());
+      mController.HandleAbdicated(aAction, MonotonicNow());
+      Step();
+    });
 }
 
-void leader_election::HandleLeaseRenewed(const lease_reply& aReply,
-                                         time_point aSentAt)
+void leader_election::Execute(const write_terms& aAction)
 {
-  if (!mLeading) {
-    return;
-  }
-  if (aReply.mOutcome == call_outcome::kDone) {
-    mLeaseConfirmedHandler(aSentAt);
-  } else if (aReply.mOutcome == call_outcome::kGone) {
-    mKeyExists = false;
-    StopLeading("the lease no longer exists");
-    ScheduleCampaign(kCampaignJitter);
-  }
+  mStore.Write(aAction.mWrite, [this](const write_reply& aReply) {
+    mController.HandleTermsWritten(aReply);
+    Step();
+  });
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -69,40 +69,53 @@
   for (const service_name& service : aServices) {
     const auto [position, isNew] = mControllers.try_emplace(service, mSettings);
     if (isNew && mLeading) {
-      position->second.StartLeading(MonotonicNow());
+      StartController(position->second, MonotonicNow());
     }
   }
   ScheduleStep();
 }
 
-void range_driver::HandleLeadership(time_point aNow)
+void range_driver::StartController(range_controller& aController,
+                                   time_point aNow)
 {
-  mLeading = mElection.IsLeading();
-  // Queued grants were decided during the previous term of leadership.
+  aController.StartLeading(mElection.Leadership());
+  if (mElection.AreFormerLeadersGone()) {
+    aController.HandleFormerLeadersGone(aNow);
+  }
+}
+
+void range_driver::StartLeading(time_point aNow)
+{
+  mLeading = true;
+  for (auto& [service, controller] : mControllers) {
+    StartController(controller, aNow);
+  }
+  ScheduleStep();
+}
+
+void range_driver::StopLeading()
+{
+  mLeading = false;
   for (auto& [target, queue] : mGrantQueues) {
     queue.Clear();
   }
   for (auto& [service, controller] : mControllers) {
-    if (mLeading) {
-      controller.StartLeading(aNow);
-    } else {
-      controller.StopLeading();
-    }
+    controller.StopLeading();
   }
-  ScheduleStep();
 }
 
-void range_driver::HandleLeadershipConfirmed(time_point aSentAt)
+void range_driver::HandleLeadershipConfirmed()
 {
   for (auto& [service, controller] : mControllers) {
-    controller.HandleLeadershipConfirmed(aSentAt);
+    controller.HandleLeadershipConfirmed(mElection.Leadership().mConfirmedAt);
   }
+  ScheduleStep();
 }
 
-void range_driver::HandleFormerLeaderGone(time_point aNow)
+void range_driver::HandleFormerLeadersGone(time_point aNow)
 {
   for (auto& [service, controller] : mControllers) {
-    controller.HandleFormerLeaderGone(aNow);
+    controller.HandleFormerLeadersGone(aNow);
   }
   ScheduleStep();
 }
@@ -112,8 +125,12 @@
                                 store_revision aRevision)
 {
   // The record may arrive before the configuration that names the service.
-  mControllers.try_emplace(aService, mSettings)
-    .first->second.HandleRecord(aRecord, aRevision);
+  const auto [position, isNew] = mControllers.try_emplace(aService, mSettings);
+  range_controller& controller = position->second;
+  controller.HandleRecord(aRecord, aRevision);
+  if (isNew && mLeading) {
+    StartController(controller, MonotonicNow());
+  }
   ScheduleStep();
 }
 
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -14,6 +14,7 @@
 
 /// Store keys that the routers themselves write.
 inline constexpr const char* kLeaderKey = "parsleystair/leader";
+inline constexpr const char* kTermsKey = "parsleystair/terms";
 inline constexpr const char* kRangesPrefix = "parsleystair/ranges/";
 
 struct range_driver_counters
@@ -56,10 +57,12 @@
   }
 
   void SetServices(const std::set<service_name>& aServices);
-  void HandleLeadership(time_point aNow);
-  void HandleLeadershipConfirmed(time_point aSentAt);
-  /// No earlier leader can send orders any more.
-  void HandleFormerLeaderGone(time_point aNow);
+  /// The election's leader is this router, and the records have been read since
+  /// it was elected.
+  void StartLeading(time_point aNow);
+  void StopLeading();
+  void HandleLeadershipConfirmed();
+  void HandleFormerLeadersGone(time_point aNow);
   void HandleRecord(const service_name& aService,
                     const range_record& aRecord,
                     store_revision aRevision);
@@ -77,6 +80,7 @@
   [[nodiscard]] bool HasServices() const { return !mControllers.empty(); }
 
 private:
+  void StartController(range_controller& aController, time_point aNow);
   void StepAll();
   void ScheduleStep();
   void Execute(const service_name& aService, const grant_order& aOrder);
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -10,8 +10,8 @@
 // recorded only after the old owner has released the key, after which it
 // refuses that fence permanently, or after all grants with that fence have
 // expired. This router stops renewing the grant when a move starts. Former
-// leaders stop at `mFormerLeaderRenewsUntil` at the latest, as a leader doesn't
-// renew grants when its last confirmation of leadership is too old.
+// leaders stop at `mFormerLeaderRenewsUntil` at the latest, as no order leaves
+// a leader when its last confirmation of leadership is too old.
 
 namespace parsleystair {
 
@@ -39,14 +39,16 @@
 {
 }
 
-void range_controller::StartLeading(time_point aSince)
+void range_controller::StartLeading(const leadership& aLeadership)
 {
+  mTerm = aLeadership.mTerm;
   mLeading = true;
-  mLeadershipConfirmedAt = aSince;
-  mFormerLeaderRenewsUntil = aSince + mSettings.mMaxConfirmationAgeToRenew;
+  mLeadershipConfirmedAt = aLeadership.mConfirmedAt;
+  mFormerLeaderRenewsUntil =
+    aLeadership.mSince + mSettings.mMaxConfirmationAgeToRenew;
   mFirstOwnFence = mRecord.mNextFence;
   mFormerLeaderGrants = mRecord.mRanges;
-  mNextBalanceTime = aSince;
+  mNextBalanceTime = aLeadership.mSince;
   ClearPendingWork();
 }
 
@@ -70,7 +72,7 @@
   mLeadershipConfirmedAt = std::max(mLeadershipConfirmedAt, aAskedAt);
 }
 
-void range_controller::HandleFormerLeaderGone(time_point aNow)
+void range_controller::HandleFormerLeadersGone(time_point aNow)
 {
   mFormerLeaderRenewsUntil = std::min(mFormerLeaderRenewsUntil, aNow);
 }
@@ -78,13 +80,13 @@
 bool range_controller::MayRenew(time_point aNow) const
 {
   return mLeading &&
-         aNow - mLeadershipConfirmedAt <= mSettings.mMaxConfirmationAgeToRenew;
+         aNow < mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew;
 }
 
 bool range_controller::MayMove(time_point aNow) const
 {
   return mLeading &&
-         aNow - mLeadershipConfirmedAt <= mSettings.mMaxConfirmationAgeToMove;
+         aNow <= mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToMove;
 }
 
 void range_controller::HandleRecord(const range_record& aRecord,
@@ -188,8 +190,7 @@
   }
   owner_state& owner = mOwners[grant.mTarget];
   if (aResult != order_result::kNotSent) {
-    owner.mLastGrantTime = aNow;
-    owner.mGrantedFence = std::max(owner.mGrantedFence, grant.mFence);
+    RecordGrantCall(grant, aNow);
     for (move& each : mMoves) {
       if (each.mOldOwner.mName == grant.mTarget &&
           each.mKeys.Overlaps(grant.mKeys)) {
@@ -217,6 +218,14 @@
   owner.mRetiredFence = std::max(owner.mRetiredFence, owner.mGrantedFence);
 }
 
+void range_controller::RecordGrantCall(const pending_grant& aGrant,
+                                       time_point aEnd)
+{
+  owner_state& owner = mOwners[aGrant.mTarget];
+  owner.mLastGrantTime = aEnd;
+  owner.mGrantedFence = std::max(owner.mGrantedFence, aGrant.mFence);
+}
+
 void range_controller::RemoveFormerLeaderGrants(const target_name& aTarget,
                                                 const key_interval& aKeys)
 {
@@ -349,11 +358,15 @@
   return owner.mTarget.mDraining || IsFailing(owner, aNow);
 }
 
+duration range_controller::MaxHoldTime() const
+{
+  return std::chrono::duration_cast<duration>(mSettings.mGrantDuration *
+                                              mSettings.mClockDriftFactor);
+}
+
 time_point range_controller::GrantExpiry(time_point aGranted) const
 {
-  const duration hold = std::chrono::duration_cast<duration>(
-    mSettings.mGrantDuration * mSettings.mClockDriftFactor);
-  return aGranted + mSettings.mMaxDeliveryDelay + hold;
+  return aGranted + mSettings.mMaxDeliveryDelay + MaxHoldTime();
 }
 
 bool range_controller::HasPendingGrant(const target_name& aTarget,
@@ -370,8 +383,10 @@
                                          time_point aNow) const
 {
   const auto owner = mOwners.find(aRange.mOwner.mName);
-  time_point last =
+  const time_point last =
     owner == mOwners.end() ? time_point::min() : owner->second.mLastGrantTime;
+  const time_point expiry =
+    last == time_point::min() ? aNow : GrantExpiry(last);
   const bool isFormer =
     std::any_of(mFormerLeaderGrants.begin(),
                 mFormerLeaderGrants.end(),
@@ -379,10 +394,12 @@
                   return aFormer.mOwner.mName == aRange.mOwner.mName &&
                          aFormer.mKeys.Overlaps(aRange.mKeys);
                 });
-  if (isFormer) {
-    last = std::max(last, mFormerLeaderRenewsUntil);
+  if (!isFormer) {
+    return expiry;
   }
-  return last == time_point::min() ? aNow : GrantExpiry(last);
+  return std::max(expiry,
+                  mFormerLeaderRenewsUntil + mSettings.mMaxFormerDeliveryDelay +
+                    MaxHoldTime());
 }
 
 } // namespace parsleystair
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -21,9 +21,9 @@
   /// expire.
   duration mRenewInterval = 800ms;
   /// Maximum age of the store's last confirmation of leadership at which the
-  /// leader still renews grants. Together with `mGrantDuration`, this keeps
-  /// grants valid through store outages of up to 9 s. If the leader and an
-  /// owner fail together, the owner's keys stay unassigned for as long.
+  /// leader still renews grants. Together with `mGrantDuration`,
+  /// this keeps grants valid through store outages of up to 9 s. If the leader
+  /// and an owner fail together, the owner's keys stay unassigned for as long.
   duration mMaxConfirmationAgeToRenew = 7s;
   /// Maximum age of the store's last confirmation of leadership at which the
   /// leader still moves keys. A router that has lost leadership can't record a
@@ -35,11 +35,29 @@
   /// Maximum time after a grant call has ended without an answer at which its
   /// order may still arrive at the target.
   duration mMaxDeliveryDelay = 300ms;
+  /// Maximum time after a former leader has sent its last order at which the
+  /// order may arrive at the target. The operating system of a process that was
+  /// killed delivers what the process has written, until the TCP user timeout.
+  duration mMaxFormerDeliveryDelay = 600ms;
   /// Time from the first registration of a target to the first assignment of
   /// keys, so that all targets can register.
   duration mInitialAssignmentDelay = 1s;
 };
 
+/// Period in which a router leads.
+struct leadership
+{
+  term_number mTerm;
+  /// Time at which the last request that the store answered with a confirmation
+  /// of the leadership was sent; `time_point::min()` if there is none.
+  time_point mConfirmedAt = time_point::min();
+  /// Time at which this router learned that it leads. All former leaders were
+  /// confirmed for the last time before.
+  time_point mSince = time_point::min();
+
+  bool operator==(const leadership&) const = default;
+};
+
 /// Assigns the keys of one service to targets. Only the controller of the
 /// router that leads is active.
 ///
@@ -54,17 +72,18 @@
 public:
   explicit range_controller(const range_settings& aSettings);
 
-  /// This router leads from `aSince` on. Former leaders may still renew grants
-  /// for `mMaxConfirmationAgeToRenew` after `aSince`.
-  void StartLeading(time_point aSince);
+  /// Former leaders may still renew grants for `mMaxConfirmationAgeToRenew`
+  /// after `aLeadership.mSince`. The record must have been read after that
+  /// time.
+  void StartLeading(const leadership& aLeadership);
   void StopLeading();
 
   /// The store confirmed that this router leads; the request for the
   /// confirmation was sent at `aAskedAt`.
   void HandleLeadershipConfirmed(time_point aAskedAt);
 
-  /// No former leader can renew grants after `aNow`.
-  void HandleFormerLeaderGone(time_point aNow);
+  /// No former leader sends orders after `aNow`.
+  void HandleFormerLeadersGone(time_point aNow);
 
   /// Takes over the record in the store. Revisions that are not newer than the
   /// known one are ignored.
@@ -155,6 +174,7 @@
   void RemoveFormerLeaderGrants(const target_name& aTarget,
                                 const key_interval& aKeys);
   void HandleFenced(const pending_grant& aGrant, time_point aNow);
+  void RecordGrantCall(const pending_grant& aGrant, time_point aEnd);
   void ClearPendingWork();
   void AddRequiredMoves(time_point aNow);
   void AddMove(const key_interval& aKeys,
@@ -185,8 +205,10 @@
   [[nodiscard]] bool HasOwnerRestarted(const target_incarnation& aOwner) const;
   [[nodiscard]] time_point RangeExpiry(const owned_range& aRange,
                                        time_point aNow) const;
-  /// Latest expiry of a grant whose call ended at `aGranted`.
+  /// Latest expiry of a grant of this router whose call ended at `aGranted`.
   [[nodiscard]] time_point GrantExpiry(time_point aGranted) const;
+  /// Longest time for which a target holds a grant after the order's arrival.
+  [[nodiscard]] duration MaxHoldTime() const;
   [[nodiscard]] bool HasPendingGrant(const target_name& aTarget,
                                      const key_interval& aKeys) const;
   [[nodiscard]] std::vector<key_interval> SubtractMoves(
@@ -196,6 +218,7 @@
 
   range_settings mSettings;
   bool mLeading = false;
+  term_number mTerm;
   time_point mLeadershipConfirmedAt = time_point::min();
   /// Time until which former leaders may renew grants.
   time_point mFormerLeaderRenewsUntil = time_point::min();
--- a/Parsleystair/KeyRanges/RangeRecord.h
+++ b/Parsleystair/KeyRanges/RangeRecord.h
@@ -9,6 +9,10 @@
 
 namespace parsleystair {
 
+/// Number of a term of leadership. Each elected leader has a higher one than
+/// all leaders before it; 0 stands for none.
+using term_number = strong_id<struct term_tag, uint64_t>;
+
 /// Highest key number of a keyed service.
 inline constexpr uint32_t kMaxKeyNumber = 65'535;
 
--- /dev/null
+++ b/UnitTests/Gateway/ElectionControllerTest.cpp
@@ -0,0 +1,260 @@
+#include "Parsleystair/Gateway/ElectionController.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace parsleystair {
+
+namespace {
+
+leader_entry Router(const std::string& aName)
+{
+  leader_entry entry;
+  entry.mVm = vm_name(aName);
+  entry.mIncarnation = incarnation(std::hash<std::string>()(aName));
+  entry.mHost = aName;
+  entry.mPort = 1;
+  return entry;
+}
+
+election_settings Settings(const std::string& aName)
+{
+  election_settings settings;
+  settings.mLeaderKey = "leader";
+  settings.mTermsKey = "terms";
+  settings.mSelf = Router(aName);
+  return settings;
+}
+
+/// Store with the two keys of the election. Each test delivers the replies.
+class election_controller_test : public testing::Test
+{
+protected:
+  [[nodiscard]] std::optional<stored_item> Find(const std::string& aKey) const
+  {
+    const auto found = mItems.find(aKey);
+    return found == mItems.end() ? std::nullopt : std::optional(found->second);
+  }
+
+  /// The leader's lease ends.
+  void RemoveLeaderKey() { mItems.erase("leader"); }
+
+  write_reply Write(const conditional_write& aWrite)
+  {
+    for (const item_condition& each : aWrite.mConditions) {
+      const auto item = Find(each.mKey);
+      const auto revision = item ? item->mRevision : store_revision(0);
+      if (revision != each.mRevision) {
+        return { call_outcome::kConflict, {} };
+      }
+    }
+    const store_revision revision(++mRevision);
+    for (const item_write& each : aWrite.mWrites) {
+      mItems[each.mKey] = { each.mKey, each.mValue, revision };
+    }
+    return { call_outcome::kDone, revision };
+  }
+
+  leader_terms StoredTerms() const
+  {
+    const auto item = Find("terms");
+    return item ? DecodeLeaderTerms(item->mValue) : leader_terms();
+  }
+
+  template<typename Action>
+  static std::vector<Action> Only(const std::vector<election_action>& aActions)
+  {
+    std::vector<Action> found;
+    for (const election_action& each : aActions) {
+      if (const auto* action = std::get_if<Action>(&each)) {
+        found.push_back(*action);
+      }
+    }
+    return found;
+  }
+
+  /// Lets the router see that there is no leader, and returns its write of the
+  /// leader key.
+  write_leader Campaign(election_controller& aRouter)
+  {
+    aRouter.HandleKey(std::nullopt, mNow);
+    mNow += 200ms;
+    aRouter.Step(mNow);
+    aRouter.HandleTermsRead(call_outcome::kDone, Find("terms"), mNow);
+    lease_reply lease;
+    lease.mOutcome = call_outcome::kDone;
+    lease.mLease = lease_id(++mLease);
+    aRouter.HandleLeaseOpened(lease, mNow);
+    const auto writes = Only<write_leader>(aRouter.Step(mNow));
+    EXPECT_EQ(writes.size(), 1u);
+    return writes.empty() ? write_leader() : writes[0];
+  }
+
+  /// Makes the router the leader.
+  void Elect(election_controller& aRouter)
+  {
+    const write_leader written = Campaign(aRouter);
+    aRouter.HandleLeaderWritten(
+      written.mEntry, Write(written.mWrite), mNow, mNow);
+    EXPECT_TRUE(aRouter.IsLeading());
+  }
+
+  std::vector<request_abdication> AbdicationRequests(
+    election_controller& aRouter)
+  {
+    return Only<request_abdication>(aRouter.Step(mNow));
+  }
+
+  time_point mNow{ 1h };
+  uint64_t mRevision = 10;
+  uint64_t mLease = 0;
+  std::map<std::string, stored_item> mItems;
+  election_controller mFirst{ Settings("a"), 1 };
+  election_controller mSecond{ Settings("b"), 2 };
+  election_controller mThird{ Settings("c"), 3 };
+};
+
+} // namespace
+
+// Guards against a new leader that waits for the last former leader only, while
+// an earlier one still renews grants.
+TEST_F(election_controller_test, WaitsForEveryFormerLeader)
+{
+  Elect(mFirst);
+  EXPECT_TRUE(mFirst.AreFormerLeadersGone());
+  RemoveLeaderKey();
+  Elect(mSecond);
+  EXPECT_FALSE(mSecond.AreFormerLeadersGone());
+  RemoveLeaderKey();
+  Elect(mThird);
+  const auto requests = AbdicationRequests(mThird);
+  ASSERT_EQ(requests.size(), 2u);
+  EXPECT_EQ(requests[0].mLeader.mVm, vm_name("a"));
+  EXPECT_EQ(requests[1].mLeader.mVm, vm_name("b"));
+  mThird.HandleAbdicated(requests[1], mNow);
+  EXPECT_FALSE(mThird.AreFormerLeadersGone());
+  mThird.HandleAbdicated(requests[0], mNow);
+  EXPECT_TRUE(mThird.AreFormerLeadersGone());
+}
+
+// Guards against former leaders that are forgotten while they may still send
+// orders, and against a list of them that only grows.
+TEST_F(election_controller_test, RemovesFormerLeadersWhenTheyAreGone)
+{
+  Elect(mFirst);
+  RemoveLeaderKey();
+  Elect(mSecond);
+  const time_point end = mNow + Settings("b").mMaxRenewalTime;
+  while (mNow < end) {
+    EXPECT_TRUE(Only<write_terms>(mSecond.Step(mNow)).empty());
+    mNow += 100ms;
+  }
+  EXPECT_EQ(StoredTerms().mLeaders.size(), 2u);
+  std::vector<write_terms> writes;
+  for (int i = 0; i < 10 && writes.empty(); ++i) {
+    mNow += 100ms;
+    writes = Only<write_terms>(mSecond.Step(mNow));
+  }
+  ASSERT_EQ(writes.size(), 1u);
+  mSecond.HandleTermsWritten(Write(writes[0].mWrite));
+  ASSERT_EQ(StoredTerms().mLeaders.size(), 1u);
+  EXPECT_EQ(StoredTerms().mLeaders[0].mVm, vm_name("b"));
+  EXPECT_EQ(StoredTerms().mNext, term_number(3));
+}
+
+// Guards against a leader that is missing in the terms of its successor because
+// both read the terms before either wrote them.
+TEST_F(election_controller_test, WriteFailsIfTheTermsHaveChanged)
+{
+  const write_leader early = Campaign(mFirst);
+  Elect(mSecond);
+  RemoveLeaderKey();
+  EXPECT_EQ(Write(early.mWrite).mOutcome, call_outcome::kConflict);
+}
+
+// Guards against a leadership that is confirmed by renewals of another lease
+// than the one that the leader key is bound to.
+TEST_F(election_controller_test, LateEntryOfAnEarlierCampaignIsNotLed)
+{
+  const write_leader early = Campaign(mFirst);
+  mFirst.HandleLeaderWritten(
+    early.mEntry, { call_outcome::kUnknown, {} }, mNow, mNow);
+  mNow += 500ms;
+  const write_leader late = Campaign(mFirst);
+  ASSERT_NE(early.mEntry.mLease, late.mEntry.mLease);
+  Write(early.mWrite);
+  mFirst.HandleKey(Find("leader"), mNow);
+  EXPECT_FALSE(mFirst.IsLeading());
+  const auto ended = Only<end_lease>(mFirst.Step(mNow));
+  ASSERT_EQ(ended.size(), 1u);
+  EXPECT_EQ(ended[0].mLease, early.mEntry.mLease);
+}
+
+// Guards against grants that are renewed because the entry of the leader key
+// was read, which doesn't prove that the entry still exists.
+TEST_F(election_controller_test, ReadEntryDoesNotConfirmTheLeadership)
+{
+  const write_leader written = Campaign(mFirst);
+  mFirst.HandleLeaderWritten(
+    written.mEntry, { call_outcome::kUnknown, {} }, mNow, mNow);
+  Write(written.mWrite);
+  mNow += 300ms;
+  mFirst.HandleKey(Find("leader"), mNow);
+  ASSERT_TRUE(mFirst.IsLeading());
+  EXPECT_EQ(mFirst.Leadership().mConfirmedAt, time_point::min());
+  const auto renewals = Only<renew_lease>(mFirst.Step(mNow));
+  ASSERT_EQ(renewals.size(), 1u);
+  EXPECT_EQ(renewals[0].mLease, written.mEntry.mLease);
+  mFirst.HandleLeaseRenewed(renewals[0], call_outcome::kDone, mNow, mNow);
+  EXPECT_EQ(mFirst.Leadership().mConfirmedAt, mNow);
+}
+
+// Guards against a router that leads after it has abdicated, because the watch
+// delivers an earlier state of the leader key.
+TEST_F(election_controller_test, AbdicatedRouterIsNotMadeLeaderByALateWatch)
+{
+  const write_leader written = Campaign(mFirst);
+  mFirst.HandleLeaderWritten(
+    written.mEntry, { call_outcome::kUnknown, {} }, mNow, mNow);
+  Write(written.mWrite);
+  const auto seenLate = Find("leader");
+  RemoveLeaderKey();
+  Elect(mSecond);
+  ASSERT_EQ(AbdicationRequests(mSecond).size(), 1u);
+  mFirst.StepDown(mSecond.Leadership().mTerm);
+  mFirst.HandleKey(seenLate, mNow);
+  EXPECT_FALSE(mFirst.IsLeading());
+}
+
+// Guards against a new leadership that is ended by a request of a router whose
+// leadership was before it.
+TEST_F(election_controller_test, LateAbdicationRequestDoesNotEndALaterTerm)
+{
+  Elect(mFirst);
+  RemoveLeaderKey();
+  Elect(mSecond);
+  const term_number before = mSecond.Leadership().mTerm;
+  RemoveLeaderKey();
+  mFirst.StepDown(before);
+  Elect(mFirst);
+  mFirst.StepDown(before);
+  EXPECT_TRUE(mFirst.IsLeading());
+}
+
+// Guards against a former leader that is missing in the terms because it runs a
+// version that doesn't write them.
+TEST_F(election_controller_test, AsksALeaderThatWroteNoTerm)
+{
+  mItems["leader"] = { "leader",
+                       R"({"vm":"old","incarnation":7,"host":"old","port":1})",
+                       store_revision(++mRevision) };
+  mFirst.HandleKey(Find("leader"), mNow);
+  RemoveLeaderKey();
+  Elect(mFirst);
+  const auto requests = AbdicationRequests(mFirst);
+  ASSERT_EQ(requests.size(), 1u);
+  EXPECT_EQ(requests[0].mLeader.mVm, vm_name("old"));
+}
+
+} // namespace parsleystair
--- a/UnitTests/Gateway/LeaderElectionTest.cpp
+++ b/UnitTests/Gateway/LeaderElectionTest.cpp
@@ -6,9 +6,19 @@
 
 namespace {
 
-leader_entry Entry(const std::string& aName, uint64_t aIncarnation)
+election_settings Settings(const std::string& aName,
+                           uint16_t aPort,
+                           duration aCampaignDelay)
 {
-  return { vm_name(aName), incarnation(aIncarnation), "127.0.0.1", 1 };
+  election_settings settings;
+  settings.mLeaderKey = "leader";
+  settings.mTermsKey = "terms";
+  settings.mSelf.mVm = vm_name(aName);
+  settings.mSelf.mIncarnation = incarnation(aPort);
+  settings.mSelf.mHost = "127.0.0.1";
+  settings.mSelf.mPort = aPort;
+  settings.mCampaignDelay = aCampaignDelay;
+  return settings;
 }
 
 } // namespace
@@ -18,12 +28,13 @@
 TEST_F(gateway_test, RouterWithoutCampaignDelayLeads)
 {
   platform::kv_store store(mLoop, "127.0.0.1", mKv.Port());
-  leader_election small(mLoop, store, "leader", Entry("small", 1), 200ms, 1);
-  leader_election large(mLoop, store, "leader", Entry("large", 2), 0ms, 2);
+  leader_election small(mLoop, store, Settings("small", 1, 200ms), 1);
+  leader_election large(mLoop, store, Settings("large", 2, 0ms), 2);
   const auto ignoreChange = [] {};
   for (leader_election* election : { &small, &large }) {
     election->OnChange(ignoreChange);
-    election->OnLeadershipConfirmed([](time_point) {});
+    election->OnLeadershipConfirmed(ignoreChange);
+    election->OnFormerLeadersGone(ignoreChange);
     election->HandleKey(std::nullopt);
   }
   RunFor(500ms);
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -37,7 +37,7 @@
 protected:
   range_controller_test()
   {
-    mController.StartLeading(mNow);
+    mController.StartLeading({ term_number(1), mNow, mNow });
     UpdateTargets();
     mNow += 2s;
     mController.HandleLeadershipConfirmed(mNow);
@@ -209,7 +209,7 @@
   collect();
   mController.StopLeading();
   mTargets.push_back(MakeTarget("c", 3));
-  mController.StartLeading(mNow);
+  mController.StartLeading({ term_number(1), mNow, mNow });
   UpdateTargets();
   collect();
   ASSERT_EQ(writes.size(), 2u);
@@ -229,13 +229,15 @@
   const range_record record = mController.Record();
   range_controller next{ range_settings() };
   next.HandleRecord(record, store_revision(mRevision));
-  next.StartLeading(mNow);
+  next.StartLeading({ term_number(2), mNow, mNow });
   mTargets.erase(mTargets.begin());
   std::vector<const known_target*> pointers{ &mTargets[0] };
   next.HandleTargets(pointers, mNow);
   const range_settings settings;
-  const time_point safe =
-    mNow + settings.mMaxConfirmationAgeToRenew + settings.mGrantDuration;
+  const auto hold = std::chrono::duration_cast<duration>(
+    settings.mGrantDuration * settings.mClockDriftFactor);
+  const time_point safe = mNow + settings.mMaxConfirmationAgeToRenew +
+                          settings.mMaxFormerDeliveryDelay + hold;
   while (mNow < safe) {
     next.HandleLeadershipConfirmed(mNow);
     for (const range_action& action : next.Step(mNow)) {
@@ -243,7 +245,6 @@
     }
     mNow += 100ms;
   }
-  mNow += 500ms;
   next.HandleLeadershipConfirmed(mNow);
   bool written = false;
   for (const range_action& action : next.Step(mNow)) {
--- a/UnitTests/KeyRanges/RangeSimulation.h
+++ b/UnitTests/KeyRanges/RangeSimulation.h
@@ -270,7 +270,8 @@
       each.mLeaderRevision = mLeaderRevision;
       each.mNextRenewal = mNow + 500ms;
       ReadRecord(each);
-      each.mController->StartLeading(mNow);
+      each.mController->StartLeading(
+        { term_number(mLeaderRevision), mNow, mNow });
       return;
     }
   }
