Cancel pending orders when a leadership ends

A router that abdicated answered its successor at once, while grants that it had sent before were still on their way for up to 600 ms (connecting, or bytes that the network held back). The successor counted the grants as expired too early. Within one process a second term forgot the grants of the first.

Change: when a leadership ends, all calls of orders are cancelled with a reset, the queues are cleared, and the controller counts pending grants as sent until that moment.

The test of grant_queue::Clear checks in addition that cancelled grants don't count as in flight.

--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -71,7 +71,7 @@
 {
   if (!mElection.IsLeading()) {
     mOwnerFeedServer.Stop();
-    mRangeDriver.StopLeading();
+    mRangeDriver.StopLeading(MonotonicNow());
     return;
   }
   mLeadingSince = MonotonicNow();
--- a/Parsleystair/Gateway/GrantQueue.cpp
+++ b/Parsleystair/Gateway/GrantQueue.cpp
@@ -46,4 +46,10 @@
   return next;
 }
 
+void grant_queue::Clear()
+{
+  mQueue.clear();
+  mInFlight = 0;
+}
+
 } // namespace parsleystair
--- a/Parsleystair/Gateway/GrantQueue.h
+++ b/Parsleystair/Gateway/GrantQueue.h
@@ -36,8 +36,9 @@
   /// `aOutcome`: of a grant that was in flight.
   dequeued_grants HandleOutcome(order_result aOutcome, time_point aNow);
 
-  /// Removes all queued grants.
-  void Clear() { mQueue.clear(); }
+  /// Removes all grants: the queued ones, and those in flight, which must have
+  /// been cancelled.
+  void Clear();
 
   [[nodiscard]] bool IsIdle() const { return mInFlight == 0 && mQueue.empty(); }
 
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -93,14 +93,15 @@
   ScheduleStep();
 }
 
-void range_driver::StopLeading()
+void range_driver::StopLeading(time_point aNow)
 {
   mLeading = false;
   for (auto& [target, queue] : mGrantQueues) {
     queue.Clear();
   }
+  mConnections.CancelAll();
   for (auto& [service, controller] : mControllers) {
-    controller.StopLeading();
+    controller.StopLeading(aNow);
   }
 }
 
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -60,7 +60,8 @@
   /// The election's leader is this router, and the records have been read since
   /// it was elected.
   void StartLeading(time_point aNow);
-  void StopLeading();
+  /// Cancels all orders. Nothing of them is sent any more.
+  void StopLeading(time_point aNow);
   void HandleLeadershipConfirmed();
   void HandleFormerLeadersGone(time_point aNow);
   void HandleRecord(const service_name& aService,
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -102,6 +102,14 @@
   }
 }
 
+void target_connections::CancelAll()
+{
+  mCalls.clear();
+  for (auto& [name, targetPool] : mPools) {
+    targetPool.mActiveCalls = 0;
+  }
+}
+
 bool target_connections::IsAtLimit(const target_name& aTarget,
                                    size_t aLimit) const
 {
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -38,6 +38,8 @@
   /// Cancels a call without calling its callback and closes its connection.
   /// Most targets drop a request when its connection closes.
   void Cancel(call_id aCall);
+  /// Cancels all calls. Nothing of their requests is sent any more.
+  void CancelAll();
 
   /// Sets the keep-alive time of idle connections to a target, as stated in the
   /// target's responses. Ignored if the target has no pool.
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -52,9 +52,12 @@
   ClearPendingWork();
 }
 
-void range_controller::StopLeading()
+void range_controller::StopLeading(time_point aNow)
 {
   mLeading = false;
+  for (const auto& [order, grant] : mPendingGrants) {
+    RecordGrantCall(grant, aNow);
+  }
   ClearPendingWork();
 }
 
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -76,7 +76,8 @@
   /// after `aLeadership.mSince`. The record must have been read after that
   /// time.
   void StartLeading(const leadership& aLeadership);
-  void StopLeading();
+  /// Orders without a result must be cancelled before `aNow`.
+  void StopLeading(time_point aNow);
 
   /// The store confirmed that this router leads; the request for the
   /// confirmation was sent at `aAskedAt`.
--- a/UnitTests/Gateway/GrantQueueTest.cpp
+++ b/UnitTests/Gateway/GrantQueueTest.cpp
@@ -74,12 +74,14 @@
 }
 
 // Guards against sending grants that were decided during a previous term of
-// leadership.
+// leadership, and against cancelled grants that count as in flight.
 TEST(GrantQueue, ClearRemovesQueuedGrants)
 {
   grant_queue queue;
   AddGrants(queue, 5);
   queue.Clear();
+  EXPECT_TRUE(queue.IsIdle());
+  AddGrants(queue, 2);
   const auto next = queue.HandleOutcome(order_result::kAccepted, kStart);
   EXPECT_TRUE(next.mToSend.empty() && next.mDropped.empty());
 }
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -207,7 +207,7 @@
     }
   };
   collect();
-  mController.StopLeading();
+  mController.StopLeading(mNow);
   mTargets.push_back(MakeTarget("c", 3));
   mController.StartLeading({ term_number(1), mNow, mNow });
   UpdateTargets();
--- a/UnitTests/KeyRanges/RangeSimulation.h
+++ b/UnitTests/KeyRanges/RangeSimulation.h
@@ -173,6 +173,8 @@
     uint64_t mSeenRevision = 0;
     bool mLeading = false;
     uint64_t mLeaderRevision = 0;
+    /// Number of times that all pending orders were cancelled.
+    uint64_t mCancelledOrders = 0;
     /// Start time of the target incarnation to which the connection for grant
     /// orders was opened; 0 if it was never opened.
     std::array<uint64_t, kTargets> mConnectedStartMs{};
@@ -318,7 +320,8 @@
       return;
     }
     each.mLeading = false;
-    each.mController->StopLeading();
+    each.mController->StopLeading(mNow);
+    ++each.mCancelledOrders;
   }
 
   void UpdateTargets(router& aRouter)
@@ -357,9 +360,21 @@
     const bool lost = IsResponseLost();
     // An order is lost if its target restarts before the order arrives.
     const uint64_t startedMs = mTargets[aTarget].mStartedMs;
+    const uint64_t cancelled = mRouters[aRouter].mCancelledOrders;
     Schedule(
       mNow + Delay(),
-      [this, aRouter, aTarget, sent, lost, startedMs, aHandler, aCallback] {
+      [this,
+       aRouter,
+       aTarget,
+       sent,
+       lost,
+       startedMs,
+       cancelled,
+       aHandler,
+       aCallback] {
+        if (mRouters[aRouter].mCancelledOrders != cancelled) {
+          return;
+        }
         target& to = mTargets[aTarget];
         const bool reached =
           to.mUp && mNow >= to.mPartitionedUntil && to.mStartedMs == startedMs;
