End a leadership when a record of a later term is read

A leader without a lease that read the records after a failed write learned its successor's fences and renewed grants with them. The successor takes fences from its own term to be known to itself alone, and stops counting former leaders for a target once it has accepted such a fence.

Change: a record names the term of its writer; a controller that reads a record of a later term stops, and its router steps down.

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -132,6 +132,9 @@
   if (isNew && mLeading) {
     StartController(controller, MonotonicNow());
   }
+  if (mLeading && controller.IsSuperseded()) {
+    mElection.StepDown();
+  }
   ScheduleStep();
 }
 
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -11,7 +11,9 @@
 // refuses that fence permanently, or after all grants with that fence have
 // expired. This router stops renewing the grant when a move starts. Former
 // leaders stop at `mFormerLeaderRenewsUntil` at the latest, as no order leaves
-// a leader when its last confirmation of leadership is too old.
+// a leader when its last confirmation of leadership is too old. They only send
+// fences that were recorded before this leadership, as a record of a later term
+// ends theirs.
 
 namespace parsleystair {
 
@@ -42,7 +44,7 @@
 void range_controller::StartLeading(const leadership& aLeadership)
 {
   mTerm = aLeadership.mTerm;
-  mLeading = true;
+  mLeading = !IsSuperseded();
   mLeadershipConfirmedAt = aLeadership.mConfirmedAt;
   mFormerLeaderRenewsUntil =
     aLeadership.mSince + mSettings.mMaxConfirmationAgeToRenew;
@@ -116,6 +118,9 @@
   mRecord = aRecord;
   mRevision = aRevision;
   mPendingRecord.reset();
+  if (mLeading && IsSuperseded()) {
+    mLeading = false;
+  }
   // Drop the moves whose keys no longer have the owner and the fence that they
   // had when the move started.
   std::erase_if(mMoves, [&](const move& aMove) {
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -87,7 +87,7 @@
   void HandleFormerLeadersGone(time_point aNow);
 
   /// Takes over the record in the store. Revisions that are not newer than the
-  /// known one are ignored.
+  /// known one are ignored. A record of a later term ends the leadership.
   void HandleRecord(const range_record& aRecord, store_revision aRevision);
 
   /// Replaces the list of the service's known targets.
@@ -120,6 +120,9 @@
   [[nodiscard]] std::optional<time_point> NextStepTime() const;
 
   [[nodiscard]] bool IsLeading() const { return mLeading; }
+  /// Whether another router has written the record in a later term than that of
+  /// this router's leadership.
+  [[nodiscard]] bool IsSuperseded() const { return mRecord.mTerm > mTerm; }
   [[nodiscard]] const range_record& Record() const { return mRecord; }
   [[nodiscard]] size_t PendingMoves() const { return mMoves.size(); }
 
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -336,6 +336,7 @@
   }
   range_record changed = mRecord;
   changed.mNextFence = mRecord.mNextFence + 1;
+  changed.mTerm = mTerm;
   for (const move& each : mMoves) {
     if (each.mReady) {
       ApplyMove(each, changed, candidates);
--- a/Parsleystair/KeyRanges/RangeRecord.cpp
+++ b/Parsleystair/KeyRanges/RangeRecord.cpp
@@ -108,7 +108,9 @@
                        range.mHandover });
   }
   return nlohmann::json{
-    { "nextFence", aRecord.mNextFence }, { "ranges", std::move(ranges) }
+    { "nextFence", aRecord.mNextFence },
+    { "term", aRecord.mTerm.Value() },
+    { "ranges", std::move(ranges) }
   }.dump();
 }
 
@@ -118,6 +120,7 @@
     const nlohmann::json json = nlohmann::json::parse(aText);
     range_record record;
     record.mNextFence = json.at("nextFence").get<uint64_t>();
+    record.mTerm = term_number(json.value("term", uint64_t{ 0 }));
     for (const nlohmann::json& each : json.at("ranges")) {
       owned_range range;
       range.mKeys.mFirst = each.at(0).get<uint32_t>();
--- a/Parsleystair/KeyRanges/RangeRecord.h
+++ b/Parsleystair/KeyRanges/RangeRecord.h
@@ -73,6 +73,9 @@
   /// Fence for the next change of the record; higher than all fences assigned
   /// so far.
   uint64_t mNextFence = 1;
+  /// Term of the leader that wrote the record; 0 if a leader without terms
+  /// wrote it.
+  term_number mTerm;
   /// Sorted by key, without overlaps. Keys outside all ranges have no owner.
   std::vector<owned_range> mRanges;
 
