Let no grant leave a router after its send limit

Whether a leader may renew was checked when the grant was decided. 20 ms of coalescing, 300 ms in the queue, 400 ms of connecting and 600 ms of the call came on top, while the successor counts from the last confirmation plus 7 s.

Change: a grant names the time until which its bytes may leave the router. The driver drops it or resets its connection at that time.

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -261,10 +261,16 @@
     SendQueuedGrants(target, order_result::kNotSent);
     return;
   }
+  const duration remaining = aOrder.mSendUntil - now;
+  if (remaining <= duration::zero()) {
+    HandleGrantOutcome(aService, aOrder, order_result::kNotAttempted);
+    SendQueuedGrants(target, order_result::kNotAttempted);
+    return;
+  }
   mConnections.Call(
     ToDiscoveredTarget(aOrder.mAddress),
     mProtocol.GrantRequest(aOrder),
-    kGrantTimeout,
+    std::min(kGrantTimeout, remaining),
     now,
     [this, aService, aOrder](const http_result& aResult) {
       const order_result outcome = OutcomeOf(aResult);
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -29,6 +29,9 @@
   fence mFence;
   duration mGrantDuration{};
   std::string mHandover;
+  /// Time after which nothing of the order may leave this router, as the next
+  /// leader takes the grant to be expired `mGrantDuration` later.
+  time_point mSendUntil = time_point::max();
 
   bool operator==(const grant_order&) const = default;
 };
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -20,8 +20,8 @@
   /// at least `mGrantDuration - mRenewInterval` to renew the grants before they
   /// expire.
   duration mRenewInterval = 800ms;
-  /// Maximum age of the store's last confirmation of leadership at which the
-  /// leader still renews grants. Together with `mGrantDuration`,
+  /// Maximum age of the store's last confirmation of leadership at which
+  /// renewals of grants still leave the leader. Together with `mGrantDuration`,
   /// this keeps grants valid through store outages of up to 9 s. If the leader
   /// and an owner fail together, the owner's keys stay unassigned for as long.
   duration mMaxConfirmationAgeToRenew = 7s;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -385,13 +385,14 @@
   const order_id order(mNextOrderId++);
   const discovered_target& target = mOwners.at(aRange.mOwner.mName).mTarget;
   mPendingGrants[order] = { target.mName, aKeys, aRange.mFence };
-  aActions.emplace_back(
-    grant_order{ order,
-                 { target.mName, target.mHost, target.mPort },
-                 aKeys,
-                 aRange.mFence,
-                 mSettings.mGrantDuration,
-                 aRange.mHandover });
+  aActions.emplace_back(grant_order{
+    order,
+    { target.mName, target.mHost, target.mPort },
+    aKeys,
+    aRange.mFence,
+    mSettings.mGrantDuration,
+    aRange.mHandover,
+    mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew });
 }
 
 } // namespace parsleystair
