Send a release after the pending grants of its keys have ended

A grant whose connection is still being set up can reach a process that has replaced the target at its address after the release was answered. The new process doesn't know the fence of the release and takes the keys, while another target gets them.

Change: the release of keys is sent when no grant of them is pending.

--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -248,7 +248,10 @@
     mNextStepTime = std::min(mNextStepTime, each.mGrantExpiry);
     const auto owner = mOwners.find(each.mOldOwner.mName);
     const bool reachable = owner != mOwners.end();
-    if (!reachable || each.mPendingRelease || aNow < each.mNextReleaseTime) {
+    // A pending grant may arrive after the release, at a process that has
+    // replaced the owner since and doesn't know the release's fence.
+    if (!reachable || each.mPendingRelease || aNow < each.mNextReleaseTime ||
+        HasPendingGrant(each.mOldOwner.mName, each.mKeys)) {
       continue;
     }
     each.mPendingRelease = order_id(mNextOrderId++);
