Ignore the reply to a campaign after an abdication

A router whose write of the leader key was slow could abdicate while it didn't lead yet, and start to lead in the same term when the reply arrived, up to half a second after its lease had ended.

Change: a campaign whose term is before that of the abdication request ends. AbdicatedRouterIsNotMadeLeaderByALateReply fails without it.

--- a/Parsleystair/Gateway/ElectionController.cpp
+++ b/Parsleystair/Gateway/ElectionController.cpp
@@ -314,9 +314,10 @@
 
 void election_controller::StepDown(std::optional<term_number> aBefore)
 {
-  // The outcome of an earlier campaign may still be unknown. It must not make
-  // this router the leader after it has abdicated.
-  if (mCampaign && mCampaign->mOutcomeUnknown) {
+  // The reply to a campaign's write may arrive after the elected router's lease
+  // has ended. It must not make this router the leader after it has abdicated.
+  if (mCampaign &&
+      (!aBefore || !mCampaign->mEntry || mCampaign->mEntry->mTerm < *aBefore)) {
     mCampaign.reset();
   }
   if (mLeading && (!aBefore || mLeadership.mTerm < *aBefore)) {
--- a/UnitTests/Gateway/ElectionControllerTest.cpp
+++ b/UnitTests/Gateway/ElectionControllerTest.cpp
@@ -227,6 +227,20 @@
   EXPECT_FALSE(mFirst.IsLeading());
 }
 
+// Guards against a router that leads after it has abdicated, because the reply
+// to its write arrives after its lease has ended.
+TEST_F(election_controller_test, AbdicatedRouterIsNotMadeLeaderByALateReply)
+{
+  const time_point sentAt = mNow;
+  const write_leader written = Campaign(mFirst);
+  const write_reply late = Write(written.mWrite);
+  RemoveLeaderKey();
+  Elect(mSecond);
+  mFirst.StepDown(mSecond.Leadership().mTerm);
+  mFirst.HandleLeaderWritten(written.mEntry, late, sentAt, mNow);
+  EXPECT_FALSE(mFirst.IsLeading());
+}
+
 // Guards against a new leadership that is ended by a request of a router whose
 // leadership was before it.
 TEST_F(election_controller_test, LateAbdicationRequestDoesNotEndALaterTerm)
