Renew grants without confirmation over open connections only

A target that restarts under its id forgets the fences that it has seen. A former leader whose renewal opened a new connection (the target closes one now and then) could grant keys to the new process with an old fence, after the keys had been released by the process before and given to another target: two targets held them. The new leader drew conclusions about all processes at an address from the answer of one.

Change: a grant names the time until which a connection may be opened for it: the last confirmation plus the lease. Later, renewals only use connections to the process that accepted the grant before. A new leader sends releases, and takes former leaders to be fenced by its own grants, when former leaders open no connections any more (1.5 s after its election, or when they have abdicated).

Found by reading; the controller tests added here fail without the change.

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -261,7 +261,11 @@
     SendQueuedGrants(target, order_result::kNotSent);
     return;
   }
-  const duration remaining = aOrder.mSendUntil - now;
+  const time_point sendUntil =
+    mConnections.HasOpenConnection(ToDiscoveredTarget(aOrder.mAddress), now)
+      ? aOrder.mSendUntil
+      : std::min(aOrder.mSendUntil, aOrder.mConnectUntil);
+  const duration remaining = sendUntil - now;
   if (remaining <= duration::zero()) {
     HandleGrantOutcome(aService, aOrder, order_result::kNotAttempted);
     SendQueuedGrants(target, order_result::kNotAttempted);
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -47,9 +47,7 @@
   while (!targetPool.mIdle.empty()) {
     idle_connection candidate = std::move(targetPool.mIdle.back());
     targetPool.mIdle.pop_back();
-    const bool isFresh =
-      aNow - candidate.mIdleSince < targetPool.mKeepAlive - kKeepAliveMargin;
-    if (isFresh && candidate.mConnection->IsOpen()) {
+    if (IsReusable(targetPool, candidate, aNow)) {
       ++mReused;
       return std::move(candidate.mConnection);
     }
@@ -59,6 +57,31 @@
     mLoop, aTarget.mHost, aTarget.mPort, mSettings);
 }
 
+bool target_connections::IsReusable(const pool& aPool,
+                                    const idle_connection& aIdle,
+                                    time_point aNow)
+{
+  return aNow - aIdle.mIdleSince < aPool.mKeepAlive - kKeepAliveMargin &&
+         aIdle.mConnection->IsOpen();
+}
+
+bool target_connections::HasOpenConnection(const discovered_target& aTarget,
+                                           time_point aNow) const
+{
+  const auto found = mPools.find(aTarget.mName);
+  if (found == mPools.end()) {
+    return false;
+  }
+  const pool& targetPool = found->second;
+  return targetPool.mHost == aTarget.mHost &&
+         targetPool.mPort == aTarget.mPort &&
+         std::any_of(targetPool.mIdle.begin(),
+                     targetPool.mIdle.end(),
+                     [&](const idle_connection& aIdle) {
+                       return IsReusable(targetPool, aIdle, aNow);
+                     });
+}
+
 call_id target_connections::Call(const discovered_target& aTarget,
                                  const http_request& aRequest,
                                  duration aTimeout,
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -38,6 +38,10 @@
   /// Cancels a call without calling its callback and closes its connection.
   /// Most targets drop a request when its connection closes.
   void Cancel(call_id aCall);
+  /// Whether the next call to the target reuses a connection.
+  [[nodiscard]] bool HasOpenConnection(const discovered_target& aTarget,
+                                       time_point aNow) const;
+
   /// Cancels all calls. Nothing of their requests is sent any more.
   void CancelAll();
 
@@ -93,6 +97,9 @@
     const discovered_target& aTarget,
     time_point aNow);
   void HandleResult(call_id aCall, http_result aResult);
+  [[nodiscard]] static bool IsReusable(const pool& aPool,
+                                       const idle_connection& aIdle,
+                                       time_point aNow);
 
   event_loop& mLoop;
   http_connection_settings mSettings;
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -32,6 +32,10 @@
   /// Time after which nothing of the order may leave this router, as the next
   /// leader takes the grant to be expired `mGrantDuration` later.
   time_point mSendUntil = time_point::max();
+  /// Time until which a connection may be opened for the order. Later, only a
+  /// connection that is open already leads to the process that accepted the
+  /// grant before.
+  time_point mConnectUntil = time_point::max();
 
   bool operator==(const grant_order&) const = default;
 };
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -14,6 +14,11 @@
 // a leader when its last confirmation of leadership is too old. They only send
 // fences that were recorded before this leadership, as a record of a later term
 // ends theirs.
+//
+// A target that restarts forgets the fences that it has seen. A release or an
+// accepted grant therefore says nothing about the target's next process, and
+// former leaders must not reach it: after `mFormerLeaderConnectsUntil` they
+// only use connections to the process that accepted their grants before.
 
 namespace parsleystair {
 
@@ -48,6 +53,8 @@
   mLeadershipConfirmedAt = aLeadership.mConfirmedAt;
   mFormerLeaderRenewsUntil =
     aLeadership.mSince + mSettings.mMaxConfirmationAgeToRenew;
+  mFormerLeaderConnectsUntil =
+    aLeadership.mSince + mSettings.mMaxConfirmationAgeToMove;
   mFirstOwnFence = mRecord.mNextFence;
   mFormerLeaderGrants = mRecord.mRanges;
   mNextBalanceTime = aLeadership.mSince;
@@ -80,6 +87,7 @@
 void range_controller::HandleFormerLeadersGone(time_point aNow)
 {
   mFormerLeaderRenewsUntil = std::min(mFormerLeaderRenewsUntil, aNow);
+  mFormerLeaderConnectsUntil = std::min(mFormerLeaderConnectsUntil, aNow);
 }
 
 bool range_controller::MayRenew(time_point aNow) const
@@ -208,7 +216,8 @@
   }
   if (aResult == order_result::kAccepted) {
     owner.mFailingSince.reset();
-    if (grant.mFence.Value() >= mFirstOwnFence) {
+    if (grant.mFence.Value() >= mFirstOwnFence &&
+        aNow >= mFormerLeaderConnectsUntil) {
       RemoveFormerLeaderGrants(grant.mTarget, grant.mKeys);
     }
     return;
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -27,7 +27,10 @@
   duration mMaxConfirmationAgeToRenew = 7s;
   /// Maximum age of the store's last confirmation of leadership at which the
   /// leader still moves keys. A router that has lost leadership can't record a
-  /// new owner, so a release that it sent would only interrupt the keys.
+  /// new owner, so a release that it sent would only interrupt the keys. It is
+  /// also the maximum age at which connections are opened for grants: a target
+  /// that restarts forgets its fences, so a router that has lost leadership
+  /// must not reach the new process.
   duration mMaxConfirmationAgeToMove = 1500ms;
   /// Factor by which a target with a slow clock may hold a grant for longer
   /// than `mGrantDuration`.
@@ -226,6 +229,8 @@
   time_point mLeadershipConfirmedAt = time_point::min();
   /// Time until which former leaders may renew grants.
   time_point mFormerLeaderRenewsUntil = time_point::min();
+  /// Time until which former leaders may open connections to targets.
+  time_point mFormerLeaderConnectsUntil = time_point::min();
   /// Next fence of the record when this router became the leader. Lower fences
   /// were assigned by former leaders.
   uint64_t mFirstOwnFence = 0;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -250,10 +250,16 @@
     const bool reachable = owner != mOwners.end();
     // A pending grant may arrive after the release, at a process that has
     // replaced the owner since and doesn't know the release's fence.
-    if (!reachable || each.mPendingRelease || aNow < each.mNextReleaseTime ||
+    if (!reachable || each.mPendingRelease ||
         HasPendingGrant(each.mOldOwner.mName, each.mKeys)) {
       continue;
     }
+    const time_point releaseTime =
+      std::max(each.mNextReleaseTime, mFormerLeaderConnectsUntil);
+    if (aNow < releaseTime) {
+      mNextStepTime = std::min(mNextStepTime, releaseTime);
+      continue;
+    }
     each.mPendingRelease = order_id(mNextOrderId++);
     const discovered_target& target = owner->second.mTarget;
     aActions.emplace_back(
@@ -395,7 +401,8 @@
     aRange.mFence,
     mSettings.mGrantDuration,
     aRange.mHandover,
-    mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew });
+    mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew,
+    mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToMove });
 }
 
 } // namespace parsleystair
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -221,6 +221,74 @@
   EXPECT_EQ(mController.Record(), writes[0].mRecord);
 }
 
+// Guards against keys that are released by a process that restarts and forgets
+// the release, while a former leader may still connect to the new process.
+TEST_F(range_controller_test, ReleasesNothingWhileFormerLeadersMayConnect)
+{
+  Step();
+  range_controller next{ range_settings() };
+  next.HandleRecord(mController.Record(), store_revision(mRevision));
+  next.StartLeading({ term_number(2), mNow, mNow });
+  mTargets[0].mTarget.mDraining = true;
+  std::vector<const known_target*> pointers{ &mTargets[0], &mTargets[1] };
+  next.HandleTargets(pointers, mNow);
+  const auto countReleases = [&] {
+    next.HandleLeadershipConfirmed(mNow);
+    const auto actions = next.Step(mNow);
+    return std::count_if(
+      actions.begin(), actions.end(), [](const range_action& aAction) {
+        return std::holds_alternative<release_order>(aAction);
+      });
+  };
+  const time_point end = mNow + range_settings().mMaxConfirmationAgeToMove;
+  for (; mNow < end; mNow += 100ms) {
+    EXPECT_EQ(countReleases(), 0);
+  }
+  EXPECT_EQ(countReleases(), 1);
+}
+
+// Guards against a delay of all moves after a change of leader whose former
+// leader has abdicated.
+TEST_F(range_controller_test, ReleasesAtOnceWhenFormerLeadersAreGone)
+{
+  Step();
+  range_controller next{ range_settings() };
+  next.HandleRecord(mController.Record(), store_revision(mRevision));
+  next.StartLeading({ term_number(2), mNow, mNow });
+  next.HandleFormerLeadersGone(mNow);
+  mTargets[0].mTarget.mDraining = true;
+  std::vector<const known_target*> pointers{ &mTargets[0], &mTargets[1] };
+  next.HandleTargets(pointers, mNow);
+  size_t releases = 0;
+  for (const range_action& action : next.Step(mNow)) {
+    releases += std::holds_alternative<release_order>(action) ? 1 : 0;
+  }
+  EXPECT_EQ(releases, 1u);
+}
+
+// Guards against renewals that reach a restarted target through a new
+// connection, sent by a router that no longer leads.
+TEST_F(range_controller_test, GrantsOfAnUnconfirmedLeaderOpenNoConnections)
+{
+  Step();
+  const time_point confirmedAt = mNow;
+  for (const grant_order& grant : Orders<grant_order>()) {
+    mController.HandleGrantResult(grant.mId, order_result::kAccepted, mNow);
+  }
+  mNow += 1s;
+  const range_settings settings;
+  size_t grants = 0;
+  for (const range_action& action : mController.Step(mNow)) {
+    const auto& grant = std::get<grant_order>(action);
+    EXPECT_EQ(grant.mConnectUntil,
+              confirmedAt + settings.mMaxConfirmationAgeToMove);
+    EXPECT_EQ(grant.mSendUntil,
+              confirmedAt + settings.mMaxConfirmationAgeToRenew);
+    ++grants;
+  }
+  EXPECT_EQ(grants, 2u);
+}
+
 // Guards against a new leader that reassigns the keys of an unreachable owner
 // while an earlier leader may still renew the owner's grant.
 TEST_F(range_controller_test, NewLeaderWaitsForEarlierRenewals)
