--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -10,8 +10,15 @@
 // recorded only after the old owner has released the key, after which it
 // refuses that fence permanently, or after all grants with that fence have
 // expired. This router stops renewing the grant when a move starts. Former
-// leaders stop at `mFormerLeaderRenewsUntil` at the latest, as a leader doesn't
-// renew grants when its last confirmation of leadership is too old.
+// leaders stop at `mFormerLeaderRenewsUntil` at the latest, as no order leaves
+// a leader when its last confirmation of leadership is too old. They only send
+// fences that were recorded before this leadership, as a record of a later term
+// ends theirs.
+//
+// A target that restarts forgets the fences that it has seen. A release or an
+// accepted grant therefore says nothing about the target's next process, and
+// former leaders must not reach it: after `mFormerLeaderConnectsUntil` they
+// only use connections to the process that accepted their grants before.
 
 namespace parsleystair {
 
@@ -39,20 +46,27 @@
 {
 }
 
-void range_controller::StartLeading(time_point aSince)
+void range_controller::StartLeading(const leadership& aLeadership)
 {
-  mLeading = true;
-  mLeadershipConfirmedAt = aSince;
-  mFormerLeaderRenewsUntil = aSince + mSettings.mMaxConfirmationAgeToRenew;
+  mTerm = aLeadership.mTerm;
+  mLeading = !IsSuperseded();
+  mLeadershipConfirmedAt = aLeadership.mConfirmedAt;
+  mFormerLeaderRenewsUntil =
+    aLeadership.mSince + mSettings.mMaxConfirmationAgeToRenew;
+  mFormerLeaderConnectsUntil =
+    aLeadership.mSince + mSettings.mMaxConfirmationAgeToMove;
   mFirstOwnFence = mRecord.mNextFence;
   mFormerLeaderGrants = mRecord.mRanges;
-  mNextBalanceTime = aSince;
+  mNextBalanceTime = aLeadership.mSince;
   ClearPendingWork();
 }
 
-void range_controller::StopLeading()
+void range_controller::StopLeading(time_point aNow)
 {
   mLeading = false;
+  for (const auto& [order, grant] : mPendingGrants) {
+    RecordGrantCall(grant, aNow);
+  }
   ClearPendingWork();
 }
 
@@ -70,21 +84,22 @@
   mLeadershipConfirmedAt = std::max(mLeadershipConfirmedAt, aAskedAt);
 }
 
-void range_controller::HandleFormerLeaderGone(time_point aNow)
+void range_controller::HandleFormerLeadersGone(time_point aNow)
 {
   mFormerLeaderRenewsUntil = std::min(mFormerLeaderRenewsUntil, aNow);
+  mFormerLeaderConnectsUntil = std::min(mFormerLeaderConnectsUntil, aNow);
 }
 
 bool range_controller::MayRenew(time_point aNow) const
 {
   return mLeading &&
-         aNow - mLeadershipConfirmedAt <= mSettings.mMaxConfirmationAgeToRenew;
+         aNow < mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew;
 }
 
 bool range_controller::MayMove(time_point aNow) const
 {
   return mLeading &&
-         aNow - mLeadershipConfirmedAt <= mSettings.mMaxConfirmationAgeToMove;
+         aNow <= mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToMove;
 }
 
 void range_controller::HandleRecord(const range_record& aRecord,
@@ -111,6 +126,9 @@
   mRecord = aRecord;
   mRevision = aRevision;
   mPendingRecord.reset();
+  if (mLeading && IsSuperseded()) {
+    mLeading = false;
+  }
   // Drop the moves whose keys no longer have the owner and the fence that they
   // had when the move started.
   std::erase_if(mMoves, [&](const move& aMove) {
@@ -188,8 +206,7 @@
   }
   owner_state& owner = mOwners[grant.mTarget];
   if (aResult != order_result::kNotSent) {
-    owner.mLastGrantTime = aNow;
-    owner.mGrantedFence = std::max(owner.mGrantedFence, grant.mFence);
+    RecordGrantCall(grant, aNow);
     for (move& each : mMoves) {
       if (each.mOldOwner.mName == grant.mTarget &&
           each.mKeys.Overlaps(grant.mKeys)) {
@@ -199,7 +216,8 @@
   }
   if (aResult == order_result::kAccepted) {
     owner.mFailingSince.reset();
-    if (grant.mFence.Value() >= mFirstOwnFence) {
+    if (grant.mFence.Value() >= mFirstOwnFence &&
+        aNow >= mFormerLeaderConnectsUntil) {
       RemoveFormerLeaderGrants(grant.mTarget, grant.mKeys);
     }
     return;
@@ -217,6 +235,14 @@
   owner.mRetiredFence = std::max(owner.mRetiredFence, owner.mGrantedFence);
 }
 
+void range_controller::RecordGrantCall(const pending_grant& aGrant,
+                                       time_point aEnd)
+{
+  owner_state& owner = mOwners[aGrant.mTarget];
+  owner.mLastGrantTime = aEnd;
+  owner.mGrantedFence = std::max(owner.mGrantedFence, aGrant.mFence);
+}
+
 void range_controller::RemoveFormerLeaderGrants(const target_name& aTarget,
                                                 const key_interval& aKeys)
 {
@@ -349,11 +375,15 @@
   return owner.mTarget.mDraining || IsFailing(owner, aNow);
 }
 
+duration range_controller::MaxHoldTime() const
+{
+  return std::chrono::duration_cast<duration>(mSettings.mGrantDuration *
+                                              mSettings.mClockDriftFactor);
+}
+
 time_point range_controller::GrantExpiry(time_point aGranted) const
 {
-  const duration hold = std::chrono::duration_cast<duration>(
-    mSettings.mGrantDuration * mSettings.mClockDriftFactor);
-  return aGranted + mSettings.mMaxDeliveryDelay + hold;
+  return aGranted + mSettings.mMaxDeliveryDelay + MaxHoldTime();
 }
 
 bool range_controller::HasPendingGrant(const target_name& aTarget,
@@ -370,8 +400,10 @@
                                          time_point aNow) const
 {
   const auto owner = mOwners.find(aRange.mOwner.mName);
-  time_point last =
+  const time_point last =
     owner == mOwners.end() ? time_point::min() : owner->second.mLastGrantTime;
+  const time_point expiry =
+    last == time_point::min() ? aNow : GrantExpiry(last);
   const bool isFormer =
     std::any_of(mFormerLeaderGrants.begin(),
                 mFormerLeaderGrants.end(),
@@ -379,10 +411,12 @@
                   return aFormer.mOwner.mName == aRange.mOwner.mName &&
                          aFormer.mKeys.Overlaps(aRange.mKeys);
                 });
-  if (isFormer) {
-    last = std::max(last, mFormerLeaderRenewsUntil);
+  if (!isFormer) {
+    return expiry;
   }
-  return last == time_point::min() ? aNow : GrantExpiry(last);
+  return std::max(expiry,
+                  mFormerLeaderRenewsUntil + mSettings.mMaxFormerDeliveryDelay +
+                    MaxHoldTime());
 }
 
 } // namespace parsleystair
--- a/Parsleystair/KeyRanges/RangeRecord.h
+++ b/Parsleystair/KeyRanges/RangeRecord.h
@@ -9,6 +9,10 @@
 
 namespace parsleystair {
 
+/// Number of a term of leadership. Each elected leader has a higher one than
+/// all leaders before it; 0 stands for none.
+using term_number = strong_id<struct term_tag, uint64_t>;
+
 /// Highest key number of a keyed service.
 inline constexpr uint32_t kMaxKeyNumber = 65'535;
 
@@ -69,6 +73,9 @@
   /// Fence for the next change of the record; higher than all fences assigned
   /// so far.
   uint64_t mNextFence = 1;
+  /// Term of the leader that wrote the record; 0 if a leader without terms
+  /// wrote it.
+  term_number mTerm;
   /// Sorted by key, without overlaps. Keys outside all ranges have no owner.
   std::vector<owned_range> mRanges;
 
