Retry a failed release when its retry is due

A release that failed was sent again only at the next event or renewal, as its retry time didn't count for the next step. Keys whose owner did not answer the first release stayed blocked for longer than needed.

--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -246,11 +246,15 @@
       continue;
     }
     mNextStepTime = std::min(mNextStepTime, each.mGrantExpiry);
+    if (aNow < each.mNextReleaseTime) {
+      mNextStepTime = std::min(mNextStepTime, each.mNextReleaseTime);
+      continue;
+    }
     const auto owner = mOwners.find(each.mOldOwner.mName);
     const bool reachable = owner != mOwners.end();
     // A pending grant may arrive after the release, at a process that has
     // replaced the owner since and doesn't know the release's fence.
-    if (!reachable || each.mPendingRelease || aNow < each.mNextReleaseTime ||
+    if (!reachable || each.mPendingRelease ||
         HasPendingGrant(each.mOldOwner.mName, each.mKeys)) {
       continue;
     }
