Free no keys on an error response to a release

Callers could be served by two owners of a key: any response to a release but 200 and 409 was taken for a sign that another server had taken over the owner's address, and the keys went to the next owner at once. A target in trouble may answer 500, 503, 429, 421 or 404 and go on serving the keys until its grant expires.

Now only a 200 to the release, or the expiry of the grant, frees keys; after any other result the release is repeated.

RejectedReleaseProvesThatTheOwnerEnded asserted the unsafe rule. It is replaced by OnlyAnAcceptedReleaseFreesKeysBeforeTheExpiry, which checks each result that is no acceptance until the expiry, and by AcceptedReleaseFreesKeysAtOnce, which keeps the check that nothing waits longer than needed. What the old rule saved is small: the address of a target is used again 2 s after its end at the earliest, when about 1 s of its 3 s grant is left.

--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -69,7 +69,9 @@
   /// The target refused the order, as it knows a higher fence for some of the
   /// keys.
   kFenced,
-  /// The target refused the order as malformed.
+  /// Any other response. It may come from a target that is overloaded or
+  /// faulty, or from another server at its address, and says nothing about the
+  /// keys that the target holds.
   kRejected,
   /// This router tried to send the order, but nothing left it.
   kNotSent,
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -287,11 +287,10 @@
     return;
   }
   found->mPendingRelease.reset();
-  // Targets never reject a release. A rejection comes from another server at
-  // the same address, which is available only after the target has ended, so
-  // the target no longer holds the keys.
-  if (aResult == order_result::kAccepted ||
-      aResult == order_result::kRejected) {
+  // A rejection doesn't show that the owner no longer holds the keys: besides
+  // another server at its address, an owner in trouble may send it and go on
+  // serving.
+  if (aResult == order_result::kAccepted) {
     RemoveFormerLeaderGrants(found->mOldOwner.mName, found->mKeys);
     found->mReady = true;
     found->mHandover = aHandover;
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -80,6 +80,21 @@
     return found;
   }
 
+  /// Starts a controller that assigns the keys to both targets, which have
+  /// accepted their grants at `mNow`.
+  void AssignKeysToBothTargets()
+  {
+    mController = range_controller(range_settings());
+    mController.StartLeading({ term_number(1), mNow, mNow });
+    UpdateTargets();
+    mNow += 2s;
+    Step();
+    for (const grant_order& grant : Orders<grant_order>()) {
+      mController.HandleGrantResult(grant.mId, order_result::kAccepted, mNow);
+    }
+    ASSERT_EQ(mController.Record().mRanges.size(), 2u);
+  }
+
   time_point mNow{ 1h };
   uint64_t mRevision = 10;
   std::vector<known_target> mTargets = { MakeTarget("a", 1),
@@ -170,23 +185,62 @@
   EXPECT_TRUE(mController.Step(mNow).empty());
 }
 
-// Guards against an unnecessary wait for the grant of a dead target to expire.
-// A release that is rejected at the target's address, which another service now
-// uses, shows that the owner has ended.
-TEST_F(range_controller_test, RejectedReleaseProvesThatTheOwnerEnded)
+// Guards against two owners of one key: a target in trouble may respond to a
+// release with an error, or may not respond, and still serve the keys. Only the
+// expiry of its grant frees them then.
+TEST_F(range_controller_test, OnlyAnAcceptedReleaseFreesKeysBeforeTheExpiry)
 {
-  Step();
-  for (const grant_order& grant : Orders<grant_order>()) {
-    mController.HandleGrantResult(grant.mId, order_result::kAccepted, mNow);
+  for (const order_result result : { order_result::kRejected,
+                                     order_result::kFenced,
+                                     order_result::kNotSent,
+                                     order_result::kNotAttempted,
+                                     order_result::kNoResponse }) {
+    SCOPED_TRACE(static_cast<int>(result));
+    AssignKeysToBothTargets();
+    const range_record before = mController.Record();
+    const range_settings settings;
+    const time_point expiry =
+      mNow + settings.mMaxDeliveryDelay +
+      std::chrono::duration_cast<duration>(settings.mGrantDuration *
+                                           settings.mClockDriftFactor);
+    const known_target leaving = mTargets.front();
+    mTargets.erase(mTargets.begin());
+    UpdateTargets();
+    size_t releases = 0;
+    for (; mNow < expiry; mNow += 100ms) {
+      for (const range_action& action : Step()) {
+        if (const auto* release = std::get_if<release_order>(&action)) {
+          EXPECT_EQ(release->mAddress.mTarget, target_name("a"));
+          ++releases;
+          mController.HandleReleaseResult(release->mId, result, "", mNow);
+        } else if (const auto* grant = std::get_if<grant_order>(&action)) {
+          mController.HandleGrantResult(
+            grant->mId, order_result::kAccepted, mNow);
+        }
+      }
+      ASSERT_EQ(mController.Record(), before);
+    }
+    // It is repeated, as a later one may be accepted.
+    EXPECT_GT(releases, 5u);
+    Step();
+    for (const owned_range& range : mController.Record().mRanges) {
+      EXPECT_EQ(range.mOwner.mName, target_name("b"));
+    }
+    mTargets.insert(mTargets.begin(), leaving);
   }
+}
+
+// Guards against a needless wait for the expiry of a grant.
+TEST_F(range_controller_test, AcceptedReleaseFreesKeysAtOnce)
+{
+  AssignKeysToBothTargets();
   mTargets.erase(mTargets.begin());
   UpdateTargets();
   const auto releases = Orders<release_order>();
   ASSERT_EQ(releases.size(), 1u);
   mController.HandleReleaseResult(
-    releases[0].mId, order_result::kRejected, "", mNow);
+    releases[0].mId, order_result::kAccepted, "", mNow);
   Step();
-  ASSERT_EQ(mController.Record().mRanges.size(), 2u);
   for (const owned_range& range : mController.Record().mRanges) {
     EXPECT_EQ(range.mOwner.mName, target_name("b"));
   }
