Check an order's send limit when its bytes are about to leave

Two owners of a key could serve callers: the next leader takes a grant to be expired from the send limit of the former leader's orders, but an order could leave later. The limit was compared when the order was taken from the queue, and from then on only a timer stood for it. A router that stood still while the order was built or its connection was set up wrote the order afterwards, as the event loop handles the event of a connection before expired timers.

http_connection takes an absolute time and compares it with the clock when it gives the request to the connection; the request is written when the connection is there, not before. An order that is cut off while connecting counts as dropped, not as a failure of the target, which cost a new fence for all keys of the target.

Bytes that the system has taken before the limit may leave it later, until the connection is reset; mMaxFormerDeliveryDelay covers them.

Before: NoGrantLeavesABlockedRouterAfterItsSendLimit and NoGrantLeavesARouterThatBlockedWhileConnecting found an order at the target, AnOrderThatIsDroppedWhileConnectingIsNoFailure no dropped order. After: they pass.

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -228,7 +228,10 @@
     case http_status::kResponded:
       return mProtocol.ReadOrderResponse(aResult.mResponse);
     case http_status::kNotSent:
-      return order_result::kNotSent;
+      // The connection timeout is shorter than the call timeout, so this call
+      // was cut off at the order's send limit.
+      return aResult.mTimedOut ? order_result::kNotAttempted
+                               : order_result::kNotSent;
     case http_status::kNoResponse:
       return order_result::kNoResponse;
   }
@@ -277,7 +280,8 @@
       HandleGrantOutcome(aService, aOrder, outcome);
       SendQueuedGrants(aOrder.mAddress.mTarget, outcome);
     },
-    nullptr);
+    nullptr,
+    aOrder.mSendUntil);
 }
 
 void range_driver::SendQueuedGrants(const target_name& aTarget,
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -64,7 +64,8 @@
                                  duration aTimeout,
                                  time_point aNow,
                                  callback aCallback,
-                                 response_filter aFilter)
+                                 response_filter aFilter,
+                                 time_point aSendUntil)
 {
   const call_id id(mNextCall++);
   active_call& call = mCalls[id];
@@ -76,7 +77,8 @@
     aRequest,
     aTimeout,
     [this, id](http_result aResult) { HandleResult(id, std::move(aResult)); },
-    std::move(aFilter));
+    std::move(aFilter),
+    aSendUntil);
   return id;
 }
 
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -27,13 +27,14 @@
                      duration aDefaultKeepAlive);
 
   /// Sends a request over an idle connection, or over a new one if no idle
-  /// connection is usable.
+  /// connection is usable. Nothing of the request is sent after `aSendUntil`.
   call_id Call(const discovered_target& aTarget,
                const http_request& aRequest,
                duration aTimeout,
                time_point aNow,
                callback aCallback,
-               response_filter aFilter);
+               response_filter aFilter,
+               time_point aSendUntil = time_point::max());
 
   /// Cancels a call without calling its callback and closes its connection.
   /// Most targets drop a request when its connection closes.
--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "Parsleystair/Http/HttpConnection.h"
 
+#include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Core/Invariant.h"
 #include "Parsleystair/Http/MessageParser.h"
 #include "Parsleystair/Http/MessageText.h"
@@ -17,11 +18,14 @@
   uint16_t mPort;
   http_connection_settings mSettings;
   std::unique_ptr<socket_stream> mStream;
-  bool mConnected = false;
   std::optional<answer_parser> mParser;
   std::string mInput;
   callback mCallback;
   response_filter mFilter;
+  /// Request that waits for the connection.
+  std::string mRequest;
+  bool mSent = false;
+  time_point mSendUntil = time_point::max();
   bool mToHead = false;
   bool mReused = false;
   /// An answer that belongs to no call was skipped.
@@ -48,6 +52,7 @@
   void Connect();
   void StartDeadline(duration aTimeout);
   void StartParser();
+  void SendRequest();
   void ReadAnswers();
   void FinishAnswered();
   void Fail(http_failure aFailure, bool aTimedOut);
@@ -61,7 +66,6 @@
   if (mReused) {
     return;
   }
-  mConnected = false;
   mStream = std::make_unique<socket_stream>(
     mLoop, mHost, mPort, mSettings.mStream, *this);
   mStream->StartTimer(mSettings.mConnectTimeout);
@@ -82,10 +86,23 @@
   mParser.emplace(mSettings.mMaxBodyBytes, mToHead);
 }
 
+void http_connection::state::SendRequest()
+{
+  // The timer of the deadline is not enough: a process that stood still handles
+  // the event of a new connection before its expired timers.
+  if (MonotonicNow() >= mSendUntil) {
+    StartDeadline(duration::zero());
+    return;
+  }
+  mSent = true;
+  mStream->Write(mRequest);
+  mRequest.clear();
+}
+
 void http_connection::state::HandleConnected()
 {
-  mConnected = true;
   mStream->CancelTimer();
+  SendRequest();
 }
 
 void http_connection::state::HandleTimeout()
@@ -99,6 +116,10 @@
     Close(true);
     return;
   }
+  if (!mSent) {
+    Fail(http_failure::kMalformed, false);
+    return;
+  }
   if (mSettings.mSilenceTimeout) {
     StartDeadline(*mSettings.mSilenceTimeout);
   }
@@ -179,10 +200,8 @@
 
 void http_connection::state::Fail(http_failure aFailure, bool aTimedOut)
 {
-  // Bytes are given to the system only on a connection that was accepted.
-  const bool sent = mReused || mConnected;
   http_result result;
-  result.mStatus = sent ? http_status::kNoResponse : http_status::kNotSent;
+  result.mStatus = mSent ? http_status::kNoResponse : http_status::kNotSent;
   result.mTimedOut = aTimedOut;
   result.mFailure = aFailure;
   Close(true);
@@ -228,17 +247,23 @@
 void http_connection::Call(const http_request& aRequest,
                            duration aTimeout,
                            callback aCallback,
-                           response_filter aFilter)
+                           response_filter aFilter,
+                           time_point aSendUntil)
 {
   PARSLEYSTAIR_INVARIANT(!IsBusy());
   mState->mCallback = std::move(aCallback);
   mState->mFilter = std::move(aFilter);
   mState->mToHead = aRequest.mMethod == "HEAD";
   mState->mSkipped = false;
+  mState->mRequest = RequestText(aRequest, mState->mHost);
+  mState->mSent = false;
+  mState->mSendUntil = aSendUntil;
   mState->Connect();
   mState->StartParser();
   mState->StartDeadline(aTimeout);
-  mState->mStream->Write(RequestText(aRequest, mState->mHost));
+  if (mState->mReused) {
+    mState->SendRequest();
+  }
 }
 
 bool http_connection::IsBusy() const
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -16,7 +16,7 @@
 {
   /// The whole answer arrived.
   kResponded,
-  /// No connection could be made, so no byte was sent.
+  /// No byte was sent: no connection could be made, or not in time.
   kNotSent,
   /// The request may have been sent, and no whole answer arrived.
   kNoResponse,
@@ -85,11 +85,13 @@
   http_connection& operator=(const http_connection&) = delete;
 
   /// Makes a call; none may be open. The callback is called once, later, and
-  /// may destroy this object.
+  /// may destroy this object. If the request could not be sent before
+  /// `aSendUntil`, it is not sent at all, and the call times out.
   void Call(const http_request& aRequest,
             duration aTimeout,
             callback aCallback,
-            response_filter aFilter = nullptr);
+            response_filter aFilter = nullptr,
+            time_point aSendUntil = time_point::max());
 
   [[nodiscard]] bool IsBusy() const;
 
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -75,8 +75,8 @@
   kRejected,
   /// This router tried to send the order, but nothing left it.
   kNotSent,
-  /// This router dropped the order without trying to send it. This says nothing
-  /// about the state of the target.
+  /// This router dropped the order before anything left it, for a reason of its
+  /// own. This says nothing about the state of the target.
   kNotAttempted,
   /// No answer arrived. The target may have accepted the order or may still
   /// accept it.
--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -3,11 +3,14 @@
 #include "Parsleystair/Core/Clock.h"
 #include "ScriptedTarget.h"
 #include "StandIns/standin_users_platform/KvServer.h"
+#include "UnitTests/Support/LogCapture.h"
 #include "platform/KvStore.h"
 #include "platform/Protocols.h"
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace parsleystair {
 
 namespace {
@@ -26,6 +29,70 @@
   return settings;
 }
 
+/// Blocks the event loop until an order's send limit has passed, while the
+/// order is on its way to a connection.
+class blocking_orders : public platform::wire_orders
+{
+public:
+  [[nodiscard]] http_request GrantRequest(
+    const grant_order& aOrder) const override
+  {
+    std::this_thread::sleep_for(aOrder.mSendUntil - MonotonicNow() + 10ms);
+    return wire_orders::GrantRequest(aOrder);
+  }
+};
+
+/// Address whose connections stay pending until `Accept` is called.
+class full_listener
+{
+public:
+  full_listener()
+    : mDescriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    mAddress.sin_family = AF_INET;
+    mAddress.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* address = reinterpret_cast<sockaddr*>(&mAddress);
+    socklen_t length = sizeof(mAddress);
+    EXPECT_EQ(::bind(mDescriptor, address, length), 0);
+    EXPECT_EQ(listen(mDescriptor, 0), 0);
+    getsockname(mDescriptor, address, &length);
+    // Linux completes one connection more than the backlog.
+    mFillers = { Connect(), Connect() };
+  }
+  ~full_listener()
+  {
+    for (const int each : mFillers) {
+      close(each);
+    }
+    close(mDescriptor);
+  }
+  full_listener(const full_listener&) = delete;
+  full_listener& operator=(const full_listener&) = delete;
+
+  [[nodiscard]] uint16_t Port() const { return ntohs(mAddress.sin_port); }
+
+private:
+  int Connect() const
+  {
+    const int descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    static_cast<void>(connect(descriptor,
+                              reinterpret_cast<const sockaddr*>(&mAddress),
+                              sizeof(mAddress)));
+    return descriptor;
+  }
+
+  int mDescriptor;
+  sockaddr_in mAddress{};
+  std::vector<int> mFillers;
+};
+
+/// Blocks the event loop.
+void Block(duration aTime)
+{
+  std::this_thread::sleep_for(aTime);
+}
+
 /// A leading router and two targets. Target `a` owns all keys, in ranges with
 /// different fences; the test responds to its orders. Target `b` accepts all
 /// orders.
@@ -84,7 +151,9 @@
   void UpdateTargets(bool aDraining)
   {
     target_directory directory;
-    directory.Update(Target("a", mTarget.Port(), aDraining), MonotonicNow());
+    const uint16_t port =
+      mFullListener ? mFullListener->Port() : mTarget.Port();
+    directory.Update(Target("a", port, aDraining), MonotonicNow());
     directory.Update(Target("b", mOther.Port(), false), MonotonicNow());
     mDriver->HandleTargets(directory, MonotonicNow());
   }
@@ -130,6 +199,8 @@
   std::optional<leader_election> mElection;
   platform::wire_orders mOrders;
   scripted_target mTarget{ mLoop };
+  /// If set, the first target doesn't accept connections.
+  std::optional<full_listener> mFullListener;
   scripted_target mOther{ mLoop };
   std::optional<range_driver> mDriver;
 };
@@ -163,4 +234,106 @@
     RunUntil([&] { return mDriver->Counters().mRecordWrites > 0; }, 200ms));
 }
 
+// Guards against queued grants that leave after the time with which the next
+// leader counts: the keys then have another owner.
+TEST_F(range_driver_test, QueuedGrantsAreDroppedAtTheirSendLimit)
+{
+  // The target responds to the first two grants shortly before the limit, so
+  // that new ones are decided, and then not any more.
+  range_settings settings;
+  settings.mMaxConfirmationAgeToRenew = 1s;
+  mKv.SetUnresponsive(true);
+  StartDriver(8, settings, mOrders);
+  const time_point limit =
+    mElection->Leadership().mConfirmedAt + settings.mMaxConfirmationAgeToRenew;
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 2; }, 500ms));
+  RunUntil([&] { return MonotonicNow() >= limit - 200ms; });
+  for (const scripted_target::received_order& each : mTarget.Orders()) {
+    mTarget.Send(each.mConnection, scripted_target::Response(200, each.Id()));
+  }
+  // Two more are sent if their predecessors time out just before the limit.
+  RunUntil([&] { return MonotonicNow() >= limit + 20ms; });
+  const size_t sent = mTarget.Orders().size();
+  EXPECT_GE(sent, 4u);
+  EXPECT_LE(sent, 6u);
+  RunFor(500ms);
+  EXPECT_EQ(mTarget.Orders().size(), sent);
+}
+
+// Guards against the same for a grant whose router stands still after the
+// decision to send it.
+TEST_F(range_driver_test, NoGrantLeavesABlockedRouterAfterItsSendLimit)
+{
+  range_settings settings;
+  settings.mMaxConfirmationAgeToRenew = 400ms;
+  mKv.SetUnresponsive(true);
+  const blocking_orders orders;
+  StartDriver(1, settings, orders);
+  RunFor(600ms);
+  EXPECT_EQ(mDriver->Counters().mGrants, 1u);
+  EXPECT_TRUE(mTarget.Orders().empty());
+}
+
+// Guards against the same for a router that stands still while it connects: the
+// loop then handles the connection before the expired timer of the call.
+TEST_F(range_driver_test, NoGrantLeavesARouterThatBlockedWhileConnecting)
+{
+  range_settings settings;
+  settings.mMaxConfirmationAgeToRenew = 400ms;
+  mKv.SetUnresponsive(true);
+  StartDriver(1, settings, mOrders);
+  // The step and the second timer expire while the first one blocks, so they
+  // run together, and no I/O is handled between them.
+  timer first;
+  timer second;
+  first.StartOnce(mLoop, 5ms, [] { Block(50ms); });
+  second.StartOnce(mLoop, 40ms, [] { Block(500ms); });
+  RunFor(1s);
+  EXPECT_EQ(mDriver->Counters().mGrants, 1u);
+  EXPECT_TRUE(mTarget.Orders().empty());
+}
+
+// Guards against grants that leave after the end of the leadership: queued
+// ones, and those whose connection is being set up.
+TEST_F(range_driver_test, NoGrantLeavesAfterTheLeadershipEnds)
+{
+  StartDriver(8);
+  timer first;
+  timer second;
+  first.StartOnce(mLoop, 5ms, [] { Block(50ms); });
+  second.StartOnce(
+    mLoop, 40ms, [this] { mDriver->StopLeading(MonotonicNow()); });
+  RunFor(300ms);
+  EXPECT_EQ(mDriver->Counters().mGrants, 8u);
+  EXPECT_TRUE(mTarget.Orders().empty());
+
+  mDriver->StartLeading(MonotonicNow());
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 2; }));
+  mDriver->StopLeading(MonotonicNow());
+  for (const scripted_target::received_order& each : mTarget.Orders()) {
+    mTarget.Send(each.mConnection, scripted_target::Response(200, each.Id()));
+  }
+  RunFor(300ms);
+  EXPECT_EQ(mTarget.Orders().size(), 2u);
+}
+
+// Guards against taking a target for faulty, and against new fences for its
+// keys, because an order was dropped while its connection was being set up.
+TEST_F(range_driver_test, AnOrderThatIsDroppedWhileConnectingIsNoFailure)
+{
+  mFullListener.emplace();
+  range_settings settings;
+  settings.mMaxConfirmationAgeToRenew = 300ms;
+  mKv.SetUnresponsive(true);
+  log_capture log;
+  StartDriver(1, settings, mOrders);
+  RunFor(600ms);
+  EXPECT_EQ(mDriver->Counters().mGrantsFailed, 1u);
+  size_t heldBack = 0;
+  for (const log_record& each : log.End()) {
+    heldBack += each.Has("end", "held-back") ? 1 : 0;
+  }
+  EXPECT_EQ(heldBack, 1u);
+}
+
 } // namespace parsleystair
