--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -73,12 +73,14 @@
   /// The target refused the order, as it knows a higher fence for some of the
   /// keys.
   kFenced,
-  /// The target refused the order as malformed.
+  /// Any other response. It may come from a target that is overloaded or
+  /// faulty, or from another server at its address, and says nothing about the
+  /// keys that the target holds.
   kRejected,
   /// This router tried to send the order, but nothing left it.
   kNotSent,
-  /// This router dropped the order without trying to send it. This says nothing
-  /// about the state of the target.
+  /// This router dropped the order before anything left it, for a reason of its
+  /// own. This says nothing about the state of the target.
   kNotAttempted,
   /// No answer arrived. The target may have accepted the order or may still
   /// accept it.
