--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -274,18 +274,17 @@
     SendQueuedGrants(target, order_result::kNotAttempted);
     return;
   }
-  mConnections.Call(
-    ToDiscoveredTarget(aOrder.mAddress),
-    mProtocol.GrantRequest(aOrder),
-    std::min(kGrantTimeout, remaining),
-    now,
-    [this, aService, aOrder](const http_result& aResult) {
-      const order_result outcome = OutcomeOf(aResult);
-      HandleGrantOutcome(aService, aOrder, outcome);
-      SendQueuedGrants(aOrder.mAddress.mTarget, outcome);
-    },
-    nullptr,
-    aOrder.mSendUntil);
+  mConnections.Call(ToDiscoveredTarget(aOrder.mAddress),
+                    mProtocol.GrantRequest(aOrder),
+                    std::min(kGrantTimeout, remaining),
+                    now,
+                    [this, aService, aOrder](const http_result& aResult) {
+                      const order_result outcome = OutcomeOf(aResult);
+                      HandleGrantOutcome(aService, aOrder, outcome);
+                      SendQueuedGrants(aOrder.mAddress.mTarget, outcome);
+                    },
+                    nullptr,
+                    { connection_choice::kAny, sendUntil });
 }
 
 void range_driver::SendQueuedGrants(const target_name& aTarget,
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -246,8 +246,10 @@
       continue;
     }
     mNextStepTime = std::min(mNextStepTime, each.mGrantExpiry);
-    if (aNow < each.mNextReleaseTime) {
-      mNextStepTime = std::min(mNextStepTime, each.mNextReleaseTime);
+    const time_point releaseTime =
+      std::max(each.mNextReleaseTime, mFormerLeaderConnectsUntil);
+    if (aNow < releaseTime) {
+      mNextStepTime = std::min(mNextStepTime, releaseTime);
       continue;
     }
     const auto owner = mOwners.find(each.mOldOwner.mName);
@@ -258,12 +260,6 @@
         HasPendingGrant(each.mOldOwner.mName, each.mKeys)) {
       continue;
     }
-    const time_point releaseTime =
-      std::max(each.mNextReleaseTime, mFormerLeaderConnectsUntil);
-    if (aNow < releaseTime) {
-      mNextStepTime = std::min(mNextStepTime, releaseTime);
-      continue;
-    }
     each.mPendingRelease = order_id(mNextOrderId++);
     const discovered_target& target = owner->second.mTarget;
     aActions.emplace_back(
--- a/UnitTests/Gateway/ScriptedTarget.h
+++ b/UnitTests/Gateway/OrderTarget.h
@@ -19,7 +19,7 @@
 
 /// Target that records the orders which it receives. The test sends the bytes
 /// of the responses, at any time and on any connection.
-class scripted_target
+class order_target
 {
 public:
   struct received_order
@@ -39,7 +39,7 @@
 
   using handler = std::function<void(const received_order&)>;
 
-  explicit scripted_target(event_loop& aLoop)
+  explicit order_target(event_loop& aLoop)
     : mLoop(aLoop)
   {
     sockaddr_in address{};
@@ -52,7 +52,7 @@
          sockaddr*,
          int,
          void* aArgument) {
-        static_cast<scripted_target*>(aArgument)->Accept(aDescriptor);
+        static_cast<order_target*>(aArgument)->Accept(aDescriptor);
       },
       this,
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
@@ -69,9 +69,9 @@
     mPort = ntohs(address.sin_port);
   }
 
-  ~scripted_target() { evconnlistener_free(mListener); }
-  scripted_target(const scripted_target&) = delete;
-  scripted_target& operator=(const scripted_target&) = delete;
+  ~order_target() { evconnlistener_free(mListener); }
+  order_target(const order_target&) = delete;
+  order_target& operator=(const order_target&) = delete;
 
   void OnOrder(handler aHandler) { mHandler = std::move(aHandler); }
 
@@ -109,7 +109,7 @@
 private:
   struct connection : stream_handler
   {
-    connection(scripted_target& aTarget, size_t aId, int aDescriptor)
+    connection(order_target& aTarget, size_t aId, int aDescriptor)
       : mTarget(aTarget)
       , mId(aId)
       , mStream(std::make_unique<socket_stream>(aTarget.mLoop,
@@ -140,7 +140,7 @@
 
     static constexpr uint32_t kMaxBytes = 16 * 1024;
 
-    scripted_target& mTarget;
+    order_target& mTarget;
     size_t mId;
     std::unique_ptr<socket_stream> mStream;
     request_parser mParser{ kMaxBytes, kMaxBytes };
--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -1,7 +1,7 @@
 #include "Parsleystair/Gateway/RangeDriver.h"
 
+#include "OrderTarget.h"
 #include "Parsleystair/Core/Clock.h"
-#include "ScriptedTarget.h"
 #include "StandIns/standin_users_platform/KvServer.h"
 #include "UnitTests/Support/LogCapture.h"
 #include "platform/KvStore.h"
@@ -113,9 +113,8 @@
     mElection->OnFormerLeadersGone([] {});
     mElection->HandleKey(std::nullopt);
     EXPECT_TRUE(RunUntil([this] { return mElection->IsLeading(); }));
-    mOther.OnOrder([this](const scripted_target::received_order& aOrder) {
-      mOther.Send(aOrder.mConnection,
-                  scripted_target::Response(200, aOrder.Id()));
+    mOther.OnOrder([this](const order_target::received_order& aOrder) {
+      mOther.Send(aOrder.mConnection, order_target::Response(200, aOrder.Id()));
     });
   }
 
@@ -198,10 +197,10 @@
   std::optional<platform::kv_store> mStore;
   std::optional<leader_election> mElection;
   platform::wire_orders mOrders;
-  scripted_target mTarget{ mLoop };
+  order_target mTarget{ mLoop };
   /// If set, the first target doesn't accept connections.
   std::optional<full_listener> mFullListener;
-  scripted_target mOther{ mLoop };
+  order_target mOther{ mLoop };
   std::optional<range_driver> mDriver;
 };
 
@@ -213,7 +212,7 @@
 {
   const std::vector<uint32_t> statuses{ 500, 503, 429, 421, 404, 400, 409 };
   size_t releases = 0;
-  mTarget.OnOrder([&](const scripted_target::received_order& aOrder) {
+  mTarget.OnOrder([&](const order_target::received_order& aOrder) {
     uint32_t status = 200;
     if (aOrder.IsRelease()) {
       EXPECT_EQ(mDriver->Counters().mRecordWrites, 0u);
@@ -223,7 +222,7 @@
       ++releases;
     }
     mTarget.Send(aOrder.mConnection,
-                 scripted_target::Response(status, aOrder.Id()));
+                 order_target::Response(status, aOrder.Id()));
   });
   StartDriver(1);
   ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 1; }));
@@ -248,8 +247,8 @@
     mElection->Leadership().mConfirmedAt + settings.mMaxConfirmationAgeToRenew;
   ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 2; }, 500ms));
   RunUntil([&] { return MonotonicNow() >= limit - 200ms; });
-  for (const scripted_target::received_order& each : mTarget.Orders()) {
-    mTarget.Send(each.mConnection, scripted_target::Response(200, each.Id()));
+  for (const order_target::received_order& each : mTarget.Orders()) {
+    mTarget.Send(each.mConnection, order_target::Response(200, each.Id()));
   }
   // Two more are sent if their predecessors time out just before the limit.
   RunUntil([&] { return MonotonicNow() >= limit + 20ms; });
@@ -310,8 +309,8 @@
   mDriver->StartLeading(MonotonicNow());
   ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 2; }));
   mDriver->StopLeading(MonotonicNow());
-  for (const scripted_target::received_order& each : mTarget.Orders()) {
-    mTarget.Send(each.mConnection, scripted_target::Response(200, each.Id()));
+  for (const order_target::received_order& each : mTarget.Orders()) {
+    mTarget.Send(each.mConnection, order_target::Response(200, each.Id()));
   }
   RunFor(300ms);
   EXPECT_EQ(mTarget.Orders().size(), 2u);
