--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -61,12 +61,15 @@
   /// When set, an answer that has begun may take longer than the call's time,
   /// as long as bytes arrive at least this often.
   std::optional<duration> mSilenceTimeout;
+  /// Longest time of such an answer from its first byte to its last.
+  duration mTransferTimeout = 30s;
   /// How a silent peer is detected.
   stream_settings mStream;
 };
 
 /// One client connection, connected at the first call and kept open, that
-/// carries one call at a time. Bytes that no call waits for close it.
+/// carries one call at a time. Bytes that no call waits for close it, also if
+/// they are not read yet when the next call is made.
 class http_connection
 {
 public:
