--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -20,14 +20,17 @@
   /// at least `mGrantDuration - mRenewInterval` to renew the grants before they
   /// expire.
   duration mRenewInterval = 800ms;
-  /// Maximum age of the store's last confirmation of leadership at which the
-  /// leader still renews grants. Together with `mGrantDuration`, this keeps
-  /// grants valid through store outages of up to 9 s. If the leader and an
-  /// owner fail together, the owner's keys stay unassigned for as long.
+  /// Maximum age of the store's last confirmation of leadership at which
+  /// renewals of grants still leave the leader. Together with `mGrantDuration`,
+  /// this keeps grants valid through store outages of up to 9 s. If the leader
+  /// and an owner fail together, the owner's keys stay unassigned for as long.
   duration mMaxConfirmationAgeToRenew = 7s;
   /// Maximum age of the store's last confirmation of leadership at which the
   /// leader still moves keys. A router that has lost leadership can't record a
-  /// new owner, so a release that it sent would only interrupt the keys.
+  /// new owner, so a release that it sent would only interrupt the keys. It is
+  /// also the maximum age at which connections are opened for grants: a target
+  /// that restarts forgets its fences, so a router that has lost leadership
+  /// must not reach the new process.
   duration mMaxConfirmationAgeToMove = 1500ms;
   /// Factor by which a target with a slow clock may hold a grant for longer
   /// than `mGrantDuration`.
@@ -35,11 +38,29 @@
   /// Maximum time after a grant call has ended without an answer at which its
   /// order may still arrive at the target.
   duration mMaxDeliveryDelay = 300ms;
+  /// Maximum time after a former leader has sent its last order at which the
+  /// order may arrive at the target. The operating system of a process that was
+  /// killed delivers what the process has written, until the TCP user timeout.
+  duration mMaxFormerDeliveryDelay = 600ms;
   /// Time from the first registration of a target to the first assignment of
   /// keys, so that all targets can register.
   duration mInitialAssignmentDelay = 1s;
 };
 
+/// Period in which a router leads.
+struct leadership
+{
+  term_number mTerm;
+  /// Time at which the last request that the store answered with a confirmation
+  /// of the leadership was sent; `time_point::min()` if there is none.
+  time_point mConfirmedAt = time_point::min();
+  /// Time at which this router learned that it leads. All former leaders were
+  /// confirmed for the last time before.
+  time_point mSince = time_point::min();
+
+  bool operator==(const leadership&) const = default;
+};
+
 /// Assigns the keys of one service to targets. Only the controller of the
 /// router that leads is active.
 ///
@@ -54,20 +75,22 @@
 public:
   explicit range_controller(const range_settings& aSettings);
 
-  /// This router leads from `aSince` on. Former leaders may still renew grants
-  /// for `mMaxConfirmationAgeToRenew` after `aSince`.
-  void StartLeading(time_point aSince);
-  void StopLeading();
+  /// Former leaders may still renew grants for `mMaxConfirmationAgeToRenew`
+  /// after `aLeadership.mSince`. The record must have been read after that
+  /// time.
+  void StartLeading(const leadership& aLeadership);
+  /// Orders without a result must be cancelled before `aNow`.
+  void StopLeading(time_point aNow);
 
   /// The store confirmed that this router leads; the request for the
   /// confirmation was sent at `aAskedAt`.
   void HandleLeadershipConfirmed(time_point aAskedAt);
 
-  /// No former leader can renew grants after `aNow`.
-  void HandleFormerLeaderGone(time_point aNow);
+  /// No former leader sends orders after `aNow`.
+  void HandleFormerLeadersGone(time_point aNow);
 
   /// Takes over the record in the store. Revisions that are not newer than the
-  /// known one are ignored.
+  /// known one are ignored. A record of a later term ends the leadership.
   void HandleRecord(const range_record& aRecord, store_revision aRevision);
 
   /// Replaces the list of the service's known targets.
@@ -100,6 +123,9 @@
   [[nodiscard]] std::optional<time_point> NextStepTime() const;
 
   [[nodiscard]] bool IsLeading() const { return mLeading; }
+  /// Whether another router has written the record in a later term than that of
+  /// this router's leadership.
+  [[nodiscard]] bool IsSuperseded() const { return mRecord.mTerm > mTerm; }
   [[nodiscard]] const range_record& Record() const { return mRecord; }
   [[nodiscard]] size_t PendingMoves() const { return mMoves.size(); }
 
@@ -155,6 +181,7 @@
   void RemoveFormerLeaderGrants(const target_name& aTarget,
                                 const key_interval& aKeys);
   void HandleFenced(const pending_grant& aGrant, time_point aNow);
+  void RecordGrantCall(const pending_grant& aGrant, time_point aEnd);
   void ClearPendingWork();
   void AddRequiredMoves(time_point aNow);
   void AddMove(const key_interval& aKeys,
@@ -185,8 +212,10 @@
   [[nodiscard]] bool HasOwnerRestarted(const target_incarnation& aOwner) const;
   [[nodiscard]] time_point RangeExpiry(const owned_range& aRange,
                                        time_point aNow) const;
-  /// Latest expiry of a grant whose call ended at `aGranted`.
+  /// Latest expiry of a grant of this router whose call ended at `aGranted`.
   [[nodiscard]] time_point GrantExpiry(time_point aGranted) const;
+  /// Longest time for which a target holds a grant after the order's arrival.
+  [[nodiscard]] duration MaxHoldTime() const;
   [[nodiscard]] bool HasPendingGrant(const target_name& aTarget,
                                      const key_interval& aKeys) const;
   [[nodiscard]] std::vector<key_interval> SubtractMoves(
@@ -196,9 +225,12 @@
 
   range_settings mSettings;
   bool mLeading = false;
+  term_number mTerm;
   time_point mLeadershipConfirmedAt = time_point::min();
   /// Time until which former leaders may renew grants.
   time_point mFormerLeaderRenewsUntil = time_point::min();
+  /// Time until which former leaders may open connections to targets.
+  time_point mFormerLeaderConnectsUntil = time_point::min();
   /// Next fence of the record when this router became the leader. Lower fences
   /// were assigned by former leaders.
   uint64_t mFirstOwnFence = 0;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -248,7 +248,16 @@
     mNextStepTime = std::min(mNextStepTime, each.mGrantExpiry);
     const auto owner = mOwners.find(each.mOldOwner.mName);
     const bool reachable = owner != mOwners.end();
-    if (!reachable || each.mPendingRelease || aNow < each.mNextReleaseTime) {
+    // A pending grant may arrive after the release, at a process that has
+    // replaced the owner since and doesn't know the release's fence.
+    if (!reachable || each.mPendingRelease ||
+        HasPendingGrant(each.mOldOwner.mName, each.mKeys)) {
+      continue;
+    }
+    const time_point releaseTime =
+      std::max(each.mNextReleaseTime, mFormerLeaderConnectsUntil);
+    if (aNow < releaseTime) {
+      mNextStepTime = std::min(mNextStepTime, releaseTime);
       continue;
     }
     each.mPendingRelease = order_id(mNextOrderId++);
@@ -336,6 +345,7 @@
   }
   range_record changed = mRecord;
   changed.mNextFence = mRecord.mNextFence + 1;
+  changed.mTerm = mTerm;
   for (const move& each : mMoves) {
     if (each.mReady) {
       ApplyMove(each, changed, candidates);
@@ -384,13 +394,15 @@
   const order_id order(mNextOrderId++);
   const discovered_target& target = mOwners.at(aRange.mOwner.mName).mTarget;
   mPendingGrants[order] = { target.mName, aKeys, aRange.mFence };
-  aActions.emplace_back(
-    grant_order{ order,
-                 { target.mName, target.mHost, target.mPort },
-                 aKeys,
-                 aRange.mFence,
-                 mSettings.mGrantDuration,
-                 aRange.mHandover });
+  aActions.emplace_back(grant_order{
+    order,
+    { target.mName, target.mHost, target.mPort },
+    aKeys,
+    aRange.mFence,
+    mSettings.mGrantDuration,
+    aRange.mHandover,
+    mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew,
+    mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToMove });
 }
 
 } // namespace parsleystair
