Log why moves of keys are ready and what orders returned

Change: the range controller reports each ready move once, with its reason (released, grant expired, no owner, fence change), the old owner and fence, the age of this router's last grant and the time since former leaders have stopped renewing; the driver logs it as move_ready and counts moves_total by why. keys_released and grant_failed name the HTTP status and whether the connection was reused. orders_cancelled counts the orders without a result at the end of a leadership, orders_total has kind="grant-too-late" for grants dropped after their send limit. `parsleystair explain` takes move_ready as state of a key.

--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -115,6 +115,20 @@
     text, "orders_total", "kind", "release-failed", orders.mReleasesFailed);
   AppendLabelledMetric(
     text, "orders_total", "kind", "record", orders.mRecordWrites);
+  AppendLabelledMetric(
+    text, "orders_total", "kind", "grant-too-late", orders.mGrantsTooLate);
+  text += "# TYPE parsleystair_moves_total counter\n";
+  for (const ready_reason why : { ready_reason::kReleased,
+                                  ready_reason::kGrantExpired,
+                                  ready_reason::kNoOwner,
+                                  ready_reason::kFenceChange }) {
+    const auto moves = orders.mMoves.find(why);
+    AppendLabelledMetric(text,
+                         "moves_total",
+                         "why",
+                         ReadyReasonName(why),
+                         moves == orders.mMoves.end() ? 0 : moves->second);
+  }
   AppendMetric(
     text,
     "configuration_version",
--- a/Parsleystair/Gateway/GrantQueue.cpp
+++ b/Parsleystair/Gateway/GrantQueue.cpp
@@ -46,10 +46,12 @@
   return next;
 }
 
-void grant_queue::Clear()
+size_t grant_queue::Clear()
 {
+  const size_t queued = mQueue.size();
   mQueue.clear();
   mInFlight = 0;
+  return queued;
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Gateway/GrantQueue.h
+++ b/Parsleystair/Gateway/GrantQueue.h
@@ -37,8 +37,8 @@
   dequeued_grants HandleOutcome(order_result aOutcome, time_point aNow);
 
   /// Removes all grants: the queued ones, and those in flight, which must have
-  /// been cancelled.
-  void Clear();
+  /// been cancelled. Returns the number of queued ones.
+  size_t Clear();
 
   [[nodiscard]] bool IsIdle() const { return mInFlight == 0 && mQueue.empty(); }
 
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -48,8 +48,36 @@
   return "unanswered";
 }
 
+/// HTTP status of the response; 0 if there is none.
+uint64_t ResponseStatus(const http_result& aResult)
+{
+  return aResult.mStatus == http_status::kResponded
+           ? static_cast<uint64_t>(aResult.mResponse.mStatus)
+           : 0;
+}
+
+int64_t ToMilliseconds(duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
 } // namespace
 
+const char* ReadyReasonName(ready_reason aReason)
+{
+  switch (aReason) {
+    case ready_reason::kReleased:
+      return "released";
+    case ready_reason::kGrantExpired:
+      return "grant-expired";
+    case ready_reason::kNoOwner:
+      return "no-owner";
+    case ready_reason::kFenceChange:
+      return "fence-change";
+  }
+  return "unknown";
+}
+
 range_driver::range_driver(event_loop& aLoop,
                            const range_settings& aSettings,
                            coordination_store& aStore,
@@ -96,10 +124,14 @@
 void range_driver::StopLeading(time_point aNow)
 {
   mLeading = false;
+  size_t queued = 0;
   for (auto& [target, queue] : mGrantQueues) {
-    queue.Clear();
+    queued += queue.Clear();
   }
-  mConnections.CancelAll();
+  const size_t inFlight = mConnections.CancelAll();
+  log_line(log_severity::kInfo, "orders_cancelled")
+    .Add("queued", uint64_t{ queued })
+    .Add("in_flight", uint64_t{ inFlight });
   for (auto& [service, controller] : mControllers) {
     controller.StopLeading(aNow);
   }
@@ -201,6 +233,9 @@
       std::visit([&](const auto& aAction) { Execute(service, aAction); },
                  action);
     }
+    for (const ready_move& move : controller.TakeReadyMoves()) {
+      HandleReadyMove(service, move);
+    }
     const auto step = controller.NextStepTime();
     if (step && (!next || *step < *next)) {
       next = step;
@@ -212,6 +247,29 @@
   }
 }
 
+void range_driver::HandleReadyMove(const service_name& aService,
+                                   const ready_move& aMove)
+{
+  ++mCounters.mMoves[aMove.mReason];
+  log_line line(log_severity::kInfo, "move_ready");
+  line.Add("service", aService.Value())
+    .Add("why", ReadyReasonName(aMove.mReason))
+    .Add("from", uint64_t{ aMove.mKeys.mFirst })
+    .Add("to", uint64_t{ aMove.mKeys.mLast });
+  if (aMove.mReason != ready_reason::kNoOwner) {
+    line.Add("target", aMove.mOldOwner.mName.Value())
+      .Add("started_ms", aMove.mOldOwner.mStartedMs)
+      .Add("fence", aMove.mOldFence.Value());
+  }
+  if (aMove.mLastGrantAge) {
+    line.Add("grant_age_ms", ToMilliseconds(*aMove.mLastGrantAge));
+  }
+  if (aMove.mFormerLeadersStoppedFor) {
+    line.Add("former_stopped_ms",
+             ToMilliseconds(*aMove.mFormerLeadersStoppedFor));
+  }
+}
+
 discovered_target range_driver::ToDiscoveredTarget(
   const order_address& aAddress) const
 {
@@ -267,6 +325,7 @@
       : std::min(aOrder.mSendUntil, aOrder.mConnectUntil);
   const duration remaining = sendUntil - now;
   if (remaining <= duration::zero()) {
+    ++mCounters.mGrantsTooLate;
     HandleGrantOutcome(aService, aOrder, order_result::kNotAttempted);
     SendQueuedGrants(target, order_result::kNotAttempted);
     return;
@@ -278,7 +337,7 @@
     now,
     [this, aService, aOrder](const http_result& aResult) {
       const order_result outcome = OutcomeOf(aResult);
-      HandleGrantOutcome(aService, aOrder, outcome);
+      HandleGrantOutcome(aService, aOrder, outcome, &aResult);
       SendQueuedGrants(aOrder.mAddress.mTarget, outcome);
     },
     nullptr);
@@ -303,17 +362,22 @@
 
 void range_driver::HandleGrantOutcome(const service_name& aService,
                                       const grant_order& aOrder,
-                                      order_result aOutcome)
+                                      order_result aOutcome,
+                                      const http_result* aResult)
 {
   if (aOutcome != order_result::kAccepted) {
     ++mCounters.mGrantsFailed;
-    log_line(log_severity::kInfo, "grant_failed")
-      .Add("service", aService.Value())
+    log_line line(log_severity::kInfo, "grant_failed");
+    line.Add("service", aService.Value())
       .Add("target", aOrder.mAddress.mTarget.Value())
       .Add("from", uint64_t{ aOrder.mKeys.mFirst })
       .Add("to", uint64_t{ aOrder.mKeys.mLast })
       .Add("fence", aOrder.mFence.Value())
       .Add("end", OrderOutcomeName(aOutcome));
+    if (aResult != nullptr) {
+      line.Add("status", ResponseStatus(*aResult))
+        .Add("reused", aResult->mReused);
+    }
   }
   if (range_controller* controller = FindController(aService)) {
     controller->HandleGrantResult(aOrder.mId, aOutcome, MonotonicNow());
@@ -340,7 +404,9 @@
         .Add("from", uint64_t{ aOrder.mKeys.mFirst })
         .Add("to", uint64_t{ aOrder.mKeys.mLast })
         .Add("fence", aOrder.mFence.Value())
-        .Add("end", OrderOutcomeName(outcome));
+        .Add("end", OrderOutcomeName(outcome))
+        .Add("status", ResponseStatus(aResult))
+        .Add("reused", aResult.mReused);
       if (range_controller* controller = FindController(aService)) {
         controller->HandleReleaseResult(
           aOrder.mId, outcome, handover, MonotonicNow());
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -12,6 +12,9 @@
 
 namespace parsleystair {
 
+/// Name of the reason in log lines and metrics.
+const char* ReadyReasonName(ready_reason aReason);
+
 /// Store keys that the routers themselves write.
 inline constexpr const char* kLeaderKey = "parsleystair/leader";
 inline constexpr const char* kTermsKey = "parsleystair/terms";
@@ -21,9 +24,12 @@
 {
   uint64_t mGrants = 0;
   uint64_t mGrantsFailed = 0;
+  /// Grants that were dropped because their `mSendUntil` had passed.
+  uint64_t mGrantsTooLate = 0;
   uint64_t mReleases = 0;
   uint64_t mReleasesFailed = 0;
   uint64_t mRecordWrites = 0;
+  std::map<ready_reason, uint64_t> mMoves;
 
   bool operator==(const range_driver_counters&) const = default;
 };
@@ -91,7 +97,9 @@
   void SendQueuedGrants(const target_name& aTarget, order_result aLastOutcome);
   void HandleGrantOutcome(const service_name& aService,
                           const grant_order& aOrder,
-                          order_result aOutcome);
+                          order_result aOutcome,
+                          const http_result* aResult = nullptr);
+  void HandleReadyMove(const service_name& aService, const ready_move& aMove);
   [[nodiscard]] order_result OutcomeOf(const http_result& aResult) const;
   range_controller* FindController(const service_name& aService);
   discovered_target ToDiscoveredTarget(const order_address& aAddress) const;
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -125,12 +125,14 @@
   }
 }
 
-void target_connections::CancelAll()
+size_t target_connections::CancelAll()
 {
+  const size_t cancelled = mCalls.size();
   mCalls.clear();
   for (auto& [name, targetPool] : mPools) {
     targetPool.mActiveCalls = 0;
   }
+  return cancelled;
 }
 
 bool target_connections::IsAtLimit(const target_name& aTarget,
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -42,8 +42,9 @@
   [[nodiscard]] bool HasOpenConnection(const discovered_target& aTarget,
                                        time_point aNow) const;
 
-  /// Cancels all calls. Nothing of their requests is sent any more.
-  void CancelAll();
+  /// Cancels all calls. Nothing of their requests is sent any more. Returns the
+  /// number of calls.
+  size_t CancelAll();
 
   /// Sets the keep-alive time of idle connections to a target, as stated in the
   /// target's responses. Ignored if the target has no pool.
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 // Why two targets never hold a key at the same time: a target holds a key only
 // while it has a valid grant with the key's recorded fence. A new owner is
@@ -73,6 +74,7 @@
 void range_controller::ClearPendingWork()
 {
   mMoves.clear();
+  mReadyMoves.clear();
   mPendingGrants.clear();
   mNextGrantTimes.clear();
   mPendingRecord.reset();
@@ -302,7 +304,7 @@
   if (aResult == order_result::kAccepted ||
       aResult == order_result::kRejected) {
     RemoveFormerLeaderGrants(found->mOldOwner.mName, found->mKeys);
-    found->mReady = true;
+    found->mReady = ready_reason::kReleased;
     found->mHandover = aHandover;
     return;
   }
@@ -329,6 +331,11 @@
   mNextWriteTime = aNow + kRetryDelay;
 }
 
+std::vector<ready_move> range_controller::TakeReadyMoves()
+{
+  return std::exchange(mReadyMoves, {});
+}
+
 std::optional<time_point> range_controller::NextStepTime() const
 {
   return mLeading ? std::optional(mNextStepTime) : std::nullopt;
@@ -396,6 +403,17 @@
     });
 }
 
+bool range_controller::HasFormerLeaderGrant(const target_name& aOwner,
+                                            const key_interval& aKeys) const
+{
+  return std::any_of(mFormerLeaderGrants.begin(),
+                     mFormerLeaderGrants.end(),
+                     [&](const owned_range& aFormer) {
+                       return aFormer.mOwner.mName == aOwner &&
+                              aFormer.mKeys.Overlaps(aKeys);
+                     });
+}
+
 time_point range_controller::RangeExpiry(const owned_range& aRange,
                                          time_point aNow) const
 {
@@ -404,14 +422,7 @@
     owner == mOwners.end() ? time_point::min() : owner->second.mLastGrantTime;
   const time_point expiry =
     last == time_point::min() ? aNow : GrantExpiry(last);
-  const bool isFormer =
-    std::any_of(mFormerLeaderGrants.begin(),
-                mFormerLeaderGrants.end(),
-                [&](const owned_range& aFormer) {
-                  return aFormer.mOwner.mName == aRange.mOwner.mName &&
-                         aFormer.mKeys.Overlaps(aRange.mKeys);
-                });
-  if (!isFormer) {
+  if (!HasFormerLeaderGrant(aRange.mOwner.mName, aRange.mKeys)) {
     return expiry;
   }
   return std::max(expiry,
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -4,6 +4,7 @@
 #include "Parsleystair/KeyRanges/LoadReport.h"
 #include "Parsleystair/KeyRanges/RangeActions.h"
 #include "Parsleystair/KeyRanges/RangePlanner.h"
+#include "Parsleystair/KeyRanges/ReadyMove.h"
 
 #include <deque>
 #include <map>
@@ -129,6 +130,9 @@
   [[nodiscard]] const range_record& Record() const { return mRecord; }
   [[nodiscard]] size_t PendingMoves() const { return mMoves.size(); }
 
+  /// Returns the moves that the steps since the last call found ready.
+  std::vector<ready_move> TakeReadyMoves();
+
 private:
   /// State of a target that owns keys or may get them.
   struct owner_state
@@ -163,7 +167,10 @@
     target_name mNewOwner;
     /// The owner keeps the keys and gets a new fence.
     bool mKeepsOwner = false;
-    bool mReady = false;
+    /// Set if the move only waits for the write of the record.
+    std::optional<ready_reason> mReady;
+    /// Whether `mReadyMoves` has had the move.
+    bool mReported = false;
     std::string mHandover;
     /// Time at which the old owner's grant has expired at the latest.
     time_point mGrantExpiry;
@@ -192,6 +199,7 @@
   void AddFenceChange(const key_interval& aKeys, const owned_range& aRange);
   void AddBalanceMoves(time_point aNow);
   void StepMoves(time_point aNow, std::vector<range_action>& aActions);
+  void ReportReadyMoves(time_point aNow);
   void StepWrite(time_point aNow, std::vector<range_action>& aActions);
   void StepGrants(time_point aNow, std::vector<range_action>& aActions);
   void GrantKeys(const key_interval& aKeys,
@@ -210,6 +218,9 @@
   [[nodiscard]] bool IsFailing(const owner_state& aState,
                                time_point aNow) const;
   [[nodiscard]] bool HasOwnerRestarted(const target_incarnation& aOwner) const;
+  /// Whether former leaders may have granted some of the keys to the owner.
+  [[nodiscard]] bool HasFormerLeaderGrant(const target_name& aOwner,
+                                          const key_interval& aKeys) const;
   [[nodiscard]] time_point RangeExpiry(const owned_range& aRange,
                                        time_point aNow) const;
   /// Latest expiry of a grant of this router whose call ended at `aGranted`.
@@ -242,6 +253,7 @@
   std::map<target_name, owner_state> mOwners;
   std::optional<time_point> mFirstRegistration;
   std::vector<move> mMoves;
+  std::vector<ready_move> mReadyMoves;
   std::optional<range_record> mPendingRecord;
   order_id mPendingWrite;
   time_point mNextWriteTime = time_point::min();
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -79,7 +79,7 @@
     added.mKeepsOwner = true;
     // No other target can hold the keys, so there is no release or expiry to
     // wait for.
-    added.mReady = true;
+    added.mReady = ready_reason::kFenceChange;
     mMoves.push_back(std::move(added));
   }
 }
@@ -96,6 +96,7 @@
     AddRequiredMoves(aNow);
     AddBalanceMoves(aNow);
     StepMoves(aNow, actions);
+    ReportReadyMoves(aNow);
     StepWrite(aNow, actions);
   }
   if (MayRenew(aNow)) {
@@ -127,8 +128,9 @@
   move added;
   added.mKeys = aKeys;
   added.mNewOwner = aTo;
-  added.mReady = aOwner == nullptr;
-  if (aOwner != nullptr) {
+  if (aOwner == nullptr) {
+    added.mReady = ready_reason::kNoOwner;
+  } else {
     PARSLEYSTAIR_INVARIANT(aOwner->mKeys.Contains(aKeys.mFirst) &&
                            aOwner->mKeys.Contains(aKeys.mLast));
     added.mOldOwner = aOwner->mOwner;
@@ -240,7 +242,7 @@
   for (move& each : mMoves) {
     if (!each.mReady && aNow >= each.mGrantExpiry &&
         !HasPendingGrant(each.mOldOwner.mName, each.mKeys)) {
-      each.mReady = true;
+      each.mReady = ready_reason::kGrantExpired;
     }
     if (each.mReady) {
       continue;
@@ -270,6 +272,29 @@
   }
 }
 
+void range_controller::ReportReadyMoves(time_point aNow)
+{
+  for (move& each : mMoves) {
+    if (!each.mReady || each.mReported) {
+      continue;
+    }
+    each.mReported = true;
+    ready_move& ready = mReadyMoves.emplace_back();
+    ready.mReason = *each.mReady;
+    ready.mKeys = each.mKeys;
+    ready.mOldOwner = each.mOldOwner;
+    ready.mOldFence = each.mOldFence;
+    const auto owner = mOwners.find(each.mOldOwner.mName);
+    if (owner != mOwners.end() &&
+        owner->second.mLastGrantTime != time_point::min()) {
+      ready.mLastGrantAge = aNow - owner->second.mLastGrantTime;
+    }
+    if (HasFormerLeaderGrant(each.mOldOwner.mName, each.mKeys)) {
+      ready.mFormerLeadersStoppedFor = aNow - mFormerLeaderRenewsUntil;
+    }
+  }
+}
+
 std::vector<owner_candidate> range_controller::OwnerCandidates(
   time_point aNow) const
 {
@@ -338,7 +363,7 @@
   std::vector<owner_candidate> candidates = OwnerCandidates(aNow);
   const bool anyReady =
     std::any_of(mMoves.begin(), mMoves.end(), [](const move& aMove) {
-      return aMove.mReady;
+      return aMove.mReady.has_value();
     });
   if (!anyReady) {
     return;
--- a/Parsleystair/LogReading/RequestChain.cpp
+++ b/Parsleystair/LogReading/RequestChain.cpp
@@ -19,11 +19,12 @@
   return changes && aRecord.Has("target", aTarget);
 }
 
-/// Orders of the leader for a range of keys with this key.
+/// Orders and moves of the leader for a range of keys with this key.
 bool IsOrderForKey(const log_record& aRecord, uint64_t aKey)
 {
-  const bool orders =
-    aRecord.mEvent == "keys_released" || aRecord.mEvent == "grant_failed";
+  const bool orders = aRecord.mEvent == "keys_released" ||
+                      aRecord.mEvent == "grant_failed" ||
+                      aRecord.mEvent == "move_ready";
   return orders && aRecord.Number("from") <= aKey &&
          aKey <= aRecord.Number("to");
 }
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -321,4 +321,69 @@
   EXPECT_TRUE(written);
 }
 
+// Guards against a move whose reason can't be found in the log after two
+// targets held the same keys: each ready move is reported once, with the reason
+// and with what the leader knew about the old owner's grants.
+TEST_F(range_controller_test, ReportsWhyAMoveIsReadyAndTheAgeOfTheLastGrant)
+{
+  const auto grants = [&] {
+    const std::vector<grant_order> orders = Orders<grant_order>();
+    for (const grant_order& each : orders) {
+      mController.HandleGrantResult(each.mId, order_result::kAccepted, mNow);
+    }
+    return orders;
+  };
+  Orders<grant_order>();
+  const std::vector<ready_move> first = mController.TakeReadyMoves();
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(first[0].mReason, ready_reason::kNoOwner);
+  EXPECT_EQ(first[0].mKeys, (key_interval{ 0, kMaxKeyNumber }));
+  EXPECT_FALSE(first[0].mLastGrantAge);
+  EXPECT_FALSE(first[0].mFormerLeadersStoppedFor);
+  EXPECT_TRUE(mController.TakeReadyMoves().empty());
+
+  ASSERT_FALSE(grants().empty());
+  mTargets[0].mTarget.mDraining = true;
+  UpdateTargets();
+  mNow += 200ms;
+  const std::vector<release_order> releases = Orders<release_order>();
+  ASSERT_EQ(releases.size(), 1U);
+  EXPECT_TRUE(mController.TakeReadyMoves().empty());
+  mController.HandleReleaseResult(
+    releases[0].mId, order_result::kAccepted, "", mNow);
+  Step();
+  const std::vector<ready_move> released = mController.TakeReadyMoves();
+  ASSERT_EQ(released.size(), 1U);
+  EXPECT_EQ(released[0].mReason, ready_reason::kReleased);
+  EXPECT_EQ(released[0].mKeys, releases[0].mKeys);
+  EXPECT_EQ(released[0].mOldOwner, (target_incarnation{ target_name("a"), 7 }));
+  EXPECT_EQ(released[0].mLastGrantAge, 200ms);
+}
+
+// Guards against a report that hides which bound a leader took from former
+// leaders: the keys of a lost owner move only after the last renewal that a
+// former leader may have sent.
+TEST_F(range_controller_test, ReportsTheBoundOfFormerLeaders)
+{
+  Step();
+  mController.TakeReadyMoves();
+  mController.StopLeading(mNow);
+  mController.StartLeading({ term_number(2), mNow, mNow });
+  const time_point since = mNow;
+  mTargets.erase(mTargets.begin());
+  UpdateTargets();
+  std::vector<ready_move> moves;
+  while (moves.empty() && mNow < since + 20s) {
+    mNow += 50ms;
+    Step();
+    moves = mController.TakeReadyMoves();
+  }
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(moves[0].mReason, ready_reason::kGrantExpired);
+  EXPECT_EQ(moves[0].mOldOwner.mName, target_name("a"));
+  EXPECT_EQ(moves[0].mFormerLeadersStoppedFor,
+            mNow - (since + range_settings().mMaxConfirmationAgeToRenew));
+  EXPECT_GT(moves[0].mFormerLeadersStoppedFor, range_settings().mGrantDuration);
+}
+
 } // namespace parsleystair
