Tell to which order a target's response belongs

Keys could get a second owner while the first one served: orders carried no id and used kept connections, so a second copy of an earlier 200, at the point where the response to a release was expected, was read as the release. A second copy of a 409 changed the fences of keys for nothing.

Each order has an id of its own now, of the leader's term and a number. Responses with another id are skipped, and their connection isn't used again. A response without an id is certain only on a connection that no earlier order has used: otherwise a release isn't believed, a grant isn't taken as a proof that it has replaced the grants of former leaders, and a refusal counts as no response.

Before: RepeatedResponseOfAnEarlierOrderIsNoRelease (record written after the copy, for targets with and without ids) and RepeatedRefusalOfAnEarlierOrderChangesNoFence (2 writes of the record) failed. A copy on an idle connection was handled right before, too.

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -34,6 +34,8 @@
   switch (aOutcome) {
     case order_result::kAccepted:
       return "accepted";
+    case order_result::kUnverified:
+      return "unverified";
     case order_result::kFenced:
       return "fenced";
     case order_result::kRejected:
@@ -151,6 +153,9 @@
     controller.HandleTargets(targets, aNow);
   }
   mConnections.RemoveUnknownTargets(aDirectory);
+  std::erase_if(mTargetsWithoutRequestIds, [&](const target_name& aName) {
+    return aDirectory.Find(aName) == nullptr;
+  });
   ScheduleStep();
 }
 
@@ -222,20 +227,69 @@
   return target;
 }
 
-order_result range_driver::OutcomeOf(const http_result& aResult) const
+std::string range_driver::NextRequestId()
 {
-  switch (aResult.mStatus) {
-    case http_status::kResponded:
-      return mProtocol.ReadOrderResponse(aResult.mResponse);
-    case http_status::kNotSent:
-      // The connection timeout is shorter than the call timeout, so this call
-      // was cut off at the order's send limit.
-      return aResult.mTimedOut ? order_result::kNotAttempted
-                               : order_result::kNotSent;
-    case http_status::kNoResponse:
-      return order_result::kNoResponse;
+  // No two leaderships have the same term.
+  return "order-" + std::to_string(mElection.Leadership().mTerm.Value()) + "-" +
+         std::to_string(mNextRequestNumber++);
+}
+
+order_response range_driver::ReadOutcome(const http_result& aResult) const
+{
+  order_response outcome;
+  if (aResult.mStatus == http_status::kNotSent) {
+    // The connection timeout is shorter than the call timeout, so a call that
+    // timed out was cut off at the order's send limit.
+    outcome.mResult =
+      aResult.mTimedOut ? order_result::kNotAttempted : order_result::kNotSent;
+    return outcome;
+  }
+  if (aResult.mStatus == http_status::kNoResponse) {
+    outcome.mResult = order_result::kNoResponse;
+    return outcome;
   }
-  return order_result::kNoResponse;
+  outcome = mProtocol.ReadOrderResponse(aResult.mResponse);
+  // Responses with the identifier of another order were skipped. One without
+  // may still be a repeated response to an earlier order on the connection.
+  if (outcome.mRequestId.empty() && aResult.mReused) {
+    outcome.mResult = outcome.mResult == order_result::kAccepted
+                        ? order_result::kUnverified
+                        : order_result::kNoResponse;
+  }
+  return outcome;
+}
+
+void range_driver::CallTarget(const order_address& aAddress,
+                              const http_request& aRequest,
+                              const std::string& aRequestId,
+                              duration aTimeout,
+                              time_point aSendUntil,
+                              connection_choice aConnection,
+                              order_callback aCallback)
+{
+  mConnections.Call(
+    ToDiscoveredTarget(aAddress),
+    aRequest,
+    aTimeout,
+    MonotonicNow(),
+    [this, target = aAddress.mTarget, callback = std::move(aCallback)](
+      const http_result& aResult) {
+      const order_response outcome = ReadOutcome(aResult);
+      if (aResult.mStatus == http_status::kResponded) {
+        if (outcome.mRequestId.empty()) {
+          mTargetsWithoutRequestIds.insert(target);
+        } else {
+          mTargetsWithoutRequestIds.erase(target);
+        }
+      }
+      callback(outcome);
+    },
+    [this, aRequestId](const http_response& aAnswer) {
+      const std::string id = mProtocol.ReadOrderResponse(aAnswer).mRequestId;
+      return id.empty() || id == aRequestId;
+    },
+    aSendUntil,
+    aConnection);
 }
 
 void range_driver::Execute(const service_name& aService,
@@ -270,18 +324,17 @@
     SendQueuedGrants(target, order_result::kNotAttempted);
     return;
   }
-  mConnections.Call(
-    ToDiscoveredTarget(aOrder.mAddress),
-    mProtocol.GrantRequest(aOrder),
-    std::min(kGrantTimeout, remaining),
-    now,
-    [this, aService, aOrder](const http_result& aResult) {
-      const order_result outcome = OutcomeOf(aResult);
-      HandleGrantOutcome(aService, aOrder, outcome);
-      SendQueuedGrants(aOrder.mAddress.mTarget, outcome);
-    },
-    nullptr,
-    aOrder.mSendUntil);
+  const std::string requestId = NextRequestId();
+  CallTarget(aOrder.mAddress,
+             mProtocol.GrantRequest(aOrder, requestId),
+             requestId,
+             std::min(kGrantTimeout, remaining),
+             aOrder.mSendUntil,
+             connection_choice::kAny,
+             [this, aService, aOrder](const order_response& aOutcome) {
+               HandleGrantOutcome(aService, aOrder, aOutcome.mResult);
+               SendQueuedGrants(aOrder.mAddress.mTarget, aOutcome.mResult);
+             });
 }
 
 void range_driver::SendQueuedGrants(const target_name& aTarget,
@@ -305,7 +358,8 @@
                                       const grant_order& aOrder,
                                       order_result aOutcome)
 {
-  if (aOutcome != order_result::kAccepted) {
+  if (aOutcome != order_result::kAccepted &&
+      aOutcome != order_result::kUnverified) {
     ++mCounters.mGrantsFailed;
     log_line(log_severity::kInfo, "grant_failed")
       .Add("service", aService.Value())
@@ -325,29 +379,33 @@
                            const release_order& aOrder)
 {
   ++mCounters.mReleases;
-  mConnections.Call(
-    ToDiscoveredTarget(aOrder.mAddress),
-    mProtocol.ReleaseRequest(aOrder),
-    kReleaseTimeout,
-    MonotonicNow(),
-    [this, aService, aOrder](const http_result& aResult) {
-      const order_result outcome = OutcomeOf(aResult);
-      const std::string handover = mProtocol.ReadHandover(aResult.mResponse);
-      mCounters.mReleasesFailed += outcome == order_result::kAccepted ? 0 : 1;
-      log_line(log_severity::kInfo, "keys_released")
-        .Add("service", aService.Value())
-        .Add("target", aOrder.mAddress.mTarget.Value())
-        .Add("from", uint64_t{ aOrder.mKeys.mFirst })
-        .Add("to", uint64_t{ aOrder.mKeys.mLast })
-        .Add("fence", aOrder.mFence.Value())
-        .Add("end", OrderOutcomeName(outcome));
-      if (range_controller* controller = FindController(aService)) {
-        controller->HandleReleaseResult(
-          aOrder.mId, outcome, handover, MonotonicNow());
-        ScheduleStep();
-      }
-    },
-    nullptr);
+  const std::string requestId = NextRequestId();
+  CallTarget(aOrder.mAddress,
+             mProtocol.ReleaseRequest(aOrder, requestId),
+             requestId,
+             kReleaseTimeout,
+             time_point::max(),
+             mTargetsWithoutRequestIds.contains(aOrder.mAddress.mTarget)
+               ? connection_choice::kNew
+               : connection_choice::kAny,
+             [this, aService, aOrder](const order_response& aOutcome) {
+               mCounters.mReleasesFailed +=
+                 aOutcome.mResult == order_result::kAccepted ? 0 : 1;
+               log_line(log_severity::kInfo, "keys_released")
+                 .Add("service", aService.Value())
+                 .Add("target", aOrder.mAddress.mTarget.Value())
+                 .Add("from", uint64_t{ aOrder.mKeys.mFirst })
+                 .Add("to", uint64_t{ aOrder.mKeys.mLast })
+                 .Add("fence", aOrder.mFence.Value())
+                 .Add("end", OrderOutcomeName(aOutcome.mResult));
+               if (range_controller* controller = FindController(aService)) {
+                 controller->HandleReleaseResult(aOrder.mId,
+                                                 aOutcome.mResult,
+                                                 aOutcome.mHandover,
+                                                 MonotonicNow());
+                 ScheduleStep();
+               }
+             });
 }
 
 void range_driver::Execute(const service_name& aService,
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -92,7 +92,19 @@
   void HandleGrantOutcome(const service_name& aService,
                           const grant_order& aOrder,
                           order_result aOutcome);
-  [[nodiscard]] order_result OutcomeOf(const http_result& aResult) const;
+  using order_callback = std::function<void(const order_response&)>;
+
+  /// Sends an order. `aRequestId`: identifier in `aRequest`.
+  void CallTarget(const order_address& aAddress,
+                  const http_request& aRequest,
+                  const std::string& aRequestId,
+                  duration aTimeout,
+                  time_point aSendUntil,
+                  connection_choice aConnection,
+                  order_callback aCallback);
+  [[nodiscard]] order_response ReadOutcome(const http_result& aResult) const;
+  /// Returns an identifier that no other order of any router has.
+  std::string NextRequestId();
   range_controller* FindController(const service_name& aService);
   discovered_target ToDiscoveredTarget(const order_address& aAddress) const;
 
@@ -105,6 +117,10 @@
   std::map<target_name, grant_queue> mGrantQueues;
   std::map<service_name, range_controller> mControllers;
   range_driver_counters mCounters;
+  uint64_t mNextRequestNumber = 1;
+  /// Targets whose last response to an order had no identifier. The response to
+  /// a release is then certain only on a new connection.
+  std::set<target_name> mTargetsWithoutRequestIds;
   /// Targets whose connections were found broken since the last step began.
   std::set<target_name> mBrokenTargets;
   record_handler mRecordHandler;
--- a/Parsleystair/Gateway/RequestProtocol.h
+++ b/Parsleystair/Gateway/RequestProtocol.h
@@ -94,6 +94,17 @@
     const std::string& aRequestId) const = 0;
 };
 
+/// Terms of a target's response to an order.
+struct order_response
+{
+  order_result mResult = order_result::kRejected;
+  /// Identifier of the order that the response belongs to; empty if absent.
+  std::string mRequestId;
+  /// State that the target hands over when it releases a range; empty if there
+  /// is none.
+  std::string mHandover;
+};
+
 /// Encoding of the orders by which targets are granted key ranges and release
 /// them.
 class order_protocol
@@ -101,15 +112,14 @@
 public:
   virtual ~order_protocol() = default;
 
+  /// `aRequestId`: identifier that the target echoes in its response.
   [[nodiscard]] virtual http_request GrantRequest(
-    const grant_order& aOrder) const = 0;
+    const grant_order& aOrder,
+    const std::string& aRequestId) const = 0;
   [[nodiscard]] virtual http_request ReleaseRequest(
-    const release_order& aOrder) const = 0;
-  [[nodiscard]] virtual order_result ReadOrderResponse(
-    const http_response& aAnswer) const = 0;
-  /// Returns the state that the target hands over when it releases a range;
-  /// empty if there is none.
-  [[nodiscard]] virtual std::string ReadHandover(
+    const release_order& aOrder,
+    const std::string& aRequestId) const = 0;
+  [[nodiscard]] virtual order_response ReadOrderResponse(
     const http_response& aAnswer) const = 0;
 };
 
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -32,6 +32,7 @@
 
 std::unique_ptr<http_connection> target_connections::TakeConnection(
   const discovered_target& aTarget,
+  connection_choice aChoice,
   time_point aNow)
 {
   const auto [position, isNew] = mPools.try_emplace(aTarget.mName);
@@ -44,7 +45,7 @@
     targetPool.mPort = aTarget.mPort;
     targetPool.mIdle.clear();
   }
-  while (!targetPool.mIdle.empty()) {
+  while (aChoice == connection_choice::kAny && !targetPool.mIdle.empty()) {
     idle_connection candidate = std::move(targetPool.mIdle.back());
     targetPool.mIdle.pop_back();
     const bool isFresh =
@@ -65,12 +66,13 @@
                                  time_point aNow,
                                  callback aCallback,
                                  response_filter aFilter,
-                                 time_point aSendUntil)
+                                 time_point aSendUntil,
+                                 connection_choice aConnection)
 {
   const call_id id(mNextCall++);
   active_call& call = mCalls[id];
   call.mTarget = aTarget.mName;
-  call.mConnection = TakeConnection(aTarget, aNow);
+  call.mConnection = TakeConnection(aTarget, aConnection, aNow);
   ++mPools[aTarget.mName].mActiveCalls;
   call.mCallback = std::move(aCallback);
   call.mConnection->Call(
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -12,6 +12,15 @@
 /// Identifies one call to a target.
 using call_id = strong_id<struct call_tag, uint64_t>;
 
+/// Connection that a call uses.
+enum class connection_choice
+{
+  /// An idle connection, or a new one if no idle connection is usable.
+  kAny,
+  /// A connection that no earlier call has used.
+  kNew,
+};
+
 /// Pools of HTTP connections from one router to its targets. Connections stay
 /// open between calls and are reused.
 class target_connections
@@ -26,15 +35,15 @@
                      const http_connection_settings& aSettings,
                      duration aDefaultKeepAlive);
 
-  /// Sends a request over an idle connection, or over a new one if no idle
-  /// connection is usable. Nothing of the request is sent after `aSendUntil`.
+  /// Sends a request. Nothing of it is sent after `aSendUntil`.
   call_id Call(const discovered_target& aTarget,
                const http_request& aRequest,
                duration aTimeout,
                time_point aNow,
                callback aCallback,
                response_filter aFilter,
-               time_point aSendUntil = time_point::max());
+               time_point aSendUntil = time_point::max(),
+               connection_choice aConnection = connection_choice::kAny);
 
   /// Cancels a call without calling its callback and closes its connection.
   /// Most targets drop a request when its connection closes.
@@ -92,6 +101,7 @@
 
   std::unique_ptr<http_connection> TakeConnection(
     const discovered_target& aTarget,
+    connection_choice aChoice,
     time_point aNow);
   void HandleResult(call_id aCall, http_result aResult);
 
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -66,6 +66,9 @@
 enum class order_result
 {
   kAccepted,
+  /// A response says that the target accepted the order, but it may be a
+  /// repeated response to an earlier order on the same connection.
+  kUnverified,
   /// The target refused the order, as it knows a higher fence for some of the
   /// keys.
   kFenced,
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -206,9 +206,11 @@
       }
     }
   }
-  if (aResult == order_result::kAccepted) {
+  if (aResult == order_result::kAccepted ||
+      aResult == order_result::kUnverified) {
     owner.mFailingSince.reset();
-    if (grant.mFence.Value() >= mFirstOwnFence) {
+    if (aResult == order_result::kAccepted &&
+        grant.mFence.Value() >= mFirstOwnFence) {
       RemoveFormerLeaderGrants(grant.mTarget, grant.mKeys);
     }
     return;
--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -100,7 +100,10 @@
     });
     mHeld.push_back(keys);
   }
-  mServer.Respond(aExchange, { fenced ? kConflict : kOk, {}, "" });
+  mServer.Respond(aExchange,
+                  { fenced ? kConflict : kOk,
+                    { { "X-Request-Id", Header(aRequest, "X-Request-Id") } },
+                    "" });
 }
 
 void keyed_target::HandleRelease(exchange_id aExchange,
@@ -125,7 +128,11 @@
   }
   rest.push_back({ from, to, body.at("fence").get<uint64_t>(), {} });
   mHeld = std::move(rest);
-  mServer.Respond(aExchange, { kOk, { { "X-Handover", "state" } }, "" });
+  mServer.Respond(aExchange,
+                  { kOk,
+                    { { "X-Request-Id", Header(aRequest, "X-Request-Id") },
+                      { "X-Handover", "state" } },
+                    "" });
 }
 
 void keyed_target::Refuse(exchange_id aExchange, uint32_t aStatus)
--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -35,10 +35,11 @@
 {
 public:
   [[nodiscard]] http_request GrantRequest(
-    const grant_order& aOrder) const override
+    const grant_order& aOrder,
+    const std::string& aRequestId) const override
   {
     std::this_thread::sleep_for(aOrder.mSendUntil - MonotonicNow() + 10ms);
-    return wire_orders::GrantRequest(aOrder);
+    return wire_orders::GrantRequest(aOrder, aRequestId);
   }
 };
 
@@ -234,6 +235,143 @@
     RunUntil([&] { return mDriver->Counters().mRecordWrites > 0; }, 200ms));
 }
 
+// Guards against two owners of one key: a target repeats its response to an
+// earlier order on the kept connection, at the point where the response to a
+// release is expected.
+TEST_F(range_driver_test, RepeatedResponseOfAnEarlierOrderIsNoRelease)
+{
+  std::string last;
+  std::vector<scripted_target::received_order> releases;
+  mTarget.OnOrder([&](const scripted_target::received_order& aOrder) {
+    if (aOrder.IsRelease()) {
+      releases.push_back(aOrder);
+    } else {
+      last = scripted_target::Response(200, aOrder.Id());
+    }
+    mTarget.Send(aOrder.mConnection, last);
+  });
+  StartDriver(1);
+  ASSERT_TRUE(RunUntil([&] { return !last.empty(); }));
+  RunFor(20ms);
+  UpdateTargets(true);
+  ASSERT_TRUE(RunUntil([&] { return !releases.empty(); }));
+  EXPECT_EQ(releases[0].mConnection, mTarget.Orders()[0].mConnection);
+  RunFor(200ms);
+  EXPECT_EQ(mDriver->Counters().mRecordWrites, 0u);
+  // The response that belongs to the release frees the keys.
+  mTarget.Send(releases[0].mConnection,
+               scripted_target::Response(200, releases[0].Id()));
+  EXPECT_TRUE(
+    RunUntil([&] { return mDriver->Counters().mRecordWrites > 0; }, 1s));
+  EXPECT_EQ(releases.size(), 1u);
+}
+
+// Guards against the same for a response that doesn't tell to which order it
+// belongs. The release is sent again on a connection without earlier orders.
+TEST_F(range_driver_test, ResponseWithoutIdOnAKeptConnectionIsNoRelease)
+{
+  std::vector<scripted_target::received_order> releases;
+  mTarget.OnOrder([&](const scripted_target::received_order& aOrder) {
+    if (aOrder.IsRelease()) {
+      EXPECT_EQ(mDriver->Counters().mRecordWrites, 0u);
+      releases.push_back(aOrder);
+    }
+    mTarget.Send(
+      aOrder.mConnection,
+      scripted_target::Response(200, aOrder.IsRelease() ? "" : aOrder.Id()));
+  });
+  StartDriver(1);
+  ASSERT_TRUE(RunUntil([&] { return !mTarget.Orders().empty(); }));
+  RunFor(20ms);
+  UpdateTargets(true);
+  EXPECT_TRUE(
+    RunUntil([&] { return mDriver->Counters().mRecordWrites > 0; }, 2s));
+  ASSERT_EQ(releases.size(), 2u);
+  EXPECT_EQ(releases[0].mConnection, mTarget.Orders()[0].mConnection);
+  EXPECT_NE(releases[1].mConnection, releases[0].mConnection);
+}
+
+// Guards against a second release for each move if a target never echoes the
+// identifiers of orders, and against reading its repeated responses as those of
+// releases.
+TEST_F(range_driver_test, TargetWithoutIdsGetsReleasesOnNewConnections)
+{
+  std::vector<scripted_target::received_order> releases;
+  mTarget.OnOrder([&](const scripted_target::received_order& aOrder) {
+    if (aOrder.IsRelease()) {
+      releases.push_back(aOrder);
+      return;
+    }
+    mTarget.Send(aOrder.mConnection, scripted_target::Response(200, ""));
+  });
+  StartDriver(1);
+  // Renewals use the kept connection.
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 2; }));
+  const size_t kept = mTarget.Orders()[0].mConnection;
+  EXPECT_EQ(mTarget.Orders()[1].mConnection, kept);
+  RunFor(20ms);
+  UpdateTargets(true);
+  ASSERT_TRUE(RunUntil([&] { return !releases.empty(); }));
+  EXPECT_NE(releases[0].mConnection, kept);
+  mTarget.Send(kept, scripted_target::Response(200, ""));
+  RunFor(200ms);
+  EXPECT_EQ(mDriver->Counters().mRecordWrites, 0u);
+  mTarget.Send(releases[0].mConnection, scripted_target::Response(200, ""));
+  EXPECT_TRUE(
+    RunUntil([&] { return mDriver->Counters().mRecordWrites > 0; }, 1s));
+  EXPECT_EQ(releases.size(), 1u);
+}
+
+// Guards against the same when the repeated response arrives before the release
+// is sent.
+TEST_F(range_driver_test, RepeatedResponseOnAnIdleConnectionIsNoRelease)
+{
+  scripted_target::received_order grant;
+  std::vector<scripted_target::received_order> releases;
+  mTarget.OnOrder([&](const scripted_target::received_order& aOrder) {
+    if (aOrder.IsRelease()) {
+      releases.push_back(aOrder);
+      return;
+    }
+    grant = aOrder;
+    mTarget.Send(aOrder.mConnection,
+                 scripted_target::Response(200, aOrder.Id()));
+  });
+  StartDriver(1);
+  ASSERT_TRUE(RunUntil([&] { return !mTarget.Orders().empty(); }));
+  RunFor(20ms);
+  mTarget.Send(grant.mConnection, scripted_target::Response(200, grant.Id()));
+  RunFor(20ms);
+  UpdateTargets(true);
+  ASSERT_TRUE(RunUntil([&] { return !releases.empty(); }));
+  RunFor(200ms);
+  EXPECT_EQ(mDriver->Counters().mRecordWrites, 0u);
+  EXPECT_NE(releases[0].mConnection, grant.mConnection);
+}
+
+// Guards against a change of fences, and a write of the record, for a refusal
+// that the target repeats on the kept connection.
+TEST_F(range_driver_test, RepeatedRefusalOfAnEarlierOrderChangesNoFence)
+{
+  std::string repeated;
+  mTarget.OnOrder([&](const scripted_target::received_order& aOrder) {
+    mTarget.Send(aOrder.mConnection,
+                 repeated + scripted_target::Response(200, aOrder.Id()));
+  });
+  StartDriver(1);
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 1; }));
+  repeated = scripted_target::Response(409, mTarget.Orders()[0].Id());
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 2; }));
+  repeated.clear();
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 3; }));
+  EXPECT_EQ(mDriver->Counters().mRecordWrites, 0u);
+  EXPECT_EQ(mDriver->Counters().mGrantsFailed, 0u);
+  // The connection with the repeated response was not used again.
+  EXPECT_EQ(mTarget.Orders()[0].mConnection, mTarget.Orders()[1].mConnection);
+  EXPECT_NE(mTarget.Orders()[1].mConnection, mTarget.Orders()[2].mConnection);
+  EXPECT_NE(mTarget.Orders()[0].Id(), mTarget.Orders()[1].Id());
+}
+
 // Guards against queued grants that leave after the time with which the next
 // leader counts: the keys then have another owner.
 TEST_F(range_driver_test, QueuedGrantsAreDroppedAtTheirSendLimit)
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -190,7 +190,8 @@
 // expiry of its grant frees them then.
 TEST_F(range_controller_test, OnlyAnAcceptedReleaseFreesKeysBeforeTheExpiry)
 {
-  for (const order_result result : { order_result::kRejected,
+  for (const order_result result : { order_result::kUnverified,
+                                     order_result::kRejected,
                                      order_result::kFenced,
                                      order_result::kNotSent,
                                      order_result::kNotAttempted,
@@ -307,4 +308,70 @@
   EXPECT_TRUE(written);
 }
 
+// Guards against a safety conclusion from a response that may belong to an
+// earlier order: a new leader takes the grants of former leaders to be replaced
+// only if the target has certainly accepted a newer one.
+TEST_F(range_controller_test, UnverifiedGrantReplacesNoFormerGrant)
+{
+  for (const order_result result :
+       { order_result::kUnverified, order_result::kAccepted }) {
+    SCOPED_TRACE(static_cast<int>(result));
+    AssignKeysToBothTargets();
+    const range_record record = mController.Record();
+    const range_settings settings;
+    const time_point elected = mNow;
+    range_controller next{ settings };
+    next.HandleRecord(record, store_revision(mRevision));
+    next.StartLeading({ term_number(2), elected, elected });
+    const auto update = [&](size_t aFirst) {
+      std::vector<const known_target*> pointers;
+      for (size_t i = aFirst; i < mTargets.size(); ++i) {
+        pointers.push_back(&mTargets[i]);
+      }
+      next.HandleTargets(pointers, mNow);
+    };
+    update(0);
+    // Target `a` gets a new fence, which no former leader knows, by a restart.
+    ++mTargets[0].mTarget.mStartedMs;
+    update(0);
+    std::optional<time_point> freed;
+    bool granted = false;
+    while (mNow < elected + 14s && !freed) {
+      next.HandleLeadershipConfirmed(mNow);
+      for (const range_action& action : next.Step(mNow)) {
+        if (const auto* write = std::get_if<write_record>(&action)) {
+          const bool withoutA =
+            std::none_of(write->mRecord.mRanges.begin(),
+                         write->mRecord.mRanges.end(),
+                         [](const owned_range& aRange) {
+                           return aRange.mOwner.mName == target_name("a");
+                         });
+          if (withoutA) {
+            freed = mNow;
+          }
+          next.HandleWriteResult(
+            write->mId, true, store_revision(++mRevision), mNow);
+        } else if (const auto* grant = std::get_if<grant_order>(&action)) {
+          granted = granted || grant->mAddress.mTarget == target_name("a");
+          next.HandleGrantResult(grant->mId, result, mNow);
+        } else if (const auto* release = std::get_if<release_order>(&action)) {
+          next.HandleReleaseResult(
+            release->mId, order_result::kNoResponse, "", mNow);
+        }
+      }
+      mNow += 100ms;
+      if (granted) {
+        update(1);
+      }
+    }
+    ASSERT_TRUE(granted);
+    ASSERT_TRUE(freed);
+    const auto hold = std::chrono::duration_cast<duration>(
+      settings.mGrantDuration * settings.mClockDriftFactor);
+    const time_point formerExpiry =
+      elected + settings.mMaxConfirmationAgeToRenew + hold;
+    EXPECT_EQ(*freed >= formerExpiry, result == order_result::kUnverified);
+  }
+}
+
 } // namespace parsleystair
