Test the loss and return of a target whose state is dropped

The controller drops the state of a target that is neither registered nor in the record, with the time of its last grant and its fences.

No change is needed: the record stops naming an owner only when the owner has released its keys, and then refuses older fences, or when all its grants have expired, and a new assignment has a fence above all earlier ones.

--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -374,4 +374,125 @@
   }
 }
 
+// Guards against two owners of one key, and against a fence that doesn't rise,
+// when a target's entry is lost and comes back while grants are on their way:
+// the state of a target without an entry and without keys in the record is
+// dropped, with the time of its last grant and its fences.
+TEST_F(range_controller_test, TargetWhoseStateWasDroppedGetsKeysAgain)
+{
+  struct event
+  {
+    time_point mAt;
+    std::function<void()> mRun;
+  };
+  for (const bool releases : { true, false }) {
+    for (const bool restarts : { true, false }) {
+      for (duration away = 200ms; away <= 8s; away += 300ms) {
+        SCOPED_TRACE(ToSeconds(away));
+        mTargets = { MakeTarget("a", 1), MakeTarget("b", 2) };
+        mController = range_controller(range_settings());
+        mController.StartLeading({ term_number(1), mNow, mNow });
+        std::map<target_name, range_target> held;
+        std::vector<event> events;
+        std::map<uint32_t, std::pair<target_name, fence>> last;
+        uint64_t incarnationOfA = 0;
+        const time_point lostAt = mNow + 4s;
+        const time_point backAt = lostAt + away;
+        const time_point end = backAt + 8s;
+        bool isLost = false;
+        for (; mNow < end; mNow += 20ms) {
+          if (mNow >= lostAt && mNow < backAt && !isLost) {
+            isLost = true;
+            mTargets.erase(mTargets.begin());
+          } else if (mNow >= backAt && isLost) {
+            isLost = false;
+            mTargets.insert(mTargets.begin(), MakeTarget("a", 1));
+            if (restarts) {
+              mTargets[0].mTarget.mStartedMs += 1000;
+              held[target_name("a")] = {};
+              ++incarnationOfA;
+            }
+            // The keys must go back to `a`.
+            mTargets[1].mTarget.mDraining = true;
+          }
+          UpdateTargets();
+          std::vector<event> later;
+          const std::vector<event> due = std::exchange(events, {});
+          for (const event& each : due) {
+            if (each.mAt <= mNow) {
+              each.mRun();
+            } else {
+              later.push_back(each);
+            }
+          }
+          events.insert(events.end(), later.begin(), later.end());
+          for (const range_action& action : Step()) {
+            if (const auto* grant = std::get_if<grant_order>(&action)) {
+              const target_name& to = grant->mAddress.mTarget;
+              const grant_order order = *grant;
+              if (to == target_name("a") && mNow >= lostAt - 1s &&
+                  mNow < backAt) {
+                // It isn't answered, and arrives as late as it can.
+                events.push_back(
+                  { mNow + 600ms, [this, order] {
+                     mController.HandleGrantResult(
+                       order.mId, order_result::kNoResponse, mNow);
+                   } });
+                events.push_back(
+                  { mNow + 880ms, [&, order, life = incarnationOfA] {
+                     if (life == incarnationOfA) {
+                       held[order.mAddress.mTarget].HandleGrant(order, mNow);
+                     }
+                   } });
+                continue;
+              }
+              mController.HandleGrantResult(
+                order.mId, held[to].HandleGrant(order, mNow), mNow);
+            } else if (const auto* release =
+                         std::get_if<release_order>(&action)) {
+              const release_order order = *release;
+              if (order.mAddress.mTarget == target_name("a") && !releases) {
+                events.push_back(
+                  { mNow + 600ms, [this, order] {
+                     mController.HandleReleaseResult(
+                       order.mId, order_result::kNoResponse, "", mNow);
+                   } });
+                continue;
+              }
+              mController.HandleReleaseResult(
+                order.mId,
+                held[order.mAddress.mTarget].HandleRelease(order),
+                "",
+                mNow);
+            }
+          }
+          for (uint32_t sample = 0; sample < kSampleCount; ++sample) {
+            const auto a = held[target_name("a")].HeldFence(sample, mNow);
+            const auto b = held[target_name("b")].HeldFence(sample, mNow);
+            ASSERT_FALSE(a && b) << SampleKey(sample);
+            if (!a && !b) {
+              continue;
+            }
+            const target_name holder(a ? "a" : "b");
+            const fence number = a ? *a : *b;
+            const auto [found, isFirst] =
+              last.try_emplace(sample, holder, number);
+            if (!isFirst) {
+              ASSERT_TRUE(found->second.first == holder
+                            ? number >= found->second.second
+                            : number > found->second.second);
+              found->second = { holder, number };
+            }
+          }
+        }
+        // A new process gets keys at once. A target whose last grant failed
+        // gets none before a grant succeeds.
+        for (uint32_t sample = 0; sample < kSampleCount && restarts; ++sample) {
+          EXPECT_TRUE(held[target_name("a")].HeldFence(sample, mNow));
+        }
+      }
+    }
+  }
+}
+
 } // namespace parsleystair
