Test a fence change during a former leader's release

A new fence for an owner is recorded at once, although a release of a former leader may be pending at the owner. This is harmless: the keys stay with the owner, the former leader can't record another one as its write is conditional on its leadership and on the record's revision, and a late copy of its release interrupts the keys at most until the next renewal, within 0.8 s. The test walks through this case.

--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -495,4 +495,88 @@
   }
 }
 
+// Guards against two owners of one key when a new leader gives an owner a new
+// fence while a release of the former leader is pending at it. The owner keeps
+// the keys, and the former leader can't record another one.
+TEST_F(range_controller_test, FenceChangeIsSafeDuringAFormerLeadersRelease)
+{
+  Step();
+  std::map<target_name, range_target> held;
+  const auto execute = [&](range_controller& aLeader, const auto& aGrant) {
+    aLeader.HandleGrantResult(
+      aGrant.mId,
+      held[aGrant.mAddress.mTarget].HandleGrant(aGrant, mNow),
+      mNow);
+  };
+  for (const grant_order& grant : Orders<grant_order>()) {
+    execute(mController, grant);
+  }
+  const range_record record = mController.Record();
+  const store_revision revision(mRevision);
+  mTargets[0].mTarget.mDraining = true;
+  UpdateTargets();
+  const auto releases = Orders<release_order>();
+  ASSERT_EQ(releases.size(), 1u);
+  uint32_t sample = 0;
+  while (!releases[0].mKeys.Contains(SampleKey(sample))) {
+    ++sample;
+  }
+  // The owner stops new work and will respond when the running work has ended.
+  held[target_name("a")].HandleRelease(releases[0]);
+
+  range_controller next{ range_settings() };
+  next.HandleRecord(record, revision);
+  next.StartLeading({ term_number(2), mNow, mNow });
+  next.HandleFormerLeadersGone(mNow);
+  mTargets[0].mTarget.mDraining = false;
+  next.HandleTargets({ &mTargets[0], &mTargets[1] }, mNow);
+  const auto run = [&](duration aTime) {
+    for (const time_point until = mNow + aTime; mNow < until; mNow += 20ms) {
+      next.HandleLeadershipConfirmed(mNow);
+      for (const range_action& action : next.Step(mNow)) {
+        if (const auto* grant = std::get_if<grant_order>(&action)) {
+          execute(next, *grant);
+        } else if (const auto* write = std::get_if<write_record>(&action)) {
+          next.HandleWriteResult(
+            write->mId, true, store_revision(++mRevision), mNow);
+        } else {
+          ADD_FAILURE() << "the new leader moves keys";
+        }
+      }
+    }
+  };
+  run(200ms);
+  // The new leader has changed the fence, and the owner serves again.
+  const auto heldByOwner = held[target_name("a")].HeldFence(sample, mNow);
+  ASSERT_TRUE(heldByOwner);
+  EXPECT_GE(*heldByOwner, releases[0].mFence);
+  EXPECT_EQ(next.Record().mRanges.size(), 2u);
+
+  // The response to the release reaches the former leader, which doesn't know
+  // yet that it has a successor. Its write is conditional on its leadership and
+  // on the old revision, so the store refuses it.
+  mController.HandleReleaseResult(
+    releases[0].mId, order_result::kAccepted, "", mNow);
+  size_t writes = 0;
+  for (const range_action& action : mController.Step(mNow)) {
+    if (const auto* write = std::get_if<write_record>(&action)) {
+      ++writes;
+      EXPECT_LT(write->mExpectedRevision, store_revision(mRevision));
+      mController.HandleWriteResult(write->mId, false, {}, mNow);
+    } else if (const auto* grant = std::get_if<grant_order>(&action)) {
+      EXPECT_EQ(grant->mAddress.mTarget, target_name("b"));
+      EXPECT_EQ(FindRange(record, grant->mKeys.mFirst)->mOwner.mName,
+                target_name("b"));
+    }
+  }
+  EXPECT_EQ(writes, 1u);
+
+  // A copy of the release that arrives late interrupts the keys at most until
+  // the next renewal.
+  held[target_name("a")].HandleRelease(releases[0]);
+  run(1s);
+  EXPECT_TRUE(held[target_name("a")].HeldFence(sample, mNow));
+  EXPECT_FALSE(held[target_name("b")].HeldFence(sample, mNow));
+}
+
 } // namespace parsleystair
