--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -100,7 +100,19 @@
                           order_result aOutcome,
                           const http_result* aResult = nullptr);
   void HandleReadyMove(const service_name& aService, const ready_move& aMove);
-  [[nodiscard]] order_result OutcomeOf(const http_result& aResult) const;
+  using order_callback =
+    std::function<void(const order_response&, const http_result&)>;
+
+  /// Sends an order. `aRequestId`: identifier in `aRequest`.
+  void CallTarget(const order_address& aAddress,
+                  const http_request& aRequest,
+                  const std::string& aRequestId,
+                  duration aTimeout,
+                  const call_options& aOptions,
+                  order_callback aCallback);
+  [[nodiscard]] order_response ReadOutcome(const http_result& aResult) const;
+  /// Returns an identifier that no other order of any router has.
+  std::string NextRequestId();
   range_controller* FindController(const service_name& aService);
   discovered_target ToDiscoveredTarget(const order_address& aAddress) const;
 
@@ -113,6 +125,10 @@
   std::map<target_name, grant_queue> mGrantQueues;
   std::map<service_name, range_controller> mControllers;
   range_driver_counters mCounters;
+  uint64_t mNextRequestNumber = 1;
+  /// Targets whose last response to an order had no identifier. The response to
+  /// a release is then certain only on a new connection.
+  std::set<target_name> mTargetsWithoutRequestIds;
   /// Targets whose connections were found broken since the last step began.
   std::set<target_name> mBrokenTargets;
   record_handler mRecordHandler;
