--- a/UnitTests/KeyRanges/RangeTarget.h
+++ b/UnitTests/KeyRanges/RangeTarget.h
@@ -22,7 +22,14 @@
 class range_target
 {
 public:
-  order_result HandleGrant(const grant_order& aOrder, time_point aNow)
+  /// Time for which a target with a clock that runs 2 % slow holds a grant.
+  static duration HoldTime(const grant_order& aOrder)
+  {
+    return std::chrono::duration_cast<duration>(aOrder.mGrantDuration * 1.02);
+  }
+
+  /// A grant may be applied after newer ones. Its hold counts from its arrival.
+  order_result HandleGrant(const grant_order& aOrder, time_point aArrivedAt)
   {
     for (uint32_t sample = 0; sample < kSampleCount; ++sample) {
       if (aOrder.mKeys.Contains(SampleKey(sample)) &&
@@ -30,16 +37,27 @@
         return order_result::kFenced;
       }
     }
-    // The target's clock may run 2 % slow, so its grant lasts longer.
-    const auto hold =
-      std::chrono::duration_cast<duration>(aOrder.mGrantDuration * 1.02);
-    SetKeys(aOrder.mKeys, aOrder.mFence, aNow + hold);
+    for (uint32_t sample = 0; sample < kSampleCount; ++sample) {
+      if (aOrder.mKeys.Contains(SampleKey(sample))) {
+        sample_state& state = mSamples[sample];
+        state = { aOrder.mFence,
+                  aOrder.mFence,
+                  std::max(state.mExpiry, aArrivedAt + HoldTime(aOrder)) };
+      }
+    }
     return order_result::kAccepted;
   }
 
   order_result HandleRelease(const release_order& aOrder)
   {
-    SetKeys(aOrder.mKeys, aOrder.mFence, time_point::min());
+    for (uint32_t sample = 0; sample < kSampleCount; ++sample) {
+      if (aOrder.mKeys.Contains(SampleKey(sample))) {
+        sample_state& state = mSamples[sample];
+        state = { std::max(state.mHighestFence, aOrder.mFence),
+                  aOrder.mFence,
+                  time_point::min() };
+      }
+    }
     return order_result::kAccepted;
   }
 
@@ -52,6 +70,14 @@
                                 : std::nullopt;
   }
 
+  /// End of the hold of a sample key; no value if it is not held.
+  [[nodiscard]] std::optional<time_point> HeldUntil(uint32_t aSample,
+                                                    time_point aNow) const
+  {
+    const time_point expiry = mSamples[aSample].mExpiry;
+    return expiry > aNow ? std::optional(expiry) : std::nullopt;
+  }
+
 private:
   struct sample_state
   {
@@ -60,18 +86,6 @@
     time_point mExpiry = time_point::min();
   };
 
-  void SetKeys(const key_interval& aKeys,
-               const fence& aFence,
-               time_point aUntil)
-  {
-    for (uint32_t sample = 0; sample < kSampleCount; ++sample) {
-      if (aKeys.Contains(SampleKey(sample))) {
-        sample_state& state = mSamples[sample];
-        state = { std::max(state.mHighestFence, aFence), aFence, aUntil };
-      }
-    }
-  }
-
   std::array<sample_state, kSampleCount> mSamples;
 };
 
