Strand former leaders with a target in the state test

Single faults rarely met in the order that a former leader needs to go on renewing grants. Three faults of LeadershipState combine them: the leader is isolated together with a target, keeps a small part of its store calls, or routers learn late that they were elected.

--- a/UnitTests/Gateway/LeadershipSimulation.h
+++ b/UnitTests/Gateway/LeadershipSimulation.h
@@ -112,6 +112,47 @@
     TraceFault("turns away " + SimulatedHost(router), each.mTurnedAwayUntil);
   }
 
+  /// Cuts the leader from the store and from all routers, and a target from
+  /// all routers but the leader. The leases may expire before.
+  void IsolateLeaderWithTarget(uint32_t aTarget, uint32_t aMilliseconds)
+  {
+    KeepTargetWithLeader(aTarget, 13'999);
+    if (aTarget / 64 % 3 == 0) {
+      mStore.ExpireLeases(time_point::max());
+    }
+    Isolate(mLastLeader, duration(1ms) * (5000 + aMilliseconds % 7000));
+  }
+
+  /// Refuses most calls of the leader, delays its watches, and cuts it from all
+  /// routers. Some of its calls reach the store after another router leads.
+  void StrandLeader(uint32_t aTarget, uint32_t aMilliseconds)
+  {
+    KeepTargetWithLeader(aTarget, 13'999);
+    const duration time = duration(1ms) * (4000 + aMilliseconds % 8000);
+    CutFromRouters(mLastLeader, time);
+    router_place& each = mRouters[mLastLeader];
+    each.mTurnedAwayUntil = Now() + time;
+    each.mTurnedAwayPercent = 40 + aMilliseconds / 64 % 55;
+    each.mWatchDelay = duration(1ms) * (aTarget / 64 % 10'000);
+    each.mWatchesSlowUntil = Now() + time;
+  }
+
+  /// The leader's process ends, and routers learn late that they are elected.
+  void DelayElectionNews(uint32_t aTarget, uint32_t aMilliseconds)
+  {
+    CutTarget(aTarget, 13'999);
+    LoseResponses(59, aMilliseconds);
+    EndRouter(ChooseRouter(0));
+    mEvents.Schedule(Now() + 3s,
+                     [this, router = mLastLeader] { StartRouter(router); });
+    for (router_place& each : mRouters) {
+      if (mRandom.Percent(60)) {
+        each.mWatchDelay = mRandom.Between(1s, 9s);
+        each.mWatchesSlowUntil = Now() + 10s;
+      }
+    }
+  }
+
   /// Cuts a router from the store and from all routers, but from no target.
   void IsolateRouter(uint32_t aRouter, uint32_t aMilliseconds)
   {
@@ -297,9 +338,7 @@
 
   void Isolate(size_t aRouter, duration aTime)
   {
-    for (size_t i = 0; i < mRouters.size(); ++i) {
-      mCutUntil[PathOf(RouterNode(aRouter), RouterNode(i))] = Now() + aTime;
-    }
+    CutFromRouters(aRouter, aTime);
     CutPath(RouterNode(aRouter), kStoreNode, aTime);
   }
 
@@ -425,6 +464,15 @@
     return entries;
   }
 
+  void CutFromRouters(size_t aRouter, duration aTime)
+  {
+    for (size_t i = 0; i < mRouters.size(); ++i) {
+      mCutUntil[PathOf(RouterNode(aRouter), RouterNode(i))] = Now() + aTime;
+    }
+    TraceFault("cuts " + SimulatedHost(aRouter) + " from all routers",
+               Now() + aTime);
+  }
+
   void CutPath(node aLeft, node aRight, duration aTime)
   {
     time_point& until = mCutUntil[PathOf(aLeft, aRight)];
--- a/UnitTests/Gateway/SimulatedRouter.h
+++ b/UnitTests/Gateway/SimulatedRouter.h
@@ -449,7 +449,7 @@
   }
 
   void CallLease(std::function<lease_reply(simulated_store&)> aCall,
-                 std::function<void(const lease_reply&)> aHandler)
+                 const std::function<void(const lease_reply&)>& aHandler)
   {
     mNetwork.CallStore(
       mRun,
@@ -462,7 +462,7 @@
   }
 
   void Write(const conditional_write& aWrite,
-             std::function<void(const write_reply&)> aHandler)
+             const std::function<void(const write_reply&)>& aHandler)
   {
     mNetwork.CallStore(
       mRun,
