Believe a refusal only if it answers this attempt

Cause: a response without a request id was taken for the current request's; and a retry at the same target went over the connection on which the first attempt had been refused, where a copy of that refusal bears the right id.

Change: a response without an id counts only if it is the first on its connection; a retry at a target that was tried before, a request without an id and a health check, whose response bears no id, use a new connection, which takes the place of an idle one.

After: both tests pass, as do CutAnswerNeverLooksWhole, gateway_test and target_connections_test: 28 of 28.

--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -81,8 +81,17 @@
   ++mCounters.mAttempts;
   ++aRequest.mAttemptCount;
   const discovered_target& target = aTarget.mTarget;
-  aRequest.mAttemptedTargets.push_back(target.mName);
   const std::string& requestId = aRequest.mTerms.mRequestId;
+  // On a connection that carried an earlier attempt of the request, a copy of
+  // the response to that attempt would bear the right id.
+  const auto& attempted = aRequest.mAttemptedTargets;
+  const bool isRepeat =
+    std::find(attempted.begin(), attempted.end(), target.mName) !=
+    attempted.end();
+  const connection_choice choice = isRepeat || requestId.empty()
+                                     ? connection_choice::kNew
+                                     : connection_choice::kAny;
+  aRequest.mAttemptedTargets.push_back(target.mName);
   const forward_id id = aRequest.mId;
   const auto expected = std::make_shared<call_id>();
   const call_id call = mConnections.Call(
@@ -93,10 +102,13 @@
     [this, id, expected](http_result aResult) {
       HandleResult(id, *expected, std::move(aResult));
     },
-    [this, requestId, name = target.mName](const http_response& aAnswer) {
+    [this, requestId, name = target.mName](const http_response& aAnswer,
+                                           bool aIsFirst) {
       const response_metadata terms = mProtocol.ReadResponse(aAnswer, name);
-      return terms.mRequestId.empty() || terms.mRequestId == requestId;
-    });
+      return terms.mRequestId.empty() ? aIsFirst
+                                      : terms.mRequestId == requestId;
+    },
+    choice);
   *expected = call;
   const attempt_id send =
     mBalancer.HandleSent(target.mName, aRequest.mService, aNow);
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -177,7 +177,10 @@
         .Add("healthy", healthy);
       mBalancer.HandleHealthCheck(aTarget, healthy, MonotonicNow());
     },
-    nullptr);
+    nullptr,
+    // Responses to health checks bear no id by which a copy of an earlier one
+    // could be told apart.
+    connection_choice::kNew);
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -32,7 +32,8 @@
 
 std::unique_ptr<http_connection> target_connections::TakeConnection(
   const discovered_target& aTarget,
-  time_point aNow)
+  time_point aNow,
+  connection_choice aChoice)
 {
   const auto [position, isNew] = mPools.try_emplace(aTarget.mName);
   pool& targetPool = position->second;
@@ -44,7 +45,10 @@
     targetPool.mPort = aTarget.mPort;
     targetPool.mIdle.clear();
   }
-  while (!targetPool.mIdle.empty()) {
+  if (aChoice == connection_choice::kNew && !targetPool.mIdle.empty()) {
+    targetPool.mIdle.erase(targetPool.mIdle.begin());
+  }
+  while (aChoice == connection_choice::kAny && !targetPool.mIdle.empty()) {
     idle_connection candidate = std::move(targetPool.mIdle.back());
     targetPool.mIdle.pop_back();
     const bool isFresh =
@@ -64,12 +68,13 @@
                                  duration aTimeout,
                                  time_point aNow,
                                  callback aCallback,
-                                 response_filter aFilter)
+                                 response_filter aFilter,
+                                 connection_choice aChoice)
 {
   const call_id id(mNextCall++);
   active_call& call = mCalls[id];
   call.mTarget = aTarget.mName;
-  call.mConnection = TakeConnection(aTarget, aNow);
+  call.mConnection = TakeConnection(aTarget, aNow, aChoice);
   ++mPools[aTarget.mName].mActiveCalls;
   call.mCallback = std::move(aCallback);
   call.mConnection->Call(
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -12,6 +12,16 @@
 /// Identifies one call to a target.
 using call_id = strong_id<struct call_tag, uint64_t>;
 
+/// Connection that a call may use.
+enum class connection_choice
+{
+  /// An idle connection, or a new one if no idle connection is usable.
+  kAny,
+  /// A new connection, on which no earlier response can be repeated. It takes
+  /// the place of an idle one.
+  kNew,
+};
+
 /// Pools of HTTP connections from one router to its targets. Connections stay
 /// open between calls and are reused.
 class target_connections
@@ -26,14 +36,14 @@
                      const http_connection_settings& aSettings,
                      duration aDefaultKeepAlive);
 
-  /// Sends a request over an idle connection, or over a new one if no idle
-  /// connection is usable.
+  /// Sends a request over a connection of the given choice.
   call_id Call(const discovered_target& aTarget,
                const http_request& aRequest,
                duration aTimeout,
                time_point aNow,
                callback aCallback,
-               response_filter aFilter);
+               response_filter aFilter,
+               connection_choice aChoice = connection_choice::kAny);
 
   /// Cancels a call without calling its callback and closes its connection.
   /// Most targets drop a request when its connection closes.
@@ -89,7 +99,8 @@
 
   std::unique_ptr<http_connection> TakeConnection(
     const discovered_target& aTarget,
-    time_point aNow);
+    time_point aNow,
+    connection_choice aChoice);
   void HandleResult(call_id aCall, http_result aResult);
 
   event_loop& mLoop;
--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -49,6 +49,7 @@
   void StartDeadline(duration aTimeout);
   void StartParser();
   void ReadAnswers();
+  [[nodiscard]] bool IsOwn(const http_response& aAnswer) const;
   void FinishAnswered();
   void Fail(http_failure aFailure, bool aTimedOut);
   void Finish(http_result aResult);
@@ -106,6 +107,12 @@
   ReadAnswers();
 }
 
+bool http_connection::state::IsOwn(const http_response& aAnswer) const
+{
+  const bool isFirst = !mReused && !mSkipped;
+  return !mFilter || mFilter(aAnswer, isFirst);
+}
+
 void http_connection::state::ReadAnswers()
 {
   while (!mInput.empty()) {
@@ -123,7 +130,7 @@
     http_result result;
     result.mStatus = http_status::kResponded;
     result.mResponse = done.Take();
-    if (!mFilter || mFilter(result.mResponse)) {
+    if (IsOwn(result.mResponse)) {
       // Bytes after the answer belong to no request, and a request that is
       // still being sent would mix with the next one.
       if (ends || mSkipped || !mInput.empty() || mStream->Unsent() > 0) {
@@ -170,7 +177,7 @@
   result.mStatus = http_status::kResponded;
   result.mResponse = mParser->Take();
   Close(false);
-  if (mFilter && !mFilter(result.mResponse)) {
+  if (!IsOwn(result.mResponse)) {
     result = {};
     result.mFailure = http_failure::kMalformed;
   }
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -72,8 +72,10 @@
 public:
   using callback = std::function<void(http_result)>;
   /// Tells if an answer belongs to the call. Others are skipped, and the
-  /// connection is closed after the call.
-  using response_filter = std::function<bool(const http_response&)>;
+  /// connection is closed after the call. `aIsFirst`: the answer is the first
+  /// on its connection, so it can't be a copy of an earlier one.
+  using response_filter =
+    std::function<bool(const http_response&, bool aIsFirst)>;
 
   http_connection(event_loop& aLoop,
                   std::string aHost,
--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -128,27 +128,32 @@
   mServer.Respond(aExchange, { kOk, { { "X-Handover", "state" } }, "" });
 }
 
-void keyed_target::Refuse(exchange_id aExchange, uint32_t aStatus)
+void keyed_target::Refuse(exchange_id aExchange,
+                          const http_request& aRequest,
+                          uint32_t aStatus)
 {
-  mServer.Respond(
-    aExchange,
-    { aStatus, { { "X-Not-Executed", "1" }, { "X-Instance-Id", mName } }, "" });
+  mServer.Respond(aExchange,
+                  { aStatus,
+                    { { "X-Request-Id", Header(aRequest, "X-Request-Id") },
+                      { "X-Not-Executed", "1" },
+                      { "X-Instance-Id", mName } },
+                    "" });
 }
 
 void keyed_target::Run(exchange_id aExchange, const http_request& aRequest)
 {
   if (Header(aRequest, "X-Expected-Instance") != mName) {
-    Refuse(aExchange, kMisdirected);
+    Refuse(aExchange, aRequest, kMisdirected);
     return;
   }
   const std::string key = Header(aRequest, "X-Shard-Key");
   if (mKeyed &&
       (key.empty() || !Holds(static_cast<uint32_t>(std::stoul(key))))) {
-    Refuse(aExchange, kMisdirected);
+    Refuse(aExchange, aRequest, kMisdirected);
     return;
   }
   if (mFull) {
-    Refuse(aExchange, kUnavailable);
+    Refuse(aExchange, aRequest, kUnavailable);
     return;
   }
   mRan.push_back(Header(aRequest, "X-Request-Id"));
--- a/StandIns/standin_users_platform/KeyedTarget.h
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -71,7 +71,9 @@
   void HandleRelease(exchange_id aExchange, const http_request& aRequest);
   void Run(exchange_id aExchange, const http_request& aRequest);
   void Finish(exchange_id aExchange, const http_request& aRequest);
-  void Refuse(exchange_id aExchange, uint32_t aStatus);
+  void Refuse(exchange_id aExchange,
+              const http_request& aRequest,
+              uint32_t aStatus);
 
   event_loop& mLoop;
   std::string mName;
