Close a kept connection whose unread bytes belong to no call

Bytes that a target sent between two calls, and that the loop had not read when the next call was made, were taken for the answer to that call: with an id that matches, or for calls without ids (orders, the store, peers, the other daemon's targets), a caller or the leader gets the answer to another call. An end that was not read yet lost the next call.

Cause: a connection counted as open until the loop had read what had arrived.

Change: a connection with unread bytes or an unread end is not open, and a call opens a new one. This costs one recv call when a connection is reused. Bytes that arrive after the request was written can't be told apart in this way; requests are identified by their id.

After: kept_connection_test passes.

--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -58,6 +58,9 @@
 
 void http_connection::state::Connect()
 {
+  if (mStream != nullptr && mStream->HasInput()) {
+    Close(true);
+  }
   mReused = mStream != nullptr;
   if (mReused) {
     return;
@@ -255,7 +258,8 @@
 
 bool http_connection::IsOpen() const
 {
-  return mState->mStream != nullptr && !IsBusy();
+  return mState->mStream != nullptr && !IsBusy() &&
+         !mState->mStream->HasInput();
 }
 
 void http_connection::Abort(bool aTimedOut)
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -66,7 +66,8 @@
 };
 
 /// One client connection, connected at the first call and kept open, that
-/// carries one call at a time. Bytes that no call waits for close it.
+/// carries one call at a time. Bytes that no call waits for close it, also if
+/// they are not read yet when the next call is made.
 class http_connection
 {
 public:
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -273,6 +273,17 @@
   return mState->mOutput.size();
 }
 
+bool socket_stream::HasInput() const
+{
+  if (mState->mConnecting || mState->mDescriptor < 0) {
+    return false;
+  }
+  char byte = 0;
+  const ssize_t count =
+    recv(mState->mDescriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 void socket_stream::StartTimer(duration aDelay)
 {
   const timeval delay = ToTimeval(std::max(aDelay, duration::zero()));
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -74,6 +74,10 @@
   /// Bytes that the system has not taken yet.
   [[nodiscard]] size_t Unsent() const;
 
+  /// Tells if bytes, or the end of the stream, have arrived and are not read
+  /// yet.
+  [[nodiscard]] bool HasInput() const;
+
   /// Calls `HandleTimeout` once after a delay; replaces an earlier start.
   void StartTimer(duration aDelay);
   void CancelTimer();
--- /dev/null
+++ b/UnitTests/Http/KeptConnectionTest.cpp
@@ -0,0 +1,139 @@
+#include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Http/HttpConnection.h"
+#include "UnitTests/Support/ScriptedTarget.h"
+
+#include <thread>
+
+namespace parsleystair {
+
+namespace {
+
+std::string Answer(const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+/// Makes calls over one connection to a target that answers with the path.
+class kept_connection_test : public testing::Test
+{
+protected:
+  static constexpr duration kCallTimeout = 5s;
+
+  kept_connection_test()
+    : mTarget(mLoop,
+              [this](scripted_target::connection& aConnection,
+                     const http_request& aRequest) {
+                aConnection.Send(mBefore + Answer(aRequest.mPath) + mExtra);
+                if (!mEndless.empty()) {
+                  aConnection.SendEndlessly(mEndless, 1ms);
+                }
+              })
+    , mConnection(mLoop, "127.0.0.1", mTarget.Port())
+  {
+  }
+
+  void Call(const std::string& aPath,
+            http_connection::response_filter aFilter = nullptr)
+  {
+    Call(mConnection, aPath, kCallTimeout, std::move(aFilter));
+  }
+
+  void Call(http_connection& aConnection,
+            const std::string& aPath,
+            duration aTimeout,
+            http_connection::response_filter aFilter = nullptr)
+  {
+    http_request request;
+    request.mMethod = "GET";
+    request.mPath = aPath;
+    aConnection.Call(
+      request,
+      aTimeout,
+      [this](http_result aResult) {
+        mResult = std::move(aResult);
+        mLoop.Stop();
+      },
+      std::move(aFilter));
+  }
+
+  /// Waits for what the target sent, without reading it.
+  void WaitUntilNotOpen()
+  {
+    const time_point end = MonotonicNow() + kCallTimeout;
+    while (mConnection.IsOpen() && MonotonicNow() < end) {
+      std::this_thread::sleep_for(1ms);
+    }
+    EXPECT_FALSE(mConnection.IsOpen());
+  }
+
+  void RunFor(duration aTime)
+  {
+    timer end;
+    end.StartOnce(mLoop, aTime, [this] { mLoop.Stop(); });
+    mLoop.Run();
+  }
+
+  event_loop mLoop;
+  std::string mBefore;
+  std::string mExtra;
+  std::string mEndless;
+  scripted_target mTarget;
+  http_connection mConnection;
+  http_result mResult;
+};
+
+} // namespace
+
+// Guards against bytes that arrived between two calls, but were not read yet,
+// and are taken for the answer to the second call.
+TEST_F(kept_connection_test, UnreadBytesAreNoAnswerToTheNextCall)
+{
+  Call("/1");
+  mLoop.Run();
+  ASSERT_TRUE(mConnection.IsOpen());
+  mTarget.LastConnection().Send(Answer("stale"));
+  WaitUntilNotOpen();
+  Call("/2");
+  mLoop.Run();
+  EXPECT_EQ(mResult.mResponse.mBody, "/2");
+  EXPECT_EQ(mTarget.Accepted(), 2u);
+}
+
+// Guards against the same for bytes that arrive together with an answer, or
+// while the connection is idle.
+TEST_F(kept_connection_test, BytesAfterAnAnswerEndTheConnection)
+{
+  mExtra = Answer("extra");
+  Call("/1");
+  mLoop.Run();
+  EXPECT_EQ(mResult.mResponse.mBody, "/1");
+  EXPECT_FALSE(mConnection.IsOpen());
+  mExtra = "";
+  Call("/2");
+  mLoop.Run();
+  EXPECT_EQ(mResult.mResponse.mBody, "/2");
+  mTarget.LastConnection().Send("x");
+  RunFor(20ms);
+  EXPECT_FALSE(mConnection.IsOpen());
+  Call("/3");
+  mLoop.Run();
+  EXPECT_EQ(mResult.mResponse.mBody, "/3");
+  EXPECT_EQ(mTarget.Accepted(), 3u);
+}
+
+// Guards against a connection that was closed by its peer, which is not read
+// yet, and loses the next call.
+TEST_F(kept_connection_test, UnreadEndIsNoAnswerToTheNextCall)
+{
+  Call("/1");
+  mLoop.Run();
+  mTarget.LastConnection().Finish();
+  WaitUntilNotOpen();
+  Call("/2");
+  mLoop.Run();
+  EXPECT_EQ(mResult.mResponse.mBody, "/2");
+  EXPECT_EQ(mTarget.Accepted(), 2u);
+}
+
+} // namespace parsleystair
