Bound the bytes of an answer that are no body

A target that sent interim answers, a chunk header or trailers without end held its request until the deadline (504 in place of 502, or no retry), and the router stored all it sent.

Cause: the parser limits a head, but started anew for each interim answer, and the bytes of an unfinished chunk header or of trailers were kept without a limit. Bodies in a transfer coding other than "chunked", and the bytes after a 101, were read as if they were plain.

Change: heads, interim answers, chunk extensions and trailers together are limited to 64 KiB; twelve bytes for each chunk and the body, which has its own limit, are not counted.

--- a/Parsleystair/Http/AnswerParser.cpp
+++ b/Parsleystair/Http/AnswerParser.cpp
@@ -2,13 +2,20 @@
 #include "Parsleystair/Http/CollectingParser.h"
 #include "Parsleystair/Http/MessageParser.h"
 
+#include <algorithm>
+
 namespace parsleystair {
 
 namespace {
 
+constexpr uint32_t kSwitchingProtocols = 101;
 constexpr uint32_t kFirstFinalStatus = 200;
-/// Longest header of an answer, in bytes; above what servers send in practice.
+/// Longest head of an answer, in bytes, together with interim answers, chunk
+/// extensions and trailers; above what servers send in practice.
 constexpr uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
+/// Longest framing of a chunk without extensions, in bytes: a size of eight
+/// digits and two line ends.
+constexpr uint32_t kChunkFramingBytes = 12;
 
 } // namespace
 
@@ -19,15 +26,51 @@
   bool mToHead = false;
   bool mFailed = false;
   bool mStarted = false;
+  bool mHeadChecked = false;
+  /// Bytes consumed, with those of interim answers.
+  uint64_t mConsumed = 0;
 
   void Start()
   {
+    mHeadChecked = false;
     mParser = std::make_unique<collecting_parser<false>>();
     mParser->header_limit(kMaxAnswerHeaderBytes);
     mParser->body_limit(mMaxBodyBytes);
     mParser->eager(false);
     mParser->skip(mToHead);
   }
+
+  /// Tells if the bytes that are no body exceed the limit. `aWaiting`: number
+  /// of bytes that are not consumed yet.
+  [[nodiscard]] bool IsOverLimit(size_t aWaiting) const
+  {
+    const uint64_t allowed = kMaxAnswerHeaderBytes +
+                             mParser->mContent.mBody.size() +
+                             mParser->mChunks * kChunkFramingBytes;
+    return mConsumed + aWaiting > allowed;
+  }
+
+  /// Tells if a head means something that can't be read here.
+  [[nodiscard]] bool IsUnreadable() const
+  {
+    const auto& headers = mParser->mContent.mHeaders;
+    return mParser->mStatus == kSwitchingProtocols ||
+           std::any_of(
+             headers.begin(), headers.end(), [](const http_header& aHeader) {
+               return SameHeaderName(aHeader.mName, "transfer-encoding") &&
+                      !SameHeaderName(aHeader.mValue, "chunked");
+             });
+  }
+
+  /// Checks what Beast leaves to its users.
+  void Check(size_t aWaiting)
+  {
+    if (mParser->is_header_done() && !mHeadChecked) {
+      mHeadChecked = true;
+      mFailed = mFailed || IsUnreadable();
+    }
+    mFailed = mFailed || IsOverLimit(aWaiting);
+  }
 };
 
 answer_parser::answer_parser(uint32_t aMaxBodyBytes, bool aToHead)
@@ -50,9 +93,13 @@
     const size_t used =
       FeedParser(*mState->mParser, aBytes.substr(consumed), failure);
     consumed += used;
+    mState->mConsumed += used;
     mState->mStarted = mState->mStarted || !aBytes.empty();
-    if (failure) {
-      mState->mFailed = true;
+    // What is left when nothing more is consumed is part of a head, a chunk
+    // header or the trailers.
+    mState->mFailed = static_cast<bool>(failure);
+    mState->Check(used == 0 ? aBytes.size() - consumed : 0);
+    if (mState->mFailed) {
       break;
     }
     const bool interim = mState->mParser->is_done() &&
@@ -73,6 +120,10 @@
   if (State() != parse_state::kIncomplete) {
     return;
   }
+  if (!mState->mParser->is_header_done()) {
+    mState->mFailed = true;
+    return;
+  }
   boost::system::error_code failure;
   mState->mParser->put_eof(failure);
   mState->mFailed = static_cast<bool>(failure) || !mState->mParser->is_done();
@@ -98,6 +149,16 @@
   return mState->mParser->is_header_done() && mState->mParser->need_eof();
 }
 
+std::optional<http_response> answer_parser::Head() const
+{
+  if (!mState->mParser->is_header_done()) {
+    return std::nullopt;
+  }
+  return http_response{ mState->mParser->mStatus,
+                        mState->mParser->mContent.mHeaders,
+                        "" };
+}
+
 bool answer_parser::EndsConnection() const
 {
   return !mState->mParser->keep_alive();
--- a/Parsleystair/Http/CollectingParser.h
+++ b/Parsleystair/Http/CollectingParser.h
@@ -49,6 +49,8 @@
   uint32_t mStatus = 0;
   int mVersion = 0;
   message_content mContent;
+  /// Number of chunks that are not empty.
+  uint64_t mChunks = 0;
 
 private:
   using error_code = boost::system::error_code;
@@ -98,10 +100,11 @@
     return aBody.size();
   }
 
-  void on_chunk_header_impl(uint64_t /*aSize*/,
+  void on_chunk_header_impl(uint64_t aSize,
                             beast::string_view /*aExtensions*/,
                             error_code& /*aError*/) override
   {
+    mChunks += aSize > 0 ? 1 : 0;
   }
 
   std::size_t on_chunk_body_impl(uint64_t /*aRemaining*/,
--- a/Parsleystair/Http/MessageParser.h
+++ b/Parsleystair/Http/MessageParser.h
@@ -3,6 +3,7 @@
 #include "Parsleystair/Http/HttpMessage.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,6 +58,8 @@
 };
 
 /// Incremental parser of HTTP/1.1 answers. Interim answers (1xx) are skipped.
+/// The bytes that are no body are limited, so that the parser fails on a sender
+/// that sends heads, chunk headers or trailers without end.
 class answer_parser
 {
 public:
@@ -69,7 +72,8 @@
   /// As for `request_parser`.
   size_t Feed(std::string_view aBytes);
 
-  /// The stream has ended in order; completes an answer without a length.
+  /// The stream has ended in order; completes an answer without a length and
+  /// fails any other.
   void FeedEnd();
 
   [[nodiscard]] parse_state State() const;
@@ -81,6 +85,9 @@
   /// The connection can't carry another request.
   [[nodiscard]] bool EndsConnection() const;
 
+  /// Status and headers, once all of them have arrived.
+  [[nodiscard]] std::optional<http_response> Head() const;
+
   /// The whole answer. Call once, in state kComplete.
   http_response Take();
 
--- a/UnitTests/Gateway/FaultyTargetTest.cpp
+++ b/UnitTests/Gateway/FaultyTargetTest.cpp
@@ -145,4 +145,114 @@
   EXPECT_EQ(mRuns["order-1"], 1u);
 }
 
+// Guards against an answer that was cut in its head, or in its framing, and
+// reaches a caller as a success that looks whole.
+TEST_F(faulty_target_test, CutAnswerNeverLooksWhole)
+{
+  std::vector<std::string> cut;
+  const auto addCuts = [&](const std::string& aAnswer, size_t aWhole) {
+    for (size_t length = 0; length < aWhole; length += 3) {
+      cut.push_back(aAnswer.substr(0, length));
+    }
+  };
+  const std::string length =
+    SignedHead("r") + "Content-Length: 12\r\n\r\nabcdefghijkl";
+  const std::string chunked = SignedHead("r") +
+                              "Transfer-Encoding: chunked\r\n\r\n4;x=y\r\nabcd"
+                              "\r\n3\r\nefg\r\n0\r\nX-T: u\r\n\r\n";
+  const std::string unframed = SignedHead("r") + "Server: s\r\n\r\n";
+  addCuts(length, length.size());
+  addCuts(chunked, chunked.size());
+  addCuts(unframed, unframed.size());
+  size_t next = 0;
+  Script("orders-1",
+         "orders",
+         [&](scripted_target::connection& aConnection, const http_request&) {
+           aConnection.Send(cut.at(next));
+           aConnection.Finish();
+         });
+  mKv.Remove(TargetKey("orders-2"));
+  const gateway_instance& gateway = StartGateway("a");
+  for (; next < cut.size(); ++next) {
+    const uint32_t status =
+      Call(gateway, Request("POST", "/order/7", "r")).mResponse.mStatus;
+    EXPECT_TRUE(status == 502 || status == 504)
+      << status << " for an answer of " << cut.at(next);
+  }
+}
+
+// Guards against a target that sends bytes without end and ties up a
+// connection, memory and its request until the deadline, and against other
+// requests that wait for it.
+TEST_F(faulty_target_test, EndlessBytesEndTheAttemptEarly)
+{
+  const std::string block(16 * 1024, 'x');
+  std::string fields;
+  std::string interim;
+  for (int i = 0; i < 200; ++i) {
+    fields += "X-Field: some value that is not needed\r\n";
+    interim += "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  }
+  const std::string chunkedHead =
+    SignedHead("r") + "Transfer-Encoding: chunked\r\n\r\n";
+  // What is sent once, and what is sent without end.
+  const std::vector<std::tuple<std::string, std::string, std::string>> kinds = {
+    { "line", SignedHead("r") + "X-Long: ", block },
+    { "fields", SignedHead("r"), fields },
+    { "interim", "", interim },
+    { "extension", chunkedHead + "4;", block },
+    { "trailers", chunkedHead + "0\r\n", fields },
+    { "chunks", chunkedHead, "4000\r\n" + block + "\r\n" },
+    { "unframed", SignedHead("r") + "\r\n", block },
+    { "unframed of another", SignedHead("another") + "\r\n", block },
+  };
+  size_t kind = 0;
+  const scripted_target& target =
+    Script("orders-1",
+           "orders",
+           [&](scripted_target::connection& aConnection, const http_request&) {
+             aConnection.Send(std::get<1>(kinds.at(kind)));
+             aConnection.SendEndlessly(std::get<2>(kinds.at(kind)), 1ms);
+           });
+  mKv.Remove(TargetKey("orders-2"));
+  const gateway_instance& gateway = StartGateway("a");
+  // The longest body, and what the buffers of two sockets hold.
+  constexpr size_t kMaxBytes = (8 + 10) * 1024 * 1024;
+  for (; kind < kinds.size(); ++kind) {
+    const std::string& name = std::get<0>(kinds.at(kind));
+    const size_t before = target.EndlessBytes();
+    const size_t closed = target.Closed();
+    const uint32_t status =
+      Call(gateway, Request("POST", "/order/7", "r")).mResponse.mStatus;
+    // The request may have run; 504 would be the deadline's answer.
+    EXPECT_EQ(status, 502u) << name;
+    EXPECT_TRUE(RunUntil([&] { return target.Closed() > closed; })) << name;
+    EXPECT_LE(target.EndlessBytes() - before, kMaxBytes) << name;
+  }
+}
+
+// Guards against endless bytes after a whole answer that reach the next caller.
+TEST_F(faulty_target_test, BytesAfterAnAnswerReachNobody)
+{
+  const scripted_target& target =
+    Script("orders-1",
+           "orders",
+           [&](scripted_target::connection& aConnection,
+               const http_request& aRequest) {
+             aConnection.Send(SignedAnswer(IdOf(aRequest)));
+             aConnection.SendEndlessly(
+               SignedAnswer("order-2") + Refusal("order-2"), 1ms);
+           });
+  mKv.Remove(TargetKey("orders-2"));
+  const gateway_instance& gateway = StartGateway("a");
+  for (int number = 1; number <= 5; ++number) {
+    const std::string id = "order-" + std::to_string(number);
+    const http_result result = Call(gateway, Request("POST", "/order/7", id));
+    EXPECT_EQ(result.mResponse.mStatus, 200u);
+    EXPECT_EQ(FindHeader(result.mResponse.mHeaders, "X-Request-Id"), id);
+  }
+  EXPECT_TRUE(RunUntil([&] { return target.Closed() == target.Accepted(); }));
+  EXPECT_EQ(target.Accepted(), 5u);
+}
+
 } // namespace parsleystair
--- a/UnitTests/Http/MessageParserTest.cpp
+++ b/UnitTests/Http/MessageParserTest.cpp
@@ -137,4 +137,124 @@
   EXPECT_EQ(parser.Take().mBody, "half");
 }
 
+// Guards against an answer that was cut anywhere and counts as whole.
+TEST(AnswerParser, CutAnswerIsNeverComplete)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nServer: a\r\n";
+  const std::vector<std::string> answers = {
+    head + "Content-Length: 4\r\n\r\nabcd",
+    head + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n2\r\ncd\r\n"
+           "0\r\nX-Trailer: t\r\n\r\n",
+    head + "\r\n",
+    "HTTP/1.1 204 No Content\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + head +
+      "Content-Length: 0\r\n\r\n",
+  };
+  for (const std::string& answer : answers) {
+    for (size_t length = 0; length < answer.size(); ++length) {
+      answer_parser parser(kMaxBody, false);
+      parser.Feed(answer.substr(0, length));
+      EXPECT_NE(parser.State(), parse_state::kComplete)
+        << answer.substr(0, length);
+      EXPECT_FALSE(parser.EndsWithStream()) << answer.substr(0, length);
+      parser.FeedEnd();
+      EXPECT_EQ(parser.State(), parse_state::kFailed)
+        << answer.substr(0, length);
+    }
+  }
+}
+
+// Guards against bytes of another protocol that are read as an answer.
+TEST(AnswerParser, RefusesSwitchOfProtocols)
+{
+  answer_parser parser(kMaxBody, false);
+  parser.Feed("HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\n\r\n");
+  EXPECT_EQ(parser.State(), parse_state::kFailed);
+}
+
+// Guards against bodies in a coding that this parser does not undo: they would
+// be passed on as if they were whole and plain.
+TEST(AnswerParser, RefusesUnknownTransferCodings)
+{
+  for (const std::string coding :
+       { "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked" }) {
+    answer_parser parser(kMaxBody, false);
+    parser.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                "\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+    EXPECT_EQ(parser.State(), parse_state::kFailed) << coding;
+  }
+}
+
+namespace {
+
+/// Feeds `aStart` and then `aPart` again and again, as a connection does.
+/// Returns the bytes fed before the parser failed or `aLimit` was reached.
+size_t FeedEndlessly(const std::string& aStart,
+                     const std::string& aPart,
+                     size_t aLimit)
+{
+  answer_parser parser(kMaxBody, false);
+  std::string pending = aStart;
+  size_t fed = 0;
+  while (fed < aLimit) {
+    pending.erase(0, parser.Feed(pending));
+    if (parser.State() != parse_state::kIncomplete) {
+      EXPECT_EQ(parser.State(), parse_state::kFailed) << aStart << aPart;
+      return fed;
+    }
+    pending += aPart;
+    fed += aPart.size();
+  }
+  return fed;
+}
+
+} // namespace
+
+// Guards against heads, interim answers, chunk headers and trailers without
+// end, which would fill the memory until the call's deadline.
+TEST(AnswerParser, BoundsBytesThatAreNoBody)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> kinds = {
+    { head + "X-Long: ", "x" },
+    { head, "X-Field: some value\r\n" },
+    { "HTTP/1.1 200 ", "x" },
+    { "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" },
+    { chunked, "0" },
+    { chunked + "2;", "x" },
+    { chunked, "1;" + std::string(500, 'x') + "\r\na\r\n" },
+    { chunked, std::string(500, '0') + "1\r\na\r\n" },
+    { chunked + "0;", "x" },
+    { chunked + "0\r\n", "X-Field: some value\r\n" },
+    { chunked + "0\r\nX-Long: ", "x" },
+  };
+  constexpr size_t kLongestHead = 64 * 1024;
+  constexpr size_t kLimit = 1024 * 1024;
+  // A byte of a body, and the framing of a chunk without extensions.
+  constexpr size_t kPlainChunk = 1 + 12;
+  for (const auto& [start, part] : kinds) {
+    const size_t fed = FeedEndlessly(start, part, kLimit);
+    const bool isChunk = part.ends_with("\r\na\r\n");
+    const size_t plain = isChunk ? fed / part.size() * kPlainChunk : 0;
+    EXPECT_LE(fed - plain, kLongestHead + part.size())
+      << start << part.substr(0, 50);
+  }
+}
+
+// Guards against a bound on framing that refuses an answer in many small
+// chunks.
+TEST(AnswerParser, TakesManySmallChunks)
+{
+  constexpr uint32_t kChunks = 200'000;
+  answer_parser parser(kChunks, false);
+  parser.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (uint32_t chunk = 0; chunk < kChunks; ++chunk) {
+    parser.Feed(chunk == 0 ? "1\r\na" : "\r\n1\r\na");
+  }
+  parser.Feed("\r\n0\r\n\r\n");
+  ASSERT_EQ(parser.State(), parse_state::kComplete);
+  EXPECT_EQ(parser.Take().mBody.size(), kChunks);
+}
+
 } // namespace parsleystair
