Fail a call early when no answer to it can come

A target that sent answers to other requests without end, or one such answer without an end, held its request until the deadline; an answer that arrives a byte at a time held a call of the store's client for ever, as each byte renewed its silence timeout.

Change: a call fails after four answers to other calls, at the head of such an answer after which the connection ends, and 30 s (mTransferTimeout) after the first byte of an answer that may take longer than the call's time.

--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -1,13 +1,22 @@
 #include "Parsleystair/Http/HttpConnection.h"
 
+#include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Core/Invariant.h"
 #include "Parsleystair/Http/MessageParser.h"
 #include "Parsleystair/Http/MessageText.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace parsleystair {
 
+namespace {
+
+/// Number of answers to other calls after which a call fails.
+constexpr uint32_t kMaxSkippedAnswers = 4;
+
+} // namespace
+
 struct http_connection::state
   : stream_handler
   , std::enable_shared_from_this<state>
@@ -24,8 +33,12 @@
   response_filter mFilter;
   bool mToHead = false;
   bool mReused = false;
-  /// An answer that belongs to no call was skipped.
-  bool mSkipped = false;
+  /// Number of answers skipped, which belong to no call.
+  uint32_t mSkipped = 0;
+  /// The head of the current answer was compared with the call.
+  bool mHeadChecked = false;
+  /// Time at which an answer that has begun must be whole.
+  std::optional<time_point> mTransferEnd;
   timer mDeadline;
 
   state(event_loop& aLoop,
@@ -50,6 +63,8 @@
   void StartParser();
   void ReadAnswers();
   [[nodiscard]] bool IsOwn(const http_response& aAnswer) const;
+  bool IsHopeless();
+  void ExtendDeadline(time_point aNow);
   void FinishAnswered();
   void Fail(http_failure aFailure, bool aTimedOut);
   void Finish(http_result aResult);
@@ -84,6 +99,7 @@
 void http_connection::state::StartParser()
 {
   mParser.emplace(mSettings.mMaxBodyBytes, mToHead);
+  mHeadChecked = false;
 }
 
 void http_connection::state::HandleConnected()
@@ -104,23 +120,47 @@
     return;
   }
   if (mSettings.mSilenceTimeout) {
-    StartDeadline(*mSettings.mSilenceTimeout);
+    ExtendDeadline(MonotonicNow());
   }
   mInput += aBytes;
   ReadAnswers();
 }
 
+void http_connection::state::ExtendDeadline(time_point aNow)
+{
+  if (!mTransferEnd) {
+    mTransferEnd = aNow + mSettings.mTransferTimeout;
+  }
+  StartDeadline(
+    std::clamp(*mTransferEnd - aNow, duration(), *mSettings.mSilenceTimeout));
+}
+
 bool http_connection::state::IsOwn(const http_response& aAnswer) const
 {
-  const bool isFirst = !mReused && !mSkipped;
+  const bool isFirst = !mReused && mSkipped == 0;
   return !mFilter || mFilter(aAnswer, isFirst);
 }
 
+/// Tells if no answer to the call can come: the current one belongs to another
+/// call, and the connection ends with it.
+bool http_connection::state::IsHopeless()
+{
+  const auto head = mHeadChecked ? std::nullopt : mParser->Head();
+  if (!head) {
+    return false;
+  }
+  mHeadChecked = true;
+  return mParser->EndsConnection() && !IsOwn(*head);
+}
+
 void http_connection::state::ReadAnswers()
 {
   while (!mInput.empty()) {
     mInput.erase(0, mParser->Feed(mInput));
     if (mParser->State() == parse_state::kIncomplete) {
+      if (IsHopeless()) {
+        Fail(http_failure::kMalformed, false);
+      }
       return;
     }
     if (mParser->State() == parse_state::kFailed) {
@@ -136,14 +176,14 @@
     if (IsOwn(result.mResponse)) {
       // Bytes after the answer belong to no request, and a request that is
       // still being sent would mix with the next one.
-      if (ends || mSkipped || !mInput.empty() || mStream->Unsent() > 0) {
+      if (ends || mSkipped > 0 || !mInput.empty() || mStream->Unsent() > 0) {
         Close(false);
       }
       Finish(std::move(result));
       return;
     }
-    mSkipped = true;
-    if (ends) {
+    ++mSkipped;
+    if (ends || mSkipped > kMaxSkippedAnswers) {
       Fail(http_failure::kMalformed, false);
       return;
     }
@@ -244,7 +284,8 @@
   mState->mCallback = std::move(aCallback);
   mState->mFilter = std::move(aFilter);
   mState->mToHead = aRequest.mMethod == "HEAD";
-  mState->mSkipped = false;
+  mState->mSkipped = 0;
+  mState->mTransferEnd.reset();
   mState->Connect();
   mState->StartParser();
   mState->StartDeadline(aTimeout);
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -61,6 +61,8 @@
   /// When set, an answer that has begun may take longer than the call's time,
   /// as long as bytes arrive at least this often.
   std::optional<duration> mSilenceTimeout;
+  /// Longest time of such an answer from its first byte to its last.
+  duration mTransferTimeout = 30s;
   /// How a silent peer is detected.
   stream_settings mStream;
 };
--- a/UnitTests/Gateway/FaultyTargetTest.cpp
+++ b/UnitTests/Gateway/FaultyTargetTest.cpp
@@ -189,9 +189,11 @@
   const std::string block(16 * 1024, 'x');
   std::string fields;
   std::string interim;
+  std::string answers;
   for (int i = 0; i < 200; ++i) {
     fields += "X-Field: some value that is not needed\r\n";
     interim += "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    answers += SignedAnswer("another");
   }
   const std::string chunkedHead =
     SignedHead("r") + "Transfer-Encoding: chunked\r\n\r\n";
@@ -205,6 +207,7 @@
     { "chunks", chunkedHead, "4000\r\n" + block + "\r\n" },
     { "unframed", SignedHead("r") + "\r\n", block },
     { "unframed of another", SignedHead("another") + "\r\n", block },
+    { "others", "", answers },
   };
   size_t kind = 0;
   const scripted_target& target =
--- a/UnitTests/Http/KeptConnectionTest.cpp
+++ b/UnitTests/Http/KeptConnectionTest.cpp
@@ -136,4 +136,67 @@
   EXPECT_EQ(mTarget.Accepted(), 2u);
 }
 
+// Guards against a call that skips answers to other calls without end, until
+// its deadline.
+TEST_F(kept_connection_test, EndlessAnswersToOtherCallsFailTheCall)
+{
+  mEndless = Answer("other");
+  const time_point start = MonotonicNow();
+  Call("/1", [](const http_response&, bool) { return false; });
+  mLoop.Run();
+  EXPECT_EQ(mResult.mFailure, http_failure::kMalformed);
+  EXPECT_LT(MonotonicNow() - start, kCallTimeout);
+  EXPECT_FALSE(mConnection.IsOpen());
+}
+
+// Guards against a bound on skipped answers that loses the call's own answer
+// after a few answers to others.
+TEST_F(kept_connection_test, FewAnswersToOtherCallsAreSkipped)
+{
+  for (int count = 0; count < 4; ++count) {
+    mBefore += Answer("other");
+  }
+  Call("/1", [](const http_response& aAnswer, bool) {
+    return aAnswer.mBody == "/1";
+  });
+  mLoop.Run();
+  EXPECT_EQ(mResult.mResponse.mBody, "/1");
+}
+
+// Guards against a call that waits until its deadline for the end of an
+// endless answer to another call, after which the connection ends.
+TEST_F(kept_connection_test, EndlessAnswerToAnotherCallFailsTheCall)
+{
+  mBefore = "HTTP/1.1 200 OK\r\n\r\n";
+  mEndless = "x";
+  const time_point start = MonotonicNow();
+  Call("/1", [](const http_response&, bool) { return false; });
+  mLoop.Run();
+  EXPECT_EQ(mResult.mFailure, http_failure::kMalformed);
+  EXPECT_LT(MonotonicNow() - start, kCallTimeout);
+}
+
+// Guards against a call that never ends since its answer arrives a byte at a
+// time, where an answer may take longer than the call's time.
+TEST_F(kept_connection_test, EndlessSlowAnswerFailsTheCall)
+{
+  http_connection_settings settings;
+  settings.mSilenceTimeout = 1s;
+  settings.mTransferTimeout = 300ms;
+  http_connection connection(mLoop, "127.0.0.1", mTarget.Port(), settings);
+  mBefore = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n";
+  mEndless = "x";
+  timer guard;
+  bool late = false;
+  guard.StartOnce(mLoop, kCallTimeout, [&] {
+    late = true;
+    mLoop.Stop();
+  });
+  Call(connection, "/1", 100ms);
+  mLoop.Run();
+  EXPECT_FALSE(late);
+  EXPECT_EQ(mResult.mFailure, http_failure::kAborted);
+  EXPECT_TRUE(mResult.mTimedOut);
+}
+
 } // namespace parsleystair
