Close a target's connection after it refused a request

In parsleystaird, a target that wrote an earlier refusal once more on a kept connection had it taken for the refusal of the request that it was running: the caller was told not-run, or the request ran at a second target.

Cause: responses of these targets bear no request id, so a copy can't be told apart from the response to the next request.

Change: a connection on which a request was refused is not used again. A target that writes a refusal without having refused a request on that connection before still can't be told apart; that needs an id in the targets' responses.

--- a/Parsleystair/Upstream/TargetPool.cpp
+++ b/Parsleystair/Upstream/TargetPool.cpp
@@ -101,7 +101,10 @@
                          ? attempt_status::kRejectedNotRun
                          : attempt_status::kResponded;
       result.mResponse = std::move(aResult.mResponse);
-      if (mIdle.size() < mMaxIdle) {
+      // Responses of targets bear no request id, so a second copy of a refusal
+      // would be taken for the refusal of the connection's next request.
+      if (result.mStatus == attempt_status::kResponded &&
+          mIdle.size() < mMaxIdle) {
         mIdle.push_back(std::move(finished.mConnection));
       }
       break;
