Play targets that cut, repeat or never end their answers in gateway_soak

The proxies on the way to targets cut answers in their head, send fields without end, or send the last answer once more before the next. Keyed targets don't repeat answers, as answers to orders bear no id.

--- a/PerformanceTest/gateway_soak/FaultProxy.cpp
+++ b/PerformanceTest/gateway_soak/FaultProxy.cpp
@@ -14,6 +14,11 @@
 
 /// Longer than the round trip between regions by far, shorter than timeouts.
 constexpr duration kDelayTime = 80ms;
+/// Part of an answer that is passed on before it is cut, in bytes.
+constexpr size_t kCutLength = 30;
+/// Size and interval of the parts of an endless answer.
+constexpr size_t kEndlessFields = 200;
+constexpr duration kEndlessInterval = 5ms;
 
 } // namespace
 
@@ -68,6 +73,10 @@
   void Pass(bool aFromCaller, std::string_view aBytes)
   {
     const link_fault fault = mProxy.mFault;
+    if (!mSwallowBack) {
+      aBytes =
+        aFromCaller ? PassRequest(fault, aBytes) : PassAnswer(fault, aBytes);
+    }
     const bool swallowed =
       fault == link_fault::kSilence ||
       fault == (aFromCaller ? link_fault::kCutThere : link_fault::kCutBack);
@@ -90,6 +99,38 @@
     }
   }
 
+  /// Plays the faults of a target that sends its last answer again. Returns
+  /// the bytes to pass on; so does the next function.
+  std::string_view PassRequest(link_fault aFault, std::string_view aBytes)
+  {
+    if (aFault == link_fault::kRepeatAnswers) {
+      mCaller->Write(std::exchange(mLastAnswer, ""));
+    }
+    return aBytes;
+  }
+
+  /// Plays the faults of a target that doesn't end its answers.
+  std::string_view PassAnswer(link_fault aFault, std::string_view aBytes)
+  {
+    mLastAnswer = aBytes;
+    if (aFault == link_fault::kCutAnswers) {
+      mSwallowBack = true;
+      mCaller->Write(aBytes.substr(0, kCutLength));
+      mCaller->FinishWriting();
+    } else if (aFault == link_fault::kEndlessAnswers) {
+      mSwallowBack = true;
+      mCaller->Write("HTTP/1.1 200 OK\r\n");
+      mEndless.StartRepeating(mProxy.mLoop, kEndlessInterval, [this] {
+        // The router may be paused, and these bytes would fill the memory here.
+        const size_t fields = mCaller->Unsent() == 0 ? kEndlessFields : 0;
+        for (size_t field = 0; field < fields; ++field) {
+          mCaller->Write("X-Field: without end\r\n");
+        }
+      });
+    }
+    return aBytes;
+  }
+
   void Flush()
   {
     mHolding = false;
@@ -99,6 +140,7 @@
 
   void End()
   {
+    mEndless.Cancel();
     Flush();
     // The stream that ended must not be destroyed within its own event.
     mTimer.StartOnce(mProxy.mLoop, duration::zero(), [this] {
@@ -117,7 +159,9 @@
   bool mSwallowThere = false;
   bool mSwallowBack = false;
   bool mHolding = false;
+  std::string mLastAnswer;
   timer mTimer;
+  timer mEndless;
 };
 
 fault_proxy::fault_proxy(event_loop& aLoop, uint16_t aTo)
--- a/PerformanceTest/gateway_soak/FaultProxy.h
+++ b/PerformanceTest/gateway_soak/FaultProxy.h
@@ -24,6 +24,12 @@
   kSilence,
   /// New connections are reset.
   kReset,
+  /// The last answer is sent once more before the next one.
+  kRepeatAnswers,
+  /// Answers end with their connection within their head.
+  kCutAnswers,
+  /// Answers have fields without end.
+  kEndlessAnswers,
 };
 
 /// Passes connections on to another loopback port, with faults.
--- a/PerformanceTest/gateway_soak/SoakFaults.cpp
+++ b/PerformanceTest/gateway_soak/SoakFaults.cpp
@@ -18,7 +18,7 @@
 void soak_world::Inject()
 {
   CheckProcesses();
-  switch (Random(8)) {
+  switch (Random(9)) {
     case 0:
     case 1:
       HarmProcess();
@@ -41,6 +41,12 @@
     case 6:
       HarmTarget();
       break;
+    case 7: {
+      const auto each = std::next(
+        mTargets.begin(), static_cast<std::ptrdiff_t>(Random(mTargets.size())));
+      HarmAnswers(each->second);
+      break;
+    }
     default:
       PutConfiguration();
       break;
@@ -188,4 +194,18 @@
   }
 }
 
+void soak_world::HarmAnswers(target& aTarget)
+{
+  ++mFaults["target-faulty"];
+  static constexpr std::array kFaults = { link_fault::kCutAnswers,
+                                          link_fault::kEndlessAnswers,
+                                          link_fault::kRepeatAnswers };
+  // Answers to orders bear no id, so keyed targets don't repeat answers.
+  const size_t kinds = kFaults.size() - (aTarget.mService == "keyed" ? 1 : 0);
+  fault_proxy& proxy = *aTarget.mProxy;
+  proxy.SetFault(kFaults[Random(kinds)]);
+  Heal(RandomTime(kLongestFault),
+       [&proxy] { proxy.SetFault(link_fault::kNone); });
+}
+
 } // namespace parsleystair
--- a/PerformanceTest/gateway_soak/SoakWorld.h
+++ b/PerformanceTest/gateway_soak/SoakWorld.h
@@ -95,6 +95,7 @@
   void HarmProcess();
   void HarmStore();
   void HarmTarget();
+  void HarmAnswers(target& aTarget);
   void Heal(duration aAfter, std::function<void()> aAction);
   void EndGateway(gateway& aGateway, int aSignal);
   void CheckProcesses();
