--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -43,7 +43,7 @@
   }
 };
 
-/// Address whose connections stay pending until `Accept` is called.
+/// Address at which new connections stay pending, as its backlog is full.
 class full_listener
 {
 public:
