Test that endless bytes of a target delay no other requests

Twenty requests whose target sends a head without end: reads of another service are answered meanwhile.

--- a/UnitTests/Gateway/FaultyTargetTest.cpp
+++ b/UnitTests/Gateway/FaultyTargetTest.cpp
@@ -234,6 +234,39 @@
   }
 }
 
+// Guards against requests to sound targets that wait while the router reads
+// endless bytes of a faulty one.
+TEST_F(faulty_target_test, EndlessBytesDelayNoOtherRequests)
+{
+  Script("orders-1",
+         "orders",
+         [&](scripted_target::connection& aConnection, const http_request&) {
+           aConnection.Send(SignedHead("r") + "Content-Length: 9999999\r\n");
+           aConnection.SendEndlessly("X-Field: some value\r\n", 1ms);
+         });
+  mKv.Remove(TargetKey("orders-2"));
+  const gateway_instance& gateway = StartGateway("a");
+  constexpr size_t kEndless = 20;
+  size_t ended = 0;
+  std::vector<std::unique_ptr<http_connection>> connections;
+  for (size_t number = 0; number < kEndless; ++number) {
+    connections.push_back(std::make_unique<http_connection>(
+      mLoop, "127.0.0.1", gateway.mSettings.mCallers.mPort));
+    connections.back()->Call(
+      Request("POST", "/order/7", "r-" + std::to_string(number)),
+      kTimeout,
+      [&](const http_result&) { ++ended; });
+  }
+  RunFor(100ms);
+  for (int number = 0; number < 5; ++number) {
+    const std::string id = "read-" + std::to_string(number);
+    EXPECT_EQ(Call(gateway, Request("GET", "/read/x", id)).mResponse.mStatus,
+              200u);
+  }
+  EXPECT_EQ(ended, 0u);
+  EXPECT_TRUE(RunUntil([&] { return ended == kEndless; }));
+}
+
 // Guards against endless bytes after a whole answer that reach the next caller.
 TEST_F(faulty_target_test, BytesAfterAnAnswerReachNobody)
 {
