Shorten the wait for a lost owner when former leaders abdicate late

Keys of an owner that was lost together with the leader stayed without an owner for 10.7 s though the former leader's next process answered within seconds: a move kept the expiry that was computed when it started, before the answer.

Change: the expiry of moves is computed again when former leaders are gone. LateAbdicationShortensTheWaitForALostOwner failed by reading only; it was written with the change.

--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -94,6 +94,10 @@
 {
   mFormerLeaderRenewsUntil = std::min(mFormerLeaderRenewsUntil, aNow);
   mFormerLeaderConnectsUntil = std::min(mFormerLeaderConnectsUntil, aNow);
+  for (move& each : mMoves) {
+    const owned_range keys{ each.mKeys, each.mOldOwner, each.mOldFence, "" };
+    each.mGrantExpiry = std::min(each.mGrantExpiry, RangeExpiry(keys, aNow));
+  }
 }
 
 bool range_controller::MayRenew(time_point aNow) const
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -276,6 +276,44 @@
   EXPECT_EQ(mController.Record(), writes[0].mRecord);
 }
 
+// Guards against keys that stay without an owner for the longest time of former
+// leaders, although these abdicate after the move of the keys has started.
+TEST_F(range_controller_test, LateAbdicationShortensTheWaitForALostOwner)
+{
+  Step();
+  const range_record record = mController.Record();
+  const range_settings settings;
+  range_controller next{ settings };
+  next.HandleRecord(record, store_revision(mRevision));
+  next.StartLeading({ term_number(2), mNow, mNow });
+  const std::vector<const known_target*> pointers{ &mTargets[1] };
+  next.HandleTargets(pointers, mNow);
+  const auto step = [&] {
+    next.HandleLeadershipConfirmed(mNow);
+    for (const range_action& action : next.Step(mNow)) {
+      if (const auto* write = std::get_if<write_record>(&action)) {
+        next.HandleWriteResult(
+          write->mId, true, store_revision(++mRevision), mNow);
+      } else if (const auto* release = std::get_if<release_order>(&action)) {
+        next.HandleReleaseResult(
+          release->mId, order_result::kNoResponse, "", mNow);
+      }
+    }
+    return FindRange(next.Record(), 0)->mOwner.mName;
+  };
+  EXPECT_EQ(step(), target_name("a"));
+  mNow += 1s;
+  next.HandleFormerLeadersGone(mNow);
+  const auto hold = std::chrono::duration_cast<duration>(
+    settings.mGrantDuration * settings.mClockDriftFactor);
+  const time_point expiry = mNow + settings.mMaxFormerDeliveryDelay + hold;
+  for (; mNow < expiry; mNow += 20ms) {
+    EXPECT_EQ(step(), target_name("a"));
+  }
+  mNow += 20ms;
+  EXPECT_EQ(step(), target_name("b"));
+}
+
 // Guards against a leader that steps without a pause while a move, whose grant
 // has expired, waits for the result of a pending grant.
 TEST_F(range_controller_test, NextStepLiesAheadWhileAGrantIsPending)
@@ -311,8 +349,8 @@
         next.HandleWriteResult(
           write->mId, true, store_revision(++mRevision), mNow);
       } else {
-        EXPECT_GE(std::get<grant_order>(action).mFence.Value(),
-                  record.mNextFence);
+        const auto& grant = std::get<grant_order>(action);
+        EXPECT_GE(grant.mFence.Value(), record.mNextFence);
         ++grants;
       }
     }
