Keep the handover when a key range gets a new fence

A new fence for the same owner dropped the recorded handover of the last owner, so keys that had not been granted yet were slow for some seconds. Since each change of leader assigns new fences, this is no rare case any more.

--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -77,6 +77,7 @@
     added.mOldFence = aRange.mFence;
     added.mNewOwner = aRange.mOwner.mName;
     added.mKeepsOwner = true;
+    added.mHandover = aRange.mHandover;
     // No other target can hold the keys, so there is no release or expiry to
     // wait for.
     added.mReady = ready_reason::kFenceChange;
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -335,7 +335,10 @@
 TEST_F(range_controller_test, NewLeaderGrantsItsOwnFencesOnly)
 {
   Step();
-  const range_record record = mController.Record();
+  range_record record = mController.Record();
+  for (owned_range& range : record.mRanges) {
+    range.mHandover = "state";
+  }
   range_controller next{ range_settings() };
   next.HandleRecord(record, store_revision(mRevision));
   next.StartLeading({ term_number(2), mNow, mNow });
@@ -351,6 +354,7 @@
       } else {
         const auto& grant = std::get<grant_order>(action);
         EXPECT_GE(grant.mFence.Value(), record.mNextFence);
+        EXPECT_EQ(grant.mHandover, "state");
         ++grants;
       }
     }
