Retire the fence of a grant that no open connection can carry

A grant without confirmation that was held back for want of a connection kept its fence. If the target restarted meanwhile, the next confirmed renewal opened a connection and gave the old fence to the new process.

Change: the result kNoConnection retires the fence and is no failure of the target. Whether a call opens a connection is decided where it is opened, so the limit for connections holds for that very call (the race has no test). GrantWithoutAConnectionNeedsANewFence was written with the change.

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -44,6 +44,8 @@
       return "not-sent";
     case order_result::kNotAttempted:
       return "held-back";
+    case order_result::kNoConnection:
+      return "no-connection";
     case order_result::kNoResponse:
       return "unanswered";
   }
@@ -374,28 +376,33 @@
     SendQueuedGrants(target, order_result::kNotSent);
     return;
   }
+  const bool isConnected =
+    mConnections.HasOpenConnection(ToDiscoveredTarget(aOrder.mAddress), now);
   const time_point sendUntil =
-    mConnections.HasOpenConnection(ToDiscoveredTarget(aOrder.mAddress), now)
-      ? aOrder.mSendUntil
-      : std::min(aOrder.mSendUntil, aOrder.mConnectUntil);
+    isConnected ? aOrder.mSendUntil
+                : std::min(aOrder.mSendUntil, aOrder.mConnectUntil);
   const duration remaining = sendUntil - now;
   if (remaining <= duration::zero()) {
     ++mCounters.mGrantsTooLate;
-    HandleGrantOutcome(aService, aOrder, order_result::kNotAttempted);
-    SendQueuedGrants(target, order_result::kNotAttempted);
+    const order_result dropped = now < aOrder.mSendUntil
+                                   ? order_result::kNoConnection
+                                   : order_result::kNotAttempted;
+    HandleGrantOutcome(aService, aOrder, dropped);
+    SendQueuedGrants(target, dropped);
     return;
   }
   const std::string requestId = NextRequestId();
-  CallTarget(aOrder.mAddress,
-             mProtocol.GrantRequest(aOrder, requestId),
-             requestId,
-             std::min(kGrantTimeout, remaining),
-             { connection_choice::kAny, sendUntil },
-             [this, aService, aOrder](const order_response& aOutcome,
-                                      const http_result& aResult) {
-               HandleGrantOutcome(aService, aOrder, aOutcome.mResult, &aResult);
-               SendQueuedGrants(aOrder.mAddress.mTarget, aOutcome.mResult);
-             });
+  CallTarget(
+    aOrder.mAddress,
+    mProtocol.GrantRequest(aOrder, requestId),
+    requestId,
+    std::min(kGrantTimeout, remaining),
+    { connection_choice::kAny, aOrder.mSendUntil, aOrder.mConnectUntil },
+    [this, aService, aOrder](const order_response& aOutcome,
+                             const http_result& aResult) {
+      HandleGrantOutcome(aService, aOrder, aOutcome.mResult, &aResult);
+      SendQueuedGrants(aOrder.mAddress.mTarget, aOutcome.mResult);
+    });
 }
 
 void range_driver::SendQueuedGrants(const target_name& aTarget,
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -105,7 +105,9 @@
     aTimeout,
     [this, id](http_result aResult) { HandleResult(id, std::move(aResult)); },
     std::move(aFilter),
-    aOptions.mSendUntil);
+    call.mConnection->IsOpen()
+      ? aOptions.mSendUntil
+      : std::min(aOptions.mSendUntil, aOptions.mConnectUntil));
   return id;
 }
 
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -27,6 +27,8 @@
   connection_choice mConnection = connection_choice::kAny;
   /// Time after which nothing of the request is sent.
   time_point mSendUntil = time_point::max();
+  /// The same for a call that opens a connection.
+  time_point mConnectUntil = time_point::max();
 
   bool operator==(const call_options&) const = default;
 };
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -85,6 +85,9 @@
   /// This router dropped the order before anything left it, for a reason of its
   /// own. This says nothing about the state of the target.
   kNotAttempted,
+  /// This router dropped the order because no connection to the process that
+  /// accepted the grant before was open, and none may be opened.
+  kNoConnection,
   /// No answer arrived. The target may have accepted the order or may still
   /// accept it.
   kNoResponse,
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -215,6 +215,12 @@
     return;
   }
   owner_state& owner = mOwners[grant.mTarget];
+  if (aResult == order_result::kNoConnection) {
+    // The target may have restarted since it closed its last connection.
+    owner.mRetiredFence = std::max(owner.mRetiredFence, owner.mGrantedFence);
+    mNextGrantTimes[grant.mKeys.mFirst] = aNow + kRetryDelay;
+    return;
+  }
   if (aResult != order_result::kNotSent) {
     RecordGrantCall(grant, aNow);
     for (move& each : mMoves) {
--- a/UnitTests/Gateway/SimulatedRouter.h
+++ b/UnitTests/Gateway/SimulatedRouter.h
@@ -533,7 +533,10 @@
         : std::min(aOrder.mSendUntil, aOrder.mConnectUntil);
     const duration remaining = sendUntil - mNetwork.Now();
     if (remaining <= duration::zero()) {
-      EndGrant(aOrder, order_result::kNotAttempted);
+      EndGrant(aOrder,
+               mNetwork.Now() < aOrder.mSendUntil
+                 ? order_result::kNoConnection
+                 : order_result::kNotAttempted);
       return;
     }
     mConnections.Call(
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -314,6 +314,34 @@
   EXPECT_EQ(step(), target_name("b"));
 }
 
+// Guards against an old fence that reaches a restarted target: without an open
+// connection, a grant without confirmation is held back, and the target may
+// restart before the leadership is confirmed again.
+TEST_F(range_controller_test, GrantWithoutAConnectionNeedsANewFence)
+{
+  Step();
+  const std::vector<grant_order> first = Orders<grant_order>();
+  ASSERT_EQ(first.size(), 2u);
+  for (const grant_order& grant : first) {
+    mController.HandleGrantResult(grant.mId, order_result::kAccepted, mNow);
+  }
+  mNow += 2s;
+  for (const range_action& action : mController.Step(mNow)) {
+    mController.HandleGrantResult(
+      std::get<grant_order>(action).mId, order_result::kNoConnection, mNow);
+  }
+  std::vector<grant_order> later;
+  for (int step = 0; step < 5 && later.empty(); ++step) {
+    mNow += 300ms;
+    later = Orders<grant_order>();
+  }
+  ASSERT_EQ(later.size(), 2u);
+  for (size_t i = 0; i < later.size(); ++i) {
+    EXPECT_EQ(later[i].mAddress, first[i].mAddress);
+    EXPECT_GT(later[i].mFence, first[i].mFence);
+  }
+}
+
 // Guards against a leader that steps without a pause while a move, whose grant
 // has expired, waits for the result of a pending grant.
 TEST_F(range_controller_test, NextStepLiesAheadWhileAGrantIsPending)
