Bound the time in which a release may leave

A router that stood still while a release's connection was set up could send the release at any later time, with a fence that its successor assigned as well. The target then dropped the keys until the next renewal.

Change: a release names the time until which its bytes may leave the router, the last confirmation plus the lease. LateAbdicationShortensTheWaitForALostOwner checks the limit.

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -454,6 +454,7 @@
   ++mCounters.mReleases;
   const std::string requestId = NextRequestId();
   call_options options;
+  options.mSendUntil = aOrder.mSendUntil;
   if (mTargetsWithoutRequestIds.contains(aOrder.mAddress.mTarget)) {
     options.mConnection = connection_choice::kNew;
   }
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -48,6 +48,9 @@
   order_address mAddress;
   key_interval mKeys;
   fence mFence;
+  /// Time after which nothing of the order may leave this router, as another
+  /// router may assign the same fence.
+  time_point mSendUntil = time_point::max();
 
   bool operator==(const release_order&) const = default;
 };
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -268,11 +268,12 @@
     }
     each.mPendingRelease = order_id(mNextOrderId++);
     const discovered_target& target = owner->second.mTarget;
-    aActions.emplace_back(
-      release_order{ *each.mPendingRelease,
-                     { target.mName, target.mHost, target.mPort },
-                     each.mKeys,
-                     fence(mRecord.mNextFence) });
+    aActions.emplace_back(release_order{
+      *each.mPendingRelease,
+      { target.mName, target.mHost, target.mPort },
+      each.mKeys,
+      fence(mRecord.mNextFence),
+      mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToMove });
   }
 }
 
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -295,6 +295,8 @@
         next.HandleWriteResult(
           write->mId, true, store_revision(++mRevision), mNow);
       } else if (const auto* release = std::get_if<release_order>(&action)) {
+        EXPECT_EQ(release->mSendUntil,
+                  mNow + settings.mMaxConfirmationAgeToMove);
         next.HandleReleaseResult(
           release->mId, order_result::kNoResponse, "", mNow);
       }
