Forget former leaders by grants that were sent after they stop connecting

A leader that stood still could read the response to a grant late and take it to fence former leaders. If the target had restarted in between and a former leader had connected to its new process with an old fence, the target held the keys while the leader gave them away after its own hold.

Change: the time of the decision counts, not that of the response. GrantSentBeforeFormerLeadersStopReplacesNothing fails with the time of the response.

--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -235,7 +235,7 @@
     owner.mFailingSince.reset();
     if (aResult == order_result::kAccepted &&
         grant.mFence.Value() >= mFirstOwnFence &&
-        aNow >= mFormerLeaderConnectsUntil) {
+        grant.mDecidedAt >= mFormerLeaderConnectsUntil) {
       RemoveFormerLeaderGrants(grant.mTarget, grant.mKeys);
     }
     return;
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -183,6 +183,8 @@
     target_name mTarget;
     key_interval mKeys;
     fence mFence;
+    /// Time of the decision; the order is sent later.
+    time_point mDecidedAt;
   };
 
   void RemoveFormerLeaderGrants(const target_name& aTarget,
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -423,7 +423,7 @@
   mNextStepTime = std::min(mNextStepTime, next->second);
   const order_id order(mNextOrderId++);
   const discovered_target& target = mOwners.at(aRange.mOwner.mName).mTarget;
-  mPendingGrants[order] = { target.mName, aKeys, aRange.mFence };
+  mPendingGrants[order] = { target.mName, aKeys, aRange.mFence, aNow };
   aActions.emplace_back(grant_order{
     order,
     { target.mName, target.mHost, target.mPort },
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -344,6 +344,53 @@
   }
 }
 
+// Guards against former leaders that are forgotten because of a response that
+// is read late: the target may have restarted since, and a former leader may
+// have connected to its new process.
+TEST_F(range_controller_test, GrantSentBeforeFormerLeadersStopReplacesNothing)
+{
+  Step();
+  const range_settings settings;
+  const time_point elected = mNow;
+  range_controller next{ settings };
+  next.HandleRecord(mController.Record(), store_revision(mRevision));
+  next.StartLeading({ term_number(2), elected, elected });
+  const std::vector<const known_target*> both{ &mTargets[0], &mTargets[1] };
+  const std::vector<const known_target*> second{ &mTargets[1] };
+  next.HandleTargets(both, mNow);
+  std::vector<order_id> pending;
+  const auto step = [&] {
+    next.HandleLeadershipConfirmed(mNow);
+    for (const range_action& action : next.Step(mNow)) {
+      if (const auto* write = std::get_if<write_record>(&action)) {
+        next.HandleWriteResult(
+          write->mId, true, store_revision(++mRevision), mNow);
+      } else if (const auto* grant = std::get_if<grant_order>(&action)) {
+        pending.push_back(grant->mId);
+      } else if (const auto* release = std::get_if<release_order>(&action)) {
+        next.HandleReleaseResult(
+          release->mId, order_result::kNoResponse, "", mNow);
+      }
+    }
+  };
+  step();
+  step();
+  ASSERT_EQ(pending.size(), 2u);
+  mNow += 2s;
+  for (const order_id& each : pending) {
+    next.HandleGrantResult(each, order_result::kAccepted, mNow);
+  }
+  next.HandleTargets(second, mNow);
+  const auto hold = std::chrono::duration_cast<duration>(
+    settings.mGrantDuration * settings.mClockDriftFactor);
+  const time_point expiry = elected + settings.mMaxConfirmationAgeToRenew +
+                            settings.mMaxFormerDeliveryDelay + hold;
+  for (; mNow < expiry; mNow += 100ms) {
+    step();
+    EXPECT_EQ(FindRange(next.Record(), 0)->mOwner.mName, target_name("a"));
+  }
+}
+
 // Guards against a leader that steps without a pause while a move, whose grant
 // has expired, waits for the result of a pending grant.
 TEST_F(range_controller_test, NextStepLiesAheadWhileAGrantIsPending)
