--- a/Parsleystair/Gateway/ElectionController.cpp
+++ b/Parsleystair/Gateway/ElectionController.cpp
@@ -123,7 +123,7 @@
     return;
   }
   mNextCampaignAt.reset();
-  mCampaign.emplace();
+  mCampaign = campaign();
   mActions.emplace_back(read_terms{});
   mActions.emplace_back(open_lease{});
 }
