--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -286,7 +286,10 @@
     case http_status::kResponded:
       return mProtocol.ReadOrderResponse(aResult.mResponse);
     case http_status::kNotSent:
-      return order_result::kNotSent;
+      // The connection timeout is shorter than the call timeout, so this call
+      // was cut off at the order's send limit.
+      return aResult.mTimedOut ? order_result::kNotAttempted
+                               : order_result::kNotSent;
     case http_status::kNoResponse:
       return order_result::kNoResponse;
   }
@@ -330,17 +333,17 @@
     SendQueuedGrants(target, order_result::kNotAttempted);
     return;
   }
-  mConnections.Call(
-    ToDiscoveredTarget(aOrder.mAddress),
-    mProtocol.GrantRequest(aOrder),
-    std::min(kGrantTimeout, remaining),
-    now,
-    [this, aService, aOrder](const http_result& aResult) {
-      const order_result outcome = OutcomeOf(aResult);
-      HandleGrantOutcome(aService, aOrder, outcome, &aResult);
-      SendQueuedGrants(aOrder.mAddress.mTarget, outcome);
-    },
-    nullptr);
+  mConnections.Call(ToDiscoveredTarget(aOrder.mAddress),
+                    mProtocol.GrantRequest(aOrder),
+                    std::min(kGrantTimeout, remaining),
+                    now,
+                    [this, aService, aOrder](const http_result& aResult) {
+                      const order_result outcome = OutcomeOf(aResult);
+                      HandleGrantOutcome(aService, aOrder, outcome, &aResult);
+                      SendQueuedGrants(aOrder.mAddress.mTarget, outcome);
+                    },
+                    nullptr,
+                    { connection_choice::kAny, sendUntil });
 }
 
 void range_driver::SendQueuedGrants(const target_name& aTarget,
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -12,6 +12,25 @@
 /// Identifies one call to a target.
 using call_id = strong_id<struct call_tag, uint64_t>;
 
+/// Connection that a call may use.
+enum class connection_choice
+{
+  /// An idle connection, or a new one if no idle connection is usable.
+  kAny,
+  /// A new connection, on which no earlier response can be repeated. It takes
+  /// the place of an idle one.
+  kNew,
+};
+
+struct call_options
+{
+  connection_choice mConnection = connection_choice::kAny;
+  /// Time after which nothing of the request is sent.
+  time_point mSendUntil = time_point::max();
+
+  bool operator==(const call_options&) const = default;
+};
+
 /// Pools of HTTP connections from one router to its targets. Connections stay
 /// open between calls and are reused.
 class target_connections
@@ -26,14 +45,14 @@
                      const http_connection_settings& aSettings,
                      duration aDefaultKeepAlive);
 
-  /// Sends a request over an idle connection, or over a new one if no idle
-  /// connection is usable.
+  /// Sends a request over a connection of the chosen kind.
   call_id Call(const discovered_target& aTarget,
                const http_request& aRequest,
                duration aTimeout,
                time_point aNow,
                callback aCallback,
-               response_filter aFilter);
+               response_filter aFilter,
+               const call_options& aOptions = {});
 
   /// Cancels a call without calling its callback and closes its connection.
   /// Most targets drop a request when its connection closes.
@@ -96,7 +115,8 @@
 
   std::unique_ptr<http_connection> TakeConnection(
     const discovered_target& aTarget,
-    time_point aNow);
+    time_point aNow,
+    connection_choice aChoice);
   void HandleResult(call_id aCall, http_result aResult);
   [[nodiscard]] static bool IsReusable(const pool& aPool,
                                        const idle_connection& aIdle,
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -248,6 +248,12 @@
       continue;
     }
     mNextStepTime = std::min(mNextStepTime, each.mGrantExpiry);
+    const time_point releaseTime =
+      std::max(each.mNextReleaseTime, mFormerLeaderConnectsUntil);
+    if (aNow < releaseTime) {
+      mNextStepTime = std::min(mNextStepTime, releaseTime);
+      continue;
+    }
     const auto owner = mOwners.find(each.mOldOwner.mName);
     const bool reachable = owner != mOwners.end();
     // A pending grant may arrive after the release, at a process that has
@@ -256,12 +262,6 @@
         HasPendingGrant(each.mOldOwner.mName, each.mKeys)) {
       continue;
     }
-    const time_point releaseTime =
-      std::max(each.mNextReleaseTime, mFormerLeaderConnectsUntil);
-    if (aNow < releaseTime) {
-      mNextStepTime = std::min(mNextStepTime, releaseTime);
-      continue;
-    }
     each.mPendingRelease = order_id(mNextOrderId++);
     const discovered_target& target = owner->second.mTarget;
     aActions.emplace_back(
