--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -442,6 +442,17 @@
   EXPECT_TRUE(mTarget.Orders().empty());
 }
 
+// Guards against orders that a server of another service, which has got the
+// target's address, runs as requests.
+TEST_F(range_driver_test, OrdersNameTheirTarget)
+{
+  StartDriver(1);
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 1; }));
+  EXPECT_EQ(
+    FindHeader(mTarget.Orders()[0].mRequest.mHeaders, "X-Expected-Instance"),
+    "a");
+}
+
 // Guards against grants that leave after the end of the leadership: queued
 // ones, and those whose connection is being set up.
 TEST_F(range_driver_test, NoGrantLeavesAfterTheLeadershipEnds)
