Give each test process ports of its own

gateway_test.ForwardsRequestAndResponseUnchanged failed once with "could not listen on 127.0.0.1:56557": the port was found unused and closed again, and another process or an outgoing connection could take it before the gateway listened. The cause is from reading; the failure was not repeated.

Change: the ports come from below the range of outgoing connections, a slice for each process. 336 of 336 tests pass with 8 at a time.

--- a/UnitTests/Gateway/GatewayFixture.h
+++ b/UnitTests/Gateway/GatewayFixture.h
@@ -20,20 +20,34 @@
 
 namespace parsleystair {
 
-/// Returns a TCP port of the loopback interface that is currently unused.
+/// Returns a TCP port of the loopback interface that is currently unused. The
+/// ports of a process are below those that the system gives to connections, and
+/// processes that run side by side use different ones, so that nobody else
+/// takes the port before the gateway listens.
 inline uint16_t FreePort()
 {
-  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  EXPECT_EQ(
-    ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
-    0);
-  socklen_t length = sizeof(address);
-  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
-  close(descriptor);
-  return ntohs(address.sin_port);
+  constexpr uint32_t kFirstPort = 10'000;
+  constexpr uint32_t kPortsPerProcess = 64;
+  constexpr uint32_t kProcesses = 350;
+  static uint32_t sNext = 0;
+  const uint32_t first = kFirstPort + static_cast<uint32_t>(getpid()) %
+                                        kProcesses * kPortsPerProcess;
+  for (uint32_t attempt = 0; attempt < kPortsPerProcess; ++attempt) {
+    const auto port = static_cast<uint16_t>(first + sNext++ % kPortsPerProcess);
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int result = ::bind(
+      descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    close(descriptor);
+    if (result == 0) {
+      return port;
+    }
+  }
+  ADD_FAILURE() << "no unused port from " << first;
+  return 0;
 }
 
 /// The platform's orders, with a header that names the gateway that sent them.
