--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -56,7 +56,7 @@
     { "slots", 4 },
     { "state", aState },
     { "slow_start_s_time", 0 },
-    { "seq", 1 },
+    { "seq", ++mReports },
     { "born", mStartedMs }
   }.dump();
 }
--- a/StandIns/standin_users_platform/KeyedTarget.h
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -106,6 +106,8 @@
   size_t mGrants = 0;
   size_t mCancelled = 0;
   uint64_t mStartedMs = 1000;
+  /// Entries written so far.
+  mutable uint64_t mReports = 0;
   std::function<void(const std::string&)> mRunHandler;
   std::function<void(const std::string&, const http_request&)> mOrderHandler;
   std::set<std::string> mIgnoredSenders;
--- a/StandIns/standin_users_platform/KvServer.cpp
+++ b/StandIns/standin_users_platform/KvServer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace parsleystair {
 
@@ -94,6 +95,7 @@
 kv_server::kv_server(event_loop& aLoop)
   : mLoop(aLoop)
   , mCore(kWholeHistory)
+  , mCopy(kWholeHistory)
   , mServer(aLoop,
             {},
             [this](exchange_id aExchange, const http_request& aRequest) {
@@ -160,6 +162,15 @@
   }
 }
 
+void kv_server::Restore()
+{
+  mCore = mCopy;
+  ++mEra;
+  for (const auto& [exchange, watch] : std::exchange(mWatches, {})) {
+    mServer.Drop(exchange);
+  }
+}
+
 void kv_server::Handle(exchange_id aExchange, const http_request& aRequest)
 {
   ++mCalls;
@@ -194,9 +205,11 @@
                        uint32_t aStatus,
                        const json& aBody)
 {
-  mServer.Respond(
-    aExchange,
-    { aStatus, { { "Content-Type", "application/json" } }, aBody.dump() });
+  mServer.Respond(aExchange,
+                  { aStatus,
+                    { { "Content-Type", "application/json" },
+                      { "Store-Era", std::to_string(mEra) } },
+                    aBody.dump() });
 }
 
 void kv_server::HandleRange(exchange_id aExchange, const http_request& aRequest)
@@ -252,7 +265,7 @@
   watch.mPrefix = FindQueryValue(aRequest.mQuery, "prefix").value_or("");
   watch.mAfter =
     ToNumber(FindQueryValue(aRequest.mQuery, "after").value_or(""));
-  if (watch.mAfter < mFirstRevision) {
+  if (watch.mAfter < mFirstRevision || watch.mAfter > mCore.Head()) {
     Answer(aExchange, kGone, json::object());
     return;
   }
--- a/StandIns/standin_users_platform/KvServer.h
+++ b/StandIns/standin_users_platform/KvServer.h
@@ -39,6 +39,11 @@
   void LoseWriteAnswers(uint32_t aCount) { mLoseAnswers = aCount; }
   /// Forgets all changes up to now.
   void DropHistory();
+  /// Keeps a copy of the store for `Restore`.
+  void Save() { mCopy = mCore; }
+  /// Comes back from the kept copy: all later changes and leases are lost, and
+  /// their revisions are assigned again. Starts a new era.
+  void Restore();
 
   [[nodiscard]] uint64_t Calls() const { return mCalls; }
 
@@ -68,6 +73,8 @@
 
   event_loop& mLoop;
   key_value_core mCore;
+  key_value_core mCopy;
+  uint64_t mEra = 1;
   http_server mServer;
   std::map<exchange_id, waiting_watch> mWatches;
   timer mLeaseTimer;
