Order positions in the store by era

A store that comes back from a copy assigns revisions again, so that routers took newer states for old news, watches went on from a revision with another meaning, and conditions on revisions could hold by accident.

Change: the client reads Store-Era and packs era and number into each revision, so that all comparisons order by era first. It takes no answer of an earlier era, and watches and conditions from one fail without a call. Followers read all again.

--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -72,18 +72,22 @@
 
 void prefix_follower::Read()
 {
-  mStore.ReadPrefix(mPrefix,
-                    [this](const prefix_reply& aReply) { HandleRead(aReply); });
+  const uint64_t generation = ++mGeneration;
+  mStore.ReadPrefix(mPrefix, [this, generation](const prefix_reply& aReply) {
+    if (generation == mGeneration) {
+      HandleRead(aReply);
+    }
+  });
 }
 
 void prefix_follower::Watch()
 {
-  const uint64_t generation = ++mWatchGeneration;
+  const uint64_t generation = ++mGeneration;
   mStore.Watch(mPrefix,
                mRevision,
                mFailures > 0 ? kWatchWaitAfterFailure : mMaxWatchWait,
                [this, generation](const watch_reply& aReply) {
-                 if (generation == mWatchGeneration) {
+                 if (generation == mGeneration) {
                    HandleWatch(aReply);
                  }
                });
@@ -104,17 +108,29 @@
   log_line(log_severity::kInfo, "watch_given_up")
     .Add("prefix", mPrefix)
     .Add("revision", mRevision.Value());
-  ++mWatchGeneration;
   mTimer.Cancel();
   Read();
 }
 
+void prefix_follower::HandleEraChange()
+{
+  if (mHasRead) {
+    mTimer.Cancel();
+    Read();
+  }
+}
+
 void prefix_follower::HandleRead(const prefix_reply& aReply)
 {
   if (aReply.mOutcome != call_outcome::kDone) {
     ScheduleRetry(aReply.mOutcome, true);
     return;
   }
+  if (EraOf(aReply.mRevision) < EraOf(mRevision)) {
+    // A relay or a delayed reply may still show the lost history.
+    ScheduleRetry(call_outcome::kRefused, true);
+    return;
+  }
   RecordReply();
   mRevision = aReply.mRevision;
   mHasRead = true;
@@ -137,6 +153,11 @@
     ScheduleRetry(aReply.mOutcome, false);
     return;
   }
+  if (EraOf(aReply.mRevision) != EraOf(mRevision)) {
+    // The changes up to the restore are missing from the reply.
+    ScheduleRetry(call_outcome::kRefused, true);
+    return;
+  }
   RecordReply();
   mRevision = std::max(mRevision, aReply.mRevision);
   for (const item_change& change : aReply.mChanges) {
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -47,6 +47,10 @@
   /// again unless the store replies to this follower at about that time.
   void CheckAfterGap(time_point aGapAt);
 
+  /// Call when the store has come back from an older copy. Reads the whole
+  /// prefix again.
+  void HandleEraChange();
+
   /// True after the first complete read.
   [[nodiscard]] bool HasRead() const { return mHasRead; }
 
@@ -73,8 +77,8 @@
   time_point mLastReplyAt = time_point::min();
   /// Time of the last reply with changes.
   time_point mLastChangeAt = time_point::min();
-  /// Replies to watches of earlier generations are ignored.
-  uint64_t mWatchGeneration = 0;
+  /// Replies to calls of earlier generations are ignored.
+  uint64_t mGeneration = 0;
   timer mTimer;
   timer mGapTimer;
 };
--- a/Parsleystair/Gateway/RelayedStore.h
+++ b/Parsleystair/Gateway/RelayedStore.h
@@ -31,6 +31,11 @@
   /// The router that sent the watch has disconnected.
   void HandleDisconnect(exchange_id aExchange);
 
+  [[nodiscard]] store_era Era() const override { return mStore.Era(); }
+  void OnEraChange(era_handler aHandler) override
+  {
+    mStore.OnEraChange(std::move(aHandler));
+  }
   void ReadPrefix(const std::string& aPrefix,
                   std::function<void(prefix_reply)> aCallback) override;
   void Watch(const std::string& aPrefix,
--- a/Parsleystair/Platform/CoordinationStore.h
+++ b/Parsleystair/Platform/CoordinationStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Parsleystair/Core/Ids.h"
+#include "Parsleystair/Core/StoreEra.h"
 #include "Parsleystair/Core/Time.h"
 
 #include <functional>
@@ -118,11 +119,25 @@
 /// A key-value store with revisions, watches, conditional writes and leases.
 /// Each call ends with one call of its callback, on the task that made it and
 /// never inside the call itself.
+///
+/// The store may come back from an older copy, which starts a new era. A
+/// condition on a revision of an earlier era doesn't hold, a watch from one
+/// ends with `kGone`, and the outcome of a write that was sent in an earlier
+/// era than it was answered in is unknown.
 class coordination_store
 {
 public:
   virtual ~coordination_store() = default;
 
+  /// Latest era of which a reply has arrived; the first era before any reply.
+  [[nodiscard]] virtual store_era Era() const = 0;
+
+  using era_handler = std::function<void(const store_era&)>;
+
+  /// `aHandler` is called when `Era` changes, before the callback of the call
+  /// whose reply shows the change.
+  virtual void OnEraChange(era_handler aHandler) = 0;
+
   /// Linearizable read of all keys that begin with a prefix.
   virtual void ReadPrefix(const std::string& aPrefix,
                           std::function<void(prefix_reply)> aCallback) = 0;
--- a/StandIns/standin_users_platform/UnreliableStore.h
+++ b/StandIns/standin_users_platform/UnreliableStore.h
@@ -67,6 +67,11 @@
   /// as `aAnnounced`, such as that of a proxy before it.
   void TranslatePort(uint16_t aOwn, uint16_t aAnnounced);
 
+  [[nodiscard]] store_era Era() const override { return mStore.Era(); }
+  void OnEraChange(era_handler aHandler) override
+  {
+    mStore.OnEraChange(std::move(aHandler));
+  }
   void ReadPrefix(const std::string& aPrefix,
                   std::function<void(prefix_reply)> aCallback) override;
   void Watch(const std::string& aPrefix,
