Ignore reports of targets that a restored store shows again

Cause: the entry of the copy was taken for a new report.

Change: reports are compared by start and number for 5 s after a restore, also with those of targets that have left; targets that are missing from the copy are kept as after an outage.

--- a/Parsleystair/Discovery/TargetDirectory.cpp
+++ b/Parsleystair/Discovery/TargetDirectory.cpp
@@ -4,6 +4,14 @@
 
 namespace parsleystair {
 
+namespace {
+
+/// Time for which the last report of a target that has left is kept. Copies of
+/// the store are some seconds old.
+constexpr duration kRemovedTargetRetention = 60s;
+
+} // namespace
+
 void target_directory::Reset(const std::vector<discovered_target>& aTargets,
                              time_point aNow)
 {
@@ -25,6 +33,9 @@
 
 void target_directory::Update(const discovered_target& aTarget, time_point aNow)
 {
+  if (aNow < mSettlesUntil && (IsOutdated(aTarget) || IsRemoved(aTarget))) {
+    return;
+  }
   const auto [position, isNew] = mTargets.try_emplace(aTarget.mName);
   known_target& known = position->second;
   const bool restarted =
@@ -48,7 +59,43 @@
       mStoreLost ? aNow + kOutageGracePeriod : mGracePeriodEnd;
     return;
   }
+  Erase(aName, aNow);
+}
+
+void target_directory::Erase(const target_name& aName, time_point aNow)
+{
+  const auto found = mTargets.find(aName);
+  const discovered_target& target = found->second.mTarget;
+  mRemoved[aName] = { target.mStartedMs, target.mReportNumber, aNow };
   mTargets.erase(found);
+  std::erase_if(mRemoved, [&](const auto& aRemoved) {
+    return aNow - aRemoved.second.mRemovedAt > kRemovedTargetRetention;
+  });
+}
+
+bool target_directory::IsOutdated(const discovered_target& aTarget) const
+{
+  const auto found = mTargets.find(aTarget.mName);
+  if (found == mTargets.end()) {
+    return false;
+  }
+  const discovered_target& known = found->second.mTarget;
+  return aTarget.mStartedMs < known.mStartedMs ||
+         (aTarget.mStartedMs == known.mStartedMs &&
+          aTarget.mReportNumber < known.mReportNumber);
+}
+
+bool target_directory::IsRemoved(const discovered_target& aTarget) const
+{
+  const auto found = mRemoved.find(aTarget.mName);
+  if (found == mRemoved.end()) {
+    return false;
+  }
+  const removed_target& removed = found->second;
+  return aTarget.mStartedMs < removed.mStartedMs ||
+         (aTarget.mStartedMs == removed.mStartedMs &&
+          aTarget.mReportNumber != 0 &&
+          aTarget.mReportNumber <= removed.mReportNumber);
 }
 
 void target_directory::HandleStoreOutage(time_point /*aNow*/)
@@ -64,6 +111,12 @@
   }
 }
 
+void target_directory::HandleStoreRestored(time_point aNow)
+{
+  mGracePeriodEnd = aNow + kOutageGracePeriod;
+  mSettlesUntil = aNow + kRestoreSettlingTime;
+}
+
 bool target_directory::IsInGracePeriod(time_point aNow) const
 {
   return mStoreLost || aNow < mGracePeriodEnd;
@@ -71,10 +124,16 @@
 
 bool target_directory::Expire(time_point aNow)
 {
-  return std::erase_if(mTargets, [&](const auto& aTarget) {
-           const auto& until = aTarget.second.mDropAt;
-           return until && *until <= aNow;
-         }) > 0;
+  std::vector<target_name> expired;
+  for (const auto& [name, target] : mTargets) {
+    if (target.mDropAt && *target.mDropAt <= aNow) {
+      expired.push_back(name);
+    }
+  }
+  for (const target_name& name : expired) {
+    Erase(name, aNow);
+  }
+  return !expired.empty();
 }
 
 const known_target* target_directory::Find(const target_name& aName) const
--- a/Parsleystair/Discovery/TargetDirectory.h
+++ b/Parsleystair/Discovery/TargetDirectory.h
@@ -29,6 +29,8 @@
   /// Start time of the target in milliseconds since 1970 UTC. Distinguishes a
   /// restarted target that keeps its name.
   uint64_t mStartedMs = 0;
+  /// Counts the reports of the target since its start; 0 if it doesn't tell.
+  uint64_t mReportNumber = 0;
 
   bool operator==(const discovered_target&) const = default;
 };
@@ -54,6 +56,10 @@
   /// Time after an outage of the store in which live targets register again. A
   /// target that is missing for longer is dropped.
   static constexpr duration kOutageGracePeriod = 2200ms;
+  /// Time after a restore of the store in which an entry may be that of the
+  /// copy. Targets report more often, and entries of those that have left
+  /// expire.
+  static constexpr duration kRestoreSettlingTime = 5s;
 
   /// Replaces all entries.
   void Reset(const std::vector<discovered_target>& aTargets, time_point aNow);
@@ -68,6 +74,12 @@
   void HandleStoreOutage(time_point aNow);
   void HandleStoreRecovery(time_point aNow);
 
+  /// The store has come back from an older copy. Targets whose entries are
+  /// missing from it register again. For `kRestoreSettlingTime`, entries that
+  /// are older than what is known of their targets change nothing: the targets
+  /// may have left since, or be draining.
+  void HandleStoreRestored(time_point aNow);
+
   /// Drops the targets that did not register again in time. Returns true if any
   /// was dropped.
   bool Expire(time_point aNow);
@@ -83,11 +95,25 @@
     const service_name& aService) const;
 
 private:
+  /// Last report of a target that has left.
+  struct removed_target
+  {
+    uint64_t mStartedMs = 0;
+    uint64_t mReportNumber = 0;
+    time_point mRemovedAt = time_point::min();
+  };
+
   [[nodiscard]] bool IsInGracePeriod(time_point aNow) const;
+  [[nodiscard]] bool IsOutdated(const discovered_target& aTarget) const;
+  [[nodiscard]] bool IsRemoved(const discovered_target& aTarget) const;
+  void Erase(const target_name& aName, time_point aNow);
 
   std::map<target_name, known_target> mTargets;
+  std::map<target_name, removed_target> mRemoved;
   bool mStoreLost = false;
   time_point mGracePeriodEnd = time_point::min();
+  /// Time until which entries may be those of a copy.
+  time_point mSettlesUntil = time_point::min();
 };
 
 } // namespace parsleystair
--- a/UnitTests/Discovery/TargetDirectoryTest.cpp
+++ b/UnitTests/Discovery/TargetDirectoryTest.cpp
@@ -93,4 +93,70 @@
   EXPECT_EQ(mDirectory.Find(target_name("c"))->mSlowUntil, mNow + 12s);
 }
 
+// Guards against requests to a draining target, because a restored store shows
+// its entry from the time before.
+TEST_F(target_directory_test, OlderReportDoesNotReplaceANewerOne)
+{
+  discovered_target draining = Target("a");
+  draining.mReportNumber = 5;
+  draining.mDraining = true;
+  mDirectory.Update(draining, mNow);
+  discovered_target older = Target("a");
+  older.mReportNumber = 4;
+  mDirectory.HandleStoreRestored(mNow);
+  mDirectory.Reset({ older, Target("b") }, mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+
+  discovered_target restarted = Target("a");
+  restarted.mStartedMs = 2;
+  restarted.mReportNumber = 1;
+  mDirectory.Update(restarted, mNow);
+  mDirectory.Update(draining, mNow);
+  EXPECT_EQ(UsableCount(), 2u);
+}
+
+// Guards against a live target that is ignored for good, because it starts
+// again with an earlier time.
+TEST_F(target_directory_test, OlderReportCountsOnceTheRestoredStoreHasSettled)
+{
+  discovered_target later = Target("a");
+  later.mStartedMs = 5;
+  later.mDraining = true;
+  mDirectory.Update(later, mNow);
+  mDirectory.HandleStoreRestored(mNow);
+  mDirectory.Update(Target("a"), mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+  mNow += target_directory::kRestoreSettlingTime;
+  mDirectory.Update(Target("a"), mNow);
+  EXPECT_EQ(UsableCount(), 2u);
+}
+
+// Guards against requests to a target that has left, because a restored store
+// still has its entry, and against a live target that is taken for such a one.
+TEST_F(target_directory_test, RemovedTargetReturnsOnlyWithANewerReport)
+{
+  discovered_target removed = Target("a");
+  removed.mReportNumber = 5;
+  mDirectory.Update(removed, mNow);
+  mDirectory.Remove(target_name("a"), mNow);
+  mDirectory.HandleStoreRestored(mNow);
+  mDirectory.Reset({ removed, Target("b") }, mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+  removed.mReportNumber = 6;
+  mDirectory.Reset({ removed, Target("b") }, mNow);
+  EXPECT_EQ(UsableCount(), 2u);
+}
+
+// Guards against a service that loses the targets that registered after the
+// copy of a restored store was made.
+TEST_F(target_directory_test, KeepsTargetsThatAreMissingFromARestoredStore)
+{
+  mDirectory.HandleStoreRestored(mNow);
+  mDirectory.Reset({ Target("a") }, mNow);
+  EXPECT_EQ(UsableCount(), 2u);
+  mNow += target_directory::kOutageGracePeriod;
+  EXPECT_TRUE(mDirectory.Expire(mNow));
+  EXPECT_EQ(UsableCount(), 1u);
+}
+
 } // namespace parsleystair
