Drop queued grants when a connection to their target ends

Keys must reach another process of the same target with a higher fence only. A target that restarted while grants were in flight got the queued ones with the fences of its former process.

Cause: the driver took a target for restarted only if an idle connection was found broken. When all connections were in use, the calls on them ended without a response, and the queued grants were sent over new connections, although the fences were retired at the same moment.

range_driver_test.QueuedGrantsDoNotReachARestartedTarget on the code before: 16 orders instead of 10, so all 6 queued renewals reached the new process with old fences. With the change: 10.

A call whose connection ends before the response now marks the target like an idle connection that broke: queued grants of earlier decisions are not sent. The renewals are decided again with new fences.

--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -60,6 +60,13 @@
            : 0;
 }
 
+/// Whether the connection of a call ended before the response did.
+bool HasConnectionEnded(const http_result& aResult)
+{
+  return aResult.mFailure == http_failure::kClosed ||
+         aResult.mFailure == http_failure::kCut;
+}
+
 int64_t ToMilliseconds(duration aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
@@ -400,6 +407,9 @@
     { connection_choice::kAny, aOrder.mSendUntil, aOrder.mConnectUntil },
     [this, aService, aOrder](const order_response& aOutcome,
                              const http_result& aResult) {
+      if (HasConnectionEnded(aResult)) {
+        mBrokenTargets.insert(aOrder.mAddress.mTarget);
+      }
       HandleGrantOutcome(aService, aOrder, aOutcome.mResult, &aResult);
       SendQueuedGrants(aOrder.mAddress.mTarget, aOutcome.mResult);
     });
--- a/UnitTests/Gateway/OrderTarget.h
+++ b/UnitTests/Gateway/OrderTarget.h
@@ -84,6 +84,10 @@
     }
   }
 
+  /// Closes all connections, like the end of the target's process. New ones are
+  /// accepted, as by a process that has replaced it. Not for use in a handler.
+  void CloseConnections() { mConnections.clear(); }
+
   /// Text of a response without a body. `aId` is echoed if it isn't empty.
   static std::string Response(uint32_t aStatus, const std::string& aId)
   {
--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -497,4 +497,29 @@
   EXPECT_EQ(heldBack, 1u);
 }
 
+// Guards against grants to a process that has replaced the target: they were
+// decided for its predecessor and queued when the connections broke.
+TEST_F(range_driver_test, QueuedGrantsDoNotReachARestartedTarget)
+{
+  constexpr size_t kRanges = 8;
+  bool responds = true;
+  mTarget.OnOrder([&](const order_target::received_order& aOrder) {
+    if (responds) {
+      mTarget.Send(aOrder.mConnection,
+                   order_target::Response(200, aOrder.Id()));
+    }
+  });
+  StartDriver(kRanges);
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == kRanges; }));
+  RunFor(20ms);
+  responds = false;
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() > kRanges + 1; }));
+  RunFor(20ms);
+  ASSERT_EQ(mTarget.Orders().size(), kRanges + 2);
+  mTarget.CloseConnections();
+  responds = true;
+  RunFor(200ms);
+  EXPECT_EQ(mTarget.Orders().size(), kRanges + 2);
+}
+
 } // namespace parsleystair
