Apply the connect limit to connections that replace broken ones

A former leader may only reach the process that accepted its grants before. A grant that was meant for such a process could open a connection after the connect limit and so reach a restarted target, which has forgotten the release by the next leader.

Cause: target_connections chose the limit by the state of the connection before the call, and http_connection looks again whether the connection is still usable and otherwise opens another one, for which only the later send limit held. A router that stands still between the two checks doesn't notice the difference.

As a test without threads that needs the new argument: kept_connection_test. ConnectLimitHoldsForACallThatFindsAnUnreadEnd.

http_connection gets both limits and chooses between them after it has decided which connection it uses.

--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -105,9 +105,7 @@
     aTimeout,
     [this, id](http_result aResult) { HandleResult(id, std::move(aResult)); },
     std::move(aFilter),
-    call.mConnection->IsOpen()
-      ? aOptions.mSendUntil
-      : std::min(aOptions.mSendUntil, aOptions.mConnectUntil));
+    { aOptions.mSendUntil, aOptions.mConnectUntil });
   return id;
 }
 
--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -297,7 +297,7 @@
                            duration aTimeout,
                            callback aCallback,
                            response_filter aFilter,
-                           time_point aSendUntil)
+                           const send_limits& aLimits)
 {
   PARSLEYSTAIR_INVARIANT(!IsBusy());
   mState->mCallback = std::move(aCallback);
@@ -307,8 +307,10 @@
   mState->mTransferEnd.reset();
   mState->mRequest = RequestText(aRequest, mState->mHost);
   mState->mSent = false;
-  mState->mSendUntil = aSendUntil;
   mState->Connect();
+  mState->mSendUntil = mState->mReused
+                         ? aLimits.mSendUntil
+                         : std::min(aLimits.mSendUntil, aLimits.mConnectUntil);
   mState->StartParser();
   mState->StartDeadline(aTimeout);
   if (mState->mReused) {
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -49,6 +49,14 @@
   bool mReused = false;
 };
 
+/// Times after which nothing of a request is sent.
+struct send_limits
+{
+  time_point mSendUntil = time_point::max();
+  /// The same for a call that opens a connection.
+  time_point mConnectUntil = time_point::max();
+};
+
 struct http_connection_settings
 {
   /// Longest answer, in bytes.
@@ -90,13 +98,13 @@
   http_connection& operator=(const http_connection&) = delete;
 
   /// Makes a call; none may be open. The callback is called once, later, and
-  /// may destroy this object. If the request could not be sent before
-  /// `aSendUntil`, it is not sent at all, and the call times out.
+  /// may destroy this object. If the request could not be sent within the
+  /// limits, it is not sent at all, and the call times out.
   void Call(const http_request& aRequest,
             duration aTimeout,
             callback aCallback,
             response_filter aFilter = nullptr,
-            time_point aSendUntil = time_point::max());
+            const send_limits& aLimits = {});
 
   [[nodiscard]] bool IsBusy() const;
 
--- a/UnitTests/Http/KeptConnectionTest.cpp
+++ b/UnitTests/Http/KeptConnectionTest.cpp
@@ -42,7 +42,8 @@
   void Call(http_connection& aConnection,
             const std::string& aPath,
             duration aTimeout,
-            http_connection::response_filter aFilter = nullptr)
+            http_connection::response_filter aFilter = nullptr,
+            const send_limits& aLimits = {})
   {
     http_request request;
     request.mMethod = "GET";
@@ -54,7 +55,8 @@
         mResult = std::move(aResult);
         mLoop.Stop();
       },
-      std::move(aFilter));
+      std::move(aFilter),
+      aLimits);
   }
 
   /// Waits for what the target sent, without reading it.
@@ -136,6 +138,28 @@
   EXPECT_EQ(mTarget.Accepted(), 2u);
 }
 
+// Guards against a call that is meant for the process at the other end of a
+// kept connection and reaches the next one: the connection ends after the
+// caller has checked it.
+TEST_F(kept_connection_test, ConnectLimitHoldsForACallThatFindsAnUnreadEnd)
+{
+  Call("/1");
+  mLoop.Run();
+  mTarget.LastConnection().Finish();
+  WaitUntilNotOpen();
+  const send_limits openOnly{ time_point::max(), MonotonicNow() };
+  Call(mConnection, "/2", kCallTimeout, nullptr, openOnly);
+  mLoop.Run();
+  EXPECT_EQ(mResult.mStatus, http_status::kNotSent);
+  EXPECT_TRUE(mResult.mTimedOut);
+  // The limit is none for a connection that is open.
+  Call("/3");
+  mLoop.Run();
+  Call(mConnection, "/4", kCallTimeout, nullptr, openOnly);
+  mLoop.Run();
+  EXPECT_EQ(mResult.mResponse.mBody, "/4");
+}
+
 // Guards against a call that skips answers to other calls without end, until
 // its deadline.
 TEST_F(kept_connection_test, EndlessAnswersToOtherCallsFailTheCall)
