Drop the rest of a request at its send limit

A grant that the system didn't take at once could complete its way to the target after its send limit, when the next leader takes it to be expired.

Cause: the limit was compared once, before the first byte. What the system didn't take was sent whenever the socket became writable. The timer of the call ends most such calls at the limit, but a process that stood still handles the writable socket before its expired timers. Only requests that are longer than the free space of the socket's send buffer are affected; grants are a few hundred bytes plus the handover, so this is not known to have happened.

The stream compares the limit before each call of send(), so a pause between the first comparison and the first byte is covered as well, to within that system call.

--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -114,7 +114,7 @@
     return;
   }
   mSent = true;
-  mStream->Write(mRequest);
+  mStream->Write(mRequest, mSendUntil);
   mRequest.clear();
 }
 
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -1,5 +1,6 @@
 #include "Parsleystair/Http/SocketStream.h"
 
+#include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/SystemAddress.h"
 
@@ -79,6 +80,8 @@
   bool mBroken = false;
   bool mFinishing = false;
   std::string mOutput;
+  /// Time after which nothing of `mOutput` is sent.
+  time_point mWriteUntil = time_point::max();
   event* mReadEvent = nullptr;
   event* mWriteEvent = nullptr;
   event* mTimer = nullptr;
@@ -94,6 +97,8 @@
   void HandleWritable();
   void Flush();
   void FailLater();
+  void BreakLater();
+  [[nodiscard]] bool IsWriteLimitOver() const;
   bool FinishConnect();
 };
 
@@ -192,6 +197,10 @@
 void socket_stream::state::Flush()
 {
   while (!mOutput.empty() && !mConnecting && !mBroken) {
+    if (IsWriteLimitOver()) {
+      BreakLater();
+      return;
+    }
     const ssize_t count =
       send(mDescriptor, mOutput.data(), mOutput.size(), MSG_NOSIGNAL);
     if (count >= 0) {
@@ -223,6 +232,18 @@
   event_active(mReadEvent, EV_READ, 0);
 }
 
+void socket_stream::state::BreakLater()
+{
+  mBroken = true;
+  mOutput.clear();
+  event_active(mReadEvent, EV_READ, 0);
+}
+
+bool socket_stream::state::IsWriteLimitOver() const
+{
+  return mWriteUntil != time_point::max() && MonotonicNow() >= mWriteUntil;
+}
+
 socket_stream::socket_stream(event_loop& aLoop,
                              int aDescriptor,
                              const stream_settings& aSettings,
@@ -251,8 +272,9 @@
 
 socket_stream::~socket_stream() = default;
 
-void socket_stream::Write(std::string_view aBytes)
+void socket_stream::Write(std::string_view aBytes, time_point aUntil)
 {
+  mState->mWriteUntil = aUntil;
   mState->mOutput += aBytes;
   // While a write event waits, it sends what was added.
   if (event_pending(mState->mWriteEvent, EV_WRITE, nullptr) == 0) {
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -65,8 +65,10 @@
   socket_stream(const socket_stream&) = delete;
   socket_stream& operator=(const socket_stream&) = delete;
 
-  /// Sends bytes, at once as far as the system takes them.
-  void Write(std::string_view aBytes);
+  /// Sends bytes, at once as far as the system takes them. If it hasn't taken
+  /// all bytes of all calls before `aUntil`, the rest is dropped and the stream
+  /// breaks.
+  void Write(std::string_view aBytes, time_point aUntil = time_point::max());
 
   /// Closes the sending side after all bytes are sent.
   void FinishWriting();
--- a/UnitTests/Http/HttpTest.cpp
+++ b/UnitTests/Http/HttpTest.cpp
@@ -5,9 +5,11 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace parsleystair {
 
@@ -170,6 +172,49 @@
   EXPECT_EQ(CallOnce(loop, port.mPort, 5s).mStatus, http_status::kNotSent);
 }
 
+// Guards against the rest of a request that leaves after the request's send
+// limit, because the system didn't take all of it before.
+TEST(Http, NothingOfARequestLeavesAfterItsSendLimit)
+{
+  event_loop loop;
+  const closed_port port;
+  ASSERT_EQ(listen(port.mSocket, 1), 0);
+  http_connection connection(loop, "127.0.0.1", port.mPort);
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/";
+  request.mBody = std::string(32 * 1024 * 1024, 'x');
+  std::optional<http_result> result;
+  const time_point sendUntil = MonotonicNow() + 150ms;
+  connection.Call(request,
+                  5s,
+                  [&](const http_result& aResult) { result = aResult; },
+                  nullptr,
+                  { sendUntil });
+  const auto runFor = [&](duration aTime) {
+    timer end;
+    end.StartOnce(loop, aTime, [&] { loop.Stop(); });
+    loop.Run();
+  };
+  // The server reads nothing before the limit.
+  runFor(50ms);
+  std::this_thread::sleep_for(sendUntil - MonotonicNow() + 10ms);
+  const int accepted = accept4(port.mSocket, nullptr, nullptr, SOCK_NONBLOCK);
+  ASSERT_GE(accepted, 0);
+  size_t received = 0;
+  std::vector<char> buffer(1024 * 1024);
+  const time_point end = MonotonicNow() + 2s;
+  while (!result && received < request.mBody.size() && MonotonicNow() < end) {
+    const ssize_t count = recv(accepted, buffer.data(), buffer.size(), 0);
+    received += count > 0 ? static_cast<size_t>(count) : 0;
+    runFor(1ms);
+  }
+  close(accepted);
+  EXPECT_LT(received, request.mBody.size());
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->mStatus, http_status::kNoResponse);
+}
+
 // Guards against a cut answer that is passed on as whole.
 TEST(Http, CutAnswerIsNoAnswer)
 {
