Keep no connection to a target's former address

A target that starts again at another address could be sent requests and orders over a connection to its former address, so that its former process responded in its place. A release that the former process accepts lets the leader give away keys that the present one holds.

Cause: pools are kept by the target's name. A call that was active while the address changed returned its connection to the pool, whose address was the new one by then, and the next call took it.

target_connections_test.ConnectionToAFormerAddressIsNotReused on the code before: the call after the change of address reached the former server, and no response arrived. With the change it reaches the present one.

It needs a former process that still responds after the target's entry names another address; that this happened is not known.

--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -97,6 +97,8 @@
   const call_id id(mNextCall++);
   active_call& call = mCalls[id];
   call.mTarget = aTarget.mName;
+  call.mHost = aTarget.mHost;
+  call.mPort = aTarget.mPort;
   call.mConnection = TakeConnection(aTarget, aNow, aOptions.mConnection);
   ++mPools[aTarget.mName].mActiveCalls;
   call.mCallback = std::move(aCallback);
@@ -114,10 +116,11 @@
   // The extracted node keeps the connection alive until its callback returns.
   auto node = mCalls.extract(aCall);
   active_call& call = node.mapped();
-  --mPools[call.mTarget].mActiveCalls;
-  if (call.mConnection->IsOpen()) {
-    mPools[call.mTarget].mIdle.push_back(
-      { std::move(call.mConnection), MonotonicNow() });
+  pool& targetPool = mPools[call.mTarget];
+  --targetPool.mActiveCalls;
+  if (call.mConnection->IsOpen() && targetPool.mHost == call.mHost &&
+      targetPool.mPort == call.mPort) {
+    targetPool.mIdle.push_back({ std::move(call.mConnection), MonotonicNow() });
   }
   call.mCallback(std::move(aResult));
 }
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -111,6 +111,9 @@
   struct active_call
   {
     target_name mTarget;
+    /// Address of the connection; the target may have another one by now.
+    std::string mHost;
+    uint16_t mPort = 0;
     std::unique_ptr<http_connection> mConnection;
     callback mCallback;
   };
--- a/UnitTests/Gateway/TargetConnectionsTest.cpp
+++ b/UnitTests/Gateway/TargetConnectionsTest.cpp
@@ -100,4 +100,53 @@
   EXPECT_TRUE(mConnections.CloseBroken(mTarget.mName, MonotonicNow()));
 }
 
+// Guards against calls that reach the former process of a target, whose
+// response arrived after the target had got another address.
+TEST_F(target_connections_test, ConnectionToAFormerAddressIsNotReused)
+{
+  std::vector<exchange_id> waiting;
+  http_server former(
+    mLoop, {}, [&](exchange_id aExchange, const http_request&) {
+      waiting.push_back(aExchange);
+      mLoop.Stop();
+    });
+  former.Listen("127.0.0.1", 0);
+  discovered_target formerTarget = mTarget;
+  formerTarget.mPort = former.Port();
+  http_request request;
+  request.mMethod = "GET";
+  request.mPath = "/";
+  bool responded = false;
+  mConnections.Call(
+    formerTarget,
+    request,
+    1s,
+    MonotonicNow(),
+    [&](const http_result&) {
+      responded = true;
+      mLoop.Stop();
+    },
+    nullptr);
+  mLoop.Run();
+  ASSERT_EQ(waiting.size(), 1u);
+  Call(1);
+  former.Respond(waiting[0], { 200, {}, "" });
+  mLoop.Run();
+  ASSERT_TRUE(responded);
+  size_t received = 0;
+  mConnections.Call(
+    mTarget,
+    request,
+    300ms,
+    MonotonicNow(),
+    [&](const http_result& aResult) {
+      received += aResult.mStatus == http_status::kResponded ? 1 : 0;
+      mLoop.Stop();
+    },
+    nullptr);
+  mLoop.Run();
+  EXPECT_EQ(received, 1u);
+  EXPECT_EQ(waiting.size(), 1u);
+}
+
 } // namespace parsleystair
