Test the times and outcomes that grants are counted with

The code is unchanged; each test guards something that no other test did. Faults put back on scratch copies, with range_driver_test, target_connections_test, Http and kept_connection_test:

- The expiry is counted from the decision instead of the end of the call: GrantOfABlockedRouterExpiresAfterItsArrival is red, no other.
- The connect limit isn't given to the call: NoGrantUsesAConnectionAcceptedAfterItsLimit is red, no other.

--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -43,6 +43,27 @@
   }
 };
 
+/// Blocks the event loop for a while before each grant is sent.
+class slow_orders : public platform::wire_orders
+{
+public:
+  explicit slow_orders(duration aDelay)
+    : mDelay(aDelay)
+  {
+  }
+
+  [[nodiscard]] http_request GrantRequest(
+    const grant_order& aOrder,
+    const std::string& aRequestId) const override
+  {
+    std::this_thread::sleep_for(mDelay);
+    return wire_orders::GrantRequest(aOrder, aRequestId);
+  }
+
+private:
+  duration mDelay;
+};
+
 /// Address at which new connections stay pending, as its backlog is full.
 class full_listener
 {
@@ -204,6 +225,15 @@
     RunUntil([] { return false; }, aTime);
   }
 
+  /// Waits until the first target's keys are given to another target. Returns
+  /// the time since the first target received its last grant.
+  duration WaitForMove(time_point aLastGrant)
+  {
+    EXPECT_TRUE(
+      RunUntil([this] { return mDriver->Counters().mRecordWrites > 0; }));
+    return MonotonicNow() - aLastGrant;
+  }
+
   uint64_t mNextFence = 1;
   uint64_t mRecordRevision = 0;
   event_loop mLoop;
@@ -522,4 +552,73 @@
   EXPECT_EQ(mTarget.Orders().size(), kRanges + 2);
 }
 
+// Guards against a grant over a connection that was started in time and
+// accepted after the time at which connections may lead to another process.
+TEST_F(range_driver_test, NoGrantUsesAConnectionAcceptedAfterItsLimit)
+{
+  range_settings settings;
+  settings.mMaxConfirmationAgeToMove = 400ms;
+  mKv.SetUnresponsive(true);
+  StartDriver(1, settings, mOrders);
+  timer first;
+  timer second;
+  first.StartOnce(mLoop, 5ms, [] { Block(50ms); });
+  second.StartOnce(mLoop, 40ms, [] { Block(500ms); });
+  RunFor(1s);
+  EXPECT_GE(mDriver->Counters().mGrants, 1u);
+  EXPECT_TRUE(mTarget.Orders().empty());
+}
+
+// Guards against two owners of one key: a grant that leaves the router long
+// after its decision is valid from its arrival.
+TEST_F(range_driver_test, GrantOfABlockedRouterExpiresAfterItsArrival)
+{
+  range_settings settings;
+  settings.mGrantDuration = 500ms;
+  settings.mMaxDeliveryDelay = 0ms;
+  settings.mMaxFormerDeliveryDelay = 0ms;
+  const slow_orders orders(400ms);
+  time_point lastGrant;
+  mTarget.OnOrder([&](const order_target::received_order& aOrder) {
+    if (!aOrder.IsRelease()) {
+      lastGrant = MonotonicNow();
+    }
+    mTarget.Send(
+      aOrder.mConnection,
+      order_target::Response(aOrder.IsRelease() ? 503 : 200, aOrder.Id()));
+  });
+  StartDriver(1, settings, orders);
+  ASSERT_TRUE(RunUntil([&] { return !mTarget.Orders().empty(); }));
+  UpdateTargets(true);
+  EXPECT_GE(WaitForMove(lastGrant), settings.mGrantDuration);
+  EXPECT_GE(mTarget.Releases(), 1u);
+}
+
+// Guards against two owners of one key: the connection ends after the target
+// has read a grant and before it responds.
+TEST_F(range_driver_test, GrantOnAConnectionThatEndsMayHaveBeenAccepted)
+{
+  range_settings settings;
+  settings.mGrantDuration = 500ms;
+  mTarget.OnOrder([&](const order_target::received_order& aOrder) {
+    if (mTarget.Orders().size() == 1) {
+      mTarget.Send(aOrder.mConnection,
+                   order_target::Response(200, aOrder.Id()));
+    }
+  });
+  StartDriver(1, settings, mOrders);
+  // The renewal is sent when no former leader's grant is valid any more.
+  ASSERT_TRUE(RunUntil([&] { return mTarget.Orders().size() == 2; }));
+  const time_point lastGrant = MonotonicNow();
+  UpdateTargets(true);
+  RunFor(50ms);
+  mTarget.CloseConnections();
+  mTarget.OnOrder([&](const order_target::received_order& aOrder) {
+    EXPECT_TRUE(aOrder.IsRelease());
+    mTarget.Send(aOrder.mConnection, order_target::Response(503, aOrder.Id()));
+  });
+  EXPECT_GE(WaitForMove(lastGrant), settings.mGrantDuration);
+  EXPECT_GE(mTarget.Releases(), 1u);
+}
+
 } // namespace parsleystair
