Block the router at a set point in the tests of late grants

range_driver_test.NoGrantLeavesARouterThatBlockedWhileConnecting relied on timers that expire together. It failed once on a busy machine (load 15, with a fault put back that doesn't concern it); 48 other runs of it passed, so that the timers were the reason is suspected, not shown.

Both tests of connections that are set up now block the router in the same step that starts the connection, while a second grant is made. They are as strict: with the comparison of the send limit removed both are red, and with the connect limit removed NoGrantUsesAConnectionAcceptedAfterItsLimit is. 24 runs of each, four side by side, passed.

--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -43,12 +43,14 @@
   }
 };
 
-/// Blocks the event loop for a while before each grant is sent.
+/// Blocks the event loop for a while before each grant is sent whose keys begin
+/// at `aFirstKey` or later.
 class slow_orders : public platform::wire_orders
 {
 public:
-  explicit slow_orders(duration aDelay)
+  explicit slow_orders(duration aDelay, uint32_t aFirstKey = 0)
     : mDelay(aDelay)
+    , mFirstKey(aFirstKey)
   {
   }
 
@@ -56,12 +58,15 @@
     const grant_order& aOrder,
     const std::string& aRequestId) const override
   {
-    std::this_thread::sleep_for(mDelay);
+    if (aOrder.mKeys.mFirst >= mFirstKey) {
+      std::this_thread::sleep_for(mDelay);
+    }
     return wire_orders::GrantRequest(aOrder, aRequestId);
   }
 
 private:
   duration mDelay;
+  uint32_t mFirstKey;
 };
 
 /// Address at which new connections stay pending, as its backlog is full.
@@ -460,15 +465,12 @@
   range_settings settings;
   settings.mMaxConfirmationAgeToRenew = 400ms;
   mKv.SetUnresponsive(true);
-  StartDriver(1, settings, mOrders);
-  // The step and the second timer expire while the first one blocks, so they
-  // run together, and no I/O is handled between them.
-  timer first;
-  timer second;
-  first.StartOnce(mLoop, 5ms, [] { Block(50ms); });
-  second.StartOnce(mLoop, 40ms, [] { Block(500ms); });
+  // The second grant blocks the router while the first one's connection is
+  // being set up.
+  const slow_orders orders(500ms, 1);
+  StartDriver(2, settings, orders);
   RunFor(1s);
-  EXPECT_EQ(mDriver->Counters().mGrants, 1u);
+  EXPECT_EQ(mDriver->Counters().mGrants, 2u);
   EXPECT_TRUE(mTarget.Orders().empty());
 }
 
@@ -559,13 +561,12 @@
   range_settings settings;
   settings.mMaxConfirmationAgeToMove = 400ms;
   mKv.SetUnresponsive(true);
-  StartDriver(1, settings, mOrders);
-  timer first;
-  timer second;
-  first.StartOnce(mLoop, 5ms, [] { Block(50ms); });
-  second.StartOnce(mLoop, 40ms, [] { Block(500ms); });
+  // The second grant blocks the router while the first one's connection is
+  // being set up.
+  const slow_orders orders(500ms, 1);
+  StartDriver(2, settings, orders);
   RunFor(1s);
-  EXPECT_GE(mDriver->Counters().mGrants, 1u);
+  EXPECT_GE(mDriver->Counters().mGrants, 2u);
   EXPECT_TRUE(mTarget.Orders().empty());
 }
 
