Use no target whose entry was overwritten with an invalid one

Requests went on to a target whose entry had become invalid, if the change came by a watch; after a read of all entries the target was gone.

Cause: a change that could not be read was ignored.

Evidence: invalid_targets_test.OverwrittenEntryNamesNoTarget failed before.

Change: an invalid entry counts as a missing one.

Result: the test passes; the target is used again after its next valid entry.

--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -348,8 +348,16 @@
 void gateway_task::ApplyTarget(const item_change& aChange)
 {
   const time_point now = MonotonicNow();
-  if (!aChange.mValue) {
+  const auto target =
+    aChange.mValue
+      ? mPlatform.mCatalog.ReadTarget(aChange.mKey, *aChange.mValue)
+      : std::nullopt;
+  if (!target) {
+    // An invalid entry names no target, like a missing one.
     const target_name name = mPlatform.mCatalog.TargetOf(aChange.mKey);
+    if (aChange.mValue && mView.mDirectory.Find(name) == nullptr) {
+      return;
+    }
     mView.mDirectory.Remove(name, now);
     log_line(log_severity::kInfo, "target_removed")
       .Add("target", name.Value())
@@ -358,11 +366,6 @@
     HandleTargetsChanged();
     return;
   }
-  const auto target =
-    mPlatform.mCatalog.ReadTarget(aChange.mKey, *aChange.mValue);
-  if (!target) {
-    return;
-  }
   const known_target* known = mView.mDirectory.Find(target->mName);
   const bool isUnchanged =
     known != nullptr && !known->mDropAt && known->mTarget == *target;
--- a/UnitTests/Gateway/InvalidTargetsTest.cpp
+++ b/UnitTests/Gateway/InvalidTargetsTest.cpp
@@ -121,6 +121,25 @@
   ExpectFollows(gateway, "plain-4");
 }
 
+// Guards against a target that is still used after its entry was overwritten
+// with an invalid one.
+TEST_F(invalid_targets_test, OverwrittenEntryNamesNoTarget)
+{
+  const gateway_instance& gateway = StartGateway("a");
+  ASSERT_TRUE(Knows(gateway, "plain-1"));
+  const std::string entry = mTargets.at("plain-1")->Entry("plain", "ready");
+  mKv.Put(TargetKey("plain-1"), EntryWith("slots", "-1"));
+  EXPECT_TRUE(RunUntil([&] { return !Knows(gateway, "plain-1"); }));
+  for (int number = 0; number < 10; ++number) {
+    const std::string id = "r-" + std::to_string(number);
+    EXPECT_EQ(Call(gateway, Request("GET", "/read/x", id)).mResponse.mStatus,
+              200U);
+  }
+  EXPECT_TRUE(mTargets.at("plain-1")->Ran().empty());
+  mKv.Put(TargetKey("plain-1"), entry);
+  EXPECT_TRUE(RunUntil([&] { return Knows(gateway, "plain-1"); }));
+}
+
 // Guards against an invalid configuration that ends the process, replaces the
 // valid one or keeps later versions from taking effect.
 TEST_F(invalid_targets_test, InvalidConfigurationLeavesTheCurrentOne)
