Do not cut responses that a client still reads

A client that took over 2 s to read a last response, or longer than the idle timeout for another one, lost the rest: it got 3,904,956 of 6,291,456 bytes.

Cause: both timers ran from the end of the request, whatever was sent since.

Evidence: SlowClient.GetsAWholeLastResponse and GetsAWholeResponseOnAKept- Connection failed before.

Change: while output is unsent, the timers start again as long as the client acknowledges bytes.

Result: both tests pass.

--- a/Parsleystair/Http/ServerConnection.cpp
+++ b/Parsleystair/Http/ServerConnection.cpp
@@ -10,7 +10,8 @@
 constexpr uint32_t kRequestTimeout = 408;
 /// Bytes of following requests that are kept while one is answered.
 constexpr size_t kMaxPipelinedBytes = 64 * 1024;
-/// Time for a client to read a last answer before its connection is reset.
+/// Longest pause of a client in reading a last answer before its connection is
+/// reset.
 constexpr duration kLingerTime = 2s;
 
 } // namespace
@@ -106,7 +107,14 @@
   mClosing = true;
   mInput.clear();
   mStream.FinishWriting();
-  mStream.StartTimer(kLingerTime);
+  StartSendTimer(kLingerTime);
+}
+
+void server_connection::StartSendTimer(duration aDelay)
+{
+  mUnacknowledgedAtTimerStart =
+    HasUnsentOutput() ? mStream.Unacknowledged() : 0;
+  mStream.StartTimer(aDelay);
 }
 
 void server_connection::Respond(const http_response& aAnswer, bool aClose)
@@ -144,7 +152,7 @@
     return;
   }
   mStream.SetReading(true);
-  mStream.StartTimer(mSettings.mIdleTimeout);
+  StartSendTimer(mSettings.mIdleTimeout);
   ReadNext();
 }
 
@@ -156,6 +164,12 @@
 void server_connection::HandleTimeout()
 {
   if (mClosing || !mRequestStarted) {
+    // A client that still reads a long answer is not idle.
+    if (HasUnsentOutput() &&
+        mStream.Unacknowledged() < mUnacknowledgedAtTimerStart) {
+      StartSendTimer(mClosing ? kLingerTime : mSettings.mIdleTimeout);
+      return;
+    }
     mOwner.HandleGone(mId);
     return;
   }
--- a/Parsleystair/Http/ServerConnection.h
+++ b/Parsleystair/Http/ServerConnection.h
@@ -44,6 +44,7 @@
 
   /// Tells if no request is open and none has started to arrive.
   [[nodiscard]] bool IsIdle() const;
+  [[nodiscard]] bool HasUnsentOutput() const { return mStream.Unsent() > 0; }
 
   /// Address of the client.
   void SetPeer(std::string aHost, uint16_t aPort);
@@ -58,6 +59,9 @@
   void Refuse(uint32_t aStatus, const std::string& aReason);
   void FinishAnswer(bool aClose);
   void CloseWhenFlushed();
+  /// Starts the timer that ends the connection unless the client has read
+  /// output by then.
+  void StartSendTimer(duration aDelay);
 
   connection_id mId;
   http_server_settings mSettings;
@@ -67,6 +71,7 @@
   std::string mInput;
   std::string mPeerHost;
   uint16_t mPeerPort = 0;
+  size_t mUnacknowledgedAtTimerStart = 0;
   bool mAwaitsAnswer = false;
   bool mEndsAfterAnswer = false;
   bool mSaidContinue = false;
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -7,8 +7,10 @@
 #include <array>
 #include <cerrno>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -273,6 +275,16 @@
   return mState->mOutput.size();
 }
 
+size_t socket_stream::Unacknowledged() const
+{
+  int queued = 0;
+  if (mState->mDescriptor < 0 ||
+      ioctl(mState->mDescriptor, SIOCOUTQ, &queued) != 0) {
+    queued = 0;
+  }
+  return Unsent() + static_cast<size_t>(queued);
+}
+
 bool socket_stream::HasInput() const
 {
   if (mState->mConnecting || mState->mDescriptor < 0) {
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -74,6 +74,9 @@
   /// Bytes that the system has not taken yet.
   [[nodiscard]] size_t Unsent() const;
 
+  /// Bytes written that the peer has not acknowledged yet, sent or not.
+  [[nodiscard]] size_t Unacknowledged() const;
+
   /// Tells if bytes, or the end of the stream, have arrived and are not read
   /// yet.
   [[nodiscard]] bool HasInput() const;
