Send whole responses before a shutdown ends

Slow clients lost the rest of a response at a shutdown, though there was time: they got 3,904,956 of 6,291,456 bytes.

Cause: the process ended, or closed the connection as idle, when no request was open, without regard to output that the system had not taken yet.

Evidence: shutdown_test.SlowClientsGetWholeResponses failed before.

Change: a connection with unsent output is not idle, and the process waits for such output until the end of the grace time.

Result: the test passes.

--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -453,7 +453,9 @@
   mCallerServer.StopListening();
   mCallerServer.CloseIdle();
   mForwarder.RefuseNewRequests();
-  if (mForwarder.Open() > 0 && elapsed < limit) {
+  const bool isDone =
+    mForwarder.Open() == 0 && !mCallerServer.HasUnsentOutput();
+  if (!isDone && elapsed < limit) {
     return;
   }
   log_line(log_severity::kInfo, "stopped")
--- a/Parsleystair/Http/HttpServer.cpp
+++ b/Parsleystair/Http/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "Parsleystair/Core/SystemAddress.h"
 #include "Parsleystair/Http/ServerConnection.h"
 
+#include <algorithm>
 #include <array>
 #include <event2/listener.h>
 #include <event2/util.h>
@@ -253,4 +254,13 @@
   });
 }
 
+bool http_server::HasUnsentOutput() const
+{
+  return std::any_of(mState->mConnections.begin(),
+                     mState->mConnections.end(),
+                     [](const auto& aConnection) {
+                       return aConnection.second->HasUnsentOutput();
+                     });
+}
+
 } // namespace parsleystair
--- a/Parsleystair/Http/HttpServer.h
+++ b/Parsleystair/Http/HttpServer.h
@@ -81,6 +81,9 @@
   /// Closes the connections that wait for a request.
   void CloseIdle();
 
+  /// Tells if a part of an answer has not been handed to the system yet.
+  [[nodiscard]] bool HasUnsentOutput() const;
+
 private:
   struct state;
   std::unique_ptr<state> mState;
--- a/Parsleystair/Http/ServerConnection.cpp
+++ b/Parsleystair/Http/ServerConnection.cpp
@@ -38,7 +38,8 @@
 
 bool server_connection::IsIdle() const
 {
-  return !mAwaitsAnswer && !mRequestStarted && mInput.empty() && !mClosing;
+  return !mAwaitsAnswer && !mRequestStarted && mInput.empty() && !mClosing &&
+         !HasUnsentOutput();
 }
 
 void server_connection::HandleBytes(std::string_view aBytes)
--- a/Parsleystair/Http/ServerConnection.h
+++ b/Parsleystair/Http/ServerConnection.h
@@ -42,7 +42,8 @@
   void SendChunk(const std::string& aChunk);
   void EndStream();
 
-  /// Tells if no request is open and none has started to arrive.
+  /// Tells if no request is open, none has started to arrive, and all answers
+  /// have been sent.
   [[nodiscard]] bool IsIdle() const;
   [[nodiscard]] bool HasUnsentOutput() const { return mStream.Unsent() > 0; }
 
--- /dev/null
+++ b/UnitTests/Gateway/ShutdownTest.cpp
@@ -0,0 +1,192 @@
+#include "GatewayFixture.h"
+#include "UnitTests/Support/SlowReader.h"
+
+namespace parsleystair {
+
+namespace {
+
+/// A call that starts at a set time after the start of the shutdown.
+struct timed_call
+{
+  http_request mRequest;
+  std::string mId;
+  duration mAt{};
+  std::unique_ptr<http_connection> mConnection;
+  timer mTimer;
+  std::optional<http_result> mResult;
+};
+
+/// Target whose responses have a body of `kBodyBytes`.
+class large_response_target
+{
+public:
+  static constexpr size_t kBodyBytes = 6 * 1024 * 1024;
+
+  explicit large_response_target(event_loop& aLoop)
+    : mServer(
+        aLoop,
+        {},
+        [this](exchange_id aExchange, const http_request& aRequest) {
+          ++mRequests;
+          mServer.Respond(
+            aExchange,
+            { 200,
+              { { "X-Request-Id",
+                  FindHeader(aRequest.mHeaders, "X-Request-Id").value_or("") },
+                { "X-Response-Signature", "signed" } },
+              std::string(kBodyBytes, 'b') });
+        })
+  {
+    mServer.Listen("127.0.0.1", 0);
+  }
+
+  [[nodiscard]] uint16_t Port() const { return mServer.Port(); }
+  [[nodiscard]] size_t Requests() const { return mRequests; }
+
+private:
+  http_server mServer;
+  size_t mRequests = 0;
+};
+
+class shutdown_test : public gateway_test
+{
+protected:
+  void SetWork(duration aWork)
+  {
+    for (const auto& [name, target] : mTargets) {
+      target->SetWork(aWork);
+    }
+  }
+
+  http_request RequestOf(size_t aKind, const std::string& aId)
+  {
+    switch (aKind) {
+      case 0:
+        return CallerRequest("GET", "/read/x", aId, 8s);
+      case 1:
+        return CallerRequest("POST", "/order/x", aId, 8s);
+      default:
+        return CallerRequest("GET", "/history/x", aId, 8s, 100);
+    }
+  }
+
+  /// Lets the gateway observe responses of each service.
+  void WarmUp(const gateway_instance& aGateway)
+  {
+    for (size_t kind = 0; kind < kKinds; ++kind) {
+      const std::string id = "warm-up-" + std::to_string(kind);
+      EXPECT_EQ(Call(aGateway, RequestOf(kind, id)).mResponse.mStatus, 200U);
+    }
+  }
+
+  void AddCall(const gateway_instance& aGateway,
+               size_t aKind,
+               duration aAt,
+               bool aIsNewConnection)
+  {
+    const std::string id = "r-" + std::to_string(mCalls.size());
+    auto call = std::make_unique<timed_call>();
+    call->mRequest = RequestOf(aKind, id);
+    call->mId = id;
+    call->mAt = aAt;
+    const uint16_t port = aGateway.mSettings.mCallers.mPort;
+    call->mConnection =
+      std::make_unique<http_connection>(mLoop, "127.0.0.1", port);
+    if (!aIsNewConnection) {
+      std::optional<http_result> result;
+      call->mConnection->Call(
+        CallerRequest("GET", "/unknown/x", "open-" + id, 8s),
+        kTimeout,
+        [&](const http_result& aResult) { result = aResult; });
+      EXPECT_TRUE(RunUntil([&] { return result.has_value(); }));
+    }
+    mCalls.push_back(std::move(call));
+  }
+
+  /// Shuts the gateway down, makes the calls, runs until it stops and ends its
+  /// connections like the end of its process.
+  void ShutDown(const std::string& aName)
+  {
+    mGateways.at(aName).mTask->Shutdown();
+    for (const auto& call : mCalls) {
+      call->mTimer.StartOnce(mLoop, call->mAt, [each = call.get()] {
+        each->mConnection->Call(
+          each->mRequest, kTimeout, [each](const http_result& aResult) {
+            each->mResult = aResult;
+          });
+      });
+    }
+    mLoop.Run();
+    StopGateway(aName);
+    RunFor(300ms);
+  }
+
+  /// A request that ran must have a complete response. One that did not run is
+  /// refused as such, or its connection was closed before it was read.
+  void ExpectTruthfulResults()
+  {
+    for (const auto& call : mCalls) {
+      if (!call->mResult) {
+        continue;
+      }
+      const http_result& result = *call->mResult;
+      const bool responded = result.mStatus == http_status::kResponded;
+      if (RunCount(call->mId) > 0) {
+        EXPECT_TRUE(responded) << call->mRequest.mTarget << " " << call->mId;
+        EXPECT_EQ(result.mResponse.mStatus, 200U) << call->mId;
+      } else if (responded) {
+        EXPECT_EQ(result.mResponse.mStatus, 503U) << call->mId;
+        EXPECT_TRUE(FindHeader(result.mResponse.mHeaders, "retry-after"));
+      }
+    }
+  }
+
+  static constexpr size_t kKinds = 3;
+  std::vector<std::unique_ptr<timed_call>> mCalls;
+};
+
+} // namespace
+
+// Guards against a process that ends, or closes an idle connection, while the
+// rest of a response waits for a slow client.
+TEST_F(shutdown_test, SlowClientsGetWholeResponses)
+{
+  large_response_target target(mLoop);
+  mKv.Remove(TargetKey("plain-1"));
+  mKv.Remove(TargetKey("plain-2"));
+  mKv.Put(
+    TargetKey("large"),
+    nlohmann::json{ { "service", "plain" },
+                    { "address", "127.0.0.1:" + std::to_string(target.Port()) },
+                    { "zone", "asti-a" },
+                    { "version", "v1" },
+                    { "slots", 4 },
+                    { "state", "ready" },
+                    { "seq", 1 },
+                    { "slow_start_s_time", 0 } }
+      .dump());
+  const gateway_instance& gateway = StartGateway("a");
+  const std::string request = "GET /read/x HTTP/1.1\r\nHost: shop.example\r\n"
+                              "X-Request-Id: r-1\r\n"
+                              "X-Deadline-Ms: 8000\r\n\r\n";
+  // The response to the first one is complete before the shutdown starts.
+  slow_reader first(gateway.mSettings.mCallers.mPort, request);
+  EXPECT_TRUE(RunUntil([&] { return target.Requests() == 1; }));
+  RunFor(300ms);
+  gateway.mTask->Shutdown();
+  slow_reader second(gateway.mSettings.mCallers.mPort, request);
+  timer fast;
+  first.ReadSlowly(mLoop);
+  second.ReadSlowly(mLoop);
+  fast.StartOnce(mLoop, 2700ms, [&] {
+    first.ReadAll(mLoop);
+    second.ReadAll(mLoop);
+  });
+  mLoop.Run();
+  StopGateway("a");
+  EXPECT_TRUE(RunUntil([&] { return first.IsClosed() && second.IsClosed(); }));
+  EXPECT_GT(first.Bytes(), large_response_target::kBodyBytes);
+  EXPECT_GT(second.Bytes(), large_response_target::kBodyBytes);
+}
+
+} // namespace parsleystair
