Refuse waiting requests at the end of a shutdown

Requests that waited for an owner of their key at the end of the grace time had their connection closed without a response.

Cause: the process ended without a response to open requests, also to those that no target had.

Evidence: shutdown_test.WaitingRequestsAreRefusedAtTheEnd failed before.

Change: these are refused as not run (503).

Result: the test passes.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -320,6 +320,19 @@
   mRefusesNew = true;
 }
 
+void forwarder::RefuseWaitingRequests(time_point aNow)
+{
+  std::vector<forward_id> waiting;
+  for (const auto& [id, request] : mRequests) {
+    if (request.mOpenAttempts.empty()) {
+      waiting.push_back(id);
+    }
+  }
+  for (const forward_id id : waiting) {
+    FinishWithFailure(mRequests.at(id), "shutting down", aNow);
+  }
+}
+
 load_report forwarder::TakeLoadReport()
 {
   return std::exchange(mLoad, {});
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -71,6 +71,9 @@
   /// Refuses new requests from now on; open requests continue.
   void RefuseNewRequests();
 
+  /// Refuses the open requests that no target has.
+  void RefuseWaitingRequests(time_point aNow);
+
   /// Periodic work: health checks, idle connections, and logged statistics.
   void Tick(time_point aNow);
 
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -443,7 +443,8 @@
 
 void gateway_task::ContinueShutdown()
 {
-  const duration elapsed = MonotonicNow() - *mShutdownStartedAt;
+  const time_point now = MonotonicNow();
+  const duration elapsed = now - *mShutdownStartedAt;
   const duration limit = mSettings.mShutdownGrace - kShutdownMargin;
   if (elapsed < std::min(kReadinessDrainTime, limit)) {
     return;
@@ -453,6 +454,9 @@
   mCallerServer.StopListening();
   mCallerServer.CloseIdle();
   mForwarder.RefuseNewRequests();
+  if (elapsed >= limit) {
+    mForwarder.RefuseWaitingRequests(now);
+  }
   const bool isDone =
     mForwarder.Open() == 0 && !mCallerServer.HasUnsentOutput();
   if (!isDone && elapsed < limit) {
--- a/UnitTests/Gateway/ShutdownTest.cpp
+++ b/UnitTests/Gateway/ShutdownTest.cpp
@@ -147,6 +147,24 @@
 
 } // namespace
 
+// Guards against requests that wait for an owner of their key and whose
+// connection is closed without a response at the end of the shutdown.
+TEST_F(shutdown_test, WaitingRequestsAreRefusedAtTheEnd)
+{
+  mTargets.at("keyed-1")->SetOrdersHeld(true);
+  mTargets.at("keyed-2")->SetOrdersHeld(true);
+  gateway_instance& gateway = StartGateway("a");
+  gateway_settings settings = gateway.mSettings;
+  settings.mShutdownGrace = 500ms;
+  gateway.mTask->ApplySettings(settings);
+  AddCall(gateway, 2, 100ms, false);
+  ShutDown("a");
+  ASSERT_TRUE(mCalls[0]->mResult);
+  EXPECT_EQ(mCalls[0]->mResult->mStatus, http_status::kResponded);
+  EXPECT_EQ(mCalls[0]->mResult->mResponse.mStatus, 503U);
+  EXPECT_EQ(RunCount(mCalls[0]->mId), 0U);
+}
+
 // Guards against a process that ends, or closes an idle connection, while the
 // rest of a response waits for a slow client.
 TEST_F(shutdown_test, SlowClientsGetWholeResponses)
