Send no request to a target that outlasts a shutdown

Report of other operators: requests that came late in the grace time were passed on and cut at its end. Here all are refused from 2.5 s on, but requests that came before that were passed on even if their service takes longer than the rest: with a grace time of 4 s and 1.5 s of work, 2 of 48 were cut without a response.

Cause: no regard to the time left.

Change: an attempt starts only if the request's time ends before the shutdown does, or twice the service's mean latency (its latency target while no mean is known) fits in; else the request is refused as not run. No hedge is sent either. A request that takes much longer than its service's mean is still cut.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -30,6 +30,9 @@
 /// Idle timeout of a target's connections until a response of the target states
 /// its own keep-alive time.
 constexpr duration kDefaultKeepAlive = 1s;
+/// Multiple of the service's mean latency within which nearly all requests are
+/// complete.
+constexpr int kShutdownLatencyFactor = 2;
 
 http_connection_settings TargetConnectionSettings()
 {
@@ -333,6 +336,19 @@
   }
 }
 
+bool forwarder::FitsIntoShutdown(const open_request& aRequest,
+                                 time_point aNow) const
+{
+  if (aRequest.mResponseDeadline <= mShutdownEnd) {
+    return true;
+  }
+  const duration mean = mBalancer.MeanLatency(aRequest.mService);
+  const duration expected = mean > duration::zero()
+                              ? kShutdownLatencyFactor * mean
+                              : aRequest.mRoute->mLatencyTarget;
+  return expected <= mShutdownEnd - aNow;
+}
+
 load_report forwarder::TakeLoadReport()
 {
   return std::exchange(mLoad, {});
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -68,6 +68,10 @@
   /// this one.
   void SetRouterCount(size_t aCount) { mRouterCount = aCount; }
 
+  /// Sets the end of a shutdown. From now on, requests that are not expected to
+  /// be complete by then are not sent to targets.
+  void SetShutdownEnd(time_point aEnd) { mShutdownEnd = aEnd; }
+
   /// Refuses new requests from now on; open requests continue.
   void RefuseNewRequests();
 
@@ -197,6 +201,10 @@
   [[nodiscard]] size_t ConnectionLimit(const service_name& aService) const;
   shared_retry_budget& RetryBudgetOf(const service_name& aService);
   bool TakeRetry(open_request& aRequest);
+  /// Returns whether an attempt that starts now is expected to be complete
+  /// before the end of a shutdown.
+  [[nodiscard]] bool FitsIntoShutdown(const open_request& aRequest,
+                                      time_point aNow) const;
   void Probe(const target_name& aTarget, time_point aNow);
 
   event_loop& mLoop;
@@ -208,6 +216,7 @@
   target_connections mConnections;
   weighted_choice mServiceChoice;
   bool mRefusesNew = false;
+  time_point mShutdownEnd = time_point::max();
   /// The usual size of a deployment until the leader sends the router list.
   size_t mRouterCount = 12;
   uint64_t mNextId = 1;
--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -78,6 +78,10 @@
     FinishWithFailure(aRequest, "the time is over", aNow);
     return;
   }
+  if (!FitsIntoShutdown(aRequest, aNow)) {
+    FinishWithFailure(aRequest, "shutting down", aNow);
+    return;
+  }
   ++mCounters.mAttempts;
   ++aRequest.mAttemptCount;
   const discovered_target& target = aTarget.mTarget;
@@ -349,8 +353,10 @@
 {
   aRequest.mHedgeConsidered = true;
   SetRequestTimer(aRequest, aNow);
-  const bool mayRetry = aRequest.mOpenAttempts.size() == 1 &&
-                        aRequest.mAttemptCount < aRequest.mRoute->mMaxAttempts;
+  const bool mayRetry =
+    aRequest.mOpenAttempts.size() == 1 &&
+    aRequest.mAttemptCount < aRequest.mRoute->mMaxAttempts &&
+    FitsIntoShutdown(aRequest, aNow);
   if (!mayRetry) {
     return;
   }
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -436,6 +436,8 @@
   log_line(log_severity::kInfo, "shutdown_started")
     .Add("open_requests", uint64_t{ mForwarder.Open() });
   mCallerServer.CloseAfterResponses();
+  mForwarder.SetShutdownEnd(*mShutdownStartedAt + mSettings.mShutdownGrace -
+                            kShutdownMargin);
   mElection.Resign();
   mShutdownTimer.StartRepeating(
     mLoop, kShutdownPollInterval, [this] { ContinueShutdown(); });
--- a/UnitTests/Gateway/ShutdownTest.cpp
+++ b/UnitTests/Gateway/ShutdownTest.cpp
@@ -147,6 +147,43 @@
 
 } // namespace
 
+// Guards against requests that are sent to a target during a shutdown and are
+// interrupted by its end, on new and on kept connections.
+TEST_F(shutdown_test, RequestsOfEachSecondAreAnsweredOrRefused)
+{
+  SetWork(1500ms);
+  const gateway_instance& gateway = StartGateway("a");
+  WaitForKeyOwner(gateway);
+  WarmUp(gateway);
+  for (size_t kind = 0; kind < kKinds; ++kind) {
+    for (duration at = 300ms; at < 3900ms; at += 400ms) {
+      AddCall(gateway, kind, at, false);
+      AddCall(gateway, kind, at + 20ms, true);
+    }
+  }
+  ShutDown("a");
+  ExpectTruthfulResults();
+}
+
+// Guards against a shutdown that refuses requests which end well before it.
+TEST_F(shutdown_test, ShortRequestsAreServedUntilConnectionsMove)
+{
+  SetWork(20ms);
+  const gateway_instance& gateway = StartGateway("a");
+  WaitForKeyOwner(gateway);
+  WarmUp(gateway);
+  for (size_t kind = 0; kind < kKinds; ++kind) {
+    for (duration at = 100ms; at < 2400ms; at += 500ms) {
+      AddCall(gateway, kind, at, true);
+    }
+  }
+  ShutDown("a");
+  ExpectTruthfulResults();
+  for (const auto& call : mCalls) {
+    EXPECT_EQ(RunCount(call->mId), 1U) << call->mRequest.mTarget;
+  }
+}
+
 // Guards against requests that wait for an owner of their key and whose
 // connection is closed without a response at the end of the shutdown.
 TEST_F(shutdown_test, WaitingRequestsAreRefusedAtTheEnd)
