--- a/Parsleystair/Http/ServerConnection.h
+++ b/Parsleystair/Http/ServerConnection.h
@@ -42,8 +42,10 @@
   void SendChunk(const std::string& aChunk);
   void EndStream();
 
-  /// Tells if no request is open and none has started to arrive.
+  /// Tells if no request is open, none has started to arrive, and all answers
+  /// have been sent.
   [[nodiscard]] bool IsIdle() const;
+  [[nodiscard]] bool HasUnsentOutput() const { return mStream.Unsent() > 0; }
 
   /// Address of the client.
   void SetPeer(std::string aHost, uint16_t aPort);
@@ -58,6 +60,9 @@
   void Refuse(uint32_t aStatus, const std::string& aReason);
   void FinishAnswer(bool aClose);
   void CloseWhenFlushed();
+  /// Starts the timer that ends the connection unless the client has read
+  /// output by then.
+  void StartSendTimer(duration aDelay);
 
   connection_id mId;
   http_server_settings mSettings;
@@ -67,6 +72,7 @@
   std::string mInput;
   std::string mPeerHost;
   uint16_t mPeerPort = 0;
+  size_t mUnacknowledgedAtTimerStart = 0;
   bool mAwaitsAnswer = false;
   bool mEndsAfterAnswer = false;
   bool mSaidContinue = false;
