--- a/Parsleystair/Gateway/ElectionController.cpp
+++ b/Parsleystair/Gateway/ElectionController.cpp
@@ -25,6 +25,18 @@
 /// Interval of the requests to a former leader that doesn't respond. A process
 /// that was killed restarts within seconds and then responds.
 constexpr duration kAbdicationInterval = 600ms;
+/// How much later than the leader of the time before a restore other routers
+/// campaign, and routers that have started only recently. It covers the
+/// interval of the leader's calls, from which it learns of the restore.
+constexpr duration kRecoveryCampaignDelay = 800ms;
+constexpr duration kNewRouterCampaignDelay = 1600ms;
+/// Time for which routers that are no longer live are remembered; longer than
+/// the orders and grants of a leader can last.
+constexpr duration kRouterRetention = 30s;
+/// Age up to which a list of live routers counts as current. Each router gets
+/// one twice a second from the leader, and loses it with the leader until
+/// another one is elected.
+constexpr duration kMaxRouterListAge = 4s;
 
 bool HasAddressOf(const leader_entry& aLeft, const leader_entry& aRight)
 {
@@ -40,23 +52,113 @@
 {
 }
 
+void election_controller::HandleEra(const store_era& aEra, time_point aNow)
+{
+  if (aEra <= mEra) {
+    return;
+  }
+  if (mLeader) {
+    RememberLeader(*mLeader, aNow);
+  }
+  for (const leader_entry& former : mFormerLeaders) {
+    RememberLeader(former, aNow);
+  }
+  mEra = aEra;
+  mEraHasLeader = false;
+  mLedBeforeEra = mLeading;
+  // The state of the leader key is read again.
+  mKeyObserved = false;
+  mKeyExists = false;
+  mLeader.reset();
+  mLeaderWithoutTerm.reset();
+  mCampaign.reset();
+  mNextCampaignAt.reset();
+  if (mLeading) {
+    StopLeading("the store was restored from a copy");
+  }
+}
+
+void election_controller::HandleRouters(const std::vector<std::string>& aHosts,
+                                        time_point aNow)
+{
+  for (const std::string& host : aHosts) {
+    mRouters[host] = aNow;
+  }
+  std::erase_if(mRouters, [&](const auto& aRouter) {
+    return aNow - aRouter.second > kRouterRetention;
+  });
+  if (mRouterListUntil == time_point::min() ||
+      aNow - mRouterListUntil > kMaxRouterListAge) {
+    mRouterListFrom = aNow;
+  }
+  mRouterListUntil = aNow;
+}
+
+void election_controller::RememberLeader(const leader_entry& aLeader,
+                                         time_point aNow)
+{
+  mRouters[aLeader.mHost] = aNow;
+}
+
+std::vector<std::string> election_controller::KnownRouters(
+  time_point aNow) const
+{
+  std::vector<std::string> hosts;
+  for (const auto& [host, lastLive] : mRouters) {
+    if (aNow - lastLive <= kRouterRetention) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
+}
+
+bool election_controller::KnowsGrantedRecords(time_point aNow) const
+{
+  return aNow - mSettings.mGrantLifetime >= mSettings.mStartedAt;
+}
+
+bool election_controller::KnowsAllRouters(time_point aNow) const
+{
+  return mRouterListUntil != time_point::min() &&
+         aNow - mRouterListUntil <= kMaxRouterListAge &&
+         aNow - mRouterListFrom >=
+           mSettings.mMaxRenewalTime + mSettings.mGrantLifetime;
+}
+
+duration election_controller::RecoveryCampaignDelay(time_point aNow) const
+{
+  if (mEra == kFirstEra || mEraHasLeader || mLedBeforeEra) {
+    return duration::zero();
+  }
+  return KnowsAllRouters(aNow) ? kRecoveryCampaignDelay
+                               : kNewRouterCampaignDelay;
+}
+
 void election_controller::HandleKey(const std::optional<stored_item>& aItem,
                                     time_point aNow)
 {
   mKeyObserved = true;
   mKeyExists = aItem.has_value();
+  if (mLeader) {
+    RememberLeader(*mLeader, aNow);
+  }
   mLeader.reset();
   if (!aItem) {
     if (mLeading) {
       StopLeading("the leader key was removed");
     }
     std::uniform_int_distribution<int64_t> jitter(0, kCampaignJitter.count());
-    ScheduleCampaign(aNow + mSettings.mCampaignDelay +
-                     duration(jitter(mRandom)));
+    if (!mNextCampaignAt) {
+      ScheduleCampaign(aNow + mSettings.mCampaignDelay +
+                       RecoveryCampaignDelay(aNow) + duration(jitter(mRandom)));
+    }
     return;
   }
+  mNextCampaignAt.reset();
+  mEraHasLeader = true;
   try {
     mLeader = DecodeLeaderEntry(aItem->mValue);
+    RememberLeader(*mLeader, aNow);
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "leader_entry_unreadable")
       .Add("error", exception.what());
@@ -124,13 +226,13 @@
   }
   mNextCampaignAt.reset();
   mCampaign = campaign();
-  mActions.emplace_back(read_terms{});
+  mActions.emplace_back(read_terms{ mSettings.mTermsKey });
   mActions.emplace_back(open_lease{});
 }
 
 void election_controller::HandleTermsRead(
   call_outcome aOutcome,
-  const std::optional<stored_item>& aItem,
+  const std::vector<stored_item>& aItems,
   time_point aNow)
 {
   if (!IsCampaigning() || mCampaign->mTerms) {
@@ -141,19 +243,34 @@
     return;
   }
   leader_terms terms;
-  try {
-    if (aItem) {
-      terms = DecodeLeaderTerms(aItem->mValue);
+  terms.mNext = term_number(FirstNumberOf(mEra));
+  terms.mRecovered = mEra == kFirstEra;
+  store_revision revision;
+  for (const stored_item& item : aItems) {
+    const bool isCurrent = item.mKey == TermsKey();
+    try {
+      const leader_terms stored = DecodeLeaderTerms(item.mValue);
+      if (isCurrent) {
+        terms = stored;
+        revision = item.mRevision;
+        continue;
+      }
+      for (const leader_entry& former : stored.mLeaders) {
+        RememberLeader(former, aNow);
+      }
+    } catch (const parse_error& exception) {
+      log_line(log_severity::kError, "leader_terms_unreadable")
+        .Add("key", item.mKey)
+        .Add("error", exception.what());
+      if (isCurrent) {
+        // Without the terms this router can't know who may still send orders.
+        AbandonCampaign(aNow);
+        return;
+      }
     }
-  } catch (const parse_error& exception) {
-    // Without the terms this router can't know who may still send orders.
-    log_line(log_severity::kError, "leader_terms_unreadable")
-      .Add("error", exception.what());
-    AbandonCampaign(aNow);
-    return;
   }
   mCampaign->mTerms = std::move(terms);
-  mCampaign->mTermsRevision = aItem ? aItem->mRevision : store_revision(0);
+  mCampaign->mTermsRevision = revision;
   WriteLeaderIfReady();
 }
 
@@ -195,12 +312,10 @@
   mCampaign->mEntry = entry;
 
   conditional_write write;
-  write.mConditions = { { mSettings.mLeaderKey, store_revision(0) },
-                        { mSettings.mTermsKey, mCampaign->mTermsRevision } };
-  write.mWrites = {
-    { mSettings.mLeaderKey, EncodeLeaderEntry(entry), entry.mLease },
-    { mSettings.mTermsKey, EncodeLeaderTerms(terms), lease_id(0) }
-  };
+  write.mConditions = { { LeaderKey(), store_revision(0) },
+                        { TermsKey(), mCampaign->mTermsRevision } };
+  write.mWrites = { { LeaderKey(), EncodeLeaderEntry(entry), entry.mLease },
+                    { TermsKey(), EncodeLeaderTerms(terms), lease_id(0) } };
   mActions.emplace_back(write_leader{ entry, std::move(write) });
 }
 
@@ -247,12 +362,48 @@
   mTermsRevision = aRevision;
   mTermsWritePending = false;
   mLease = mLeader->mLease;
-  mLeadership = { mLeader->mTerm, time_point::min(), aNow };
+  const bool isFirstOfEra = mLeader->mTerm.Value() == FirstNumberOf(mEra);
+  mLeadership = { mLeader->mTerm,
+                  time_point::min(),
+                  aNow,
+                  !mTerms.mRecovered,
+                  mLedBeforeEra && isFirstOfEra };
   mLeaderWithoutTerm.reset();
   mFormerLeaders = mTerms.mLeaders;
   std::erase(mFormerLeaders, *mLeader);
+  mMayHaveUnknownLeaders = false;
+  mAskedRouters.clear();
+  mRecoveryEnd.reset();
+  mRecordsWritten = false;
+  if (mLeadership.mRecovers) {
+    mMayHaveUnknownLeaders = !KnowsAllRouters(aNow);
+    mKnowsAllRecords = !mMayHaveUnknownLeaders;
+    AddPossibleLeaders(KnownRouters(aNow));
+  }
   mNextRenewalAt = aNow;
   mNextAbdicationRequestAt = aNow;
+  SetRecoveryEndIfKnown(aNow);
+}
+
+void election_controller::AddPossibleLeaders(
+  const std::vector<std::string>& aHosts)
+{
+  for (const std::string& host : aHosts) {
+    if (!mAskedRouters.insert(host).second) {
+      continue;
+    }
+    leader_entry router;
+    router.mVm = vm_name(host);
+    router.mHost = host;
+    router.mPort = mSettings.mSelf.mPort;
+    const bool isListed = std::any_of(
+      mFormerLeaders.begin(), mFormerLeaders.end(), [&](const auto& aFormer) {
+        return HasAddressOf(aFormer, router);
+      });
+    if (!isListed && !HasAddressOf(router, mSettings.mSelf)) {
+      mFormerLeaders.push_back(std::move(router));
+    }
+  }
 }
 
 void election_controller::StopLeading(const char* aReason)
@@ -260,6 +411,7 @@
   mLeading = false;
   mEndReason = aReason;
   mFormerLeaders.clear();
+  mMayHaveUnknownLeaders = false;
 }
 
 void election_controller::Confirm(time_point aSentAt)
@@ -272,7 +424,8 @@
                                              time_point aSentAt,
                                              time_point aNow)
 {
-  if (!mLeading || aRenewal.mLease != mLease) {
+  if (!mLeading || aRenewal.mLease != mLease ||
+      aRenewal.mTerm != mLeadership.mTerm) {
     return;
   }
   if (aOutcome == call_outcome::kDone) {
@@ -284,15 +437,30 @@
   }
 }
 
-void election_controller::HandleAbdicated(const request_abdication& aRequest,
-                                          time_point /*aNow*/)
+void election_controller::HandleAbdicated(
+  const request_abdication& aRequest,
+  bool aKnowsRecords,
+  const std::vector<std::string>& aRouters,
+  time_point aNow)
 {
   if (!mLeading || aRequest.mBefore != mLeadership.mTerm) {
     return;
   }
+  mKnowsAllRecords &= aKnowsRecords;
+  if (mLeadership.mRecovers && !mRecoveryEnd) {
+    AddPossibleLeaders(aRouters);
+  }
   std::erase_if(mFormerLeaders, [&](const leader_entry& aFormer) {
     return HasAddressOf(aFormer, aRequest.mLeader);
   });
+  SetRecoveryEndIfKnown(aNow);
+}
+
+void election_controller::SetRecoveryEndIfKnown(time_point aNow)
+{
+  if (mLeadership.mRecovers && !mRecoveryEnd && AreFormerLeadersGone()) {
+    mRecoveryEnd = mKnowsAllRecords ? aNow : aNow + mSettings.mGrantLifetime;
+  }
 }
 
 void election_controller::HandleTermsWritten(const write_reply& aReply)
@@ -309,9 +477,15 @@
   if (aReply.mOutcome == call_outcome::kDone ||
       aReply.mOutcome == call_outcome::kConflict) {
     mTerms.mLeaders = { *mLeader };
+    mTerms.mRecovered = true;
   }
 }
 
+void election_controller::HandleRecordsWritten()
+{
+  mRecordsWritten = true;
+}
+
 void election_controller::StepDown(std::optional<term_number> aBefore)
 {
   // The reply to a campaign's write may arrive after the elected router's lease
@@ -350,18 +524,22 @@
   const time_point formerLeadersEnd =
     mLeadership.mSince + mSettings.mMaxRenewalTime;
   if (aNow >= formerLeadersEnd) {
+    mKnowsAllRecords &= AreFormerLeadersGone();
     mFormerLeaders.clear();
+    mMayHaveUnknownLeaders = false;
   }
+  SetRecoveryEndIfKnown(aNow);
   if (aNow >= mNextRenewalAt) {
     mNextRenewalAt = aNow + kLeaseRenewInterval;
-    mActions.emplace_back(renew_lease{ mLease });
+    mActions.emplace_back(renew_lease{ mLease, mLeadership.mTerm });
     WriteTerms();
   }
-  if (!mFormerLeaders.empty()) {
+  if (!AreFormerLeadersGone()) {
     if (aNow >= mNextAbdicationRequestAt) {
       mNextAbdicationRequestAt = aNow + kAbdicationInterval;
       for (const leader_entry& former : mFormerLeaders) {
-        mActions.emplace_back(request_abdication{ former, mLeadership.mTerm });
+        mActions.emplace_back(request_abdication{
+          former, mLeadership.mTerm, mLeadership.mRecovers });
       }
     }
     AddStepTime(mNextAbdicationRequestAt);
@@ -372,17 +550,19 @@
 
 void election_controller::WriteTerms()
 {
-  if (!mFormerLeaders.empty() || mTerms.mLeaders.size() <= 1 ||
+  const bool isCurrent = mTerms.mLeaders.size() <= 1 && mTerms.mRecovered;
+  const bool isRecovering = !mTerms.mRecovered && !mRecordsWritten;
+  if (!AreFormerLeadersGone() || isCurrent || isRecovering ||
       mTermsWritePending) {
     return;
   }
   mTermsWritePending = true;
-  const leader_terms remaining{ mTerms.mNext, { *mLeader } };
+  leader_terms remaining;
+  remaining.mNext = mTerms.mNext;
+  remaining.mLeaders = { *mLeader };
   conditional_write write;
-  write.mConditions = { Condition(), { mSettings.mTermsKey, mTermsRevision } };
-  write.mWrites = {
-    { mSettings.mTermsKey, EncodeLeaderTerms(remaining), lease_id(0) }
-  };
+  write.mConditions = { Condition(), { TermsKey(), mTermsRevision } };
+  write.mWrites = { { TermsKey(), EncodeLeaderTerms(remaining), lease_id(0) } };
   mActions.emplace_back(write_terms{ std::move(write) });
 }
 
--- a/Parsleystair/Gateway/ElectionController.h
+++ b/Parsleystair/Gateway/ElectionController.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "Parsleystair/Core/StoreEra.h"
 #include "Parsleystair/Gateway/LeaderEntry.h"
 #include "Parsleystair/KeyRanges/RangeController.h"
 
+#include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -24,11 +27,18 @@
   /// Longest time for which a former leader sends orders after another router
   /// was elected.
   duration mMaxRenewalTime = range_settings().mMaxConfirmationAgeToRenew;
+  /// Time after the end of a leader's process, or after it has stopped sending
+  /// orders, at which all grants of it have expired.
+  duration mGrantLifetime = range_settings().MaxFormerGrantLifetime();
+  /// Start of this process.
+  time_point mStartedAt = time_point::min();
 };
 
-/// Reads the `leader_terms`.
+/// Reads the `leader_terms` of all eras.
 struct read_terms
 {
+  std::string mPrefix;
+
   bool operator==(const read_terms&) const = default;
 };
 
@@ -49,6 +59,9 @@
 struct renew_lease
 {
   lease_id mLease;
+  /// Term of the leadership that the lease is for. A restored store may assign
+  /// the number of the lease again.
+  term_number mTerm;
 
   bool operator==(const renew_lease&) const = default;
 };
@@ -66,6 +79,8 @@
 {
   leader_entry mLeader;
   term_number mBefore;
+  /// Asks also for the ownership records that the process knows.
+  bool mAsksRecords = false;
 
   bool operator==(const request_abdication&) const = default;
 };
@@ -95,18 +110,41 @@
 /// A new leader asks all recorded leaders to abdicate. Only when all have, or
 /// when the longest time for which they send orders has passed, former leaders
 /// are gone.
+///
+/// A store that was restored from an older copy has forgotten leaders and
+/// ownership records. The next leader therefore recovers: it takes every router
+/// that it knows for a former leader, and asks each for the records that it
+/// knows. Until all have told, or until every grant of a former leader must
+/// have expired, the records don't name all holders of keys.
 class election_controller
 {
 public:
   election_controller(election_settings aSettings, uint64_t aSeed);
 
+  /// The store has come back from an older copy in the era `aEra`. This router
+  /// leads no more.
+  void HandleEra(const store_era& aEra, time_point aNow);
+
+  /// `aHosts`: addresses of all live routers, as the leader knows them now.
+  void HandleRouters(const std::vector<std::string>& aHosts, time_point aNow);
+
+  /// Addresses of routers that were live or leading some time ago, and so may
+  /// still send orders.
+  [[nodiscard]] std::vector<std::string> KnownRouters(time_point aNow) const;
+
+  /// Name of the leader key in the present era.
+  [[nodiscard]] std::string LeaderKey() const
+  {
+    return NameInEra(mSettings.mLeaderKey, mEra);
+  }
+
   /// Handles the present state of the leader key in the store; `aItem` is empty
   /// if the key doesn't exist.
   void HandleKey(const std::optional<stored_item>& aItem, time_point aNow);
 
-  /// `aItem` is empty if no terms are stored.
+  /// `aItems`: terms of all eras that are stored.
   void HandleTermsRead(call_outcome aOutcome,
-                       const std::optional<stored_item>& aItem,
+                       const std::vector<stored_item>& aItems,
                        time_point aNow);
   void HandleLeaseOpened(const lease_reply& aReply, time_point aNow);
   /// `aSentAt`: time at which the write was sent.
@@ -119,8 +157,16 @@
                           time_point aSentAt,
                           time_point aNow);
   /// The process at the former leader's address leads in no term before that of
-  /// the request and sends no orders of such terms.
-  void HandleAbdicated(const request_abdication& aRequest, time_point aNow);
+  /// the request and sends no orders of such terms. `aKnowsRecords`: it has
+  /// told all ownership records that it or an earlier process at its address
+  /// knew. `aRouters`: addresses of all routers that it knows.
+  void HandleAbdicated(const request_abdication& aRequest,
+                       bool aKnowsRecords,
+                       const std::vector<std::string>& aRouters,
+                       time_point aNow);
+  /// This router has written all ownership records in the present era since
+  /// `RecoveryEnd`.
+  void HandleRecordsWritten();
   void HandleTermsWritten(const write_reply& aReply);
 
   /// Stops leading without waiting for the store, because another router leads
@@ -142,8 +188,18 @@
   /// Whether no former leader sends orders any more.
   [[nodiscard]] bool AreFormerLeadersGone() const
   {
-    return mLeading && mFormerLeaders.empty();
+    return mLeading && mFormerLeaders.empty() && !mMayHaveUnknownLeaders;
+  }
+  /// Time from which on the records name all holders of keys, in a leadership
+  /// that recovers; empty while it isn't known.
+  [[nodiscard]] std::optional<time_point> RecoveryEnd() const
+  {
+    return mRecoveryEnd;
   }
+  /// Whether this process can tell all ownership records of which its address
+  /// has granted keys that may still be held. An earlier process at the address
+  /// may have granted others.
+  [[nodiscard]] bool KnowsGrantedRecords(time_point aNow) const;
   /// Former leaders that may still send orders.
   [[nodiscard]] const std::vector<leader_entry>& FormerLeaders() const
   {
@@ -152,7 +208,7 @@
   /// Write condition that holds only while this router leads.
   [[nodiscard]] item_condition Condition() const
   {
-    return { mSettings.mLeaderKey, mRevision };
+    return { LeaderKey(), mRevision };
   }
   /// The recorded leader: this router or another one.
   [[nodiscard]] const std::optional<leader_entry>& Leader() const
@@ -179,6 +235,21 @@
   };
 
   [[nodiscard]] bool IsCampaigning() const;
+  [[nodiscard]] std::string TermsKey() const
+  {
+    return NameInEra(mSettings.mTermsKey, mEra);
+  }
+  /// How much later than usual this router campaigns, so that the leader of the
+  /// time before a restore is elected again if it lives, or else a router that
+  /// remembers what the store has lost.
+  [[nodiscard]] duration RecoveryCampaignDelay(time_point aNow) const;
+  /// Whether this router has followed the list of live routers for longer than
+  /// any order or grant of a former leader lasts.
+  [[nodiscard]] bool KnowsAllRouters(time_point aNow) const;
+  /// Takes routers for former leaders that this leader hasn't asked yet.
+  void AddPossibleLeaders(const std::vector<std::string>& aHosts);
+  void RememberLeader(const leader_entry& aLeader, time_point aNow);
+  void SetRecoveryEndIfKnown(time_point aNow);
   void ScheduleCampaign(time_point aTime);
   void AbandonCampaign(time_point aNow);
   void WriteLeaderIfReady();
@@ -195,6 +266,17 @@
 
   election_settings mSettings;
   std::mt19937_64 mRandom;
+  store_era mEra = kFirstEra;
+  /// Whether this router led when the present era began.
+  bool mLedBeforeEra = false;
+  /// Whether any router has led in the present era.
+  bool mEraHasLeader = false;
+  /// Addresses of routers and the time at which each was live last.
+  std::map<std::string, time_point> mRouters;
+  /// Time from which and until which this router has followed the list of live
+  /// routers.
+  time_point mRouterListFrom = time_point::min();
+  time_point mRouterListUntil = time_point::min();
   std::optional<leader_entry> mLeader;
   /// The last leader that is known from the leader key only, as it wrote no
   /// term.
@@ -211,6 +293,14 @@
   lease_id mLease;
   const char* mEndReason = "";
   std::vector<leader_entry> mFormerLeaders;
+  /// Addresses of the possible leaders that this leader asks or has asked.
+  std::set<std::string> mAskedRouters;
+  /// Routers that this one has never heard of may send orders.
+  bool mMayHaveUnknownLeaders = false;
+  /// All former leaders have told the records that they know.
+  bool mKnowsAllRecords = false;
+  std::optional<time_point> mRecoveryEnd;
+  bool mRecordsWritten = false;
   /// Stored terms while this router leads, and their revision.
   leader_terms mTerms;
   store_revision mTermsRevision;
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -4,6 +4,8 @@
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Log.h"
 
+#include <algorithm>
+
 namespace parsleystair {
 
 namespace {
@@ -77,7 +79,8 @@
 }
 
 election_settings ElectionSettings(const gateway_settings& aSettings,
-                                   uint64_t aIncarnation)
+                                   uint64_t aIncarnation,
+                                   time_point aStartedAt)
 {
   election_settings settings;
   settings.mLeaderKey = kLeaderKey;
@@ -87,6 +90,10 @@
   settings.mSelf.mHost = aSettings.mPeers.mHost;
   settings.mSelf.mPort = aSettings.mPeers.mPort;
   settings.mCampaignDelay = CandidacyDelay(aSettings);
+  const range_settings ranges = RangeSettings(aSettings);
+  settings.mMaxRenewalTime = ranges.mMaxConfirmationAgeToRenew;
+  settings.mGrantLifetime = ranges.MaxFormerGrantLifetime();
+  settings.mStartedAt = aStartedAt;
   return settings;
 }
 
@@ -117,6 +124,7 @@
   }
 
   void Start() { mFollower.Start(); }
+  void HandleEraChange() { mFollower.HandleEraChange(); }
   void CheckAfterGap(time_point aAt) { mFollower.CheckAfterGap(aAt); }
   [[nodiscard]] const prefix_follower& Follower() const { return mFollower; }
 
@@ -197,7 +205,7 @@
                aSeed)
   , mElection(aLoop,
               aPlatform.mStore,
-              ElectionSettings(aSettings, aSeed),
+              ElectionSettings(aSettings, aSeed, MonotonicNow()),
               aSeed + 1)
   , mRangeDriver(aLoop,
                  RangeSettings(aSettings),
@@ -221,6 +229,11 @@
     mOwnerFeedServer.HandleDisconnect(aExchange);
     mRelayedStore.HandleDisconnect(aExchange);
   });
+  aPlatform.mStore.OnEraChange(
+    [this](const store_era& aEra) { HandleEra(aEra); });
+  mElection.OnSurvey(
+    [this] { return EncodeOwnerRevisions(KnownOwnerRevisions()); },
+    [this](const std::string& aText) { return ApplySurveyResponse(aText); });
   mElection.OnChange([this] { HandleLeadershipChange(); });
   mRangeDriver.OnRecord(
     [this](const service_name& aService, const versioned_record& aRecord) {
@@ -257,9 +270,17 @@
     *this,
     kLeaderKey,
     [this](const std::vector<stored_item>& aItems) {
-      ApplyLeader(aItems.empty() ? std::nullopt : std::optional(aItems[0]));
+      // The prefix also has the leader keys of earlier eras.
+      const auto item =
+        std::find_if(aItems.begin(), aItems.end(), [&](const auto& aItem) {
+          return aItem.mKey == mElection.LeaderKey();
+        });
+      ApplyLeader(item == aItems.end() ? std::nullopt : std::optional(*item));
     },
     [this](const item_change& aChange) {
+      if (aChange.mKey != mElection.LeaderKey()) {
+        return;
+      }
       ApplyLeader(aChange.mValue
                     ? std::optional(stored_item{
                         aChange.mKey, *aChange.mValue, aChange.mRevision })
@@ -282,6 +303,26 @@
 
 gateway_task::~gateway_task() = default;
 
+void gateway_task::HandleEra(const store_era& aEra)
+{
+  const time_point now = MonotonicNow();
+  log_line(log_severity::kWarning, "store_restored")
+    .Add("era", aEra.Value())
+    .Add("leading", mElection.IsLeading())
+    .Add("configuration", ConfigurationVersion());
+  mRestoreCount += mTargetFollower->Follower().HasRead() ? 1 : 0;
+  mView.mDirectory.HandleStoreRestored(now);
+  mElection.HandleEra(aEra);
+  for (const auto& prefixFollower :
+       { &mConfigurationFollower, &mTargetFollower, &mLeaderFollower }) {
+    (*prefixFollower)->HandleEraChange();
+  }
+  // Entries that are still there by then belong to live targets.
+  mRestoreTimer.StartOnce(mLoop,
+                          target_directory::kRestoreSettlingTime,
+                          [this] { mTargetFollower->HandleEraChange(); });
+}
+
 bool gateway_task::IsReady() const
 {
   return mView.mRoutes != nullptr && !mShutdownStartedAt &&
@@ -306,8 +347,7 @@
     return;
   }
   // A read of the store may return an older version than the current one.
-  const uint64_t current =
-    mView.mRoutes == nullptr ? 0 : mView.mRoutes->Configuration().mVersion;
+  const uint64_t current = ConfigurationVersion();
   if (mView.mRoutes != nullptr && configuration->mVersion <= current) {
     log_line(log_severity::kInfo, "configuration_ignored")
       .Add("version", configuration->mVersion)
@@ -331,6 +371,11 @@
   HandleTargetsChanged();
 }
 
+uint64_t gateway_task::ConfigurationVersion() const
+{
+  return mView.mRoutes == nullptr ? 0 : mView.mRoutes->Configuration().mVersion;
+}
+
 void gateway_task::ApplyTargets(const std::vector<stored_item>& aItems)
 {
   std::vector<discovered_target> targets;
@@ -378,6 +423,7 @@
     .Add("service", target->mService.Value())
     .Add("draining", target->mDraining)
     .Add("started_ms", target->mStartedMs)
+    .Add("report", target->mReportNumber)
     .Add("revision", aChange.mRevision.Value());
   HandleTargetsChanged();
 }
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -8,6 +8,7 @@
 #include "Parsleystair/Gateway/PlatformCatalog.h"
 #include "Parsleystair/Gateway/PrefixFollower.h"
 #include "Parsleystair/Gateway/RangeDriver.h"
+#include "Parsleystair/Gateway/RecordSurvey.h"
 #include "Parsleystair/Gateway/RelayedStore.h"
 #include "Parsleystair/Http/HttpConnection.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
@@ -65,8 +66,20 @@
   void ApplyLeader(const std::optional<stored_item>& aItem);
   void HandleLeadershipChange();
   void ReadOwners();
+  /// `aItem`: ownership record as read from the store.
+  void ApplyStoredOwners(const stored_item& aItem);
   void HandleAbdicationRequest(exchange_id aExchange,
                                const http_request& aRequest);
+  /// Body of the response to an abdication request.
+  [[nodiscard]] std::string SurveyResponseTo(
+    const http_request& aRequest) const;
+  /// Applies the records of a response; returns nothing if it can't be read.
+  std::optional<survey_response> ApplySurveyResponse(const std::string& aText);
+  /// The store has come back from an older copy, or was restored before this
+  /// process started.
+  void HandleEra(const store_era& aEra);
+  /// Version of the configuration in use; 0 if there is none.
+  [[nodiscard]] uint64_t ConfigurationVersion() const;
   void ApplyOwners(const service_name& aService,
                    const versioned_record& aRecord);
   [[nodiscard]] owner_revisions KnownOwnerRevisions() const;
@@ -122,6 +135,9 @@
   bool mOwnersFromRelay = false;
   time_point mNextRelayAttempt = time_point::min();
   time_point mNextOwnersRead = time_point::min();
+  /// Restores of the store since this process has read the targets first.
+  uint64_t mRestoreCount = 0;
+  timer mRestoreTimer;
   std::unique_ptr<http_connection> mReportConnection;
   std::optional<leader_entry> mReportLeader;
   time_point mNextReport = time_point::min();
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -24,6 +24,8 @@
 /// Delay before the relay is selected again as the source of owners after it
 /// redirected this router to the leader.
 constexpr duration kRelayRetryInterval = 3s;
+/// Says that the reporting router has the leader's present list of routers.
+constexpr const char* kRoutersCurrentHeader = "Routers-Current";
 
 } // namespace
 
@@ -87,22 +89,13 @@
   const bool isLeading = mElection.IsLeading();
   const term_number term = mElection.Leadership().mTerm;
   mPlatform.mStore.ReadPrefix(
-    kRangesPrefix, [this, isLeading, term](const prefix_reply& aReply) {
+    kRecordKeyPrefix, [this, isLeading, term](const prefix_reply& aReply) {
       if (aReply.mOutcome != call_outcome::kDone) {
         // Tick() retries the read.
         return;
       }
       for (const stored_item& item : aReply.mItems) {
-        const service_name service(
-          item.mKey.substr(std::string_view(kRangesPrefix).size()));
-        try {
-          ApplyOwners(service,
-                      { item.mRevision, DecodeRangeRecord(item.mValue) });
-        } catch (const parse_error& exception) {
-          log_line(log_severity::kError, "owners_unreadable")
-            .Add("service", service.Value())
-            .Add("error", exception.what());
-        }
+        ApplyStoredOwners(item);
       }
       if (isLeading && mElection.IsLeading() && !mRangeDriver.IsLeading() &&
           mElection.Leadership().mTerm == term) {
@@ -111,13 +104,68 @@
     });
 }
 
+void gateway_task::ApplyStoredOwners(const stored_item& aItem)
+{
+  const auto key = DecodeRecordKey(aItem.mKey);
+  if (!key) {
+    return;
+  }
+  // A record of an earlier era is the copy's, or was written late. Each record
+  // that a router has learned in that era goes before it.
+  const store_revision revision = key->mEra == EraOf(aItem.mRevision)
+                                    ? aItem.mRevision
+                                    : MakeRevision(key->mEra, 1);
+  try {
+    ApplyOwners(key->mService, { revision, DecodeRangeRecord(aItem.mValue) });
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kError, "owners_unreadable")
+      .Add("service", key->mService.Value())
+      .Add("error", exception.what());
+  }
+}
+
 void gateway_task::HandleAbdicationRequest(exchange_id aExchange,
                                            const http_request& aRequest)
 {
   // The requested process is this one, or it has ended, as this process has
   // replaced it at its address.
   mElection.HandleAbdicationRequest(aRequest);
-  mPeerServer.Respond(aExchange, { kOk, {}, "" });
+  mPeerServer.Respond(aExchange, { kOk, {}, SurveyResponseTo(aRequest) });
+}
+
+std::string gateway_task::SurveyResponseTo(const http_request& aRequest) const
+{
+  if (!leader_election::AsksRecords(aRequest)) {
+    return "";
+  }
+  owner_revisions known;
+  try {
+    known = DecodeOwnerRevisions(aRequest.mBody);
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kWarning, "question_unreadable")
+      .Add("peer", aRequest.mRemoteHost)
+      .Add("error", exception.what());
+  }
+  const time_point now = MonotonicNow();
+  return EncodeSurveyResponse({ NewerRecords(mOwnerRecords, known),
+                                mElection.KnowsGrantedRecords(now),
+                                mElection.KnownRouters(now) });
+}
+
+std::optional<survey_response> gateway_task::ApplySurveyResponse(
+  const std::string& aText)
+{
+  try {
+    survey_response response = DecodeSurveyResponse(aText);
+    for (const auto& [service, record] : response.mRecords) {
+      ApplyOwners(service, record);
+    }
+    return response;
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kWarning, "survey_response_unreadable")
+      .Add("error", exception.what());
+    return std::nullopt;
+  }
 }
 
 void gateway_task::ApplyOwners(const service_name& aService,
@@ -161,6 +209,7 @@
     const time_point now = MonotonicNow();
     if (HasCompleteRouterList(now)) {
       ApplyRouterList(LiveRouters(now));
+      mElection.HandleRouters(mRouters);
     }
     for (const auto& [service, load] : report) {
       mRangeDriver.HandleLoad(service, load, MonotonicNow());
@@ -189,14 +238,20 @@
 
 void gateway_task::HandleReportResponse(const http_result& aResult)
 {
+  if (aResult.mStatus != http_status::kResponded) {
+    return;
+  }
   // The body is empty if the responder isn't the leader, or if this router
   // already has the leader's list.
-  if (aResult.mStatus != http_status::kResponded ||
-      aResult.mResponse.mBody.empty()) {
+  if (aResult.mResponse.mBody.empty()) {
+    if (FindHeader(aResult.mResponse.mHeaders, kRoutersCurrentHeader)) {
+      mElection.HandleRouters(mRouters);
+    }
     return;
   }
   try {
     ApplyRouterList(DecodeRouterList(aResult.mResponse.mBody));
+    mElection.HandleRouters(mRouters);
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "routers_unreadable")
       .Add("error", exception.what());
@@ -274,13 +329,15 @@
       mRangeDriver.HandleLoad(service, load, now);
     }
     mLastReports[report.mRouter] = now;
-    const bool isOutdated = report.mKnownRouters != mRoutersDigest;
-    mPeerServer.Respond(aExchange,
-                        { kOk,
-                          {},
-                          HasCompleteRouterList(now) && isOutdated
-                            ? EncodeRouterList(mRouters)
-                            : "" });
+    http_response response{ kOk, {}, "" };
+    if (HasCompleteRouterList(now)) {
+      if (report.mKnownRouters == mRoutersDigest) {
+        response.mHeaders.push_back({ kRoutersCurrentHeader, "1" });
+      } else {
+        response.mBody = EncodeRouterList(mRouters);
+      }
+    }
+    mPeerServer.Respond(aExchange, response);
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "report_unreadable")
       .Add("peer", aRequest.mRemoteHost)
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -129,13 +129,14 @@
                          ReadyReasonName(why),
                          moves == orders.mMoves.end() ? 0 : moves->second);
   }
-  AppendMetric(
-    text,
-    "configuration_version",
-    "gauge",
-    mView.mRoutes == nullptr
-      ? 0
-      : static_cast<double>(mView.mRoutes->Configuration().mVersion));
+  AppendMetric(text,
+               "configuration_version",
+               "gauge",
+               static_cast<double>(ConfigurationVersion()));
+  AppendMetric(text,
+               "store_restores_total",
+               "counter",
+               static_cast<double>(mRestoreCount));
   AppendMetric(text, "leading", "gauge", mElection.IsLeading() ? 1 : 0);
   AppendMetric(
     text, "open_requests", "gauge", static_cast<double>(mForwarder.Open()));
@@ -172,8 +173,8 @@
     { "vm", mSettings.mVm.Value() },
     { "ready", IsReady() },
     { "shuttingDown", mShutdownStartedAt.has_value() },
-    { "configurationVersion",
-      mView.mRoutes == nullptr ? 0 : mView.mRoutes->Configuration().mVersion },
+    { "configurationVersion", ConfigurationVersion() },
+    { "storeEra", mPlatform.mStore.Era().Value() },
     { "leader", leader ? leader->mVm.Value() : "" },
     { "leading", mElection.IsLeading() },
     { "relay", mRelayChoice.Current(now).value_or("") },
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Core/Log.h"
+#include "Parsleystair/Gateway/RecordSurvey.h"
 
 #include <charconv>
 
@@ -15,6 +16,9 @@
 constexpr duration kAbdicationTimeout = 300ms;
 constexpr uint32_t kOk = 200;
 constexpr const char* kTermParameter = "term";
+/// Marks a request whose body names the ownership records that its sender
+/// knows, and that is to be answered with newer ones.
+constexpr const char* kRecordsParameter = "records";
 
 std::string AddressText(const leader_entry& aEntry)
 {
@@ -75,12 +79,44 @@
   mFormerLeadersGoneHandler = std::move(aHandler);
 }
 
+void leader_election::OnSurvey(survey_provider aProvider,
+                               survey_handler aHandler)
+{
+  mSurveyProvider = std::move(aProvider);
+  mSurveyHandler = std::move(aHandler);
+}
+
+void leader_election::HandleEra(const store_era& aEra)
+{
+  mController.HandleEra(aEra, MonotonicNow());
+  Step();
+}
+
+void leader_election::HandleRouters(const router_list& aRouters)
+{
+  std::vector<std::string> hosts;
+  for (const router_entry& router : aRouters) {
+    hosts.push_back(router.mHost);
+  }
+  mController.HandleRouters(hosts, MonotonicNow());
+}
+
+void leader_election::HandleRecordsWritten()
+{
+  mController.HandleRecordsWritten();
+}
+
 void leader_election::HandleKey(const std::optional<stored_item>& aItem)
 {
   mController.HandleKey(aItem, MonotonicNow());
   Step();
 }
 
+bool leader_election::AsksRecords(const http_request& aRequest)
+{
+  return FindQueryValue(aRequest.mQuery, kRecordsParameter).has_value();
+}
+
 void leader_election::HandleAbdicationRequest(const http_request& aRequest)
 {
   const std::optional<term_number> term = ReadTerm(aRequest);
@@ -146,7 +182,8 @@
       .Add("revision", mController.Revision().Value())
       .Add("lease", mController.Leader()->mLease.Value())
       .Add("term", current.mTerm.Value())
-      .Add("former", DescribeLeaders(mController.FormerLeaders()));
+      .Add("former", DescribeLeaders(mController.FormerLeaders()))
+      .Add("recovers", current.mRecovers);
     mChangeHandler();
   }
   if (mReportedConfirmation < current.mConfirmedAt) {
@@ -155,20 +192,21 @@
   }
   if (!mReportedFormerLeadersGone && mController.AreFormerLeadersGone()) {
     mReportedFormerLeadersGone = true;
+    if (const auto end = mController.RecoveryEnd()) {
+      log_line(log_severity::kInfo, "records_recovered")
+        .Add("term", current.mTerm.Value())
+        .Add("after_us", int64_t{ (MonotonicNow() - current.mSince).count() })
+        .Add("wait_us",
+             int64_t{ std::max(*end - MonotonicNow(), duration()).count() });
+    }
     mFormerLeadersGoneHandler();
   }
 }
 
-void leader_election::Execute(const read_terms& /*aAction*/)
+void leader_election::Execute(const read_terms& aAction)
 {
-  mStore.ReadPrefix(mSettings.mTermsKey, [this](const prefix_reply& aReply) {
-    std::optional<stored_item> item;
-    for (const stored_item& each : aReply.mItems) {
-      if (each.mKey == mSettings.mTermsKey) {
-        item = each;
-      }
-    }
-    mController.HandleTermsRead(aReply.mOutcome, item, MonotonicNow());
+  mStore.ReadPrefix(aAction.mPrefix, [this](const prefix_reply& aReply) {
+    mController.HandleTermsRead(aReply.mOutcome, aReply.mItems, MonotonicNow());
     Step();
   });
 }
@@ -220,6 +258,10 @@
   request.mQuery =
     kTermParameter + ("=" + std::to_string(aAction.mBefore.Value()));
   request.mBody = std::to_string(former.mIncarnation.Value());
+  if (aAction.mAsksRecords) {
+    request.mQuery += std::string("&") + kRecordsParameter + "=1";
+    request.mBody = mSurveyProvider();
+  }
   connection->Call(
     request, kAbdicationTimeout, [this, aAction](const http_result& aResult) {
       // The extracted node keeps the connection alive until its callback
@@ -240,7 +282,12 @@
         .Add("vm", aAction.mLeader.mVm.Value())
         .Add("former_term", aAction.mLeader.mTerm.Value())
         .Add("term", aAction.mBefore.Value());
-      mController.HandleAbdicated(aAction, MonotonicNow());
+      survey_response told;
+      if (aAction.mAsksRecords) {
+        told = mSurveyHandler(aResult.mResponse.mBody).value_or(told);
+      }
+      mController.HandleAbdicated(
+        aAction, told.mKnowsGrantedRecords, told.mRouters, MonotonicNow());
       Step();
     });
 }
--- a/Parsleystair/Gateway/LeaderElection.h
+++ b/Parsleystair/Gateway/LeaderElection.h
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/EventLoop.h"
 #include "Parsleystair/Gateway/ElectionController.h"
+#include "Parsleystair/Gateway/PeerReport.h"
 #include "Parsleystair/Http/HttpConnection.h"
 
 #include <functional>
@@ -10,6 +11,8 @@
 
 namespace parsleystair {
 
+struct survey_response;
+
 /// Executes the decisions of an `election_controller`: calls the store and asks
 /// former leaders to abdicate.
 class leader_election
@@ -31,6 +34,41 @@
   /// Called when no former leader sends orders any more.
   void OnFormerLeadersGone(change_handler aHandler);
 
+  /// Provides the body of requests for ownership records.
+  using survey_provider = std::function<std::string()>;
+  /// Applies the records of a response to such a request, and returns the rest
+  /// of it; nothing if the response can't be read.
+  using survey_handler =
+    std::function<std::optional<survey_response>(const std::string&)>;
+  void OnSurvey(survey_provider aProvider, survey_handler aHandler);
+
+  /// The store has come back from an older copy in the era `aEra`.
+  void HandleEra(const store_era& aEra);
+  /// `aRouters`: all live routers, as the leader knows them now.
+  void HandleRouters(const router_list& aRouters);
+  /// This router has written all ownership records in the present era.
+  void HandleRecordsWritten();
+
+  /// Name of the leader key in the present era.
+  [[nodiscard]] std::string LeaderKey() const
+  {
+    return mController.LeaderKey();
+  }
+  [[nodiscard]] std::optional<time_point> RecoveryEnd() const
+  {
+    return mController.RecoveryEnd();
+  }
+  /// See `election_controller::KnownRouters`.
+  [[nodiscard]] std::vector<std::string> KnownRouters(time_point aNow) const
+  {
+    return mController.KnownRouters(aNow);
+  }
+  /// See `election_controller::KnowsGrantedRecords`.
+  [[nodiscard]] bool KnowsGrantedRecords(time_point aNow) const
+  {
+    return mController.KnowsGrantedRecords(aNow);
+  }
+
   /// Handles the present state of the leader key in the store; `aItem` is empty
   /// if the key doesn't exist.
   void HandleKey(const std::optional<stored_item>& aItem);
@@ -39,6 +77,10 @@
   /// leads in no term before the one of the request.
   void HandleAbdicationRequest(const http_request& aRequest);
 
+  /// Whether an abdication request asks for ownership records; its body names
+  /// those that the sender knows.
+  [[nodiscard]] static bool AsksRecords(const http_request& aRequest);
+
   /// Stops leading because another router leads in a later term.
   void StepDown();
 
@@ -84,6 +126,8 @@
   change_handler mChangeHandler;
   change_handler mConfirmedHandler;
   change_handler mFormerLeadersGoneHandler;
+  survey_provider mSurveyProvider;
+  survey_handler mSurveyHandler;
   /// State as last reported to the handlers.
   bool mReportedLeading = false;
   time_point mReportedConfirmation = time_point::min();
--- a/Parsleystair/Gateway/LeaderEntry.cpp
+++ b/Parsleystair/Gateway/LeaderEntry.cpp
@@ -59,9 +59,12 @@
   for (const leader_entry& each : aTerms.mLeaders) {
     leaders.push_back(ToJson(each));
   }
-  return json{
-    { "next", aTerms.mNext.Value() }, { "leaders", std::move(leaders) }
-  }.dump();
+  json encoded = { { "next", aTerms.mNext.Value() },
+                   { "leaders", std::move(leaders) } };
+  if (!aTerms.mRecovered) {
+    encoded["recovered"] = false;
+  }
+  return encoded.dump();
 }
 
 leader_terms DecodeLeaderTerms(const std::string& aText)
@@ -70,6 +73,7 @@
     const json parsed = json::parse(aText);
     leader_terms terms;
     terms.mNext = term_number(parsed.at("next").get<uint64_t>());
+    terms.mRecovered = parsed.value("recovered", true);
     for (const json& each : parsed.at("leaders")) {
       terms.mLeaders.push_back(FromJson(each));
     }
--- a/Parsleystair/Gateway/LeaderEntry.h
+++ b/Parsleystair/Gateway/LeaderEntry.h
@@ -39,6 +39,10 @@
 {
   /// Number of the next term; above all numbers assigned so far.
   term_number mNext = term_number(1);
+  /// Whether the ownership records of the present era name every holder of
+  /// keys. After the store was restored, they don't until a leader has found
+  /// out what the store has lost.
+  bool mRecovered = true;
   /// The leader of the newest term is last. There is one entry per address, as
   /// a process can only lead after an earlier one at its address has ended.
   std::vector<leader_entry> mLeaders;
--- a/Parsleystair/Gateway/OwnerFeed.cpp
+++ b/Parsleystair/Gateway/OwnerFeed.cpp
@@ -86,6 +86,19 @@
   }
 }
 
+owner_records NewerRecords(const owner_records& aRecords,
+                           const owner_revisions& aKnown)
+{
+  owner_records newer;
+  for (const auto& [service, versioned] : aRecords) {
+    const auto known = aKnown.find(service);
+    if (known == aKnown.end() || known->second < versioned.mRevision) {
+      newer[service] = versioned;
+    }
+  }
+  return newer;
+}
+
 owner_feed_server::owner_feed_server(http_server& aServer)
   : mServer(aServer)
 {
@@ -112,13 +125,7 @@
                                          const owner_revisions& aKnownRevisions,
                                          const owner_records& aRecords)
 {
-  owner_records newer;
-  for (const auto& [service, versioned] : aRecords) {
-    const auto known = aKnownRevisions.find(service);
-    if (known == aKnownRevisions.end() || known->second < versioned.mRevision) {
-      newer[service] = versioned;
-    }
-  }
+  const owner_records newer = NewerRecords(aRecords, aKnownRevisions);
   if (newer.empty()) {
     return false;
   }
--- a/Parsleystair/Gateway/OwnerFeed.h
+++ b/Parsleystair/Gateway/OwnerFeed.h
@@ -40,6 +40,10 @@
 /// Throws `parse_error`.
 owner_revisions DecodeOwnerRevisions(const std::string& aText);
 
+/// Records of `aRecords` that are newer than those in `aKnown`.
+owner_records NewerRecords(const owner_records& aRecords,
+                           const owner_revisions& aKnown);
+
 /// Server side, at the leader or a relay: answers a long poll of another router
 /// as soon as it has newer ownership records than that router.
 class owner_feed_server
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -3,6 +3,9 @@
 #include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Core/Log.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace parsleystair {
 
 namespace {
@@ -89,6 +92,33 @@
   return "unknown";
 }
 
+std::string EncodeRecordKey(const record_key& aKey)
+{
+  return NameInEra(kRecordKeyPrefix, aKey.mEra) + "/" + aKey.mService.Value();
+}
+
+std::optional<record_key> DecodeRecordKey(const std::string& aText)
+{
+  const size_t slash =
+    aText.find('/', std::string_view(kRecordKeyPrefix).size());
+  if (slash == std::string::npos) {
+    return std::nullopt;
+  }
+  record_key key;
+  key.mService = service_name(aText.substr(slash + 1));
+  const size_t at = aText.find('@');
+  if (at < slash) {
+    uint64_t era = 0;
+    std::from_chars(aText.data() + at + 1, aText.data() + slash, era);
+    key.mEra = store_era(era);
+  }
+  if (key.mEra < kFirstEra || key.mEra.Value() >= kEraLimit) {
+    return std::nullopt;
+  }
+  // Another spelling of the same name is not a key that a router wrote.
+  return EncodeRecordKey(key) == aText ? std::optional(key) : std::nullopt;
+}
+
 range_driver::range_driver(event_loop& aLoop,
                            const range_settings& aSettings,
                            coordination_store& aStore,
@@ -121,6 +151,9 @@
   if (mElection.AreFormerLeadersGone()) {
     aController.HandleFormerLeadersGone(aNow);
   }
+  if (const auto recoveryEnd = mElection.RecoveryEnd()) {
+    aController.HandleRecordsRecovered(*recoveryEnd);
+  }
 }
 
 void range_driver::StartLeading(time_point aNow)
@@ -158,12 +191,25 @@
 
 void range_driver::HandleFormerLeadersGone(time_point aNow)
 {
+  const auto recoveryEnd = mElection.RecoveryEnd();
   for (auto& [service, controller] : mControllers) {
     controller.HandleFormerLeadersGone(aNow);
+    if (recoveryEnd) {
+      controller.HandleRecordsRecovered(*recoveryEnd);
+    }
   }
   ScheduleStep();
 }
 
+bool range_driver::AreRecordsCurrent() const
+{
+  return std::all_of(
+    mControllers.begin(), mControllers.end(), [this](const auto& aEach) {
+      const store_revision revision = aEach.second.RecordRevision();
+      return revision == store_revision(0) || EraOf(revision) == mStore.Era();
+    });
+}
+
 void range_driver::HandleRecord(const service_name& aService,
                                 const range_record& aRecord,
                                 store_revision aRevision)
@@ -388,8 +434,7 @@
   const time_point sendUntil =
     isConnected ? aOrder.mSendUntil
                 : std::min(aOrder.mSendUntil, aOrder.mConnectUntil);
-  const duration remaining = sendUntil - now;
-  if (remaining <= duration::zero()) {
+  if (sendUntil <= now) {
     ++mCounters.mGrantsTooLate;
     const order_result dropped = now < aOrder.mSendUntil
                                    ? order_result::kNoConnection
@@ -403,7 +448,7 @@
     aOrder.mAddress,
     mProtocol.GrantRequest(aOrder, requestId),
     requestId,
-    std::min(kGrantTimeout, remaining),
+    std::min(kGrantTimeout, sendUntil - now),
     { connection_choice::kAny, aOrder.mSendUntil, aOrder.mConnectUntil },
     [this, aService, aOrder](const order_response& aOutcome,
                              const http_result& aResult) {
@@ -500,10 +545,14 @@
                            const write_record& aWrite)
 {
   ++mCounters.mRecordWrites;
-  const std::string key = kRangesPrefix + aService.Value();
+  const std::string key = EncodeRecordKey({ aService, mStore.Era() });
+  // A record of an earlier era has another key.
+  const bool isCurrent = EraOf(aWrite.mExpectedRevision) == mStore.Era();
   conditional_write write;
-  write.mConditions = { mElection.Condition(),
-                        { key, aWrite.mExpectedRevision } };
+  write.mConditions = {
+    mElection.Condition(),
+    { key, isCurrent ? aWrite.mExpectedRevision : store_revision(0) }
+  };
   write.mWrites = { { key, EncodeRangeRecord(aWrite.mRecord), lease_id(0) } };
   const order_id id = aWrite.mId;
   const range_record record = aWrite.mRecord;
@@ -520,6 +569,9 @@
     }
     if (written) {
       mRecordHandler(aService, { aReply.mRevision, record });
+      if (AreRecordsCurrent()) {
+        mElection.HandleRecordsWritten();
+      }
     } else {
       mWriteFailedHandler();
     }
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -18,7 +18,22 @@
 /// Store keys that the routers themselves write.
 inline constexpr const char* kLeaderKey = "parsleystair/leader";
 inline constexpr const char* kTermsKey = "parsleystair/terms";
-inline constexpr const char* kRangesPrefix = "parsleystair/ranges/";
+/// Prefix of the keys of ownership records in all eras.
+inline constexpr const char* kRecordKeyPrefix = "parsleystair/ranges";
+
+/// What the key of an ownership record in the store names.
+struct record_key
+{
+  service_name mService;
+  store_era mEra = kFirstEra;
+
+  bool operator==(const record_key&) const = default;
+};
+
+std::string EncodeRecordKey(const record_key& aKey);
+
+/// Nothing if the text is no key of an ownership record.
+std::optional<record_key> DecodeRecordKey(const std::string& aText);
 
 struct range_driver_counters
 {
@@ -84,6 +99,8 @@
   }
   [[nodiscard]] size_t PendingMoves() const;
   [[nodiscard]] bool IsLeading() const { return mLeading; }
+  /// Whether the records of all services are those of the present era.
+  [[nodiscard]] bool AreRecordsCurrent() const;
   [[nodiscard]] bool HasServices() const { return !mControllers.empty(); }
 
 private:
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/KeyRanges/RangeController.h"
 
 #include "Parsleystair/Core/Invariant.h"
+#include "Parsleystair/Core/StoreEra.h"
 
 #include <algorithm>
 #include <set>
@@ -20,6 +21,14 @@
 // connection that shows whether a process with a fence of a former leader has
 // restarted since.
 //
+// After a restore of the store from an older copy, the record may lack changes
+// by which former leaders granted keys, and so may not name a holder. Until
+// `mRecoversUntil` this router gives no keys out. It goes on renewing what it
+// granted itself before the restore, if its leadership was confirmed then
+// within the time for which it may renew: an unknown later leader can't have
+// waited for these grants to expire, so it can have got the keys only from the
+// owner, which then knows a higher fence and refuses the renewal.
+//
 // A target that restarts forgets the fences that it has seen. A release or an
 // accepted grant therefore says nothing about the target's next process, and
 // former leaders must not reach it: after `mFormerLeaderConnectsUntil` they
@@ -53,6 +62,15 @@
 
 void range_controller::StartLeading(const leadership& aLeadership)
 {
+  const bool mayHaveGrants =
+    aLeadership.mContinues && !mKeptGrants.empty() &&
+    aLeadership.mSince <=
+      mKeptGrantsConfirmedAt + mSettings.mMaxConfirmationAgeToRenew;
+  if (!mayHaveGrants) {
+    mKeptGrants.clear();
+  }
+  mRecoversUntil =
+    aLeadership.mRecovers ? time_point::max() : time_point::min();
   mTerm = aLeadership.mTerm;
   mLeading = !IsSuperseded();
   mLeadershipConfirmedAt = aLeadership.mConfirmedAt;
@@ -60,14 +78,52 @@
     aLeadership.mSince + mSettings.mMaxConfirmationAgeToRenew;
   mFormerLeaderConnectsUntil =
     aLeadership.mSince + mSettings.mMaxConfirmationAgeToMove;
-  mFirstOwnFence = mRecord.mNextFence;
+  mFirstOwnFence = NextFence();
   mFormerLeaderGrants = mRecord.mRanges;
   mNextBalanceTime = aLeadership.mSince;
   ClearPendingWork();
 }
 
+uint64_t range_controller::NextFence() const
+{
+  const store_era era = EraOfNumber(mTerm.Value());
+  return std::max(mRecord.mNextFence, FirstNumberOf(era));
+}
+
+void range_controller::KeepOwnGrants()
+{
+  mKeptGrants.clear();
+  mKeptGrantsConfirmedAt = mLeadershipConfirmedAt;
+  for (const owned_range& range : mRecord.mRanges) {
+    const auto owner = mOwners.find(range.mOwner.mName);
+    const bool isGranted = owner != mOwners.end() &&
+                           range.mFence.Value() >= mFirstOwnFence &&
+                           range.mFence > owner->second.mRetiredFence &&
+                           range.mFence <= owner->second.mGrantedFence;
+    if (!isGranted) {
+      continue;
+    }
+    for (const key_interval& piece : SubtractMoves(range.mKeys)) {
+      mKeptGrants.push_back(range);
+      mKeptGrants.back().mKeys = piece;
+    }
+  }
+}
+
+void range_controller::RemoveKeptGrant(const key_interval& aKeys)
+{
+  std::erase_if(mKeptGrants, [&](const owned_range& aKept) {
+    return aKept.mKeys.Overlaps(aKeys);
+  });
+}
+
 void range_controller::StopLeading(time_point aNow)
 {
+  if (!mLeading) {
+    mKeptGrants.clear();
+  } else if (aNow >= mRecoversUntil) {
+    KeepOwnGrants();
+  }
   mLeading = false;
   for (const auto& [order, grant] : mPendingGrants) {
     RecordGrantCall(grant, aNow);
@@ -100,6 +156,11 @@
   }
 }
 
+void range_controller::HandleRecordsRecovered(time_point aFrom)
+{
+  mRecoversUntil = std::min(mRecoversUntil, aFrom);
+}
+
 bool range_controller::MayRenew(time_point aNow) const
 {
   return mLeading &&
@@ -210,6 +271,11 @@
   }
   const pending_grant grant = found->second;
   mPendingGrants.erase(found);
+  if (aResult != order_result::kAccepted &&
+      aResult != order_result::kUnverified &&
+      aResult != order_result::kNotAttempted) {
+    RemoveKeptGrant(grant.mKeys);
+  }
   if (aResult == order_result::kNotAttempted) {
     mNextGrantTimes[grant.mKeys.mFirst] = aNow + kHeldBackRetryDelay;
     return;
@@ -398,15 +464,9 @@
   return owner.mTarget.mDraining || IsFailing(owner, aNow);
 }
 
-duration range_controller::MaxHoldTime() const
-{
-  return std::chrono::duration_cast<duration>(mSettings.mGrantDuration *
-                                              mSettings.mClockDriftFactor);
-}
-
 time_point range_controller::GrantExpiry(time_point aGranted) const
 {
-  return aGranted + mSettings.mMaxDeliveryDelay + MaxHoldTime();
+  return aGranted + mSettings.mMaxDeliveryDelay + mSettings.MaxHoldTime();
 }
 
 bool range_controller::HasPendingGrant(const target_name& aTarget,
@@ -441,9 +501,8 @@
   if (!HasFormerLeaderGrant(aRange.mOwner.mName, aRange.mKeys)) {
     return expiry;
   }
-  return std::max(expiry,
-                  mFormerLeaderRenewsUntil + mSettings.mMaxFormerDeliveryDelay +
-                    MaxHoldTime());
+  return std::max(
+    expiry, mFormerLeaderRenewsUntil + mSettings.MaxFormerGrantLifetime());
 }
 
 } // namespace parsleystair
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -46,6 +46,19 @@
   /// Time from the first registration of a target to the first assignment of
   /// keys, so that all targets can register.
   duration mInitialAssignmentDelay = 1s;
+
+  /// Longest time for which a target holds a grant after the order's arrival.
+  [[nodiscard]] duration MaxHoldTime() const
+  {
+    return std::chrono::duration_cast<duration>(mGrantDuration *
+                                                mClockDriftFactor);
+  }
+  /// Longest time for which a target holds a grant after the last order of a
+  /// former leader was sent.
+  [[nodiscard]] duration MaxFormerGrantLifetime() const
+  {
+    return mMaxFormerDeliveryDelay + MaxHoldTime();
+  }
 };
 
 /// Period in which a router leads.
@@ -58,6 +71,12 @@
   /// Time at which this router learned that it leads. All former leaders were
   /// confirmed for the last time before.
   time_point mSince = time_point::min();
+  /// The store was restored from an older copy and the records may not name all
+  /// holders of keys, until `range_controller::HandleRecordsRecovered`.
+  bool mRecovers = false;
+  /// This router led when the store was restored, and no other router has led
+  /// since.
+  bool mContinues = false;
 
   bool operator==(const leadership&) const = default;
 };
@@ -90,6 +109,10 @@
   /// No former leader sends orders after `aNow`.
   void HandleFormerLeadersGone(time_point aNow);
 
+  /// In a leadership that recovers, the records that were handed over before
+  /// `aFrom` name every target that holds keys from then on.
+  void HandleRecordsRecovered(time_point aFrom);
+
   /// Takes over the record in the store. Revisions that are not newer than the
   /// known one are ignored. A record of a later term ends the leadership.
   void HandleRecord(const range_record& aRecord, store_revision aRevision);
@@ -128,6 +151,8 @@
   /// this router's leadership.
   [[nodiscard]] bool IsSuperseded() const { return mRecord.mTerm > mTerm; }
   [[nodiscard]] const range_record& Record() const { return mRecord; }
+  /// Revision of the record in the store; 0 if there is none.
+  [[nodiscard]] store_revision RecordRevision() const { return mRevision; }
   [[nodiscard]] size_t PendingMoves() const { return mMoves.size(); }
 
   /// Returns the moves that the steps since the last call found ready.
@@ -192,6 +217,9 @@
   void HandleFenced(const pending_grant& aGrant, time_point aNow);
   void RecordGrantCall(const pending_grant& aGrant, time_point aEnd);
   void ClearPendingWork();
+  void KeepOwnGrants();
+  void RemoveKeptGrant(const key_interval& aKeys);
+  void StepKeptGrants(time_point aNow, std::vector<range_action>& aActions);
   void AddRequiredMoves(time_point aNow);
   void AddMove(const key_interval& aKeys,
                const owned_range* aOwner,
@@ -206,6 +234,7 @@
   void StepGrants(time_point aNow, std::vector<range_action>& aActions);
   void GrantKeys(const key_interval& aKeys,
                  const owned_range& aRange,
+                 time_point aConnectUntil,
                  time_point aNow,
                  std::vector<range_action>& aActions);
   void ApplyMove(const move& aMove,
@@ -227,14 +256,14 @@
                                        time_point aNow) const;
   /// Latest expiry of a grant of this router whose call ended at `aGranted`.
   [[nodiscard]] time_point GrantExpiry(time_point aGranted) const;
-  /// Longest time for which a target holds a grant after the order's arrival.
-  [[nodiscard]] duration MaxHoldTime() const;
   [[nodiscard]] bool HasPendingGrant(const target_name& aTarget,
                                      const key_interval& aKeys) const;
   [[nodiscard]] std::vector<key_interval> SubtractMoves(
     const key_interval& aKeys) const;
   [[nodiscard]] bool MayRenew(time_point aNow) const;
   [[nodiscard]] bool MayMove(time_point aNow) const;
+  /// Fence for the next change of the record.
+  [[nodiscard]] uint64_t NextFence() const;
 
   range_settings mSettings;
   bool mLeading = false;
@@ -249,6 +278,13 @@
   uint64_t mFirstOwnFence = 0;
   /// Keys that former leaders may still grant to their owners.
   std::vector<owned_range> mFormerLeaderGrants;
+  /// Time until which targets may hold keys without being named by the record.
+  time_point mRecoversUntil = time_point::min();
+  /// Keys that this router granted before a restore of the store and that can
+  /// have got no other owner.
+  std::vector<owned_range> mKeptGrants;
+  /// Last confirmation of the leadership in which these keys were granted.
+  time_point mKeptGrantsConfirmedAt = time_point::min();
   range_record mRecord;
   store_revision mRevision;
   key_load mLoad;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/KeyRanges/RangeController.h"
 
 #include "Parsleystair/Core/Invariant.h"
+#include "Parsleystair/Core/StoreEra.h"
 
 #include <algorithm>
 #include <map>
@@ -92,6 +93,12 @@
     return actions;
   }
   mNextStepTime = aNow + mSettings.mRenewInterval;
+  if (aNow < mRecoversUntil) {
+    mNextStepTime = std::min(mNextStepTime, mRecoversUntil);
+    StepKeptGrants(aNow, actions);
+    return actions;
+  }
+  mKeptGrants.clear();
   if (MayMove(aNow)) {
     mLoad.Decay(aNow);
     AddRequiredMoves(aNow);
@@ -272,7 +279,7 @@
       *each.mPendingRelease,
       { target.mName, target.mHost, target.mPort },
       each.mKeys,
-      fence(mRecord.mNextFence),
+      fence(NextFence()),
       mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToMove });
   }
 }
@@ -330,7 +337,7 @@
       AssignKeys(aRecord,
                  { aMove.mKeys,
                    { aMove.mNewOwner, owner.mTarget.mStartedMs },
-                   fence(mRecord.mNextFence),
+                   fence(NextFence()),
                    aMove.mHandover });
     }
     return;
@@ -350,7 +357,7 @@
     AssignKeys(aRecord,
                { each.mKeys,
                  { owner.mName, owner.mStartedMs },
-                 fence(mRecord.mNextFence),
+                 fence(NextFence()),
                  aMove.mHandover });
   }
 }
@@ -370,18 +377,21 @@
     std::any_of(mMoves.begin(), mMoves.end(), [](const move& aMove) {
       return aMove.mReady.has_value();
     });
-  if (!anyReady) {
+  // A record of an earlier era is written again in the present one.
+  const bool isOutdated = mRevision != store_revision(0) &&
+                          EraOf(mRevision) != EraOfNumber(mTerm.Value());
+  if (!anyReady && !isOutdated) {
     return;
   }
   range_record changed = mRecord;
-  changed.mNextFence = mRecord.mNextFence + 1;
+  changed.mNextFence = NextFence() + 1;
   changed.mTerm = mTerm;
   for (const move& each : mMoves) {
     if (each.mReady) {
       ApplyMove(each, changed, candidates);
     }
   }
-  if (changed.mRanges == mRecord.mRanges) {
+  if (changed.mRanges == mRecord.mRanges && !isOutdated) {
     return;
   }
   ValidateRecord(changed);
@@ -401,13 +411,33 @@
       continue;
     }
     for (const key_interval& piece : SubtractMoves(range.mKeys)) {
-      GrantKeys(piece, range, aNow, aActions);
+      GrantKeys(piece,
+                range,
+                mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToMove,
+                aNow,
+                aActions);
+    }
+  }
+}
+
+void range_controller::StepKeptGrants(time_point aNow,
+                                      std::vector<range_action>& aActions)
+{
+  if (!MayRenew(aNow)) {
+    return;
+  }
+  for (const owned_range& kept : std::vector(mKeptGrants)) {
+    // A new connection might lead to a process that has replaced the owner and
+    // knows no fences.
+    if (mOwners.contains(kept.mOwner.mName)) {
+      GrantKeys(kept.mKeys, kept, time_point::min(), aNow, aActions);
     }
   }
 }
 
 void range_controller::GrantKeys(const key_interval& aKeys,
                                  const owned_range& aRange,
+                                 time_point aConnectUntil,
                                  time_point aNow,
                                  std::vector<range_action>& aActions)
 {
@@ -424,15 +454,15 @@
   const order_id order(mNextOrderId++);
   const discovered_target& target = mOwners.at(aRange.mOwner.mName).mTarget;
   mPendingGrants[order] = { target.mName, aKeys, aRange.mFence, aNow };
-  aActions.emplace_back(grant_order{
-    order,
-    { target.mName, target.mHost, target.mPort },
-    aKeys,
-    aRange.mFence,
-    mSettings.mGrantDuration,
-    aRange.mHandover,
-    mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew,
-    mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToMove });
+  aActions.emplace_back(
+    grant_order{ order,
+                 { target.mName, target.mHost, target.mPort },
+                 aKeys,
+                 aRange.mFence,
+                 mSettings.mGrantDuration,
+                 aRange.mHandover,
+                 mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew,
+                 aConnectUntil });
 }
 
 } // namespace parsleystair
--- a/UnitTests/Gateway/ElectionControllerTest.cpp
+++ b/UnitTests/Gateway/ElectionControllerTest.cpp
@@ -56,6 +56,17 @@
     return { call_outcome::kDone, revision };
   }
 
+  std::vector<stored_item> StoredTermsItems() const
+  {
+    std::vector<stored_item> items;
+    for (const auto& [key, item] : mItems) {
+      if (key.starts_with("terms")) {
+        items.push_back(item);
+      }
+    }
+    return items;
+  }
+
   leader_terms StoredTerms() const
   {
     const auto item = Find("terms");
@@ -79,9 +90,10 @@
   write_leader Campaign(election_controller& aRouter)
   {
     aRouter.HandleKey(std::nullopt, mNow);
-    mNow += 200ms;
-    aRouter.Step(mNow);
-    aRouter.HandleTermsRead(call_outcome::kDone, Find("terms"), mNow);
+    mNow += 2s;
+    const auto reads = Only<read_terms>(aRouter.Step(mNow));
+    EXPECT_EQ(reads.size(), 1u);
+    aRouter.HandleTermsRead(call_outcome::kDone, StoredTermsItems(), mNow);
     lease_reply lease;
     lease.mOutcome = call_outcome::kDone;
     lease.mLease = lease_id(++mLease);
@@ -91,6 +103,16 @@
     return writes.empty() ? write_leader() : writes[0];
   }
 
+  /// The router gets the list of live routers for as long as grants last.
+  void FollowRouters(election_controller& aRouter,
+                     const std::vector<std::string>& aHosts)
+  {
+    for (int second = 0; second < 12; ++second) {
+      aRouter.HandleRouters(aHosts, mNow);
+      mNow += 1s;
+    }
+  }
+
   /// Makes the router the leader.
   void Elect(election_controller& aRouter)
   {
@@ -132,9 +154,9 @@
   ASSERT_EQ(requests.size(), 2u);
   EXPECT_EQ(requests[0].mLeader.mVm, vm_name("a"));
   EXPECT_EQ(requests[1].mLeader.mVm, vm_name("b"));
-  mThird.HandleAbdicated(requests[1], mNow);
+  mThird.HandleAbdicated(requests[1], true, {}, mNow);
   EXPECT_FALSE(mThird.AreFormerLeadersGone());
-  mThird.HandleAbdicated(requests[0], mNow);
+  mThird.HandleAbdicated(requests[0], true, {}, mNow);
   EXPECT_TRUE(mThird.AreFormerLeadersGone());
 }
 
@@ -271,4 +293,91 @@
   EXPECT_EQ(requests[0].mLeader.mVm, vm_name("old"));
 }
 
+// Guards against a leader that goes on by what a restored store says, while
+// routers that the store has forgotten may hold other records.
+TEST_F(election_controller_test, FirstLeaderAfterARestoreAsksEveryRouter)
+{
+  FollowRouters(mFirst, { "a", "b", "c" });
+  mItems.clear();
+  mFirst.HandleEra(store_era(2), mNow);
+  Elect(mFirst);
+  EXPECT_EQ(mFirst.Leadership().mTerm,
+            term_number(FirstNumberOf(store_era(2))));
+  EXPECT_TRUE(mFirst.Leadership().mRecovers);
+  const auto requests = AbdicationRequests(mFirst);
+  ASSERT_EQ(requests.size(), 2u);
+  EXPECT_TRUE(requests[0].mAsksRecords);
+  mFirst.HandleAbdicated(requests[0], true, {}, mNow);
+  mFirst.Step(mNow);
+  EXPECT_FALSE(mFirst.RecoveryEnd().has_value());
+  mFirst.HandleAbdicated(requests[1], true, {}, mNow);
+  mFirst.Step(mNow);
+  EXPECT_EQ(mFirst.RecoveryEnd(), mNow);
+}
+
+// Guards against a router that answers for records that an earlier process at
+// its address had granted.
+TEST_F(election_controller_test, WaitsForGrantsOfRoutersThatForgotTheirs)
+{
+  FollowRouters(mFirst, { "a", "b" });
+  mFirst.HandleEra(store_era(2), mNow);
+  Elect(mFirst);
+  const auto requests = AbdicationRequests(mFirst);
+  ASSERT_EQ(requests.size(), 1u);
+  mFirst.HandleAbdicated(requests[0], false, {}, mNow);
+  mFirst.Step(mNow);
+  EXPECT_EQ(mFirst.RecoveryEnd(),
+            mNow + range_settings().MaxFormerGrantLifetime());
+}
+
+// Guards against a router that doesn't know which routers may have led: one
+// that has started only after the copy was made.
+TEST_F(election_controller_test, NewRouterWaitsForUnknownLeadersAfterARestore)
+{
+  election_settings settings = Settings("a");
+  settings.mStartedAt = mNow;
+  election_controller started(settings, 1);
+  started.HandleRouters({ "a" }, mNow);
+  started.HandleEra(store_era(2), mNow);
+  mNow += 3s;
+  Elect(started);
+  const time_point since = started.Leadership().mSince;
+  mNow = since + settings.mMaxRenewalTime - 1ms;
+  started.Step(mNow);
+  EXPECT_FALSE(started.RecoveryEnd().has_value());
+  mNow += 1ms;
+  started.Step(mNow);
+  EXPECT_EQ(started.RecoveryEnd(), mNow + settings.mGrantLifetime);
+}
+
+// Guards against a second leader after a restore that trusts the records though
+// the first one ended before it had recovered them.
+TEST_F(election_controller_test, SuccessorRecoversUntilRecordsAreWritten)
+{
+  FollowRouters(mFirst, { "a", "b" });
+  FollowRouters(mSecond, { "a", "b" });
+  mFirst.HandleEra(store_era(2), mNow);
+  mSecond.HandleEra(store_era(2), mNow);
+  Elect(mFirst);
+  mItems.erase("leader@2");
+  mSecond.HandleRouters({ "a", "b" }, mNow);
+  Elect(mSecond);
+  EXPECT_TRUE(mSecond.Leadership().mRecovers);
+  EXPECT_FALSE(mSecond.Leadership().mContinues);
+  const auto requests = AbdicationRequests(mSecond);
+  ASSERT_EQ(requests.size(), 1u);
+  mSecond.HandleAbdicated(requests[0], true, {}, mNow);
+  mNow += 1s;
+  EXPECT_TRUE(Only<write_terms>(mSecond.Step(mNow)).empty());
+  mSecond.HandleRecordsWritten();
+  mNow += 1s;
+  const auto writes = Only<write_terms>(mSecond.Step(mNow));
+  ASSERT_EQ(writes.size(), 1u);
+  mSecond.HandleTermsWritten(Write(writes[0].mWrite));
+  mItems.erase("leader@2");
+  mThird.HandleEra(store_era(2), mNow);
+  Elect(mThird);
+  EXPECT_FALSE(mThird.Leadership().mRecovers);
+}
+
 } // namespace parsleystair
--- a/UnitTests/Gateway/LeadershipSimulation.h
+++ b/UnitTests/Gateway/LeadershipSimulation.h
@@ -36,6 +36,7 @@
     for (size_t i = 0; i < aSettings.mRouters; ++i) {
       AddRouter();
     }
+    CopyStore();
   }
   leadership_simulation(const leadership_simulation&) = delete;
   leadership_simulation& operator=(const leadership_simulation&) = delete;
@@ -224,6 +225,40 @@
     TraceFault("stops the store", mStoreDownUntil);
   }
 
+  /// The store comes back from a copy of some seconds before, possibly after an
+  /// outage.
+  void RestoreStore(uint32_t aCopy, uint32_t aMilliseconds)
+  {
+    if (Now() < mStoreDownUntil) {
+      return;
+    }
+    const simulated_store copy = mCopies[aCopy % mCopies.size()];
+    mStoreDownUntil = Now() + duration(1ms) * (aMilliseconds % 3000);
+    const bool renewsLeases = aMilliseconds / 4 % 2 == 0;
+    mEvents.Schedule(mStoreDownUntil, [this, copy, renewsLeases] {
+      mStore.Restore(copy, renewsLeases, Now());
+      mCopies.clear();
+      mCopies.push_back(mStore);
+      Trace("restores the store");
+    });
+    TraceFault("stops the store for a restore", mStoreDownUntil);
+  }
+
+  /// The leader's process ends while the store comes back from a copy.
+  void RestoreStoreWithoutLeader(uint32_t aCopy, uint32_t aMilliseconds)
+  {
+    RestoreStore(aCopy, aMilliseconds);
+    RestartRouter(ChooseRouter(0), duration(1ms) * (aMilliseconds / 8 % 9000));
+  }
+
+  /// The leader is cut off with a target, and the store comes back from a copy
+  /// from before its last changes.
+  void RestoreStoreOfIsolatedLeader(uint32_t aTarget, uint32_t aMilliseconds)
+  {
+    IsolateLeaderWithTarget(aTarget, aMilliseconds);
+    RestoreStore(aTarget / 64, aMilliseconds / 64);
+  }
+
   void LoseResponses(uint32_t aPercent, uint32_t aMilliseconds)
   {
     mLostPercent = aPercent % 60;
@@ -308,7 +343,7 @@
   [[nodiscard]] std::optional<size_t> Leader()
   {
     mStore.ExpireLeases(Now());
-    const auto item = mStore.Find(kSimulatedLeaderKey);
+    const auto item = mStore.Find(NameInEra(kSimulatedLeaderKey, mStore.Era()));
     if (!item) {
       return std::nullopt;
     }
@@ -380,7 +415,7 @@
   /// Terms in which a router has led so far.
   [[nodiscard]] uint64_t Terms() const
   {
-    const auto item = mStore.Find(kSimulatedTermsKey);
+    const auto item = mStore.Find(NameInEra(kSimulatedTermsKey, mStore.Era()));
     return item ? DecodeLeaderTerms(item->mValue).mNext.Value() - 1 : 0;
   }
 
@@ -426,6 +461,17 @@
     return *mTargets[aChoice % mTargets.size()];
   }
 
+  /// Keeps copies of the store from the last seconds.
+  void CopyStore()
+  {
+    constexpr size_t kMaxCopies = 24;
+    mCopies.push_back(mStore);
+    if (mCopies.size() > kMaxCopies) {
+      mCopies.pop_front();
+    }
+    mEvents.Schedule(Now() + 400ms, [this] { CopyStore(); });
+  }
+
   void AddRouter()
   {
     mRouters.emplace_back();
@@ -582,6 +628,24 @@
     return Now() < each.mWatchesSlowUntil ? each.mWatchDelay : 0ms;
   }
 
+  [[nodiscard]] std::vector<std::string> RouterList(
+    const router_run& aRun) override
+  {
+    std::vector<std::string> hosts;
+    const auto leader = Leader();
+    if (!leader || !mRouters[*leader].mProcess ||
+        !IsPathUp(RouterNode(aRun.mRouter), RouterNode(*leader))) {
+      return hosts;
+    }
+    for (size_t i = 0; i < mRouters.size(); ++i) {
+      if (mRouters[i].mProcess &&
+          IsPathUp(RouterNode(i), RouterNode(*leader))) {
+        hosts.push_back(SimulatedHost(i));
+      }
+    }
+    return hosts;
+  }
+
   void CallRouter(const router_run& aRun,
                   const std::string& aHost,
                   duration aTimeout,
@@ -689,6 +753,7 @@
   random_choices mRandom;
   simulated_events mEvents;
   simulated_store mStore;
+  std::deque<simulated_store> mCopies;
   ownership_oracle mOracle;
   std::vector<std::unique_ptr<simulated_target>> mTargets;
   std::vector<router_place> mRouters;
--- a/UnitTests/Gateway/SimulatedNetwork.h
+++ b/UnitTests/Gateway/SimulatedNetwork.h
@@ -45,6 +45,11 @@
   /// Time by which the present changes of watched keys reach the router late.
   [[nodiscard]] virtual duration WatchDelay(const router_run& aRun) = 0;
 
+  /// Addresses of the live routers, as the leader tells this one; empty if it
+  /// doesn't reach the leader.
+  [[nodiscard]] virtual std::vector<std::string> RouterList(
+    const router_run& aRun) = 0;
+
   /// Calls the process at a router's address; `aResult` tells whether a
   /// response arrived in time.
   virtual void CallRouter(const router_run& aRun,
--- a/UnitTests/Gateway/SimulatedRouter.h
+++ b/UnitTests/Gateway/SimulatedRouter.h
@@ -65,10 +65,27 @@
 
   [[nodiscard]] bool IsLeading() const { return mElection.IsLeading(); }
 
-  void HandleAbdicationRequest(term_number aBefore)
+  /// What a router tells a leader that recovers.
+  struct survey
+  {
+    std::optional<range_record> mRecord;
+    store_revision mRevision;
+    bool mKnowsGrantedRecords = false;
+    std::vector<std::string> mRouters;
+  };
+
+  survey HandleAbdicationRequest(term_number aBefore)
   {
     mElection.StepDown(aBefore);
     StepElection();
+    survey told;
+    told.mRevision = mRecordRevision;
+    if (mRecordRevision != store_revision(0)) {
+      told.mRecord = mRanges.Record();
+    }
+    told.mKnowsGrantedRecords = mElection.KnowsGrantedRecords(mNetwork.Now());
+    told.mRouters = mElection.KnownRouters(mNetwork.Now());
+    return told;
   }
 
   void HandleLoad(const service_load& aLoad)
@@ -107,6 +124,8 @@
     settings.mCampaignDelay =
       aNetwork.Random().Percent(kSmallMachinePercent) ? 200ms : 0ms;
     settings.mMaxRenewalTime = aSettings.mRanges.mMaxConfirmationAgeToRenew;
+    settings.mGrantLifetime = aSettings.mRanges.MaxFormerGrantLifetime();
+    settings.mStartedAt = aNetwork.Now();
     return settings;
   }
 
@@ -121,6 +140,45 @@
                    std::to_string(mRun.mRun) + " " + aLine);
   }
 
+  // As in `kv_store`.
+
+  /// `aCall` returns the handling of its reply, which gets whether the call was
+  /// sent in an earlier era than it was executed in.
+  using store_call = std::function<std::function<void(bool)>(simulated_store&)>;
+
+  void CallStore(store_call aCall, std::function<void(call_outcome)> aFailed)
+  {
+    mNetwork.CallStore(
+      mRun,
+      [this, sentIn = mEra, aCall = std::move(aCall), aFailed](
+        simulated_store& aStore) {
+        return
+          [this, sentIn, aFailed, handle = aCall(aStore), era = aStore.Era()] {
+            if (era < mEra) {
+              aFailed(call_outcome::kUnknown);
+              return;
+            }
+            if (mEra < era) {
+              HandleEra(era);
+            }
+            handle(sentIn < era);
+          };
+      },
+      aFailed);
+  }
+
+  // As in `gateway_task`.
+
+  void HandleEra(const store_era& aEra)
+  {
+    Trace("learns of era " + std::to_string(aEra.Value()));
+    mEra = aEra;
+    mLeaderKeyRead = false;
+    mDirectory.HandleStoreRestored(mNetwork.Now());
+    mElection.HandleEra(aEra, mNetwork.Now());
+    StepElection();
+  }
+
   // The watches of the store.
 
   void FollowLeaderKey()
@@ -129,15 +187,14 @@
     const bool readsOnce =
       !mLeaderKeyRead || mNetwork.Random().Percent(kGapPercent);
     const store_revision after = mLeaderKeyRevision;
-    mNetwork.CallStore(
-      mRun,
+    CallStore(
       [this, readsOnce, after](simulated_store& aStore) {
+        const std::string key = NameInEra(kSimulatedLeaderKey, aStore.Era());
         std::vector<std::optional<stored_item>> states;
-        if (readsOnce) {
-          states.push_back(aStore.Find(kSimulatedLeaderKey));
+        if (readsOnce || EraOf(after) != aStore.Era()) {
+          states.push_back(aStore.Find(key));
         } else {
-          for (const item_change& each :
-               aStore.ChangesOf(kSimulatedLeaderKey, after)) {
+          for (const item_change& each : aStore.ChangesOf(key, after)) {
             states.push_back(each.mValue
                                ? std::optional(stored_item{
                                    each.mKey, *each.mValue, each.mRevision })
@@ -145,13 +202,15 @@
           }
         }
         const store_revision revision = aStore.Revision();
-        return [this, states, revision] {
+        return [this, states, revision](bool /*aCrossedEras*/) {
           RunAfter(mNetwork.WatchDelay(mRun), [this, states, revision] {
-            mLeaderKeyRead = true;
-            mLeaderKeyRevision = revision;
-            for (const auto& state : states) {
-              mElection.HandleKey(state, mNetwork.Now());
-              StepElection();
+            if (EraOf(revision) == mEra) {
+              mLeaderKeyRead = true;
+              mLeaderKeyRevision = revision;
+              for (const auto& state : states) {
+                mElection.HandleKey(state, mNetwork.Now());
+                StepElection();
+              }
             }
             RunAfter(kFollowInterval, [this] { FollowLeaderKey(); });
           });
@@ -165,10 +224,9 @@
 
   void FollowTargets()
   {
-    mNetwork.CallStore(
-      mRun,
+    CallStore(
       [this](simulated_store& aStore) {
-        return [this, entries = mTargetEntries(aStore)] {
+        return [this, entries = mTargetEntries(aStore)](bool) {
           {
             const time_point now = mNetwork.Now();
             if (mTargetFailures >= kFailuresUntilLost) {
@@ -215,12 +273,11 @@
       again();
       return;
     }
-    mNetwork.CallStore(
-      mRun,
+    CallStore(
       [this, again](simulated_store& aStore) {
-        return [this, again, item = aStore.Find(kSimulatedRecordKey)] {
-          RunAfter(mNetwork.WatchDelay(mRun), [this, again, item] {
-            ApplyItem(item);
+        return [this, again, items = StoredRecords(aStore)](bool) {
+          RunAfter(mNetwork.WatchDelay(mRun), [this, again, items] {
+            ApplyItems(items);
             again();
           });
         };
@@ -234,6 +291,10 @@
     if (mDirectory.Expire(now)) {
       HandleTargets();
     }
+    const std::vector<std::string> routers = mNetwork.RouterList(mRun);
+    if (!routers.empty()) {
+      mElection.HandleRouters(routers, now);
+    }
     if (mElection.IsLeading() && !mDriverLeading && now >= mNextOwnersRead) {
       mNextOwnersRead = now + kOwnersReadInterval;
       ReadOwners();
@@ -243,13 +304,36 @@
 
   // As in `gateway_task`.
 
-  void ApplyItem(const std::optional<stored_item>& aItem)
+  /// Records of all eras, each with the revision that it had in its era.
+  static std::vector<stored_item> StoredRecords(const simulated_store& aStore)
+  {
+    std::vector<stored_item> records;
+    for (uint64_t era = kFirstEra.Value(); era <= aStore.Era().Value(); ++era) {
+      auto item = aStore.Find(NameInEra(kSimulatedRecordKey, store_era(era)));
+      if (item) {
+        item->mRevision = store_era(era) == aStore.Era()
+                            ? item->mRevision
+                            : MakeRevision(store_era(era), 1);
+        records.push_back(*item);
+      }
+    }
+    return records;
+  }
+
+  void ApplyItems(const std::vector<stored_item>& aItems)
+  {
+    for (const stored_item& item : aItems) {
+      ApplyRecord(DecodeRangeRecord(item.mValue), item.mRevision);
+    }
+  }
+
+  void ApplyRecord(const range_record& aRecord, store_revision aRevision)
   {
-    if (!aItem || aItem->mRevision <= mRecordRevision) {
+    if (aRevision <= mRecordRevision) {
       return;
     }
-    mRecordRevision = aItem->mRevision;
-    mRanges.HandleRecord(DecodeRangeRecord(aItem->mValue), aItem->mRevision);
+    mRecordRevision = aRevision;
+    mRanges.HandleRecord(aRecord, aRevision);
     if (mDriverLeading && mRanges.IsSuperseded()) {
       Trace("is superseded");
       mElection.StepDown(std::nullopt);
@@ -262,17 +346,15 @@
   {
     const bool isLeading = mElection.IsLeading();
     const term_number term = mElection.Leadership().mTerm;
-    mNetwork.CallStore(
-      mRun,
+    CallStore(
       [this, isLeading, term](simulated_store& aStore) {
-        return
-          [this, isLeading, term, item = aStore.Find(kSimulatedRecordKey)] {
-            ApplyItem(item);
-            if (isLeading && mElection.IsLeading() && !mDriverLeading &&
-                mElection.Leadership().mTerm == term) {
-              StartDriver();
-            }
-          };
+        return [this, isLeading, term, items = StoredRecords(aStore)](bool) {
+          ApplyItems(items);
+          if (isLeading && mElection.IsLeading() && !mDriverLeading &&
+              mElection.Leadership().mTerm == term) {
+            StartDriver();
+          }
+        };
       },
       [](call_outcome) {});
   }
@@ -297,11 +379,19 @@
     mDriverLeading = true;
     mRanges.StartLeading(mElection.Leadership());
     if (mElection.AreFormerLeadersGone()) {
-      mRanges.HandleFormerLeadersGone(mNetwork.Now());
+      HandleFormerLeadersGone();
     }
     ScheduleStep();
   }
 
+  void HandleFormerLeadersGone()
+  {
+    mRanges.HandleFormerLeadersGone(mNetwork.Now());
+    if (const auto recoveryEnd = mElection.RecoveryEnd()) {
+      mRanges.HandleRecordsRecovered(*recoveryEnd);
+    }
+  }
+
   // As in `leader_election`.
 
   void StepElection()
@@ -351,26 +441,25 @@
     if (!mReportedFormerLeadersGone && mElection.AreFormerLeadersGone()) {
       mReportedFormerLeadersGone = true;
       Trace("has no former leaders in term " + term);
-      mRanges.HandleFormerLeadersGone(mNetwork.Now());
+      HandleFormerLeadersGone();
       ScheduleStep();
     }
   }
 
-  void Execute(const read_terms& /*aAction*/)
+  void Execute(const read_terms& aAction)
   {
     const auto handle = [this](call_outcome aOutcome,
-                               const std::optional<stored_item>& aItem) {
-      mElection.HandleTermsRead(aOutcome, aItem, mNetwork.Now());
+                               const std::vector<stored_item>& aItems) {
+      mElection.HandleTermsRead(aOutcome, aItems, mNetwork.Now());
       StepElection();
     };
-    mNetwork.CallStore(
-      mRun,
-      [handle](simulated_store& aStore) {
-        return [handle, item = aStore.Find(kSimulatedTermsKey)] {
-          handle(call_outcome::kDone, item);
+    CallStore(
+      [handle, prefix = aAction.mPrefix](simulated_store& aStore) {
+        return [handle, items = aStore.FindPrefix(prefix)](bool) {
+          handle(call_outcome::kDone, items);
         };
       },
-      [handle](call_outcome aOutcome) { handle(aOutcome, std::nullopt); });
+      [handle](call_outcome aOutcome) { handle(aOutcome, {}); });
   }
 
   void Execute(const open_lease& /*aAction*/)
@@ -425,18 +514,24 @@
       return;
     }
     const uint64_t generation = mAbdicationGeneration;
+    const auto told = std::make_shared<survey>();
     mNetwork.CallRouter(
       mRun,
       aAction.mLeader.mHost,
       kAbdicationTimeout,
-      [before = aAction.mBefore](simulated_router& aFormer) {
-        aFormer.HandleAbdicationRequest(before);
+      [before = aAction.mBefore, told](simulated_router& aFormer) {
+        *told = aFormer.HandleAbdicationRequest(before);
       },
-      [this, aAction, generation](bool aAnswered) {
-        if (aAnswered && generation == mAbdicationGeneration) {
-          mElection.HandleAbdicated(aAction, mNetwork.Now());
-          StepElection();
+      [this, aAction, generation, told](bool aAnswered) {
+        if (!aAnswered || generation != mAbdicationGeneration) {
+          return;
+        }
+        if (aAction.mAsksRecords && told->mRecord) {
+          ApplyRecord(*told->mRecord, told->mRevision);
         }
+        mElection.HandleAbdicated(
+          aAction, told->mKnowsGrantedRecords, told->mRouters, mNetwork.Now());
+        StepElection();
       });
   }
 
@@ -451,10 +546,9 @@
   void CallLease(std::function<lease_reply(simulated_store&)> aCall,
                  const std::function<void(const lease_reply&)>& aHandler)
   {
-    mNetwork.CallStore(
-      mRun,
+    CallStore(
       [aCall = std::move(aCall), aHandler](simulated_store& aStore) {
-        return [aHandler, reply = aCall(aStore)] { aHandler(reply); };
+        return [aHandler, reply = aCall(aStore)](bool) { aHandler(reply); };
       },
       [aHandler](call_outcome aOutcome) {
         aHandler({ aOutcome, {}, {} });
@@ -464,10 +558,26 @@
   void Write(const conditional_write& aWrite,
              const std::function<void(const write_reply&)>& aHandler)
   {
-    mNetwork.CallStore(
-      mRun,
+    const bool isOutdated =
+      std::any_of(aWrite.mConditions.begin(),
+                  aWrite.mConditions.end(),
+                  [this](const item_condition& aCondition) {
+                    return aCondition.mRevision != store_revision(0) &&
+                           EraOf(aCondition.mRevision) != mEra;
+                  });
+    if (isOutdated) {
+      RunAfter(duration::zero(), [aHandler] {
+        aHandler({ call_outcome::kConflict, {} });
+      });
+      return;
+    }
+    CallStore(
       [aWrite, aHandler](simulated_store& aStore) {
-        return [aHandler, reply = aStore.Write(aWrite)] { aHandler(reply); };
+        return [aHandler, reply = aStore.Write(aWrite)](bool aCrossedEras) {
+          const bool isKnown =
+            !aCrossedEras || reply.mOutcome != call_outcome::kDone;
+          aHandler(isKnown ? reply : write_reply());
+        };
       },
       [aHandler](call_outcome aOutcome) {
         aHandler({ aOutcome, {} });
@@ -531,8 +641,7 @@
       mConnections.HasOpenConnection(target)
         ? aOrder.mSendUntil
         : std::min(aOrder.mSendUntil, aOrder.mConnectUntil);
-    const duration remaining = sendUntil - mNetwork.Now();
-    if (remaining <= duration::zero()) {
+    if (sendUntil <= mNetwork.Now()) {
       EndGrant(aOrder,
                mNetwork.Now() < aOrder.mSendUntil
                  ? order_result::kNoConnection
@@ -546,7 +655,7 @@
         return aTarget.HandleGrant(
           aOrder, network.IsExcused(run.mRouter, target), oracle);
       },
-      std::min(kGrantTimeout, remaining),
+      std::min(kGrantTimeout, sendUntil - mNetwork.Now()),
       [this, aOrder](const http_result& aResult) {
         EndGrant(aOrder, OutcomeOf(aResult));
       });
@@ -600,19 +709,22 @@
 
   void Execute(const write_record& aWrite)
   {
+    const std::string key = NameInEra(kSimulatedRecordKey, mEra);
+    const bool isCurrent = EraOf(aWrite.mExpectedRevision) == mEra;
     conditional_write write;
-    write.mConditions = { mElection.Condition(),
-                          { kSimulatedRecordKey, aWrite.mExpectedRevision } };
-    write.mWrites = {
-      { kSimulatedRecordKey, EncodeRangeRecord(aWrite.mRecord), lease_id(0) }
+    write.mConditions = {
+      mElection.Condition(),
+      { key, isCurrent ? aWrite.mExpectedRevision : store_revision(0) }
     };
-    Write(write, [this, id = aWrite.mId, write](const write_reply& aReply) {
+    write.mWrites = { { key, EncodeRangeRecord(aWrite.mRecord), lease_id(0) } };
+    Write(write, [this, aWrite](const write_reply& aReply) {
       const bool written = aReply.mOutcome == call_outcome::kDone;
-      mRanges.HandleWriteResult(id, written, aReply.mRevision, mNetwork.Now());
+      mRanges.HandleWriteResult(
+        aWrite.mId, written, aReply.mRevision, mNetwork.Now());
       ScheduleStep();
       if (written) {
-        ApplyItem(stored_item{
-          kSimulatedRecordKey, write.mWrites[0].mValue, aReply.mRevision });
+        ApplyRecord(aWrite.mRecord, aReply.mRevision);
+        mElection.HandleRecordsWritten();
       } else {
         ReadOwners();
       }
@@ -626,6 +738,7 @@
   target_entries mTargetEntries;
   platform::wire_orders mProtocol;
   service_name mService{ "s" };
+  store_era mEra = kFirstEra;
   election_controller mElection;
   range_controller mRanges;
   target_directory mDirectory;
--- a/UnitTests/Gateway/SimulatedStore.h
+++ b/UnitTests/Gateway/SimulatedStore.h
@@ -14,11 +14,45 @@
 class simulated_store
 {
 public:
+  [[nodiscard]] store_era Era() const { return mEra; }
+
+  /// Comes back from a copy and starts a new era. Revisions and leases are
+  /// assigned again. `aRenewsLeases`: the leases of the copy start anew.
+  void Restore(const simulated_store& aCopy,
+               bool aRenewsLeases,
+               time_point aNow)
+  {
+    const store_era next(mEra.Value() + 1);
+    *this = aCopy;
+    mEra = next;
+    if (aRenewsLeases) {
+      for (auto& [id, lease] : mLeases) {
+        lease.mEnd = aNow + lease.mTtl;
+      }
+    }
+  }
+
   [[nodiscard]] std::optional<stored_item> Find(const std::string& aKey) const
   {
     const auto found = mItems.find(aKey);
-    return found == mItems.end() ? std::nullopt
-                                 : std::optional(found->second.mItem);
+    if (found == mItems.end()) {
+      return std::nullopt;
+    }
+    stored_item item = found->second.mItem;
+    item.mRevision = MakeRevision(mEra, NumberOf(item.mRevision));
+    return item;
+  }
+
+  [[nodiscard]] std::vector<stored_item> FindPrefix(
+    const std::string& aPrefix) const
+  {
+    std::vector<stored_item> items;
+    for (auto item = mItems.lower_bound(aPrefix);
+         item != mItems.end() && item->first.starts_with(aPrefix);
+         ++item) {
+      items.push_back(*Find(item->first));
+    }
+    return items;
   }
 
   /// Changes of a key after a revision, in order.
@@ -27,11 +61,13 @@
   {
     std::vector<item_change> changes;
     for (auto change = mHistory.rbegin(); change != mHistory.rend(); ++change) {
-      if (change->mRevision <= aAfter) {
+      if (NumberOf(change->mRevision) <= NumberOf(aAfter)) {
         break;
       }
       if (change->mKey == aKey) {
         changes.insert(changes.begin(), *change);
+        changes.front().mRevision =
+          MakeRevision(mEra, NumberOf(change->mRevision));
       }
     }
     return changes;
@@ -39,14 +75,16 @@
 
   [[nodiscard]] store_revision Revision() const
   {
-    return store_revision(mRevision);
+    return MakeRevision(mEra, mRevision);
   }
 
+  /// The store knows the numbers of revisions only, so that a condition from an
+  /// earlier era may hold by accident.
   write_reply Write(const conditional_write& aWrite)
   {
     for (const item_condition& each : aWrite.mConditions) {
       const auto item = Find(each.mKey);
-      if ((item ? item->mRevision : store_revision(0)) != each.mRevision) {
+      if ((item ? NumberOf(item->mRevision) : 0) != NumberOf(each.mRevision)) {
         return { call_outcome::kConflict, {} };
       }
     }
@@ -60,7 +98,7 @@
       mItems[each.mKey] = { { each.mKey, each.mValue, revision }, each.mLease };
       mHistory.push_back({ each.mKey, each.mValue, revision });
     }
-    return { call_outcome::kDone, revision };
+    return { call_outcome::kDone, Revision() };
   }
 
   lease_reply OpenLease(duration aTtl, time_point aNow)
@@ -136,6 +174,7 @@
     }
   }
 
+  store_era mEra = kFirstEra;
   uint64_t mRevision = 1;
   uint64_t mNextLease = 0;
   std::map<std::string, entry> mItems;
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -1,3 +1,4 @@
+#include "Parsleystair/Core/StoreEra.h"
 #include "RangeSimulation.h"
 #include "UnitTests/Support/RandomActions.h"
 
@@ -900,4 +901,66 @@
   EXPECT_FALSE(held[target_name("b")].HeldFence(sample, mNow));
 }
 
+// Guards against two owners of one key after a restore of the store: a record
+// that the store has lost may name other owners.
+TEST_F(range_controller_test, GrantsAndMovesNothingWhileRecordsAreRecovered)
+{
+  Step();
+  mController.StopLeading(mNow);
+  const term_number term(FirstNumberOf(store_era(2)));
+  leadership recovering{ term, mNow, mNow };
+  recovering.mRecovers = true;
+  mController.StartLeading(recovering);
+  EXPECT_TRUE(Step().empty());
+  mController.HandleFormerLeadersGone(mNow);
+  mController.HandleRecordsRecovered(mNow + 4s);
+  mNow += 3900ms;
+  EXPECT_TRUE(Step().empty());
+  EXPECT_EQ(mController.NextStepTime(), mNow + 100ms);
+  mNow += 100ms;
+  EXPECT_TRUE(Step().empty());
+  const auto grants = Orders<grant_order>();
+  ASSERT_EQ(grants.size(), 2u);
+  EXPECT_GE(grants[0].mFence.Value(), FirstNumberOf(store_era(2)));
+}
+
+// Guards against keys that lose their owner at each restore, and against the
+// renewal of a grant that the owner has refused or that another process may
+// get.
+TEST_F(range_controller_test, LeaderOfBothErasRenewsItsGrantsWhileItRecovers)
+{
+  AssignKeysToBothTargets();
+  const std::vector<owned_range> ranges = mController.Record().mRanges;
+  mController.StopLeading(mNow);
+  leadership continued{ term_number(FirstNumberOf(store_era(2))), mNow, mNow };
+  continued.mRecovers = true;
+  continued.mContinues = true;
+  mController.StartLeading(continued);
+  auto grants = Orders<grant_order>();
+  ASSERT_EQ(grants.size(), 2u);
+  for (const grant_order& each : grants) {
+    EXPECT_EQ(each.mFence, ranges[0].mFence);
+    EXPECT_EQ(each.mConnectUntil, time_point::min());
+  }
+  mController.HandleGrantResult(grants[0].mId, order_result::kAccepted, mNow);
+  mController.HandleGrantResult(grants[1].mId, order_result::kFenced, mNow);
+  mNow += 1s;
+  grants = Orders<grant_order>();
+  ASSERT_EQ(grants.size(), 1u);
+  EXPECT_EQ(grants[0].mKeys, ranges[0].mKeys);
+}
+
+// Guards against the renewal of grants that another leader may have waited for.
+TEST_F(range_controller_test, LeaderThatWasUnconfirmedTooLongRenewsNothing)
+{
+  AssignKeysToBothTargets();
+  mController.StopLeading(mNow);
+  mNow += range_settings().mMaxConfirmationAgeToRenew + 1ms;
+  leadership continued{ term_number(FirstNumberOf(store_era(2))), mNow, mNow };
+  continued.mRecovers = true;
+  continued.mContinues = true;
+  mController.StartLeading(continued);
+  EXPECT_TRUE(Step().empty());
+}
+
 } // namespace parsleystair
