Give routers the configuration that a restored store has lost

Callers: a router that started after a restore served an older configuration until the operator had written the newer one again.

Cause: the copy was its only source, while other routers still had the newer one.

Change: for 30 s after a restore, or after a start in a store that was restored, routers compare versions in their reports to the leader and fetch a newer configuration from each other.

--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -38,6 +38,10 @@
 /// process.
 constexpr duration kShutdownMargin = 300ms;
 constexpr duration kShutdownPollInterval = 50ms;
+/// Time after a restore of the store, or after the start in a store that was
+/// restored before, in which a router takes a newer configuration from another
+/// one. The operator writes lost configurations again within seconds.
+constexpr duration kConfigurationComparisonTime = 30s;
 
 http_server_settings CallerSettings(const request_limits& aLimits)
 {
@@ -311,6 +315,7 @@
     .Add("leading", mElection.IsLeading())
     .Add("configuration", ConfigurationVersion());
   mRestoreCount += mTargetFollower->Follower().HasRead() ? 1 : 0;
+  mComparesConfigurationUntil = now + kConfigurationComparisonTime;
   mView.mDirectory.HandleStoreRestored(now);
   mElection.HandleEra(aEra);
   for (const auto& prefixFollower :
@@ -358,6 +363,7 @@
     .Add("version", configuration->mVersion)
     .Add("previous", current)
     .Add("routes", uint64_t{ configuration->mRoutes.size() });
+  mConfigurationText = aValue;
   mCallerServer.SetLimits(CallerSettings(configuration->mLimits));
   std::set<service_name> keyed;
   for (const auto& [name, service] : configuration->mServices) {
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -78,6 +78,10 @@
   /// The store has come back from an older copy, or was restored before this
   /// process started.
   void HandleEra(const store_era& aEra);
+  /// `aVersion`: version of the configuration that another router uses. After a
+  /// restore of the store, requests the configuration from that router if it is
+  /// newer than the own one.
+  void CompareConfigurations(uint64_t aVersion, const std::string& aHost);
   /// Version of the configuration in use; 0 if there is none.
   [[nodiscard]] uint64_t ConfigurationVersion() const;
   void ApplyOwners(const service_name& aService,
@@ -135,6 +139,10 @@
   bool mOwnersFromRelay = false;
   time_point mNextRelayAttempt = time_point::min();
   time_point mNextOwnersRead = time_point::min();
+  /// Text of the configuration in use, for routers that have an older one.
+  std::string mConfigurationText;
+  time_point mComparesConfigurationUntil = time_point::min();
+  std::unique_ptr<http_connection> mConfigurationConnection;
   /// Restores of the store since this process has read the targets first.
   uint64_t mRestoreCount = 0;
   timer mRestoreTimer;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -24,6 +24,9 @@
 /// Delay before the relay is selected again as the source of owners after it
 /// redirected this router to the leader.
 constexpr duration kRelayRetryInterval = 3s;
+constexpr duration kConfigurationTimeout = 1s;
+/// Version of the configuration that the responding router uses.
+constexpr const char* kConfigurationVersionHeader = "Configuration-Version";
 /// Says that the reporting router has the leader's present list of routers.
 constexpr const char* kRoutersCurrentHeader = "Routers-Current";
 
@@ -168,6 +171,33 @@
   }
 }
 
+void gateway_task::CompareConfigurations(uint64_t aVersion,
+                                         const std::string& aHost)
+{
+  const bool isPending =
+    mConfigurationConnection && mConfigurationConnection->IsBusy();
+  if (aVersion <= ConfigurationVersion() || isPending ||
+      MonotonicNow() >= mComparesConfigurationUntil) {
+    return;
+  }
+  log_line(log_severity::kInfo, "configuration_requested")
+    .Add("version", aVersion)
+    .Add("host", aHost);
+  mConfigurationConnection =
+    std::make_unique<http_connection>(mLoop, aHost, mSettings.mPeers.mPort);
+  http_request request;
+  request.mMethod = "GET";
+  request.mPath = "/configuration";
+  mConfigurationConnection->Call(
+    request, kConfigurationTimeout, [this](const http_result& aResult) {
+      if (aResult.mStatus == http_status::kResponded &&
+          aResult.mResponse.mStatus == kOk) {
+        ApplyConfiguration(mPlatform.mCatalog.ConfigurationPrefix(),
+                           aResult.mResponse.mBody);
+      }
+    });
+}
+
 void gateway_task::ApplyOwners(const service_name& aService,
                                const versioned_record& aRecord)
 {
@@ -227,7 +257,8 @@
   http_request request;
   request.mMethod = "POST";
   request.mPath = "/load";
-  request.mBody = EncodePeerReport({ SelfRouter(), mRoutersDigest, report });
+  request.mBody = EncodePeerReport(
+    { SelfRouter(), mRoutersDigest, ConfigurationVersion(), report });
   // A lost report isn't retried: it only makes the load appear lower for a
   // second.
   mReportConnection->Call(
@@ -241,6 +272,12 @@
   if (aResult.mStatus != http_status::kResponded) {
     return;
   }
+  const auto version =
+    FindHeader(aResult.mResponse.mHeaders, kConfigurationVersionHeader);
+  if (version) {
+    CompareConfigurations(std::strtoull(version->c_str(), nullptr, 10),
+                          mReportLeader->mHost);
+  }
   // The body is empty if the responder isn't the leader, or if this router
   // already has the leader's list.
   if (aResult.mResponse.mBody.empty()) {
@@ -308,6 +345,11 @@
     HandleReport(aExchange, aRequest);
   } else if (aRequest.mPath == "/abdicate") {
     HandleAbdicationRequest(aExchange, aRequest);
+  } else if (aRequest.mPath == "/configuration") {
+    mPeerServer.Respond(aExchange,
+                        mView.mRoutes == nullptr
+                          ? http_response{ kNotFound, {}, "" }
+                          : http_response{ kOk, {}, mConfigurationText });
   } else if (aRequest.mPath == "/watch") {
     mRelayedStore.HandleWatchRequest(aExchange, aRequest);
   } else if (aRequest.mPath != "/owners") {
@@ -329,7 +371,11 @@
       mRangeDriver.HandleLoad(service, load, now);
     }
     mLastReports[report.mRouter] = now;
-    http_response response{ kOk, {}, "" };
+    CompareConfigurations(report.mConfigurationVersion, report.mRouter.mHost);
+    http_response response{ kOk,
+                            { { kConfigurationVersionHeader,
+                                std::to_string(ConfigurationVersion()) } },
+                            "" };
     if (HasCompleteRouterList(now)) {
       if (report.mKnownRouters == mRoutersDigest) {
         response.mHeaders.push_back({ kRoutersCurrentHeader, "1" });
--- a/Parsleystair/Gateway/PeerReport.cpp
+++ b/Parsleystair/Gateway/PeerReport.cpp
@@ -14,6 +14,7 @@
     { "host", aReport.mRouter.mHost },
     { "failureDomain", aReport.mRouter.mFailureDomain.Value() },
     { "knownRouters", aReport.mKnownRouters },
+    { "configuration", aReport.mConfigurationVersion },
     { "load", EncodeLoadReport(aReport.mLoad) }
   }.dump();
 }
@@ -27,6 +28,7 @@
                        failure_domain_name(
                          json.at("failureDomain").get<std::string>()) };
     report.mKnownRouters = json.at("knownRouters").get<uint64_t>();
+    report.mConfigurationVersion = json.value("configuration", uint64_t{ 0 });
     report.mLoad = DecodeLoadReport(json.at("load").get<std::string>());
     return report;
   } catch (const nlohmann::json::exception& exception) {
--- a/Parsleystair/Gateway/PeerReport.h
+++ b/Parsleystair/Gateway/PeerReport.h
@@ -12,6 +12,8 @@
   /// Digest of the list of live routers that the sender has; 0 if it has no
   /// list.
   uint64_t mKnownRouters = 0;
+  /// Version of the configuration that the sender uses; 0 if it has none.
+  uint64_t mConfigurationVersion = 0;
   load_report mLoad;
 
   bool operator==(const peer_report&) const = default;
