Test that a late write of the lost era replaces no remembered record

It was not run on code without the fix.

Besides: two findings of the linter in tests (a parameter by value, a name's case).

--- a/UnitTests/Gateway/RestoredStoreTest.cpp
+++ b/UnitTests/Gateway/RestoredStoreTest.cpp
@@ -16,12 +16,17 @@
   static constexpr duration kRememberingAge = 11s;
   static constexpr size_t kKeys = kLastKey / kKeyStep + 1;
 
-  void RestoreStore(duration aOutage)
+  /// `aBeforeReturn`: called when the store has the copy's content and serves
+  /// no router yet.
+  void RestoreStore(
+    duration aOutage,
+    const std::function<void()>& aBeforeReturn = [] {})
   {
     mKv.SetUnavailable(true);
     Note("the store is away");
     RunFor(aOutage);
     mKv.Restore();
+    aBeforeReturn();
     mKv.SetUnavailable(false);
     Note("the store is back from the copy");
   }
@@ -129,6 +134,28 @@
   EXPECT_TRUE(HoldsNoKey("keyed-1"));
 }
 
+// Guards against a write that was decided before a restore, is executed after
+// it and so has a higher revision than the records that routers remember.
+TEST_F(restored_store_test, LateWriteOfTheLostEraReplacesNoRememberedRecord)
+{
+  const uint16_t firstPort = StartGateway("first").mSettings.mPeers.mPort;
+  ASSERT_TRUE(WaitForOwners());
+  StartGateway("second", "127.0.0.2", firstPort);
+  RunFor(kRememberingAge);
+  const std::string late = mKv.Get(kRecordItem);
+  ASSERT_TRUE(MoveKeysAfterCopy("keyed-1"));
+  RestoreStore(200ms, [&] {
+    constexpr int kOtherChanges = 20;
+    for (int i = 0; i < kOtherChanges; ++i) {
+      Register("keyed-1", "ready");
+    }
+    mKv.Put(kRecordItem, late);
+  });
+  RunFor(2s);
+  EXPECT_TRUE(HoldsNoKey("keyed-1"));
+  EXPECT_EQ(UnheldKeys(), 0u);
+}
+
 // Guards against a router that starts before the operator has written the lost
 // configuration again, and serves an older one.
 TEST_F(restored_store_test, RouterThatStartsAfterARestoreGetsLostConfiguration)
--- a/UnitTests/Gateway/SimulatedRouter.h
+++ b/UnitTests/Gateway/SimulatedRouter.h
@@ -146,7 +146,8 @@
   /// sent in an earlier era than it was executed in.
   using store_call = std::function<std::function<void(bool)>(simulated_store&)>;
 
-  void CallStore(store_call aCall, std::function<void(call_outcome)> aFailed)
+  void CallStore(store_call aCall,
+                 const std::function<void(call_outcome)>& aFailed)
   {
     mNetwork.CallStore(
       mRun,
--- a/UnitTests/UsersPlatform/InvalidEntriesTest.cpp
+++ b/UnitTests/UsersPlatform/InvalidEntriesTest.cpp
@@ -104,7 +104,7 @@
 // convert to an arbitrary value.
 TEST(InvalidEntries, RefusesInvalidNumbers)
 {
-  const std::string long_digits(100'000, '9');
+  const std::string longDigits(100'000, '9');
   for (const std::string& text : { std::string("1e400"),
                                    std::string("-1e400"),
                                    std::string("1e300"),
@@ -120,7 +120,7 @@
                                    std::string("[]"),
                                    std::string("{}"),
                                    std::string(""),
-                                   long_digits }) {
+                                   longDigits }) {
     for (const char* name : { "slots", "seq", "born" }) {
       EXPECT_FALSE(IsReadable(EntryWith(name, text)))
         << name << " " << text.substr(0, 40);
