Count grants as on their way until they are known to have arrived

Cause: the leader took a grant whose call ended without an answer to have arrived 300 ms after the call at the latest. Nothing proves that. In the trace the link between the regions was full, the order was executed 1.2 s after its connection was closed, and the keys had another holder 16 ms after the wait.

Change: an order counts as arrived by its answer, or if the target's system has acknowledged all its bytes (SIOCOUTQ) when the call ends. Any other order may arrive for maxNetworkDelaySeconds (new setting, 4 s) after its call, and the same holds for the last orders of former leaders, after 0.6 s of resending. An answered grant no longer waits 300 ms for an arrival that has been.

The state tests delivered orders 290 ms after their call at the latest, the bound that the code assumed, and dropped orders of a router that stopped. They now deliver them up to 3.9 s late, also for routers that stopped, and have overloaded links. Waits of tests that were written as numbers follow from the settings.

--- a/Parsleystair/Gateway/GatewaySettings.cpp
+++ b/Parsleystair/Gateway/GatewaySettings.cpp
@@ -133,3 +133,6 @@
 }
 
 } // namespace parsleystair
+  settings.mMaxNetworkDelay =
+    get("maxNetworkDelaySeconds")
+      .Seconds(settings.mMaxNetworkDelay, kMaxDuration);
--- a/Parsleystair/Gateway/GatewaySettings.h
+++ b/Parsleystair/Gateway/GatewaySettings.h
@@ -30,6 +30,8 @@
   /// Retry budget of all gateways together: retries per request, and retries
   /// allowed in addition in each time window.
   double mRetryRatio = 0.2;
+  /// Longest time for which the network holds bytes that were sent.
+  duration mMaxNetworkDelay = 4s;
   uint32_t mRetrySlack = 64;
 
   bool operator==(const gateway_settings&) const = default;
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -75,6 +75,7 @@
 /// processor share leads only if no other machine does.
 duration CandidacyDelay(const gateway_settings& aSettings)
 {
+  settings.mMaxNetworkDelay = aSettings.mMaxNetworkDelay;
   constexpr double kMinLeaderProcessorShare = 0.2;
   constexpr duration kSmallMachineDelay = 200ms;
   return aSettings.mProcessorShare < kMinLeaderProcessorShare
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -51,6 +51,8 @@
       return "no-connection";
     case order_result::kNoResponse:
       return "unanswered";
+    case order_result::kUnacknowledged:
+      return "unacknowledged";
   }
   return "unanswered";
 }
@@ -70,6 +72,13 @@
          aResult.mFailure == http_failure::kCut;
 }
 
+/// Result of an order that was sent and has no certain response.
+order_result WithoutResponse(const http_result& aResult)
+{
+  return aResult.mAcknowledged ? order_result::kNoResponse
+                               : order_result::kUnacknowledged;
+}
+
 int64_t ToMilliseconds(duration aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
@@ -358,16 +367,17 @@
     return outcome;
   }
   if (aResult.mStatus == http_status::kNoResponse) {
-    outcome.mResult = order_result::kNoResponse;
+    outcome.mResult = WithoutResponse(aResult);
     return outcome;
   }
   outcome = mProtocol.ReadOrderResponse(aResult.mResponse);
   // Responses with the identifier of another order were skipped. One without
   // may still be a repeated response to an earlier order on the connection.
   if (outcome.mRequestId.empty() && aResult.mReused) {
-    outcome.mResult = outcome.mResult == order_result::kAccepted
-                        ? order_result::kUnverified
-                        : order_result::kNoResponse;
+    const bool accepted =
+      outcome.mResult == order_result::kAccepted && aResult.mAcknowledged;
+    outcome.mResult =
+      accepted ? order_result::kUnverified : WithoutResponse(aResult);
   }
   return outcome;
 }
--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -67,6 +67,7 @@
   void SendRequest();
   void ReadAnswers();
   [[nodiscard]] bool IsOwn(const http_response& aAnswer) const;
+  [[nodiscard]] bool IsRequestAcknowledged() const;
   bool IsHopeless();
   void ExtendDeadline(time_point aNow);
   void FinishAnswered();
@@ -161,6 +162,11 @@
   return !mFilter || mFilter(aAnswer, isFirst);
 }
 
+bool http_connection::state::IsRequestAcknowledged() const
+{
+  return mSent && mStream != nullptr && mStream->IsAllAcknowledged();
+}
+
 /// Tells if no answer to the call can come: the current one belongs to another
 /// call, and the connection ends with it.
 bool http_connection::state::IsHopeless()
@@ -194,6 +200,7 @@
     result.mStatus = http_status::kResponded;
     result.mResponse = done.Take();
     if (IsOwn(result.mResponse)) {
+      result.mAcknowledged = IsRequestAcknowledged();
       // Bytes after the answer belong to no request, and a request that is
       // still being sent would mix with the next one.
       if (ends || mSkipped > 0 || !mInput.empty() || mStream->Unsent() > 0) {
@@ -239,11 +246,13 @@
   http_result result;
   result.mStatus = http_status::kResponded;
   result.mResponse = mParser->Take();
+  const bool acknowledged = IsRequestAcknowledged();
   Close(false);
   if (!IsOwn(result.mResponse)) {
     result = {};
     result.mFailure = http_failure::kMalformed;
   }
+  result.mAcknowledged = acknowledged;
   Finish(std::move(result));
 }
 
@@ -253,6 +262,7 @@
   result.mStatus = mSent ? http_status::kNoResponse : http_status::kNotSent;
   result.mTimedOut = aTimedOut;
   result.mFailure = aFailure;
+  result.mAcknowledged = IsRequestAcknowledged();
   Close(true);
   Finish(std::move(result));
 }
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -47,6 +47,9 @@
   http_failure mFailure = http_failure::kNone;
   /// The call used a connection that an earlier call had opened.
   bool mReused = false;
+  /// The peer's system had acknowledged the whole request when the call ended.
+  /// Otherwise the network may deliver the request later.
+  bool mAcknowledged = false;
 };
 
 /// Times after which nothing of a request is sent.
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -11,6 +11,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -59,6 +60,17 @@
     return -1;
   }
   const int descriptor = socket(
+/// Bytes sent on a socket that the peer's system has not acknowledged; nothing
+/// if the system can't tell.
+std::optional<size_t> QueuedBytes(int aDescriptor)
+{
+  int queued = 0;
+  if (aDescriptor < 0 || ioctl(aDescriptor, SIOCOUTQ, &queued) != 0) {
+    return std::nullopt;
+  }
+  return static_cast<size_t>(queued);
+}
+
     address->mStorage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     return -1;
@@ -299,12 +311,13 @@
 
 size_t socket_stream::Unacknowledged() const
 {
-  int queued = 0;
-  if (mState->mDescriptor < 0 ||
-      ioctl(mState->mDescriptor, SIOCOUTQ, &queued) != 0) {
-    queued = 0;
-  }
-  return Unsent() + static_cast<size_t>(queued);
+  return Unsent() + QueuedBytes(mState->mDescriptor).value_or(0);
+}
+
+bool socket_stream::IsAllAcknowledged() const
+{
+  return !mState->mConnecting && Unsent() == 0 &&
+         QueuedBytes(mState->mDescriptor) == size_t{ 0 };
 }
 
 bool socket_stream::HasInput() const
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -79,6 +79,10 @@
   /// Bytes written that the peer has not acknowledged yet, sent or not.
   [[nodiscard]] size_t Unacknowledged() const;
 
+  /// Tells if the peer's system has acknowledged all bytes written; false if
+  /// this system can't tell.
+  [[nodiscard]] bool IsAllAcknowledged() const;
+
   /// Tells if bytes, or the end of the stream, have arrived and are not read
   /// yet.
   [[nodiscard]] bool HasInput() const;
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -91,9 +91,12 @@
   /// This router dropped the order because no connection to the process that
   /// accepted the grant before was open, and none may be opened.
   kNoConnection,
-  /// No answer arrived. The target may have accepted the order or may still
-  /// accept it.
+  /// No answer arrived. The order has reached the target, which may have
+  /// accepted it or may still do so; a grant is valid from its arrival.
   kNoResponse,
+  /// No answer arrived, and the target's system has not acknowledged the order.
+  /// The network may deliver it later.
+  kUnacknowledged,
 };
 
 } // namespace parsleystair
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -11,11 +11,14 @@
 // while it has a valid grant with the key's recorded fence. A new owner is
 // recorded only after the old owner has released the key, after which it
 // refuses that fence permanently, or after all grants with that fence have
-// expired. This router stops renewing the grant when a move starts. Former
-// leaders stop at `mFormerLeaderRenewsUntil` at the latest, as no order leaves
-// a leader when its last confirmation of leadership is too old. They only send
-// fences that were recorded before this leadership, as a record of a later term
-// ends theirs.
+// expired. A grant is valid from its arrival, which is before its answer, or
+// before the target's system acknowledged it; without either, the network may
+// deliver it for `mMaxNetworkDelay` after its call. This router stops renewing
+// the grant when a move starts. Former leaders stop at
+// `mFormerLeaderRenewsUntil` at the latest, as no order leaves a leader when
+// its last confirmation of leadership is too old. They only send fences that
+// were recorded before this leadership, as a record of a later term ends
+// theirs.
 //
 // A leader only grants fences that it has recorded itself, as it has no
 // connection that shows whether a process with a fence of a former leader has
@@ -126,7 +129,7 @@
   }
   mLeading = false;
   for (const auto& [order, grant] : mPendingGrants) {
-    RecordGrantCall(grant, aNow);
+    RecordGrantCall(grant, aNow, mSettings.mMaxNetworkDelay);
   }
   ClearPendingWork();
 }
@@ -288,11 +291,13 @@
     return;
   }
   if (aResult != order_result::kNotSent) {
-    RecordGrantCall(grant, aNow);
+    const bool mayArriveLater = aResult == order_result::kUnacknowledged;
+    RecordGrantCall(
+      grant, aNow, mayArriveLater ? mSettings.mMaxNetworkDelay : 0ms);
     for (move& each : mMoves) {
       if (each.mOldOwner.mName == grant.mTarget &&
           each.mKeys.Overlaps(grant.mKeys)) {
-        each.mGrantExpiry = std::max(each.mGrantExpiry, GrantExpiry(aNow));
+        each.mGrantExpiry = std::max(each.mGrantExpiry, GrantExpiry(owner));
       }
     }
   }
@@ -320,11 +325,13 @@
 }
 
 void range_controller::RecordGrantCall(const pending_grant& aGrant,
-                                       time_point aEnd)
+                                       time_point aEnd,
+                                       duration aMaxDelay)
 {
   owner_state& owner = mOwners[aGrant.mTarget];
   owner.mLastGrantTime = aEnd;
   owner.mGrantedFence = std::max(owner.mGrantedFence, aGrant.mFence);
+  owner.mLastGrantArrival = std::max(owner.mLastGrantArrival, aEnd + aMaxDelay);
 }
 
 void range_controller::RemoveFormerLeaderGrants(const target_name& aTarget,
@@ -464,9 +471,9 @@
   return owner.mTarget.mDraining || IsFailing(owner, aNow);
 }
 
-time_point range_controller::GrantExpiry(time_point aGranted) const
+time_point range_controller::GrantExpiry(const owner_state& aOwner) const
 {
-  return aGranted + mSettings.mMaxDeliveryDelay + mSettings.MaxHoldTime();
+  return aOwner.mLastGrantArrival + mSettings.MaxHoldTime();
 }
 
 bool range_controller::HasPendingGrant(const target_name& aTarget,
@@ -494,10 +501,9 @@
                                          time_point aNow) const
 {
   const auto owner = mOwners.find(aRange.mOwner.mName);
-  const time_point last =
-    owner == mOwners.end() ? time_point::min() : owner->second.mLastGrantTime;
-  const time_point expiry =
-    last == time_point::min() ? aNow : GrantExpiry(last);
+  const bool hasGrant =
+    owner != mOwners.end() && owner->second.mLastGrantTime != time_point::min();
+  const time_point expiry = hasGrant ? GrantExpiry(owner->second) : aNow;
   if (!HasFormerLeaderGrant(aRange.mOwner.mName, aRange.mKeys)) {
     return expiry;
   }
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -36,13 +36,13 @@
   /// Factor by which a target with a slow clock may hold a grant for longer
   /// than `mGrantDuration`.
   double mClockDriftFactor = 1.02;
-  /// Maximum time after a grant call has ended without an answer at which its
-  /// order may still arrive at the target.
-  duration mMaxDeliveryDelay = 300ms;
-  /// Maximum time after a former leader has sent its last order at which the
-  /// order may arrive at the target. The operating system of a process that was
-  /// killed delivers what the process has written, until the TCP user timeout.
-  duration mMaxFormerDeliveryDelay = 600ms;
+  /// Maximum time for which the network holds bytes that were sent, as in the
+  /// queue of an overloaded link. An order that the target's system has not
+  /// acknowledged may arrive this long after its connection was closed.
+  duration mMaxNetworkDelay = 4s;
+  /// Maximum time for which the operating system of a process that was killed
+  /// resends what the process has written: the TCP user timeout.
+  duration mMaxResendTime = 600ms;
   /// Time from the first registration of a target to the first assignment of
   /// keys, so that all targets can register.
   duration mInitialAssignmentDelay = 1s;
@@ -57,7 +57,7 @@
   /// former leader was sent.
   [[nodiscard]] duration MaxFormerGrantLifetime() const
   {
-    return mMaxFormerDeliveryDelay + MaxHoldTime();
+    return mMaxResendTime + mMaxNetworkDelay + MaxHoldTime();
   }
 };
 
@@ -175,6 +175,8 @@
     fence mGrantedFence;
     fence mRetiredFence;
     time_point mNextFenceChangeTime = time_point::min();
+    /// Latest time at which a grant that was sent may arrive at the target.
+    time_point mLastGrantArrival = time_point::min();
     /// Most recent latencies that the routers reported, in milliseconds.
     std::deque<uint32_t> mLatencies;
     /// Time of the first failed grant since the last accepted one.
@@ -215,7 +217,10 @@
   void RemoveFormerLeaderGrants(const target_name& aTarget,
                                 const key_interval& aKeys);
   void HandleFenced(const pending_grant& aGrant, time_point aNow);
-  void RecordGrantCall(const pending_grant& aGrant, time_point aEnd);
+  /// `aMaxDelay`: time after `aEnd` at which the grant may still arrive.
+  void RecordGrantCall(const pending_grant& aGrant,
+                       time_point aEnd,
+                       duration aMaxDelay);
   void ClearPendingWork();
   void KeepOwnGrants();
   void RemoveKeptGrant(const key_interval& aKeys);
@@ -254,8 +259,8 @@
                                           const key_interval& aKeys) const;
   [[nodiscard]] time_point RangeExpiry(const owned_range& aRange,
                                        time_point aNow) const;
-  /// Latest expiry of a grant of this router whose call ended at `aGranted`.
-  [[nodiscard]] time_point GrantExpiry(time_point aGranted) const;
+  /// Latest expiry of this router's grants to a target.
+  [[nodiscard]] time_point GrantExpiry(const owner_state& aOwner) const;
   [[nodiscard]] bool HasPendingGrant(const target_name& aTarget,
                                      const key_interval& aKeys) const;
   [[nodiscard]] std::vector<key_interval> SubtractMoves(
--- a/UnitTests/Gateway/ElectionControllerTest.cpp
+++ b/UnitTests/Gateway/ElectionControllerTest.cpp
@@ -107,9 +107,11 @@
   void FollowRouters(election_controller& aRouter,
                      const std::vector<std::string>& aHosts)
   {
-    for (int second = 0; second < 12; ++second) {
+    const election_settings settings;
+    const time_point end =
+      mNow + settings.mMaxRenewalTime + settings.mGrantLifetime + 1s;
+    for (; mNow < end; mNow += 1s) {
       aRouter.HandleRouters(aHosts, mNow);
-      mNow += 1s;
     }
   }
 
--- a/UnitTests/Gateway/GatewaySettingsTest.cpp
+++ b/UnitTests/Gateway/GatewaySettingsTest.cpp
@@ -33,12 +33,17 @@
   json["retrySlack"] = 218;
   json["shutdownGraceSeconds"] = 6.5;
   json["processorShare"] = 0.1;
+  json["firstStart"] = true;
+  json["maxNetworkDelaySeconds"] = 1.5;
   json["fromTheFuture"] = { 1, 2 };
   const gateway_settings settings = ParseGatewaySettings(json.dump());
   EXPECT_EQ(settings.mVm, vm_name("front-1"));
   EXPECT_EQ(settings.mCallers, (socket_address{ "10.0.0.1", 80 }));
   EXPECT_EQ(settings.mRetrySlack, 218u);
   EXPECT_EQ(settings.mShutdownGrace, 6500ms);
+  EXPECT_TRUE(settings.mFirstStart);
+  EXPECT_EQ(settings.mMaxNetworkDelay, 1500ms);
+  EXPECT_FALSE(ParseGatewaySettings(Valid().dump()).mFirstStart);
 }
 
 // Guards against an error that does not name the invalid setting.
--- a/UnitTests/Gateway/LeadershipSimulation.h
+++ b/UnitTests/Gateway/LeadershipSimulation.h
@@ -281,6 +281,16 @@
     TraceFault("slows the network", mSlowUntil);
   }
 
+  /// Bytes to a target wait in the queue of an overloaded link.
+  void OverloadLink(uint32_t aTarget, uint32_t aMilliseconds)
+  {
+    const size_t target = aTarget % mTargets.size();
+    mLinkOverloadedUntil[target] =
+      Now() + duration(1ms) * (aMilliseconds % 5000);
+    TraceFault("overloads the link of t" + std::to_string(target),
+               mLinkOverloadedUntil[target]);
+  }
+
   void CrashTarget(uint32_t aTarget, uint32_t aMilliseconds)
   {
     const size_t target = aTarget % mTargets.size();
@@ -332,6 +342,7 @@
       target->EndFaults();
       target->Restart(0ms);
     }
+    mLinkOverloadedUntil.clear();
     mStoreDownUntil = mResponsesLostUntil = mCallsDelayedUntil = mSlowUntil =
       Now();
     Run(25s);
@@ -691,7 +702,9 @@
                         std::function<void()> aArrival) override
   {
     const time_point latest = Now() + aMaxDelay;
-    const duration delay = std::min(Delay(), aMaxDelay);
+    const bool isOverloaded = Now() < mLinkOverloadedUntil[aTarget];
+    const duration delay = std::min(
+      isOverloaded ? mRandom.Between(25ms, 4500ms) : Delay(), aMaxDelay);
     mEvents.Schedule(Now() + delay,
                      [this, aRouter, aTarget, latest, delay, aArrival] {
                        const time_point until =
@@ -769,6 +782,7 @@
   uint64_t mDelayedPercent = 0;
   time_point mSlowUntil = time_point::min();
   uint64_t mSlowPercent = 0;
+  std::map<size_t, time_point> mLinkOverloadedUntil;
   std::deque<std::string> mTrace;
   size_t mDigest = 0;
 };
--- a/UnitTests/Gateway/LeadershipStateTest.cpp
+++ b/UnitTests/Gateway/LeadershipStateTest.cpp
@@ -33,6 +33,7 @@
   { "lose responses", 2, &world::LoseResponses },
   { "delay store calls", 2, &world::DelayStoreCalls },
   { "slow network", 4, &world::SlowNetwork },
+  { "overload link", 4, &world::OverloadLink },
   { "crash target", 2, &world::CrashTarget },
   { "lose entry", 2, &world::LoseEntry },
   { "drain target", 1, &world::DrainTarget },
--- a/UnitTests/Gateway/OrderTarget.h
+++ b/UnitTests/Gateway/OrderTarget.h
@@ -88,6 +88,15 @@
   /// accepted, as by a process that has replaced it. Not for use in a handler.
   void CloseConnections() { mConnections.clear(); }
 
+  /// Reads nothing more from the open connections, like a target behind an
+  /// overloaded link.
+  void StopReading()
+  {
+    for (auto& [id, open] : mConnections) {
+      open->mStream->SetReading(false);
+    }
+  }
+
   /// Text of a response without a body. `aId` is echoed if it isn't empty.
   static std::string Response(uint32_t aStatus, const std::string& aId)
   {
@@ -142,7 +151,7 @@
     void HandleEnd(stream_end) override { mTarget.mConnections.erase(mId); }
     void HandleTimeout() override {}
 
-    static constexpr uint32_t kMaxBytes = 16 * 1024;
+    static constexpr uint32_t kMaxBytes = 32 * 1024 * 1024;
 
     order_target& mTarget;
     size_t mId;
--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -173,7 +173,7 @@
       record.mRanges.push_back({ { first, first + size - 1 },
                                  { target_name("a"), 7 },
                                  fence(fenceNumber),
-                                 "" });
+                                 mHandover });
     }
     mNextFence = record.mNextFence;
     mDriver->HandleRecord(kService, record, store_revision(++mRecordRevision));
@@ -239,6 +239,8 @@
     return MonotonicNow() - aLastGrant;
   }
 
+  /// Text that grants carry.
+  std::string mHandover;
   uint64_t mNextFence = 1;
   uint64_t mRecordRevision = 0;
   event_loop mLoop;
@@ -576,8 +578,8 @@
 {
   range_settings settings;
   settings.mGrantDuration = 500ms;
-  settings.mMaxDeliveryDelay = 0ms;
-  settings.mMaxFormerDeliveryDelay = 0ms;
+  settings.mMaxNetworkDelay = 0ms;
+  settings.mMaxResendTime = 0ms;
   const slow_orders orders(400ms);
   time_point lastGrant;
   mTarget.OnOrder([&](const order_target::received_order& aOrder) {
@@ -595,6 +597,33 @@
   EXPECT_GE(mTarget.Releases(), 1u);
 }
 
+// Guards against two owners of one key: a grant that the target's system has
+// not received when its call ends may arrive later.
+TEST_F(range_driver_test, GrantThatTheNetworkHoldsDelaysTheMove)
+{
+  // More than the buffers of a connection hold.
+  constexpr size_t kHandoverBytes = 16 * 1024 * 1024;
+  mHandover = std::string(kHandoverBytes, 'h');
+  range_settings settings;
+  settings.mGrantDuration = 300ms;
+  settings.mMaxNetworkDelay = 1500ms;
+  mTarget.OnOrder([&](const order_target::received_order& aOrder) {
+    mTarget.Send(
+      aOrder.mConnection,
+      order_target::Response(aOrder.IsRelease() ? 503 : 200, aOrder.Id()));
+  });
+  StartDriver(1, settings, mOrders);
+  ASSERT_TRUE(RunUntil([&] { return !mTarget.Orders().empty(); }));
+  RunFor(50ms);
+  mTarget.StopReading();
+  ASSERT_TRUE(RunUntil([&] { return mDriver->Counters().mGrantsFailed > 0; }));
+  const time_point lastGrant = MonotonicNow();
+  UpdateTargets(true);
+  constexpr duration kTolerance = 100ms;
+  EXPECT_GE(WaitForMove(lastGrant),
+            settings.mMaxNetworkDelay + settings.mGrantDuration - kTolerance);
+}
+
 // Guards against two owners of one key: the connection ends after the target
 // has read a grant and before it responds.
 TEST_F(range_driver_test, GrantOnAConnectionThatEndsMayHaveBeenAccepted)
--- a/UnitTests/Gateway/SimulatedConnections.h
+++ b/UnitTests/Gateway/SimulatedConnections.h
@@ -82,10 +82,10 @@
 private:
   static constexpr duration kConnectTimeout = 400ms;
   static constexpr duration kIdleTimeout = 3700ms;
-  /// Longest delivery of bytes that were sent.
+  /// Longest delivery of a response.
   static constexpr duration kMaxDelivery = 590ms;
-  /// Longest delivery after the end of a call.
-  static constexpr duration kMaxDeliveryAfterCall = 290ms;
+  /// Longest delivery of an order after the end of its call.
+  static constexpr duration kMaxDeliveryAfterCall = 3900ms;
 
   struct idle_connection
   {
@@ -103,6 +103,8 @@
     uint64_t mGeneration = 0;
     uint64_t mProcess = 0;
     bool mConnected = false;
+    /// The order has reached the target's system.
+    bool mArrived = false;
     bool mEnded = false;
   };
   using call_pointer = std::shared_ptr<call>;
@@ -169,8 +171,8 @@
   void Send(const call_pointer& aCall)
   {
     aCall->mConnected = true;
-    const duration maxDelay = std::min(
-      kMaxDelivery, aCall->mDeadline + kMaxDeliveryAfterCall - mNetwork.Now());
+    const duration maxDelay =
+      aCall->mDeadline + kMaxDeliveryAfterCall - mNetwork.Now();
     // The bytes are delivered also if the process ends or cancels the call.
     simulated_network& network = mNetwork;
     const router_run run = mRun;
@@ -178,6 +180,7 @@
       run.mRouter, aCall->mTarget, maxDelay, [this, &network, run, aCall] {
         simulated_target& target = network.Target(aCall->mTarget);
         std::optional<target_response> response;
+        aCall->mArrived = true;
         const bool reached =
           target.IsUp() && target.StartedMs() == aCall->mProcess;
         if (reached) {
@@ -231,6 +234,7 @@
     aCall->mEnded = true;
     http_result result;
     result.mStatus = aSent ? http_status::kNoResponse : http_status::kNotSent;
+    result.mAcknowledged = aCall->mArrived;
     aCall->mCallback(result);
   }
 
--- a/UnitTests/Gateway/SimulatedRouter.h
+++ b/UnitTests/Gateway/SimulatedRouter.h
@@ -688,9 +688,10 @@
       case http_status::kNotSent:
         return order_result::kNotSent;
       case http_status::kNoResponse:
-        return order_result::kNoResponse;
+        break;
     }
-    return order_result::kNoResponse;
+    return aResult.mAcknowledged ? order_result::kNoResponse
+                                 : order_result::kUnacknowledged;
   }
 
   void Execute(const release_order& aOrder)
--- a/UnitTests/Http/KeptConnectionTest.cpp
+++ b/UnitTests/Http/KeptConnectionTest.cpp
@@ -2,7 +2,11 @@
 #include "Parsleystair/Http/HttpConnection.h"
 #include "UnitTests/Support/ScriptedTarget.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 namespace parsleystair {
 
@@ -14,6 +18,35 @@
          "\r\n\r\n" + aBody;
 }
 
+/// Address at which connections are established and never read.
+class silent_listener
+{
+public:
+  silent_listener()
+    : mDescriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    constexpr int kBacklog = 8;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    EXPECT_EQ(
+      ::bind(mDescriptor, reinterpret_cast<sockaddr*>(&address), length), 0);
+    EXPECT_EQ(listen(mDescriptor, kBacklog), 0);
+    getsockname(mDescriptor, reinterpret_cast<sockaddr*>(&address), &length);
+    mPort = ntohs(address.sin_port);
+  }
+  ~silent_listener() { close(mDescriptor); }
+  silent_listener(const silent_listener&) = delete;
+  silent_listener& operator=(const silent_listener&) = delete;
+
+  [[nodiscard]] uint16_t Port() const { return mPort; }
+
+private:
+  int mDescriptor;
+  uint16_t mPort = 0;
+};
+
 /// Makes calls over one connection to a target that answers with the path.
 class kept_connection_test : public testing::Test
 {
@@ -87,6 +120,27 @@
 
 } // namespace
 
+// Guards against a request that is taken to have arrived while it is still on
+// its way, and against the reverse.
+TEST_F(kept_connection_test, ResultTellsIfTheRequestWasAcknowledged)
+{
+  Call("/answered");
+  mLoop.Run();
+  ASSERT_EQ(mResult.mStatus, http_status::kResponded);
+  EXPECT_TRUE(mResult.mAcknowledged);
+
+  // A listener that accepts nothing: its system receives a short request, and
+  // not all of a long one.
+  const silent_listener listener;
+  for (const size_t bytes : { size_t{ 10 }, size_t{ 32 * 1024 * 1024 } }) {
+    http_connection connection(mLoop, "127.0.0.1", listener.Port());
+    Call(connection, "/" + std::string(bytes, 'a'), 200ms);
+    mLoop.Run();
+    EXPECT_EQ(mResult.mStatus, http_status::kNoResponse);
+    EXPECT_EQ(mResult.mAcknowledged, bytes == 10);
+  }
+}
+
 // Guards against bytes that arrived between two calls, but were not read yet,
 // and are taken for the answer to the second call.
 TEST_F(kept_connection_test, UnreadBytesAreNoAnswerToTheNextCall)
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -19,6 +19,7 @@
   { "pause router", 2, &range_simulation::PauseRouter },
   { "refuse connections", 2, &range_simulation::RefuseConnections },
   { "lose responses", 2, &range_simulation::LoseResponses },
+  { "overload link", 3, &range_simulation::OverloadLink },
 };
 
 known_target MakeTarget(const std::string& aName, uint16_t aPort)
@@ -200,11 +201,7 @@
     SCOPED_TRACE(static_cast<int>(result));
     AssignKeysToBothTargets();
     const range_record before = mController.Record();
-    const range_settings settings;
-    const time_point expiry =
-      mNow + settings.mMaxDeliveryDelay +
-      std::chrono::duration_cast<duration>(settings.mGrantDuration *
-                                           settings.mClockDriftFactor);
+    const time_point expiry = mNow + range_settings().MaxHoldTime();
     const known_target leaving = mTargets.front();
     mTargets.erase(mTargets.begin());
     UpdateTargets();
@@ -307,9 +304,7 @@
   EXPECT_EQ(step(), target_name("a"));
   mNow += 1s;
   next.HandleFormerLeadersGone(mNow);
-  const auto hold = std::chrono::duration_cast<duration>(
-    settings.mGrantDuration * settings.mClockDriftFactor);
-  const time_point expiry = mNow + settings.mMaxFormerDeliveryDelay + hold;
+  const time_point expiry = mNow + settings.MaxFormerGrantLifetime();
   for (; mNow < expiry; mNow += 20ms) {
     EXPECT_EQ(step(), target_name("a"));
   }
@@ -317,6 +312,44 @@
   EXPECT_EQ(step(), target_name("b"));
 }
 
+// Guards against two owners of one key: an overloaded link may deliver a grant
+// seconds after its call ended without an answer, and it is valid from then on.
+TEST_F(range_controller_test, UnacknowledgedGrantMayArriveAfterItsCall)
+{
+  const range_settings settings;
+  for (const order_result result :
+       { order_result::kNoResponse, order_result::kUnacknowledged }) {
+    SCOPED_TRACE(static_cast<int>(result));
+    AssignKeysToBothTargets();
+    mNow += settings.mRenewInterval;
+    for (const grant_order& grant : Orders<grant_order>()) {
+      mController.HandleGrantResult(grant.mId, result, mNow);
+    }
+    const duration delay =
+      result == order_result::kUnacknowledged ? settings.mMaxNetworkDelay : 0ms;
+    const time_point expiry = mNow + delay + settings.MaxHoldTime();
+    mTargets.erase(mTargets.begin());
+    UpdateTargets();
+    const auto step = [&] {
+      for (const range_action& action : Step()) {
+        if (const auto* release = std::get_if<release_order>(&action)) {
+          mController.HandleReleaseResult(
+            release->mId, order_result::kNotSent, "", mNow);
+        } else if (const auto* grant = std::get_if<grant_order>(&action)) {
+          mController.HandleGrantResult(
+            grant->mId, order_result::kAccepted, mNow);
+        }
+      }
+      return FindRange(mController.Record(), 0)->mOwner.mName;
+    };
+    for (; mNow < expiry; mNow += 50ms) {
+      ASSERT_EQ(step(), target_name("a"));
+    }
+    EXPECT_EQ(step(), target_name("b"));
+    mTargets = { MakeTarget("a", 1), MakeTarget("b", 2) };
+  }
+}
+
 // Guards against an old fence that reaches a restarted target: without an open
 // connection, a grant without confirmation is held back, and the target may
 // restart before the leadership is confirmed again.
@@ -382,10 +415,8 @@
     next.HandleGrantResult(each, order_result::kAccepted, mNow);
   }
   next.HandleTargets(second, mNow);
-  const auto hold = std::chrono::duration_cast<duration>(
-    settings.mGrantDuration * settings.mClockDriftFactor);
   const time_point expiry = elected + settings.mMaxConfirmationAgeToRenew +
-                            settings.mMaxFormerDeliveryDelay + hold;
+                            settings.MaxFormerGrantLifetime();
   for (; mNow < expiry; mNow += 100ms) {
     step();
     EXPECT_EQ(FindRange(next.Record(), 0)->mOwner.mName, target_name("a"));
@@ -525,10 +556,8 @@
   std::vector<const known_target*> pointers{ &mTargets[0] };
   next.HandleTargets(pointers, mNow);
   const range_settings settings;
-  const auto hold = std::chrono::duration_cast<duration>(
-    settings.mGrantDuration * settings.mClockDriftFactor);
   const time_point safe = mNow + settings.mMaxConfirmationAgeToRenew +
-                          settings.mMaxFormerDeliveryDelay + hold;
+                          settings.MaxFormerGrantLifetime();
   while (mNow < safe) {
     next.HandleLeadershipConfirmed(mNow);
     for (const range_action& action : next.Step(mNow)) {
@@ -654,7 +683,9 @@
     update(0);
     std::optional<time_point> freed;
     bool granted = false;
-    while (mNow < elected + 14s && !freed) {
+    const time_point latest = elected + settings.mMaxConfirmationAgeToRenew +
+                              settings.MaxFormerGrantLifetime() + 1s;
+    while (mNow < latest && !freed) {
       next.HandleLeadershipConfirmed(mNow);
       for (const range_action& action : next.Step(mNow)) {
         if (const auto* write = std::get_if<write_record>(&action)) {
@@ -708,7 +739,7 @@
   };
   for (const bool releases : { true, false }) {
     for (const bool restarts : { true, false }) {
-      for (duration away = 200ms; away <= 8s; away += 300ms) {
+      for (duration away = 200ms; away <= 12s; away += 300ms) {
         SCOPED_TRACE(ToSeconds(away));
         mTargets = { MakeTarget("a", 1), MakeTarget("b", 2) };
         mController = range_controller(range_settings());
@@ -719,7 +750,7 @@
         uint64_t incarnationOfA = 0;
         const time_point lostAt = mNow + 4s;
         const time_point backAt = lostAt + away;
-        const time_point end = backAt + 8s;
+        const time_point end = backAt + 12s;
         bool isLost = false;
         for (; mNow < end; mNow += 20ms) {
           if (mNow >= lostAt && mNow < backAt && !isLost) {
@@ -757,14 +788,15 @@
                 events.push_back(
                   { mNow + 600ms, [this, order] {
                      mController.HandleGrantResult(
-                       order.mId, order_result::kNoResponse, mNow);
+                       order.mId, order_result::kUnacknowledged, mNow);
                    } });
                 events.push_back(
-                  { mNow + 880ms, [&, order, life = incarnationOfA] {
-                     if (life == incarnationOfA) {
-                       held[order.mAddress.mTarget].HandleGrant(order, mNow);
-                     }
-                   } });
+                  { mNow + 580ms + range_settings().mMaxNetworkDelay,
+                    [&, order, life = incarnationOfA] {
+                      if (life == incarnationOfA) {
+                        held[order.mAddress.mTarget].HandleGrant(order, mNow);
+                      }
+                    } });
                 continue;
               }
               mController.HandleGrantResult(
--- a/UnitTests/KeyRanges/RangeSimulation.h
+++ b/UnitTests/KeyRanges/RangeSimulation.h
@@ -105,6 +105,13 @@
     mResponsesLostUntil = mNow + duration(1ms) * (aMilliseconds % 6000);
   }
 
+  /// Orders to a target wait in the queue of an overloaded link.
+  void OverloadLink(uint32_t aTarget, uint32_t aMilliseconds)
+  {
+    mTargets[aTarget % kTargets].mLinkOverloadedUntil =
+      mNow + duration(1ms) * (aMilliseconds % 5000);
+  }
+
   void Load(uint32_t aKey, uint32_t aCount)
   {
     key_counts counts;
@@ -128,6 +135,7 @@
   {
     for (target& each : mTargets) {
       each.mPartitionedUntil = mNow;
+      each.mLinkOverloadedUntil = mNow;
       each.mEntryMissingUntil = mNow;
       each.mRestartAt = std::min(each.mRestartAt, mNow);
       each.mDraining = false;
@@ -159,6 +167,7 @@
     time_point mPartitionedUntil = time_point::min();
     time_point mEntryMissingUntil = time_point::min();
     time_point mRefusesUntil = time_point::min();
+    time_point mLinkOverloadedUntil = time_point::min();
     time_point mEntryExpiresAt = time_point::max();
     range_target mKeys;
   };
@@ -173,8 +182,6 @@
     uint64_t mSeenRevision = 0;
     bool mLeading = false;
     uint64_t mLeaderRevision = 0;
-    /// Number of times that all pending orders were cancelled.
-    uint64_t mCancelledOrders = 0;
     /// Start time of the target incarnation to which the connection for grant
     /// orders was opened; 0 if it was never opened.
     std::array<uint64_t, kTargets> mConnectedStartMs{};
@@ -208,6 +215,15 @@
     return mNow < mResponsesLostUntil && mRandom() % 100 < mLostPercent;
   }
 
+  duration OrderDelay(const target& aTarget)
+  {
+    constexpr int64_t kMaxDelayMs = 4500;
+    return mNow < aTarget.mLinkOverloadedUntil
+             ? duration(1ms) *
+                 (1 + static_cast<int64_t>(mRandom() >> 1) % kMaxDelayMs)
+             : Delay();
+  }
+
   duration Delay() { return duration(1ms) * (1 + mRandom() % 25); }
 
   void Schedule(time_point aTime, std::function<void()> aRun)
@@ -321,7 +337,6 @@
     }
     each.mLeading = false;
     each.mController->StopLeading(mNow);
-    ++each.mCancelledOrders;
   }
 
   void UpdateTargets(router& aRouter)
@@ -360,29 +375,29 @@
     const bool lost = IsResponseLost();
     // An order is lost if its target restarts before the order arrives.
     const uint64_t startedMs = mTargets[aTarget].mStartedMs;
-    const uint64_t cancelled = mRouters[aRouter].mCancelledOrders;
+    const time_point arrival = mNow + OrderDelay(mTargets[aTarget]);
+    const time_point timeout = sent + kCallTimeout;
+    if (arrival > timeout) {
+      DeliverResult(aRouter, timeout, [aCallback] {
+        aCallback(order_result::kUnacknowledged);
+      });
+    }
     Schedule(
-      mNow + Delay(),
-      [this,
-       aRouter,
-       aTarget,
-       sent,
-       lost,
-       startedMs,
-       cancelled,
-       aHandler,
-       aCallback] {
-        if (mRouters[aRouter].mCancelledOrders != cancelled) {
-          return;
-        }
+      arrival,
+      [this, aRouter, aTarget, timeout, lost, startedMs, aHandler, aCallback] {
         target& to = mTargets[aTarget];
         const bool reached =
           to.mUp && mNow >= to.mPartitionedUntil && to.mStartedMs == startedMs;
         const order_result end =
-          reached ? aHandler() : order_result::kNoResponse;
+          reached ? aHandler() : order_result::kUnacknowledged;
+        if (mNow > timeout) {
+          return;
+        }
         const bool answered = reached && !lost;
-        const time_point at = answered ? mNow + Delay() : sent + kCallTimeout;
-        const order_result seen = answered ? end : order_result::kNoResponse;
+        const time_point at = answered ? mNow + Delay() : timeout;
+        const order_result seen = answered  ? end
+                                  : reached ? order_result::kNoResponse
+                                            : order_result::kUnacknowledged;
         DeliverResult(aRouter, at, [aCallback, seen] { aCallback(seen); });
       });
   }
