Do not handle requests of clients that have left

Callers: none, as they had left; targets worked for nobody.

Cause: a router that stood still for 1.2 s (a tenth of a core) reads a request and the end of its connection together, and sent the request on before it read the end.

Change: when a whole request has been read, the end of its connection is looked for before the request is handled.

Http.RequestOfAClientThatHasLeftIsNotHandled: the handler was called before.

--- a/Parsleystair/Http/ServerConnection.cpp
+++ b/Parsleystair/Http/ServerConnection.cpp
@@ -78,6 +78,12 @@
     return;
   }
 
+  // A process that stood still reads requests whose clients have left.
+  // `HandleEnd` follows.
+  if (mStream.HasEnded()) {
+    return;
+  }
+
   // The whole request is here; the next one is read after its answer.
   mStream.CancelTimer();
   mEndsAfterAnswer = mParser.EndsConnection();
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -23,6 +23,14 @@
 /// Probes without an answer after which the system gives a peer up.
 constexpr int kKeepAliveProbes = 2;
 
+/// What has arrived on a stream and is not read yet.
+enum class input_state
+{
+  kNone,
+  kBytes,
+  kEnd,
+};
+
 void SetOption(int aDescriptor, int aLevel, int aName, int aValue)
 {
   // A system without the option keeps its default, which only detects a lost
@@ -52,14 +60,6 @@
   }
 }
 
-/// Opens a socket and starts to connect it; -1 when that fails at once.
-int StartConnect(const std::string& aHost, uint16_t aPort)
-{
-  auto address = FindSystemAddress(aHost, aPort);
-  if (!address) {
-    return -1;
-  }
-  const int descriptor = socket(
 /// Bytes sent on a socket that the peer's system has not acknowledged; nothing
 /// if the system can't tell.
 std::optional<size_t> QueuedBytes(int aDescriptor)
@@ -71,6 +71,14 @@
   return static_cast<size_t>(queued);
 }
 
+/// Opens a socket and starts to connect it; -1 when that fails at once.
+int StartConnect(const std::string& aHost, uint16_t aPort)
+{
+  auto address = FindSystemAddress(aHost, aPort);
+  if (!address) {
+    return -1;
+  }
+  const int descriptor = socket(
     address->mStorage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     return -1;
@@ -113,9 +121,25 @@
   void FailLater();
   void BreakLater();
   [[nodiscard]] bool IsWriteLimitOver() const;
+  [[nodiscard]] input_state PeekInput() const;
   bool FinishConnect();
 };
 
+input_state socket_stream::state::PeekInput() const
+{
+  if (mConnecting || mDescriptor < 0) {
+    return input_state::kNone;
+  }
+  char byte = 0;
+  const ssize_t count =
+    recv(mDescriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) {
+    return input_state::kBytes;
+  }
+  const bool isOpen = count < 0 && (errno == EAGAIN || errno == EINTR);
+  return isOpen ? input_state::kNone : input_state::kEnd;
+}
+
 socket_stream::state::~state()
 {
   for (event* each : { mReadEvent, mWriteEvent, mTimer }) {
@@ -322,13 +346,12 @@
 
 bool socket_stream::HasInput() const
 {
-  if (mState->mConnecting || mState->mDescriptor < 0) {
-    return false;
-  }
-  char byte = 0;
-  const ssize_t count =
-    recv(mState->mDescriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+  return mState->PeekInput() != input_state::kNone;
+}
+
+bool socket_stream::HasEnded() const
+{
+  return mState->PeekInput() == input_state::kEnd;
 }
 
 void socket_stream::StartTimer(duration aDelay)
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -87,6 +87,10 @@
   /// yet.
   [[nodiscard]] bool HasInput() const;
 
+  /// Tells if the end of the stream has arrived and is not read yet, and no
+  /// bytes before it.
+  [[nodiscard]] bool HasEnded() const;
+
   /// Calls `HandleTimeout` once after a delay; replaces an earlier start.
   void StartTimer(duration aDelay);
   void CancelTimer();
--- a/UnitTests/Http/HttpTest.cpp
+++ b/UnitTests/Http/HttpTest.cpp
@@ -74,8 +74,7 @@
   return result;
 }
 
-/// Sends bytes and returns all that comes back until the server closes.
-std::string SendRaw(uint16_t aPort, const std::string& aBytes)
+int ConnectTo(uint16_t aPort)
 {
   const int client = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -84,6 +83,13 @@
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   EXPECT_EQ(
     connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  return client;
+}
+
+/// Sends bytes and returns all that comes back until the server closes.
+std::string SendRaw(uint16_t aPort, const std::string& aBytes)
+{
+  const int client = ConnectTo(aPort);
   [[maybe_unused]] auto sent = write(client, aBytes.data(), aBytes.size());
   std::string received;
   char buffer[4096];
@@ -100,6 +106,38 @@
 
 } // namespace
 
+// Guards against work for clients that have left: a process that stood still
+// finds the request and the end of its connection together.
+TEST(Http, RequestOfAClientThatHasLeftIsNotHandled)
+{
+  event_loop loop;
+  size_t handled = 0;
+  http_server server(loop, {}, [&](exchange_id aId, const http_request&) {
+    ++handled;
+    server.Respond(aId, { 200, {}, "" });
+  });
+  server.Listen("127.0.0.1", 0);
+  const auto call = [&](bool aLeaves) {
+    const int client = ConnectTo(server.Port());
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    EXPECT_EQ(write(client, request.data(), request.size()),
+              static_cast<ssize_t>(request.size()));
+    if (aLeaves) {
+      close(client);
+    }
+    timer end;
+    end.StartOnce(loop, 100ms, [&] { loop.Stop(); });
+    loop.Run();
+    if (!aLeaves) {
+      close(client);
+    }
+  };
+  call(true);
+  EXPECT_EQ(handled, 0u);
+  call(false);
+  EXPECT_EQ(handled, 1u);
+}
+
 // Guards against a request that is lost or answered with another's body.
 TEST(Http, CarriesRequestAndAnswerWhole)
 {
