Count the calls to the store by kind

Store calls are the largest price of the large deployment, and the metrics did not tell what they were. New metric store_calls_by_kind_total.

--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -104,6 +104,15 @@
     text, "store_calls_total", "outcome", "refused", store.mRefused);
   AppendLabelledMetric(
     text, "store_calls_total", "outcome", "unanswered", store.mUnknown);
+  text += "# TYPE parsleystair_store_calls_by_kind_total counter\n";
+  const std::string calls = "store_calls_by_kind_total";
+  AppendLabelledMetric(text, calls, "kind", "read", store.mReads);
+  AppendLabelledMetric(text, calls, "kind", "watch", store.mWatches);
+  AppendLabelledMetric(text, calls, "kind", "write", store.mWrites);
+  AppendLabelledMetric(
+    text, calls, "kind", "lease-renewal", store.mLeaseRenewals);
+  AppendLabelledMetric(
+    text, calls, "kind", "lease-change", store.mLeaseChanges);
   const range_driver_counters& orders = mRangeDriver.Counters();
   text += "# TYPE parsleystair_orders_total counter\n";
   AppendLabelledMetric(text, "orders_total", "kind", "grant", orders.mGrants);
--- a/Parsleystair/Platform/CoordinationStore.h
+++ b/Parsleystair/Platform/CoordinationStore.h
@@ -105,10 +105,17 @@
   duration mTtl{};
 };
 
-/// Calls of one process by how they ended; all only grow.
+/// Calls of one process by their kind and by how they ended; all only grow.
 struct coordination_counters
 {
   uint64_t mCalls = 0;
+  /// Pages of prefixes that were read.
+  uint64_t mReads = 0;
+  uint64_t mWatches = 0;
+  uint64_t mWrites = 0;
+  uint64_t mLeaseRenewals = 0;
+  /// Leases opened or ended.
+  uint64_t mLeaseChanges = 0;
   uint64_t mDone = 0;
   uint64_t mRefused = 0;
   uint64_t mUnknown = 0;
