Read the store through relays at the start, compressed

Cause, by the sizes: 147 routers of a region each read the configuration, 901 targets and the owners from the store over one link of 150 Mbit/s, and a relay sent a changed configuration as base64 to 37 routers over its own link, which has 20 Mbit/s on nine of ten machines. A router that became a relay while its watches waited for 20 s answered 503 until then, so that its failure domain asked the store meanwhile. Each change of the list of routers went to all of them by report.

A starting router finds its relay by the list of routers, which the leader writes beside its own key. At the first start of a deployment (setting firstStart) routers wait for that list. Messages between routers are compressed (zlib) and encoded once for all. Relays are chosen among large machines first. A new relay ends its long watches at once. Routers leave the list together every 3 s.

--- a/Build/install.sh
+++ b/Build/install.sh
@@ -6,6 +6,7 @@
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl
   libevent-dev libcapnp-dev libboost-dev libboost-log-dev libboost-thread-dev
   libcxxopts-dev nlohmann-json3-dev libvalijson-dev libxxhash-dev libssl-dev
+  zlib1g-dev
   libgtest-dev libgmock-dev librapidcheck-dev libbenchmark-dev
 )
 
--- a/Parsleystair/Gateway/GatewaySettings.cpp
+++ b/Parsleystair/Gateway/GatewaySettings.cpp
@@ -60,6 +60,18 @@
     return mValue->get<double>();
   }
 
+  /// True or false, or `aDefault` if the member is not set.
+  [[nodiscard]] bool Flag(bool aDefault) const
+  {
+    if (mValue == nullptr) {
+      return aDefault;
+    }
+    if (!mValue->is_boolean()) {
+      Fail("true or false");
+    }
+    return mValue->get<bool>();
+  }
+
   [[nodiscard]] duration Seconds(duration aDefault, duration aMax) const
   {
     return FromSeconds(Number(ToSeconds(aDefault), 0, ToSeconds(aMax)));
@@ -116,10 +128,14 @@
   constexpr double kMaxShare = 1'000;
   settings.mProcessorShare =
     get("processorShare").Number(settings.mProcessorShare, 0, kMaxShare);
+  settings.mFirstStart = get("firstStart").Flag(settings.mFirstStart);
   settings.mShutdownGrace =
     get("shutdownGraceSeconds").Seconds(settings.mShutdownGrace, kMaxDuration);
   settings.mMaxGrantDuration =
     get("maxHoldSeconds").Seconds(settings.mMaxGrantDuration, kMaxDuration);
+  settings.mMaxNetworkDelay =
+    get("maxNetworkDelaySeconds")
+      .Seconds(settings.mMaxNetworkDelay, kMaxDuration);
   settings.mRetryRatio = get("retryRatio").Number(settings.mRetryRatio, 0, 1);
   constexpr double kMaxSlack = 1'000'000;
   settings.mRetrySlack = static_cast<uint32_t>(
@@ -133,6 +149,3 @@
 }
 
 } // namespace parsleystair
-  settings.mMaxNetworkDelay =
-    get("maxNetworkDelaySeconds")
-      .Seconds(settings.mMaxNetworkDelay, kMaxDuration);
--- a/Parsleystair/Gateway/GatewaySettings.h
+++ b/Parsleystair/Gateway/GatewaySettings.h
@@ -23,15 +23,18 @@
   socket_address mStore;
   /// Processor time that this process may use, in cores.
   double mProcessorShare = 1;
+  /// The whole deployment starts for the first time, so the store has no state
+  /// of other gateways yet.
+  bool mFirstStart = false;
   /// Time between SIGTERM and the platform killing the process.
   duration mShutdownGrace = 6s;
   /// Longest grant duration that targets accept.
   duration mMaxGrantDuration = 10s;
+  /// Longest time for which the network holds bytes that were sent.
+  duration mMaxNetworkDelay = 4s;
   /// Retry budget of all gateways together: retries per request, and retries
   /// allowed in addition in each time window.
   double mRetryRatio = 0.2;
-  /// Longest time for which the network holds bytes that were sent.
-  duration mMaxNetworkDelay = 4s;
   uint32_t mRetrySlack = 64;
 
   bool operator==(const gateway_settings&) const = default;
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -28,6 +28,14 @@
 /// Interval at which a router reads the owners from the store while it receives
 /// them from no other router.
 constexpr duration kOwnersReadInterval = 1s;
+/// Time for which a router without owners waits for them from a router that it
+/// polls.
+constexpr duration kMaxOwnersWait = 5s;
+/// Time after which a router reads the store without a list of routers by which
+/// it could find a relay: when the list can't be read, and when the deployment
+/// starts for the first time and has no leader yet.
+constexpr duration kMaxRouterListWait = 1s;
+constexpr duration kMaxFirstRouterListWait = 4s;
 /// Interval of load reports, short because the set of busy keys changes within
 /// seconds.
 constexpr duration kReportInterval = 500ms;
@@ -67,6 +75,7 @@
   range_settings settings;
   settings.mGrantDuration =
     std::min(settings.mGrantDuration, aSettings.mMaxGrantDuration);
+  settings.mMaxNetworkDelay = aSettings.mMaxNetworkDelay;
   return settings;
 }
 
@@ -75,7 +84,6 @@
 /// processor share leads only if no other machine does.
 duration CandidacyDelay(const gateway_settings& aSettings)
 {
-  settings.mMaxNetworkDelay = aSettings.mMaxNetworkDelay;
   constexpr double kMinLeaderProcessorShare = 0.2;
   constexpr duration kSmallMachineDelay = 200ms;
   return aSettings.mProcessorShare < kMinLeaderProcessorShare
@@ -276,38 +284,47 @@
     kLeaderKey,
     [this](const std::vector<stored_item>& aItems) {
       // The prefix also has the leader keys of earlier eras.
-      const auto item =
-        std::find_if(aItems.begin(), aItems.end(), [&](const auto& aItem) {
-          return aItem.mKey == mElection.LeaderKey();
-        });
-      ApplyLeader(item == aItems.end() ? std::nullopt : std::optional(*item));
-    },
-    [this](const item_change& aChange) {
-      if (aChange.mKey != mElection.LeaderKey()) {
-        return;
+      bool hasLeader = false;
+      for (const stored_item& item : aItems) {
+        ApplyLeaderItem({ item.mKey, item.mValue, item.mRevision });
+        hasLeader = hasLeader || item.mKey == mElection.LeaderKey();
+      }
+      if (!hasLeader) {
+        ApplyLeader(std::nullopt);
+      }
+      if (!mSettings.mFirstStart) {
+        StartFollowers();
       }
-      ApplyLeader(aChange.mValue
-                    ? std::optional(stored_item{
-                        aChange.mKey, *aChange.mValue, aChange.mRevision })
-                    : std::nullopt);
     },
+    [this](const item_change& aChange) { ApplyLeaderItem(aChange); },
     kMaxWatchWait,
     aSeed + 4);
 
+  mStartedAt = MonotonicNow();
   mReadinessServer.Listen(mSettings.mReadiness.mHost,
                           mSettings.mReadiness.mPort);
   mOperatorServer.Listen(mSettings.mOperators.mHost,
                          mSettings.mOperators.mPort);
   mPeerServer.Listen(mSettings.mPeers.mHost, mSettings.mPeers.mPort);
   mCallerServer.Listen(mSettings.mCallers.mHost, mSettings.mCallers.mPort);
-  mConfigurationFollower->Start();
-  mTargetFollower->Start();
   mLeaderFollower->Start();
+  mFollowersTimer.StartOnce(mLoop,
+                            mSettings.mFirstStart ? kMaxFirstRouterListWait
+                                                  : kMaxRouterListWait,
+                            [this] { StartFollowers(); });
   mTickTimer.StartRepeating(mLoop, kTickInterval, [this] { Tick(); });
 }
 
 gateway_task::~gateway_task() = default;
 
+void gateway_task::StartFollowers()
+{
+  if (!std::exchange(mFollowersStarted, true)) {
+    mConfigurationFollower->Start();
+    mTargetFollower->Start();
+  }
+}
+
 void gateway_task::HandleEra(const store_era& aEra)
 {
   const time_point now = MonotonicNow();
@@ -456,7 +473,10 @@
   // If no leader responds, the owners are read directly from the store.
   const bool rangeDriverNotStarted =
     mElection.IsLeading() && !mRangeDriver.IsLeading();
+  const bool awaitsOwners =
+    !mOwnerFeedClient.IsFailing() && now < mStartedAt + kMaxOwnersWait;
   const bool hasNoOwners = mOwnerRecords.empty() && !mElection.IsLeading() &&
+                           !awaitsOwners &&
                            mOwnerFeedClient.Age(now) > kOwnersReadInterval;
   if ((rangeDriverNotStarted || hasNoOwners) && mRangeDriver.HasServices() &&
       now >= mNextOwnersRead) {
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -63,7 +63,13 @@
   void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
   void ApplyTargets(const std::vector<stored_item>& aItems);
   void ApplyTarget(const item_change& aChange);
+  /// `aItem`: the leader key or the list of routers.
+  void ApplyLeaderItem(const item_change& aItem);
+  /// `aText`: list of routers as a leader wrote it to the store.
+  void ApplyStoredRouters(const std::string& aText);
   void ApplyLeader(const std::optional<stored_item>& aItem);
+  /// Starts to follow the configuration and the targets.
+  void StartFollowers();
   void HandleLeadershipChange();
   void ReadOwners();
   /// `aItem`: ownership record as read from the store.
@@ -96,6 +102,11 @@
   void SendReport();
   void HandleReportResponse(const http_result& aResult);
   void ApplyRouterList(const router_list& aRouters);
+  /// Replaces the list of routers by those that live, as the leader. Routers
+  /// that are gone are removed together after a while.
+  void UpdateRouterList(time_point aNow);
+  /// Writes the list of routers for those that start, if it has changed.
+  void StoreRouterList(time_point aNow);
   [[nodiscard]] router_entry SelfRouter() const;
   /// True if this router has been the leader long enough for all live routers
   /// to have reported to it.
@@ -134,6 +145,13 @@
   /// this list.
   router_list mRouters;
   uint64_t mRoutersDigest = 0;
+  time_point mNextRouterRemoval = time_point::min();
+  time_point mNextRoutersWrite = time_point::min();
+  /// Digest of the list in the store; 0 if it is unknown.
+  uint64_t mStoredRoutersDigest = 0;
+  bool mFollowersStarted = false;
+  timer mFollowersTimer;
+  time_point mStartedAt;
   time_point mLeadingSince = time_point::min();
   /// True if owners are requested from the relay instead of the leader.
   bool mOwnersFromRelay = false;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -17,6 +17,15 @@
 constexpr uint32_t kNotFound = 404;
 
 constexpr duration kReportTimeout = 400ms;
+/// Interval at which the leader removes routers from the list of live ones. A
+/// router that is passed over as a relay is found by its failures before, and
+/// each change of the list is sent to all routers.
+constexpr duration kRouterRemovalInterval = 3s;
+/// Interval at which the leader writes a changed list to the store. Only
+/// routers that start use it, and most of its addresses stay the same.
+constexpr duration kRoutersWriteInterval = 10s;
+/// Processor share from which a machine is preferred as a relay.
+constexpr double kMinRelayProcessorShare = 0.2;
 /// A router that has sent no report for this long is no longer live.
 constexpr duration kReporterExpiry = 3s;
 /// Time within which all live routers have reported twice to a new leader.
@@ -32,6 +41,31 @@
 
 } // namespace
 
+void gateway_task::ApplyLeaderItem(const item_change& aItem)
+{
+  if (aItem.mKey == kRoutersKey && aItem.mValue) {
+    ApplyStoredRouters(*aItem.mValue);
+  } else if (aItem.mKey == mElection.LeaderKey()) {
+    ApplyLeader(aItem.mValue ? std::optional(stored_item{
+                                 aItem.mKey, *aItem.mValue, aItem.mRevision })
+                             : std::nullopt);
+  }
+}
+
+void gateway_task::ApplyStoredRouters(const std::string& aText)
+{
+  // The leader tells the present list in its responses to reports.
+  if (!mRouters.empty() || mElection.IsLeading()) {
+    return;
+  }
+  try {
+    ApplyRouterList(DecodeRouterList(aText));
+  } catch (const parse_error& exception) {
+    log_line(log_severity::kWarning, "routers_unreadable")
+      .Add("error", exception.what());
+  }
+}
+
 void gateway_task::ApplyLeader(const std::optional<stored_item>& aItem)
 {
   mElection.HandleKey(aItem);
@@ -238,11 +272,12 @@
   if (mElection.IsLeading()) {
     const time_point now = MonotonicNow();
     if (HasCompleteRouterList(now)) {
-      ApplyRouterList(LiveRouters(now));
+      UpdateRouterList(now);
       mElection.HandleRouters(mRouters);
+      StoreRouterList(now);
     }
     for (const auto& [service, load] : report) {
-      mRangeDriver.HandleLoad(service, load, MonotonicNow());
+      mRangeDriver.HandleLoad(service, load, now);
     }
     return;
   }
@@ -257,8 +292,10 @@
   http_request request;
   request.mMethod = "POST";
   request.mPath = "/load";
-  request.mBody = EncodePeerReport(
-    { SelfRouter(), mRoutersDigest, ConfigurationVersion(), report });
+  request.mBody = EncodePeerReport({ SelfRouter(),
+                                     mRoutersDigest,
+                                     ConfigurationVersion(),
+                                     report });
   // A lost report isn't retried: it only makes the load appear lower for a
   // second.
   mReportConnection->Call(
@@ -278,23 +315,56 @@
     CompareConfigurations(std::strtoull(version->c_str(), nullptr, 10),
                           mReportLeader->mHost);
   }
-  // The body is empty if the responder isn't the leader, or if this router
-  // already has the leader's list.
-  if (aResult.mResponse.mBody.empty()) {
-    if (FindHeader(aResult.mResponse.mHeaders, kRoutersCurrentHeader)) {
+  const auto hasHeader = [&](const char* aName) {
+    return FindHeader(aResult.mResponse.mHeaders, aName).has_value();
+  };
+  try {
+    // The body is empty if the responder isn't the leader, or if this router
+    // already has all that the leader would tell.
+    const report_response response =
+      DecodeReportResponse(aResult.mResponse.mBody);
+    if (response.mRouters) {
+      ApplyRouterList(*response.mRouters);
+    }
+    if (response.mRouters || hasHeader(kRoutersCurrentHeader)) {
       mElection.HandleRouters(mRouters);
     }
-    return;
-  }
-  try {
-    ApplyRouterList(DecodeRouterList(aResult.mResponse.mBody));
-    mElection.HandleRouters(mRouters);
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "routers_unreadable")
       .Add("error", exception.what());
   }
 }
 
+void gateway_task::UpdateRouterList(time_point aNow)
+{
+  const router_list live = LiveRouters(aNow);
+  const bool hasNew =
+    !std::includes(mRouters.begin(), mRouters.end(), live.begin(), live.end());
+  if (!hasNew && aNow < mNextRouterRemoval) {
+    return;
+  }
+  mNextRouterRemoval = aNow + kRouterRemovalInterval;
+  ApplyRouterList(live);
+}
+
+void gateway_task::StoreRouterList(time_point aNow)
+{
+  if (!mRelayChoice.HasEnoughRouters() || aNow < mNextRoutersWrite ||
+      mStoredRoutersDigest == mRoutersDigest) {
+    return;
+  }
+  mNextRoutersWrite = aNow + kRoutersWriteInterval;
+  conditional_write write;
+  write.mConditions = { mElection.Condition() };
+  write.mWrites = { { kRoutersKey, EncodeRouterList(mRouters), lease_id(0) } };
+  mPlatform.mStore.Write(
+    write, [this, digest = mRoutersDigest](const write_reply& aReply) {
+      if (aReply.mOutcome == call_outcome::kDone) {
+        mStoredRoutersDigest = digest;
+      }
+    });
+}
+
 void gateway_task::ApplyRouterList(const router_list& aRouters)
 {
   if (aRouters == mRouters) {
@@ -313,11 +383,14 @@
     }
   }
   mOwnerFeedClient.SetPeers(std::move(peers));
+  StartFollowers();
 }
 
 router_entry gateway_task::SelfRouter() const
 {
-  return { mSettings.mPeers.mHost, mSettings.mFailureDomain };
+  return { mSettings.mPeers.mHost,
+           mSettings.mFailureDomain,
+           mSettings.mProcessorShare >= kMinRelayProcessorShare };
 }
 
 bool gateway_task::HasCompleteRouterList(time_point aNow) const
@@ -352,6 +425,8 @@
                           : http_response{ kOk, {}, mConfigurationText });
   } else if (aRequest.mPath == "/watch") {
     mRelayedStore.HandleWatchRequest(aExchange, aRequest);
+  } else if (aRequest.mPath == "/read") {
+    mRelayedStore.HandleReadRequest(aExchange, aRequest);
   } else if (aRequest.mPath != "/owners") {
     mPeerServer.Respond(aExchange, { kNotFound, {}, "" });
   } else if (mElection.IsLeading() || mRelayChoice.IsRelay(MonotonicNow())) {
@@ -376,13 +451,15 @@
                             { { kConfigurationVersionHeader,
                                 std::to_string(ConfigurationVersion()) } },
                             "" };
+    report_response content;
     if (HasCompleteRouterList(now)) {
       if (report.mKnownRouters == mRoutersDigest) {
         response.mHeaders.push_back({ kRoutersCurrentHeader, "1" });
       } else {
-        response.mBody = EncodeRouterList(mRouters);
+        content.mRouters = mRouters;
       }
     }
+    response.mBody = EncodeReportResponse(content);
     mPeerServer.Respond(aExchange, response);
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "report_unreadable")
--- a/Parsleystair/Gateway/OwnerFeed.cpp
+++ b/Parsleystair/Gateway/OwnerFeed.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/Gateway/OwnerFeed.h"
 
 #include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Log.h"
 
@@ -20,6 +21,7 @@
 constexpr duration kRetryDelay = 300ms;
 /// Failed polls after which another router is asked who leads.
 constexpr uint32_t kFailedPollsBeforePeers = 3;
+constexpr size_t kMaxRecordBytes = 64 * 1024 * 1024;
 
 http_connection_settings FeedConnectionSettings()
 {
@@ -129,7 +131,11 @@
   if (newer.empty()) {
     return false;
   }
-  mServer.Respond(aExchange, { kOk, {}, EncodeOwnerRecords(newer) });
+  if (newer != mEncodedRecords) {
+    mEncodedRecords = newer;
+    mEncoded = Compress(EncodeOwnerRecords(newer));
+  }
+  mServer.Respond(aExchange, { kOk, {}, mEncoded });
   return true;
 }
 
@@ -194,6 +200,11 @@
   }
 }
 
+bool owner_feed_client::IsFailing() const
+{
+  return !mSource || mFailedPolls > 0;
+}
+
 duration owner_feed_client::Age(time_point aNow) const
 {
   return mLastResponseAt == time_point::min() ? duration::max()
@@ -243,7 +254,7 @@
 void owner_feed_client::HandleRecords(const std::string& aText)
 {
   try {
-    mRecordsHandler(DecodeOwnerRecords(aText));
+    mRecordsHandler(DecodeOwnerRecords(Decompress(aText, kMaxRecordBytes)));
     SchedulePoll(duration::zero());
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "owners_unreadable")
--- a/Parsleystair/Gateway/OwnerFeed.h
+++ b/Parsleystair/Gateway/OwnerFeed.h
@@ -77,6 +77,10 @@
 
   http_server& mServer;
   std::map<exchange_id, owner_revisions> mPendingPolls;
+  /// The records that were sent last, and their encoding. Most routers need the
+  /// same ones.
+  owner_records mEncodedRecords;
+  std::string mEncoded;
 };
 
 /// Client side, at the other routers: keeps polling the leader or a relay.
@@ -109,6 +113,9 @@
     return mSource;
   }
 
+  /// No router is being polled, or the last poll failed.
+  [[nodiscard]] bool IsFailing() const;
+
   /// Time since the last response with records; `duration::max()` before the
   /// first one.
   [[nodiscard]] duration Age(time_point aNow) const;
--- a/Parsleystair/Gateway/PeerReport.cpp
+++ b/Parsleystair/Gateway/PeerReport.cpp
@@ -1,5 +1,6 @@
 #include "Parsleystair/Gateway/PeerReport.h"
 
+#include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Hash.h"
 
@@ -8,11 +9,18 @@
 
 namespace parsleystair {
 
+namespace {
+
+constexpr size_t kMaxResponseBytes = 8 * 1024 * 1024;
+
+} // namespace
+
 std::string EncodePeerReport(const peer_report& aReport)
 {
   return nlohmann::json{
     { "host", aReport.mRouter.mHost },
     { "failureDomain", aReport.mRouter.mFailureDomain.Value() },
+    { "large", aReport.mRouter.mIsLarge },
     { "knownRouters", aReport.mKnownRouters },
     { "configuration", aReport.mConfigurationVersion },
     { "load", EncodeLoadReport(aReport.mLoad) }
@@ -26,7 +34,8 @@
     peer_report report;
     report.mRouter = { json.at("host").get<std::string>(),
                        failure_domain_name(
-                         json.at("failureDomain").get<std::string>()) };
+                         json.at("failureDomain").get<std::string>()),
+                       json.value("large", false) };
     report.mKnownRouters = json.at("knownRouters").get<uint64_t>();
     report.mConfigurationVersion = json.value("configuration", uint64_t{ 0 });
     report.mLoad = DecodeLoadReport(json.at("load").get<std::string>());
@@ -41,7 +50,13 @@
 {
   nlohmann::json json = nlohmann::json::object();
   for (const router_entry& router : aRouters) {
-    json[router.mFailureDomain.Value()].push_back(router.mHost);
+    // An entry of a large machine is an array, to keep the others short.
+    nlohmann::json& entries = json[router.mFailureDomain.Value()];
+    if (router.mIsLarge) {
+      entries.push_back(nlohmann::json::array({ router.mHost }));
+    } else {
+      entries.push_back(router.mHost);
+    }
   }
   return json.dump();
 }
@@ -53,8 +68,10 @@
     const nlohmann::json json = nlohmann::json::parse(aText);
     for (const auto& [domain, hosts] : json.items()) {
       for (const nlohmann::json& host : hosts) {
-        routers.push_back(
-          { host.get<std::string>(), failure_domain_name(domain) });
+        const bool isLarge = host.is_array();
+        routers.push_back({ (isLarge ? host.at(0) : host).get<std::string>(),
+                            failure_domain_name(domain),
+                            isLarge });
       }
     }
     std::sort(routers.begin(), routers.end());
@@ -70,4 +87,33 @@
   return std::max<uint64_t>(1, Hash64(EncodeRouterList(aRouters)));
 }
 
+std::string EncodeReportResponse(const report_response& aResponse)
+{
+  nlohmann::json json = nlohmann::json::object();
+  if (aResponse.mRouters) {
+    json["routers"] = EncodeRouterList(*aResponse.mRouters);
+  }
+  return json.empty() ? "" : Compress(json.dump());
+}
+
+report_response DecodeReportResponse(const std::string& aText)
+{
+  report_response response;
+  if (aText.empty()) {
+    return response;
+  }
+  try {
+    const nlohmann::json json =
+      nlohmann::json::parse(Decompress(aText, kMaxResponseBytes));
+    if (json.contains("routers")) {
+      response.mRouters =
+        DecodeRouterList(json.at("routers").get<std::string>());
+    }
+    return response;
+  } catch (const nlohmann::json::exception& exception) {
+    throw parse_error(std::string("malformed response to a report: ") +
+                      exception.what());
+  }
+}
+
 } // namespace parsleystair
--- a/Parsleystair/Gateway/PeerReport.h
+++ b/Parsleystair/Gateway/PeerReport.h
@@ -3,6 +3,8 @@
 #include "Parsleystair/Gateway/RelayChoice.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
 
+#include <optional>
+
 namespace parsleystair {
 
 /// Report that each router sends to the leader twice a second.
@@ -35,4 +37,19 @@
 /// Returns the same digest for equal lists; never 0.
 uint64_t RouterListDigest(const router_list& aRouters);
 
+/// What the leader's response to a report contains.
+struct report_response
+{
+  /// Nothing if the sender has the present list.
+  std::optional<router_list> mRouters;
+
+  bool operator==(const report_response&) const = default;
+};
+
+/// The result is empty if the response contains nothing.
+std::string EncodeReportResponse(const report_response& aResponse);
+
+/// Throws `parse_error` if the text is malformed.
+report_response DecodeReportResponse(const std::string& aText);
+
 } // namespace parsleystair
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -18,6 +18,9 @@
 /// Store keys that the routers themselves write.
 inline constexpr const char* kLeaderKey = "parsleystair/leader";
 inline constexpr const char* kTermsKey = "parsleystair/terms";
+/// Routers by which a starting router finds its relay. The prefix is that of
+/// the leader key, so that one read gets both.
+inline constexpr const char* kRoutersKey = "parsleystair/leader/routers";
 /// Prefix of the keys of ownership records in all eras.
 inline constexpr const char* kRecordKeyPrefix = "parsleystair/ranges";
 
--- a/Parsleystair/Gateway/RelayChoice.cpp
+++ b/Parsleystair/Gateway/RelayChoice.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Core/Hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace parsleystair {
 
@@ -27,20 +28,20 @@
 
 void relay_choice::SetRouters(const std::vector<router_entry>& aRouters)
 {
-  mCandidates.clear();
+  // Hashing makes the order independent of the order in which machines are
+  // replaced. A relay sends each change to all routers of its failure domain,
+  // for which the link of a small machine takes seconds.
+  std::vector<std::tuple<bool, uint64_t, std::string>> order;
   for (const router_entry& router : aRouters) {
     if (router.mFailureDomain == mFailureDomain) {
-      mCandidates.push_back(router.mHost);
+      order.emplace_back(!router.mIsLarge, Hash64(router.mHost), router.mHost);
     }
   }
-  // Hashing makes the order independent of the order in which machines are
-  // replaced.
-  std::sort(mCandidates.begin(),
-            mCandidates.end(),
-            [](const std::string& aLeft, const std::string& aRight) {
-              return std::pair(Hash64(aLeft), aLeft) <
-                     std::pair(Hash64(aRight), aRight);
-            });
+  std::sort(order.begin(), order.end());
+  mCandidates.clear();
+  for (const auto& [isSmall, hash, host] : order) {
+    mCandidates.push_back(host);
+  }
 }
 
 void relay_choice::HandleFailure(const std::string& aHost, time_point aNow)
--- a/Parsleystair/Gateway/RelayChoice.h
+++ b/Parsleystair/Gateway/RelayChoice.h
@@ -16,6 +16,8 @@
   /// IP address.
   std::string mHost;
   failure_domain_name mFailureDomain;
+  /// The machine is large enough to be preferred as a relay.
+  bool mIsLarge = false;
 
   auto operator<=>(const router_entry&) const = default;
 };
@@ -51,7 +53,8 @@
 
   std::string mSelfHost;
   failure_domain_name mFailureDomain;
-  /// Hosts of this router's failure domain in the order of preference.
+  /// Hosts of this router's failure domain in the order of preference, large
+  /// machines first.
   std::vector<std::string> mCandidates;
   std::map<std::string, time_point> mFailedAt;
 };
--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -5,6 +5,7 @@
 #include "Parsleystair/Core/Log.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace parsleystair {
 
@@ -21,6 +22,12 @@
 /// If the relay doesn't respond, a change is found this much later, which must
 /// stay below the seconds within which a change must take effect.
 constexpr duration kRelayResponseTimeout = 1500ms;
+/// Timeout until the relay begins to send what it has read. A relay that has
+/// started together with this router reads the store first.
+constexpr duration kRelayReadTimeout = 3s;
+/// Longest pause within a response of the relay: the link of a relay that sends
+/// a large configuration to many routers is busy for seconds.
+constexpr duration kRelaySilenceTimeout = 1s;
 /// Longest wait of a watch at the store while the relay can't serve it.
 constexpr duration kFallbackWatchWait = 3s;
 
@@ -30,6 +37,7 @@
   // Within a failure domain, connecting takes 1 ms; a lost packet is
   // retransmitted after 200 ms.
   settings.mConnectTimeout = 500ms;
+  settings.mSilenceTimeout = kRelaySilenceTimeout;
   return settings;
 }
 
@@ -105,7 +113,9 @@
     kRelayResponseTimeout,
     [this, host, aPrefix, aAfter, callback = std::move(aCallback)](
       const http_result& aResult) {
-      if (const auto reply = ReadRelayResponse(aResult, host)) {
+      if (const auto reply =
+            ReadRelayResponse(aResult, host, DecodeWatchReply)) {
+        mSnapshots[aPrefix].HandleReply(aAfter, *reply);
         callback(*reply);
         return;
       }
@@ -113,9 +123,11 @@
     });
 }
 
-std::optional<watch_reply> relayed_store::ReadRelayResponse(
+template<typename Reply>
+std::optional<Reply> relayed_store::ReadRelayResponse(
   const http_result& aResult,
-  const std::string& aHost)
+  const std::string& aHost,
+  Reply (*aDecode)(const std::string&))
 {
   const bool complete = aResult.mStatus == http_status::kResponded;
   if (complete && aResult.mResponse.mStatus == kServiceUnavailable) {
@@ -125,7 +137,7 @@
   }
   try {
     if (complete && aResult.mResponse.mStatus == kOk) {
-      return DecodeWatchReply(aResult.mResponse.mBody);
+      return aDecode(aResult.mResponse.mBody);
     }
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "relay_answer_unreadable")
@@ -144,14 +156,41 @@
                                duration aWait,
                                watch_callback aCallback)
 {
-  mStore.Watch(aPrefix,
-               aAfter,
-               aWait,
-               [this, aPrefix, aAfter, callback = std::move(aCallback)](
-                 const watch_reply& aReply) {
-                 HandleStoreReply(aPrefix, aAfter, aReply);
-                 callback(aReply);
-               });
+  const uint64_t id = mNextWatch++;
+  mStoreWatches[aPrefix] = { id, aAfter, aWait, std::move(aCallback) };
+  mStore.Watch(
+    aPrefix, aAfter, aWait, [this, aPrefix, id](const watch_reply& aReply) {
+      const auto found = mStoreWatches.find(aPrefix);
+      if (found == mStoreWatches.end() || found->second.mId != id) {
+        return;
+      }
+      const store_watch watch = std::move(found->second);
+      mStoreWatches.erase(found);
+      HandleStoreReply(aPrefix, watch.mAfter, aReply);
+      watch.mCallback(aReply);
+    });
+}
+
+bool relayed_store::ShortenStoreWatch(const std::string& aPrefix)
+{
+  const auto found = mStoreWatches.find(aPrefix);
+  if (found == mStoreWatches.end()) {
+    return false;
+  }
+  if (found->second.mWait > kRelayWatchWait) {
+    // A reply without changes, after which the follower watches again. The next
+    // watch also gets the changes that this one would get.
+    mPosted.push_back([watch = std::move(found->second)] {
+      watch.mCallback({ call_outcome::kDone, {}, watch.mAfter });
+    });
+    mStoreWatches.erase(found);
+    mPostTimer.StartOnce(mLoop, duration::zero(), [this] {
+      for (const auto& action : std::exchange(mPosted, {})) {
+        action();
+      }
+    });
+  }
+  return true;
 }
 
 void relayed_store::HandleStoreReply(const std::string& aPrefix,
@@ -161,25 +200,31 @@
   watch_history& history = mHistories[aPrefix];
   if (aReply.mOutcome == call_outcome::kDone) {
     history.HandleReply(aAfter, aReply, MonotonicNow());
+    mSnapshots[aPrefix].HandleReply(aAfter, aReply);
   } else {
     history.HandleFailure();
   }
   RespondToPendingWatches(aPrefix);
+  RespondToPendingReads(aPrefix, false);
 }
 
 void relayed_store::RespondToPendingWatches(const std::string& aPrefix)
 {
   const watch_history& history = mHistories[aPrefix];
   const time_point now = MonotonicNow();
+  // Most routers are at the same revision.
+  std::map<store_revision, std::string> encoded;
   std::erase_if(mPendingWatches, [&](const auto& aPending) {
     const auto& [exchange, watch] = aPending;
     if (watch.mPrefix != aPrefix) {
       return false;
     }
     if (history.Covers(watch.mAfter, now)) {
-      mPeerServer.Respond(
-        exchange,
-        { kOk, {}, EncodeWatchReply(history.ChangesAfter(watch.mAfter)) });
+      std::string& body = encoded[watch.mAfter];
+      if (body.empty()) {
+        body = EncodeWatchReply(history.ChangesAfter(watch.mAfter));
+      }
+      mPeerServer.Respond(exchange, { kOk, {}, body });
     } else {
       mPeerServer.Respond(exchange, { kServiceUnavailable, {}, "" });
     }
@@ -196,8 +241,14 @@
                                store_revision(
                                  json.at("after").get<uint64_t>()) };
     const watch_history& history = mHistories[watch.mPrefix];
-    if (!history.Covers(watch.mAfter, MonotonicNow())) {
-      mPeerServer.Respond(aExchange, { kServiceUnavailable, {}, "" });
+    const time_point now = MonotonicNow();
+    if (!history.Covers(watch.mAfter, now)) {
+      // A router that has just become the relay still waits like others.
+      if (mRelays.IsRelay(now) && ShortenStoreWatch(watch.mPrefix)) {
+        mPendingWatches[aExchange] = watch;
+      } else {
+        mPeerServer.Respond(aExchange, { kServiceUnavailable, {}, "" });
+      }
       return;
     }
     const watch_reply reply = history.ChangesAfter(watch.mAfter);
@@ -214,15 +265,120 @@
   }
 }
 
+void relayed_store::HandleReadRequest(exchange_id aExchange,
+                                      const http_request& aRequest)
+{
+  const std::string& prefix = aRequest.mBody;
+  if (SendSnapshot(aExchange, prefix)) {
+    return;
+  }
+  const bool isRead = mSnapshots[prefix].IsComplete();
+  const bool isExpected =
+    mRelays.IsRelay(MonotonicNow()) && (!isRead || ShortenStoreWatch(prefix));
+  if (isExpected) {
+    mPendingReads[aExchange] = prefix;
+  } else {
+    mPeerServer.Respond(aExchange, { kServiceUnavailable, {}, "" });
+  }
+}
+
+bool relayed_store::SendSnapshot(exchange_id aExchange,
+                                 const std::string& aPrefix)
+{
+  const prefix_snapshot& snapshot = mSnapshots[aPrefix];
+  const bool isCurrent =
+    snapshot.IsComplete() && EraOf(snapshot.Revision()) == mStore.Era() &&
+    mHistories[aPrefix].Covers(snapshot.Revision(), MonotonicNow());
+  if (isCurrent) {
+    mPeerServer.Respond(aExchange, { kOk, {}, snapshot.Encoded() });
+  }
+  return isCurrent;
+}
+
+void relayed_store::RespondToPendingReads(const std::string& aPrefix,
+                                          bool aFailed)
+{
+  std::erase_if(mPendingReads, [&](const auto& aPending) {
+    const auto& [exchange, prefix] = aPending;
+    if (prefix != aPrefix) {
+      return false;
+    }
+    if (aFailed) {
+      mPeerServer.Respond(exchange, { kServiceUnavailable, {}, "" });
+      return true;
+    }
+    return SendSnapshot(exchange, prefix);
+  });
+}
+
 void relayed_store::HandleDisconnect(exchange_id aExchange)
 {
   mPendingWatches.erase(aExchange);
+  mPendingReads.erase(aExchange);
 }
 
 void relayed_store::ReadPrefix(const std::string& aPrefix,
-                               std::function<void(prefix_reply)> aCallback)
+                               read_callback aCallback)
+{
+  const auto relay = mRelays.Current(MonotonicNow());
+  if (!relay) {
+    ReadStore(aPrefix, std::move(aCallback));
+    return;
+  }
+  relay_link& link = LinkTo(*relay, aPrefix);
+  if (link.mConnection->IsBusy()) {
+    ReadStore(aPrefix, std::move(aCallback));
+    return;
+  }
+  ReadRelay(link, aPrefix, std::move(aCallback));
+}
+
+void relayed_store::ReadRelay(relay_link& aLink,
+                              const std::string& aPrefix,
+                              read_callback aCallback)
+{
+  http_request request;
+  request.mMethod = "POST";
+  request.mPath = "/read";
+  request.mBody = aPrefix;
+  const std::string host = aLink.mHost;
+  aLink.mConnection->Call(
+    request,
+    kRelayReadTimeout,
+    [this, host, aPrefix, callback = std::move(aCallback)](
+      const http_result& aResult) {
+      const auto reply = ReadRelayResponse(aResult, host, DecodePrefixReply);
+      // A relay that hasn't learned of a restore of the store yet shows the
+      // lost history.
+      if (reply && EraOf(reply->mRevision) == mStore.Era()) {
+        mSnapshots[aPrefix].HandleRead(*reply);
+        callback(*reply);
+        return;
+      }
+      ReadStore(aPrefix, callback);
+    });
+}
+
+void relayed_store::ReadStore(const std::string& aPrefix,
+                              read_callback aCallback)
 {
-  mStore.ReadPrefix(aPrefix, std::move(aCallback));
+  mStore.ReadPrefix(aPrefix,
+                    [this, aPrefix, callback = std::move(aCallback)](
+                      const prefix_reply& aReply) {
+                      const bool isDone =
+                        aReply.mOutcome == call_outcome::kDone;
+                      if (isDone) {
+                        mSnapshots[aPrefix].HandleRead(aReply);
+                        // The read shows the state of the store like a watch
+                        // from its revision.
+                        mHistories[aPrefix].HandleReply(
+                          aReply.mRevision,
+                          { call_outcome::kDone, {}, aReply.mRevision },
+                          MonotonicNow());
+                      }
+                      RespondToPendingReads(aPrefix, !isDone);
+                      callback(aReply);
+                    });
 }
 
 void relayed_store::Write(const conditional_write& aWrite,
--- a/Parsleystair/Gateway/WatchHistory.cpp
+++ b/Parsleystair/Gateway/WatchHistory.cpp
@@ -1,7 +1,7 @@
 #include "Parsleystair/Gateway/WatchHistory.h"
 
+#include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
-#include "Parsleystair/Platform/Base64.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,6 +16,7 @@
 /// change: the longest wait of a relay's watch, 1 s, and half a second of
 /// transit.
 constexpr duration kMaxReplyAge = 1500ms;
+constexpr size_t kMaxEncodedBytes = 64 * 1024 * 1024;
 
 } // namespace
 
@@ -70,19 +71,23 @@
     nlohmann::json each = { { "key", change.mKey },
                             { "revision", change.mRevision.Value() } };
     if (change.mValue) {
-      each["value"] = EncodeBase64(*change.mValue);
+      each["value"] = nlohmann::json::binary(
+        { change.mValue->begin(), change.mValue->end() });
     }
     changes.push_back(std::move(each));
   }
-  return nlohmann::json{
-    { "revision", aReply.mRevision.Value() }, { "changes", std::move(changes) }
-  }.dump();
+  const std::vector<uint8_t> bytes =
+    nlohmann::json::to_cbor({ { "revision", aReply.mRevision.Value() },
+                              { "changes", std::move(changes) } });
+  return Compress(
+    { reinterpret_cast<const char*>(bytes.data()), bytes.size() });
 }
 
 watch_reply DecodeWatchReply(const std::string& aText)
 {
   try {
-    const nlohmann::json json = nlohmann::json::parse(aText);
+    const nlohmann::json json =
+      nlohmann::json::from_cbor(Decompress(aText, kMaxEncodedBytes));
     watch_reply reply;
     reply.mOutcome = call_outcome::kDone;
     reply.mRevision = store_revision(json.at("revision").get<uint64_t>());
@@ -91,7 +96,8 @@
       change.mKey = each.at("key").get<std::string>();
       change.mRevision = store_revision(each.at("revision").get<uint64_t>());
       if (each.contains("value")) {
-        change.mValue = DecodeBase64(each.at("value").get<std::string>());
+        const auto& value = each.at("value").get_binary();
+        change.mValue = std::string(value.begin(), value.end());
       }
       reply.mChanges.push_back(std::move(change));
     }
--- a/UnitTests/Gateway/GatewaySettingsTest.cpp
+++ b/UnitTests/Gateway/GatewaySettingsTest.cpp
@@ -57,6 +57,7 @@
     { "retryRatio", 3 },
     { "peers", 7 },
     { "shutdownGraceSeconds", -1 },
+    { "firstStart", "true" },
   };
   for (const auto& [name, value] : cases) {
     nlohmann::json json = Valid();
--- a/UnitTests/Gateway/OwnerFeedTest.cpp
+++ b/UnitTests/Gateway/OwnerFeedTest.cpp
@@ -1,5 +1,7 @@
 #include "Parsleystair/Gateway/OwnerFeed.h"
 
+#include "Parsleystair/Core/Compression.h"
+
 #include <gtest/gtest.h>
 
 namespace parsleystair {
@@ -22,7 +24,7 @@
       server->Respond(aExchange,
                       { fails ? 503U : 200U,
                         {},
-                        fails ? "" : EncodeOwnerRecords(noRecords) });
+                        fails ? "" : Compress(EncodeOwnerRecords(noRecords)) });
     });
   server->Listen("127.0.0.1", 0);
   bool answered = false;
--- a/UnitTests/Gateway/RelayTest.cpp
+++ b/UnitTests/Gateway/RelayTest.cpp
@@ -13,8 +13,9 @@
 {
   router_list routers;
   for (size_t index = 1; index <= aCount; ++index) {
-    routers.push_back(
-      { "10.0.0." + std::to_string(index), failure_domain_name(aDomain) });
+    routers.push_back({ "10.0.0." + std::to_string(index),
+                        failure_domain_name(aDomain),
+                        false });
   }
   return routers;
 }
@@ -63,6 +64,21 @@
   EXPECT_FALSE(choice.IsRelay(time_point()));
 }
 
+// Guards against a relay whose link is too small to send a large configuration
+// to its failure domain in time, although there are larger machines.
+TEST(RelayChoice, PrefersLargeMachines)
+{
+  for (size_t large = 0; large < 8; ++large) {
+    router_list routers = Routers(8);
+    routers[large].mIsLarge = true;
+    relay_choice choice("10.0.0.99", kDomain);
+    choice.SetRouters(routers);
+    EXPECT_EQ(choice.Current(time_point()), routers[large].mHost);
+    choice.HandleFailure(routers[large].mHost, time_point());
+    EXPECT_NE(choice.Current(time_point()), routers[large].mHost);
+  }
+}
+
 // Guards against a lost relay that is chosen again at once, or never again.
 TEST(RelayChoice, SkipsAFailedRouterDuringItsCooldown)
 {
@@ -195,6 +211,52 @@
   EXPECT_LT(mKv.Calls() - before, kChanges * kGateways / 2);
 }
 
+// Guards against a store, and a link to it, that all routers load with the
+// whole configuration and all targets when they start together.
+TEST_F(relay_test, StartingRoutersReadFromTheirRelay)
+{
+  ASSERT_FALSE(RelayName().empty());
+  EXPECT_TRUE(RunUntil([&] { return !mKv.Get(kRoutersKey).empty(); }));
+  const uint16_t port = mGateways.at("g1").mSettings.mPeers.mPort;
+  constexpr uint64_t kStarts = 5;
+  uint64_t calls = 0;
+  for (uint64_t start = 1; start <= kStarts; ++start) {
+    gateway_instance& added = StartGateway("new-" + std::to_string(start),
+                                           "127.0.0.9" + std::to_string(start),
+                                           port);
+    calls += added.mStoreClient->Counters().mReads;
+    EXPECT_NE(added.mTask->DumpText().find("\"configurationVersion\": 1,"),
+              std::string::npos);
+  }
+  // Each reads the leader and the list of routers itself.
+  EXPECT_EQ(calls, kStarts);
+}
+
+// Guards against a router that starts with a target that has left, or with a
+// route that was withdrawn, because its relay is behind the store.
+TEST_F(relay_test, StartingRouterGetsNothingThatWasRemoved)
+{
+  const std::string relay = RelayName();
+  ASSERT_FALSE(relay.empty());
+  EXPECT_TRUE(RunUntil([&] { return !mKv.Get(kRoutersKey).empty(); }));
+  // The relay's watches get no reply any more.
+  mGateways.at(relay).mStore->SetFaults(
+    [](store_call aCall, const std::string&) {
+      return aCall == store_call::kWatch ? store_fault::kHeld
+                                         : store_fault::kNone;
+    });
+  RunFor(1200ms);
+  mKv.Remove(TargetKey("plain-1"));
+  PutConfiguration(2);
+  const uint16_t port = mGateways.at(relay).mSettings.mPeers.mPort;
+  RunFor(1600ms);
+  gateway_instance& added = StartGateway("new", "127.0.0.90", port);
+  const std::string dump = added.mTask->DumpText();
+  EXPECT_NE(dump.find("\"configurationVersion\": 2,"), std::string::npos);
+  EXPECT_EQ(dump.find("\"plain-1\""), std::string::npos);
+  EXPECT_NE(dump.find("\"plain-2\""), std::string::npos);
+}
+
 // Guards against routers that miss changes after their relay has stopped.
 TEST_F(relay_test, ChangesArriveInTimeAfterTheRelayStops)
 {
@@ -222,7 +284,7 @@
   for (router_entry& router : routers) {
     relays.HandleFailure(router.mHost, MonotonicNow());
   }
-  routers.push_back({ "127.0.0.77", kDomain });
+  routers.push_back({ "127.0.0.77", kDomain, false });
   relays.SetRouters(routers);
   ASSERT_EQ(relays.Current(MonotonicNow()), "127.0.0.77");
 
@@ -243,20 +305,41 @@
   EXPECT_FALSE(relays.Current(MonotonicNow()));
 }
 
+// Guards against a router that never starts because its relay accepts the read
+// and sends nothing.
+TEST_F(gateway_test, ReadsTheStoreWithASilentRelay)
+{
+  http_server silent(mLoop, {}, [](exchange_id, const http_request&) {});
+  silent.Listen("127.0.0.77", 0);
+  http_server peers(mLoop, {}, [](exchange_id, const http_request&) {});
+  relay_choice relays("127.0.0.88", kDomain);
+  router_list routers = Routers(5);
+  routers.push_back({ "127.0.0.77", kDomain, true });
+  relays.SetRouters(routers);
+  platform::kv_store direct(mLoop, "127.0.0.1", mKv.Port());
+  relayed_store store(mLoop, direct, relays, peers, silent.Port());
+  std::optional<prefix_reply> read;
+  const time_point start = MonotonicNow();
+  store.ReadPrefix("op/", [&](const prefix_reply& aReply) { read = aReply; });
+  EXPECT_TRUE(RunUntil([&] { return read.has_value(); }));
+  EXPECT_LT(MonotonicNow() - start, 4s);
+  EXPECT_EQ(read->mOutcome, call_outcome::kDone);
+  EXPECT_EQ(read->mItems.size(), 1u);
+}
+
 // Guards against reports that lose the load or the router's failure domain.
 TEST(PeerReport, EncodedReportRoundTrips)
 {
   peer_report report;
-  report.mRouter = { "10.0.0.7", kDomain };
+  report.mRouter = { "10.0.0.7", kDomain, true };
   report.mKnownRouters = UINT64_MAX;
   report.mLoad[service_name("s")].mCounts[key_bucket(7)] = 3;
   EXPECT_EQ(DecodePeerReport(EncodePeerReport(report)), report);
   EXPECT_THROW(DecodePeerReport("[]"), parse_error);
-  EXPECT_EQ(DecodeRouterList(EncodeRouterList(Routers(8))), [] {
-    router_list sorted = Routers(8);
-    std::sort(sorted.begin(), sorted.end());
-    return sorted;
-  }());
+  router_list sorted = Routers(8);
+  sorted[3].mIsLarge = true;
+  std::sort(sorted.begin(), sorted.end());
+  EXPECT_EQ(DecodeRouterList(EncodeRouterList(sorted)), sorted);
 }
 
 } // namespace parsleystair
