Refuse at once what the owner of a key can't serve

Cause: 295 routers send to an owner without knowing of one another. Each sees one request for the hot key in three seconds.

Change: the leader, which gets the load of all routers twice a second, divides the capacity of an overloaded owner among its buckets of keys so that buckets with few requests get all they ask for, and tells the routers the shares of the others in its responses to their reports. A router refuses the rest before anything is sent (503, not run) with a Retry-After spread over the route's latency target. Limits end 3 s after the last word of the leader.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -78,6 +78,7 @@
   , mServer(aServer)
   , mBalancer(aSettings.mLocation, aSeed)
   , mConnections(aLoop, TargetConnectionSettings(), kDefaultKeepAlive)
+  , mRandom(aSeed + 1)
 {
 }
 
@@ -92,6 +93,7 @@
   request.mRequest = std::move(aRequest);
   request.mTerms = mProtocol.ReadRequest(request.mRequest);
   request.mReceivedAt = now;
+  request.mRetryAfter = kRetryAfter;
   mRequestsByExchange[aExchange] = id;
   if (!ResolveRoute(request, now)) {
     return;
@@ -99,10 +101,35 @@
   RetryBudgetOf(request.mService).AddRequest();
   if (request.mKeyed && request.mTerms.mKey) {
     ++mLoad[request.mService].mCounts[key_load::BucketOf(*request.mTerms.mKey)];
+    if (!AdmitKey(request, now)) {
+      return;
+    }
   }
   Dispatch(request, now);
 }
 
+bool forwarder::AdmitKey(open_request& aRequest, time_point aNow)
+{
+  std::uniform_real_distribution<double> draw(0, 1);
+  if (mAdmission.Admits(
+        aRequest.mService, *aRequest.mTerms.mKey, draw(mRandom), aNow)) {
+    return true;
+  }
+  // The load lasts for seconds. Callers that come back are spread over the time
+  // in which a response would still be in time.
+  const auto longest = std::max(
+    kRetryAfter,
+    std::chrono::duration_cast<duration>(aRequest.mRoute->mLatencyTarget));
+  std::uniform_int_distribution<int64_t> wait(longest.count() / 2,
+                                              longest.count());
+  aRequest.mRetryAfter = duration(wait(mRandom));
+  Refuse(aRequest,
+         refusal_kind::kNotRun,
+         "the owner of the key is overloaded",
+         aNow);
+  return false;
+}
+
 bool forwarder::ResolveRoute(open_request& aRequest, time_point aNow)
 {
   if (mRefusesNew) {
@@ -238,7 +265,7 @@
   LogRefusal(aRequest, outcome, aReason, elapsed);
   refusal why{ aKind, aReason, {} };
   if (aKind == refusal_kind::kNotRun) {
-    why.mRetryAfter = kRetryAfter;
+    why.mRetryAfter = aRequest.mRetryAfter;
   }
   mServer.Respond(aRequest.mExchange,
                   mProtocol.RefusalResponse(why, aRequest.mTerms.mRequestId));
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -8,12 +8,14 @@
 #include "Parsleystair/Gateway/TargetConnections.h"
 #include "Parsleystair/Http/HttpServer.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
+#include "Parsleystair/Limits/KeyAdmission.h"
 #include "Parsleystair/Limits/SharedRetryBudget.h"
 #include "Parsleystair/Routing/RouteTable.h"
 #include "Parsleystair/Routing/WeightedChoice.h"
 
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <unordered_map>
 
@@ -68,6 +70,9 @@
   /// this one.
   void SetRouterCount(size_t aCount) { mRouterCount = aCount; }
 
+  /// Limits for the keys of overloaded owners.
+  [[nodiscard]] key_admission& Admission() { return mAdmission; }
+
   /// Sets the end of a shutdown. From now on, requests that are not expected to
   /// be complete by then are not sent to targets.
   void SetShutdownEnd(time_point aEnd) { mShutdownEnd = aEnd; }
@@ -135,12 +140,18 @@
     /// Fence of the owner that did not run the request. A change of the owners
     /// ends the wait only if the fence differs.
     fence mRefusedFence;
+    /// Time after which the caller may come back, if the request is refused
+    /// without having run.
+    duration mRetryAfter{};
     /// Expiry of the request's timer.
     time_point mTimerExpiry;
   };
 
   // Steps of a request, in order.
   bool ResolveRoute(open_request& aRequest, time_point aNow);
+  /// Refuses a request for a key whose owner is overloaded, if it is one of
+  /// those that the owner can't serve. Returns whether it is admitted.
+  bool AdmitKey(open_request& aRequest, time_point aNow);
   void Dispatch(open_request& aRequest, time_point aNow);
   const known_target* ChooseTarget(const open_request& aRequest,
                                    time_point aNow);
@@ -215,6 +226,8 @@
   target_balancer mBalancer;
   target_connections mConnections;
   weighted_choice mServiceChoice;
+  key_admission mAdmission;
+  std::mt19937_64 mRandom;
   bool mRefusesNew = false;
   time_point mShutdownEnd = time_point::max();
   /// The usual size of a deployment until the leader sends the router list.
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -102,6 +102,7 @@
   void SendReport();
   void HandleReportResponse(const http_result& aResult);
   void ApplyRouterList(const router_list& aRouters);
+  void ApplyLimits(service_limits aLimits, time_point aNow);
   /// Replaces the list of routers by those that live, as the leader. Routers
   /// that are gone are removed together after a while.
   void UpdateRouterList(time_point aNow);
@@ -149,6 +150,8 @@
   time_point mNextRoutersWrite = time_point::min();
   /// Digest of the list in the store; 0 if it is unknown.
   uint64_t mStoredRoutersDigest = 0;
+  /// Digest of the limits for keys in use.
+  uint64_t mLimitsDigest = 0;
   bool mFollowersStarted = false;
   timer mFollowersTimer;
   time_point mStartedAt;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -38,6 +38,8 @@
 constexpr const char* kConfigurationVersionHeader = "Configuration-Version";
 /// Says that the reporting router has the leader's present list of routers.
 constexpr const char* kRoutersCurrentHeader = "Routers-Current";
+/// Says that the reporting router has the leader's present limits for keys.
+constexpr const char* kLimitsCurrentHeader = "Limits-Current";
 
 } // namespace
 
@@ -279,6 +281,7 @@
     for (const auto& [service, load] : report) {
       mRangeDriver.HandleLoad(service, load, now);
     }
+    ApplyLimits(mRangeDriver.KeyLimits(now), now);
     return;
   }
   if (mReportLeader != leader) {
@@ -295,6 +298,7 @@
   request.mBody = EncodePeerReport({ SelfRouter(),
                                      mRoutersDigest,
                                      ConfigurationVersion(),
+                                     mLimitsDigest,
                                      report });
   // A lost report isn't retried: it only makes the load appear lower for a
   // second.
@@ -318,6 +322,7 @@
   const auto hasHeader = [&](const char* aName) {
     return FindHeader(aResult.mResponse.mHeaders, aName).has_value();
   };
+  const time_point now = MonotonicNow();
   try {
     // The body is empty if the responder isn't the leader, or if this router
     // already has all that the leader would tell.
@@ -329,12 +334,32 @@
     if (response.mRouters || hasHeader(kRoutersCurrentHeader)) {
       mElection.HandleRouters(mRouters);
     }
+    if (response.mLimits) {
+      ApplyLimits(*response.mLimits, now);
+    } else if (hasHeader(kLimitsCurrentHeader)) {
+      mForwarder.Admission().Confirm(now);
+    }
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "routers_unreadable")
       .Add("error", exception.what());
   }
 }
 
+void gateway_task::ApplyLimits(service_limits aLimits, time_point aNow)
+{
+  const uint64_t digest = ServiceLimitsDigest(aLimits);
+  if (digest != mLimitsDigest) {
+    size_t count = 0;
+    for (const auto& [service, limits] : aLimits) {
+      count += limits.size();
+    }
+    log_line(log_severity::kInfo, "key_limits_changed")
+      .Add("limits", uint64_t{ count });
+    mLimitsDigest = digest;
+  }
+  mForwarder.Admission().SetLimits(std::move(aLimits), aNow);
+}
+
 void gateway_task::UpdateRouterList(time_point aNow)
 {
   const router_list live = LiveRouters(aNow);
@@ -459,6 +484,13 @@
         content.mRouters = mRouters;
       }
     }
+    if (mElection.IsLeading()) {
+      if (report.mKnownLimits == mLimitsDigest) {
+        response.mHeaders.push_back({ kLimitsCurrentHeader, "1" });
+      } else {
+        content.mLimits = mForwarder.Admission().Limits();
+      }
+    }
     response.mBody = EncodeReportResponse(content);
     mPeerServer.Respond(aExchange, response);
   } catch (const parse_error& exception) {
--- a/Parsleystair/Gateway/PeerReport.cpp
+++ b/Parsleystair/Gateway/PeerReport.cpp
@@ -23,6 +23,7 @@
     { "large", aReport.mRouter.mIsLarge },
     { "knownRouters", aReport.mKnownRouters },
     { "configuration", aReport.mConfigurationVersion },
+    { "knownLimits", aReport.mKnownLimits },
     { "load", EncodeLoadReport(aReport.mLoad) }
   }.dump();
 }
@@ -38,6 +39,7 @@
                        json.value("large", false) };
     report.mKnownRouters = json.at("knownRouters").get<uint64_t>();
     report.mConfigurationVersion = json.value("configuration", uint64_t{ 0 });
+    report.mKnownLimits = json.value("knownLimits", uint64_t{ 0 });
     report.mLoad = DecodeLoadReport(json.at("load").get<std::string>());
     return report;
   } catch (const nlohmann::json::exception& exception) {
@@ -87,12 +89,54 @@
   return std::max<uint64_t>(1, Hash64(EncodeRouterList(aRouters)));
 }
 
+std::string EncodeServiceLimits(const service_limits& aLimits)
+{
+  nlohmann::json json = nlohmann::json::object();
+  for (const auto& [service, limits] : aLimits) {
+    nlohmann::json& rows = json[service.Value()];
+    for (const key_limit& each : limits) {
+      rows.push_back(nlohmann::json::array(
+        { each.mKeys.mFirst, each.mKeys.mLast, each.mShare }));
+    }
+  }
+  return json.dump();
+}
+
+service_limits DecodeServiceLimits(const std::string& aText)
+{
+  try {
+    service_limits limits;
+    const nlohmann::json json = nlohmann::json::parse(aText);
+    for (const auto& [service, rows] : json.items()) {
+      for (const nlohmann::json& row : rows) {
+        limits[service_name(service)].push_back(
+          { { row.at(0).get<uint32_t>(), row.at(1).get<uint32_t>() },
+            row.at(2).get<double>() });
+      }
+    }
+    return limits;
+  } catch (const nlohmann::json::exception& exception) {
+    throw parse_error(std::string("malformed limits of keys: ") +
+                      exception.what());
+  }
+}
+
+uint64_t ServiceLimitsDigest(const service_limits& aLimits)
+{
+  return aLimits.empty()
+           ? 0
+           : std::max<uint64_t>(1, Hash64(EncodeServiceLimits(aLimits)));
+}
+
 std::string EncodeReportResponse(const report_response& aResponse)
 {
   nlohmann::json json = nlohmann::json::object();
   if (aResponse.mRouters) {
     json["routers"] = EncodeRouterList(*aResponse.mRouters);
   }
+  if (aResponse.mLimits) {
+    json["limits"] = EncodeServiceLimits(*aResponse.mLimits);
+  }
   return json.empty() ? "" : Compress(json.dump());
 }
 
@@ -109,6 +153,10 @@
       response.mRouters =
         DecodeRouterList(json.at("routers").get<std::string>());
     }
+    if (json.contains("limits")) {
+      response.mLimits =
+        DecodeServiceLimits(json.at("limits").get<std::string>());
+    }
     return response;
   } catch (const nlohmann::json::exception& exception) {
     throw parse_error(std::string("malformed response to a report: ") +
--- a/Parsleystair/Gateway/PeerReport.h
+++ b/Parsleystair/Gateway/PeerReport.h
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Gateway/RelayChoice.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
+#include "Parsleystair/Limits/KeyAdmission.h"
 
 #include <optional>
 
@@ -16,6 +17,8 @@
   uint64_t mKnownRouters = 0;
   /// Version of the configuration that the sender uses; 0 if it has none.
   uint64_t mConfigurationVersion = 0;
+  /// Digest of the limits for keys that the sender has.
+  uint64_t mKnownLimits = 0;
   load_report mLoad;
 
   bool operator==(const peer_report&) const = default;
@@ -37,11 +40,21 @@
 /// Returns the same digest for equal lists; never 0.
 uint64_t RouterListDigest(const router_list& aRouters);
 
+std::string EncodeServiceLimits(const service_limits& aLimits);
+
+/// Throws `parse_error` if the text is malformed.
+service_limits DecodeServiceLimits(const std::string& aText);
+
+/// Returns the same digest for equal limits; 0 if there are none.
+uint64_t ServiceLimitsDigest(const service_limits& aLimits);
+
 /// What the leader's response to a report contains.
 struct report_response
 {
   /// Nothing if the sender has the present list.
   std::optional<router_list> mRouters;
+  /// Nothing if the sender has the present limits.
+  std::optional<service_limits> mLimits;
 
   bool operator==(const report_response&) const = default;
 };
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -264,6 +264,17 @@
   }
 }
 
+service_limits range_driver::KeyLimits(time_point aNow)
+{
+  service_limits limits;
+  for (auto& [service, controller] : mControllers) {
+    if (key_limits each = controller.Limits(aNow); !each.empty()) {
+      limits[service] = std::move(each);
+    }
+  }
+  return limits;
+}
+
 size_t range_driver::PendingMoves() const
 {
   size_t count = 0;
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -6,6 +6,7 @@
 #include "Parsleystair/Gateway/RequestProtocol.h"
 #include "Parsleystair/Gateway/TargetConnections.h"
 #include "Parsleystair/KeyRanges/RangeController.h"
+#include "Parsleystair/Limits/KeyAdmission.h"
 
 #include <map>
 #include <set>
@@ -100,6 +101,9 @@
   {
     return mCounters;
   }
+  /// Limits for overloaded owners of keys, while this router leads.
+  [[nodiscard]] service_limits KeyLimits(time_point aNow);
+
   [[nodiscard]] size_t PendingMoves() const;
   [[nodiscard]] bool IsLeading() const { return mLeading; }
   /// Whether the records of all services are those of the present era.
--- a/Parsleystair/KeyRanges/KeyLoad.cpp
+++ b/Parsleystair/KeyRanges/KeyLoad.cpp
@@ -68,6 +68,20 @@
   return weight;
 }
 
+double key_load::RateOf(const key_interval& aKeys) const
+{
+  const double baseWeight =
+    kBaseWeight * static_cast<double>(aKeys.Size()) / kKeysPerBucket;
+  return std::max(0.0, WeightOf(aKeys) - baseWeight) /
+         kDecayTimeConstantSeconds;
+}
+
+double key_load::RateDeviation(double aRate)
+{
+  // A decayed count of a Poisson process has half of its mean as its variance.
+  return std::sqrt(aRate / (2 * kDecayTimeConstantSeconds));
+}
+
 double key_load::WeightOf(key_bucket aBucket) const
 {
   return mWeights[aBucket.Value()] + kBaseWeight;
--- a/Parsleystair/KeyRanges/KeyLoad.h
+++ b/Parsleystair/KeyRanges/KeyLoad.h
@@ -40,6 +40,12 @@
   [[nodiscard]] double WeightOf(const key_interval& aKeys) const;
   [[nodiscard]] double WeightOf(key_bucket aBucket) const;
 
+  /// Requests in a second for the keys in an interval, averaged over the time
+  /// constant of the decay.
+  [[nodiscard]] double RateOf(const key_interval& aKeys) const;
+  /// Standard deviation of a rate that was counted over that time.
+  [[nodiscard]] static double RateDeviation(double aRate);
+
   /// Decayed number of requests that the weights are based on.
   [[nodiscard]] double RequestCount() const { return mRequestCount; }
 
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -256,6 +256,7 @@
     if (owner == mOwners.end()) {
       continue;
     }
+    CountResponses(owner->second, samples.size(), aNow);
     std::deque<uint32_t>& latencies = owner->second.mLatencies;
     latencies.insert(latencies.end(), samples.begin(), samples.end());
     while (latencies.size() > kMaxLatencySamples) {
@@ -330,8 +331,8 @@
 {
   owner_state& owner = mOwners[aGrant.mTarget];
   owner.mLastGrantTime = aEnd;
-  owner.mGrantedFence = std::max(owner.mGrantedFence, aGrant.mFence);
   owner.mLastGrantArrival = std::max(owner.mLastGrantArrival, aEnd + aMaxDelay);
+  owner.mGrantedFence = std::max(owner.mGrantedFence, aGrant.mFence);
 }
 
 void range_controller::RemoveFormerLeaderGrants(const target_name& aTarget,
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Parsleystair/Discovery/TargetDirectory.h"
+#include "Parsleystair/KeyRanges/DecayingCount.h"
+#include "Parsleystair/KeyRanges/KeyLimits.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
 #include "Parsleystair/KeyRanges/RangeActions.h"
 #include "Parsleystair/KeyRanges/RangePlanner.h"
@@ -155,6 +157,9 @@
   [[nodiscard]] store_revision RecordRevision() const { return mRevision; }
   [[nodiscard]] size_t PendingMoves() const { return mMoves.size(); }
 
+  /// Limits for the keys of owners that get more requests than they can serve.
+  [[nodiscard]] key_limits Limits(time_point aNow);
+
   /// Returns the moves that the steps since the last call found ready.
   std::vector<ready_move> TakeReadyMoves();
 
@@ -170,15 +175,20 @@
     /// Time at which the last grant call that may have reached the target
     /// ended.
     time_point mLastGrantTime = time_point::min();
+    /// Latest time at which a grant that was sent may arrive at the target.
+    time_point mLastGrantArrival = time_point::min();
     /// Highest fence that the target may have accepted, and highest fence that
     /// must not be granted again, as the target may have restarted since.
     fence mGrantedFence;
     fence mRetiredFence;
     time_point mNextFenceChangeTime = time_point::min();
-    /// Latest time at which a grant that was sent may arrive at the target.
-    time_point mLastGrantArrival = time_point::min();
     /// Most recent latencies that the routers reported, in milliseconds.
     std::deque<uint32_t> mLatencies;
+    /// Responses that the routers reported, and the highest rate of them, which
+    /// falls slowly.
+    decaying_count mResponses;
+    double mMaxResponseRate = 0;
+    time_point mMaxResponseRateAt = time_point::min();
     /// Time of the first failed grant since the last accepted one.
     std::optional<time_point> mFailingSince;
   };
@@ -247,6 +257,13 @@
                  std::vector<owner_candidate>& aCandidates) const;
   [[nodiscard]] std::vector<owner_candidate> OwnerCandidates(
     time_point aNow) const;
+  /// Requests in a second that an owner can be sent, so that a queue before it
+  /// becomes short.
+  [[nodiscard]] static double AdmittedRate(const owner_state& aOwner);
+  static void CountResponses(owner_state& aOwner,
+                             size_t aCount,
+                             time_point aNow);
+  /// Requests that a target can serve in a millisecond.
   [[nodiscard]] static double CapacityOf(const owner_state& aOwner);
   /// Whether the recorded fence must not be granted to the owner any more.
   [[nodiscard]] bool NeedsNewFence(const owned_range& aRange) const;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -4,6 +4,7 @@
 #include "Parsleystair/Core/StoreEra.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 // Planning of the leader's actions: which keys move, which targets get them,
@@ -37,6 +38,14 @@
 /// divisor that selects the quantile of them (4 for the lower quartile).
 constexpr size_t kMinLatencySamples = 12;
 constexpr size_t kLatencyQuantileDivisor = 4;
+constexpr double kMillisecondsPerSecond = 1000;
+/// Time in seconds after which the highest rate of responses of a target counts
+/// half, as targets become slower.
+constexpr double kResponseRateHalfLife = 30;
+/// Ratio of the latency to the time of the work alone above which an owner has
+/// a queue that is to become shorter, and the share of its rate meanwhile.
+constexpr double kMaxQueueFactor = 1.5;
+constexpr double kDrainingShare = 0.5;
 /// Latency assumed for a target with too few samples, in milliseconds.
 constexpr double kAssumedLatencyMs = 200;
 
@@ -59,6 +68,45 @@
   return concurrency / std::max<uint32_t>(1, *quantile);
 }
 
+void range_controller::CountResponses(owner_state& aOwner,
+                                      size_t aCount,
+                                      time_point aNow)
+{
+  aOwner.mResponses.Add(static_cast<double>(aCount), aNow);
+  if (aOwner.mMaxResponseRateAt != time_point::min()) {
+    aOwner.mMaxResponseRate *= std::exp2(
+      -ToSeconds(aNow - aOwner.mMaxResponseRateAt) / kResponseRateHalfLife);
+  }
+  aOwner.mMaxResponseRate =
+    std::max(aOwner.mMaxResponseRate, aOwner.mResponses.Rate(aNow));
+  aOwner.mMaxResponseRateAt = aNow;
+}
+
+double range_controller::AdmittedRate(const owner_state& aOwner)
+{
+  // The latencies of an owner with a queue include the time in the queue, and
+  // show less than it can serve. The responses that it gives show a rate that
+  // it can serve, and with the latencies how long the queue is.
+  const double byLatency = CapacityOf(aOwner) * kMillisecondsPerSecond;
+  const double rate = std::max(byLatency, aOwner.mMaxResponseRate);
+  return rate > kMaxQueueFactor * byLatency ? rate * kDrainingShare : rate;
+}
+
+key_limits range_controller::Limits(time_point aNow)
+{
+  if (!mLeading) {
+    return {};
+  }
+  mLoad.Decay(aNow);
+  owner_capacities capacities;
+  for (const auto& [name, owner] : mOwners) {
+    if (owner.mLatencies.size() >= kMinLatencySamples) {
+      capacities[name] = AdmittedRate(owner);
+    }
+  }
+  return PlanKeyLimits(mRecord, mLoad, capacities);
+}
+
 void range_controller::AddFenceChanges(const target_name& aOwner)
 {
   for (const owned_range& range : mRecord.mRanges) {
