--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -6,6 +6,7 @@
 #include "Parsleystair/Gateway/RequestProtocol.h"
 #include "Parsleystair/Gateway/TargetConnections.h"
 #include "Parsleystair/KeyRanges/RangeController.h"
+#include "Parsleystair/Limits/KeyAdmission.h"
 
 #include <map>
 #include <set>
@@ -18,6 +19,9 @@
 /// Store keys that the routers themselves write.
 inline constexpr const char* kLeaderKey = "parsleystair/leader";
 inline constexpr const char* kTermsKey = "parsleystair/terms";
+/// Routers by which a starting router finds its relay. The prefix is that of
+/// the leader key, so that one read gets both.
+inline constexpr const char* kRoutersKey = "parsleystair/leader/routers";
 /// Prefix of the keys of ownership records in all eras.
 inline constexpr const char* kRecordKeyPrefix = "parsleystair/ranges";
 
@@ -97,6 +101,9 @@
   {
     return mCounters;
   }
+  /// Limits for overloaded owners of keys, while this router leads.
+  [[nodiscard]] service_limits KeyLimits(time_point aNow);
+
   [[nodiscard]] size_t PendingMoves() const;
   [[nodiscard]] bool IsLeading() const { return mLeading; }
   /// Whether the records of all services are those of the present era.
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -11,6 +11,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -22,6 +23,14 @@
 /// Probes without an answer after which the system gives a peer up.
 constexpr int kKeepAliveProbes = 2;
 
+/// What has arrived on a stream and is not read yet.
+enum class input_state
+{
+  kNone,
+  kBytes,
+  kEnd,
+};
+
 void SetOption(int aDescriptor, int aLevel, int aName, int aValue)
 {
   // A system without the option keeps its default, which only detects a lost
@@ -51,6 +60,17 @@
   }
 }
 
+/// Bytes sent on a socket that the peer's system has not acknowledged; nothing
+/// if the system can't tell.
+std::optional<size_t> QueuedBytes(int aDescriptor)
+{
+  int queued = 0;
+  if (aDescriptor < 0 || ioctl(aDescriptor, SIOCOUTQ, &queued) != 0) {
+    return std::nullopt;
+  }
+  return static_cast<size_t>(queued);
+}
+
 /// Opens a socket and starts to connect it; -1 when that fails at once.
 int StartConnect(const std::string& aHost, uint16_t aPort)
 {
@@ -101,9 +121,25 @@
   void FailLater();
   void BreakLater();
   [[nodiscard]] bool IsWriteLimitOver() const;
+  [[nodiscard]] input_state PeekInput() const;
   bool FinishConnect();
 };
 
+input_state socket_stream::state::PeekInput() const
+{
+  if (mConnecting || mDescriptor < 0) {
+    return input_state::kNone;
+  }
+  char byte = 0;
+  const ssize_t count =
+    recv(mDescriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) {
+    return input_state::kBytes;
+  }
+  const bool isOpen = count < 0 && (errno == EAGAIN || errno == EINTR);
+  return isOpen ? input_state::kNone : input_state::kEnd;
+}
+
 socket_stream::state::~state()
 {
   for (event* each : { mReadEvent, mWriteEvent, mTimer }) {
@@ -299,23 +335,23 @@
 
 size_t socket_stream::Unacknowledged() const
 {
-  int queued = 0;
-  if (mState->mDescriptor < 0 ||
-      ioctl(mState->mDescriptor, SIOCOUTQ, &queued) != 0) {
-    queued = 0;
-  }
-  return Unsent() + static_cast<size_t>(queued);
+  return Unsent() + QueuedBytes(mState->mDescriptor).value_or(0);
+}
+
+bool socket_stream::IsAllAcknowledged() const
+{
+  return !mState->mConnecting && Unsent() == 0 &&
+         QueuedBytes(mState->mDescriptor) == size_t{ 0 };
 }
 
 bool socket_stream::HasInput() const
 {
-  if (mState->mConnecting || mState->mDescriptor < 0) {
-    return false;
-  }
-  char byte = 0;
-  const ssize_t count =
-    recv(mState->mDescriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+  return mState->PeekInput() != input_state::kNone;
+}
+
+bool socket_stream::HasEnded() const
+{
+  return mState->PeekInput() == input_state::kEnd;
 }
 
 void socket_stream::StartTimer(duration aDelay)
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -79,10 +79,18 @@
   /// Bytes written that the peer has not acknowledged yet, sent or not.
   [[nodiscard]] size_t Unacknowledged() const;
 
+  /// Tells if the peer's system has acknowledged all bytes written; false if
+  /// this system can't tell.
+  [[nodiscard]] bool IsAllAcknowledged() const;
+
   /// Tells if bytes, or the end of the stream, have arrived and are not read
   /// yet.
   [[nodiscard]] bool HasInput() const;
 
+  /// Tells if the end of the stream has arrived and is not read yet, and no
+  /// bytes before it.
+  [[nodiscard]] bool HasEnded() const;
+
   /// Calls `HandleTimeout` once after a delay; replaces an earlier start.
   void StartTimer(duration aDelay);
   void CancelTimer();
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Parsleystair/Discovery/TargetDirectory.h"
+#include "Parsleystair/KeyRanges/DecayingCount.h"
+#include "Parsleystair/KeyRanges/KeyLimits.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
 #include "Parsleystair/KeyRanges/RangeActions.h"
 #include "Parsleystair/KeyRanges/RangePlanner.h"
@@ -36,13 +38,13 @@
   /// Factor by which a target with a slow clock may hold a grant for longer
   /// than `mGrantDuration`.
   double mClockDriftFactor = 1.02;
-  /// Maximum time after a grant call has ended without an answer at which its
-  /// order may still arrive at the target.
-  duration mMaxDeliveryDelay = 300ms;
-  /// Maximum time after a former leader has sent its last order at which the
-  /// order may arrive at the target. The operating system of a process that was
-  /// killed delivers what the process has written, until the TCP user timeout.
-  duration mMaxFormerDeliveryDelay = 600ms;
+  /// Maximum time for which the network holds bytes that were sent, as in the
+  /// queue of an overloaded link. An order that the target's system has not
+  /// acknowledged may arrive this long after its connection was closed.
+  duration mMaxNetworkDelay = 4s;
+  /// Maximum time for which the operating system of a process that was killed
+  /// resends what the process has written: the TCP user timeout.
+  duration mMaxResendTime = 600ms;
   /// Time from the first registration of a target to the first assignment of
   /// keys, so that all targets can register.
   duration mInitialAssignmentDelay = 1s;
@@ -57,7 +59,7 @@
   /// former leader was sent.
   [[nodiscard]] duration MaxFormerGrantLifetime() const
   {
-    return mMaxFormerDeliveryDelay + MaxHoldTime();
+    return mMaxResendTime + mMaxNetworkDelay + MaxHoldTime();
   }
 };
 
@@ -155,6 +157,9 @@
   [[nodiscard]] store_revision RecordRevision() const { return mRevision; }
   [[nodiscard]] size_t PendingMoves() const { return mMoves.size(); }
 
+  /// Limits for the keys of owners that get more requests than they can serve.
+  [[nodiscard]] key_limits Limits(time_point aNow);
+
   /// Returns the moves that the steps since the last call found ready.
   std::vector<ready_move> TakeReadyMoves();
 
@@ -170,6 +175,8 @@
     /// Time at which the last grant call that may have reached the target
     /// ended.
     time_point mLastGrantTime = time_point::min();
+    /// Latest time at which a grant that was sent may arrive at the target.
+    time_point mLastGrantArrival = time_point::min();
     /// Highest fence that the target may have accepted, and highest fence that
     /// must not be granted again, as the target may have restarted since.
     fence mGrantedFence;
@@ -177,6 +184,11 @@
     time_point mNextFenceChangeTime = time_point::min();
     /// Most recent latencies that the routers reported, in milliseconds.
     std::deque<uint32_t> mLatencies;
+    /// Responses that the routers reported, and the highest rate of them, which
+    /// falls slowly.
+    decaying_count mResponses;
+    double mMaxResponseRate = 0;
+    time_point mMaxResponseRateAt = time_point::min();
     /// Time of the first failed grant since the last accepted one.
     std::optional<time_point> mFailingSince;
   };
@@ -215,7 +227,10 @@
   void RemoveFormerLeaderGrants(const target_name& aTarget,
                                 const key_interval& aKeys);
   void HandleFenced(const pending_grant& aGrant, time_point aNow);
-  void RecordGrantCall(const pending_grant& aGrant, time_point aEnd);
+  /// `aMaxDelay`: time after `aEnd` at which the grant may still arrive.
+  void RecordGrantCall(const pending_grant& aGrant,
+                       time_point aEnd,
+                       duration aMaxDelay);
   void ClearPendingWork();
   void KeepOwnGrants();
   void RemoveKeptGrant(const key_interval& aKeys);
@@ -242,6 +257,13 @@
                  std::vector<owner_candidate>& aCandidates) const;
   [[nodiscard]] std::vector<owner_candidate> OwnerCandidates(
     time_point aNow) const;
+  /// Requests in a second that an owner can be sent, so that a queue before it
+  /// becomes short.
+  [[nodiscard]] static double AdmittedRate(const owner_state& aOwner);
+  static void CountResponses(owner_state& aOwner,
+                             size_t aCount,
+                             time_point aNow);
+  /// Requests that a target can serve in a millisecond.
   [[nodiscard]] static double CapacityOf(const owner_state& aOwner);
   /// Whether the recorded fence must not be granted to the owner any more.
   [[nodiscard]] bool NeedsNewFence(const owned_range& aRange) const;
@@ -254,8 +276,8 @@
                                           const key_interval& aKeys) const;
   [[nodiscard]] time_point RangeExpiry(const owned_range& aRange,
                                        time_point aNow) const;
-  /// Latest expiry of a grant of this router whose call ended at `aGranted`.
-  [[nodiscard]] time_point GrantExpiry(time_point aGranted) const;
+  /// Latest expiry of this router's grants to a target.
+  [[nodiscard]] time_point GrantExpiry(const owner_state& aOwner) const;
   [[nodiscard]] bool HasPendingGrant(const target_name& aTarget,
                                      const key_interval& aKeys) const;
   [[nodiscard]] std::vector<key_interval> SubtractMoves(
