Derive a wait of the restore tests from the settings

restored_store_test.LeaderKeepsKeysHeldAndMovesThemAfterARestore waited 11 s until routers remember all grants that may be held. That follows from the lifetime of grants, which is 4 s longer since orders count as on their way for longer; keys were unheld after the restore. The wait is now computed, with half a second to spare.

--- a/UnitTests/Gateway/RestoredStoreTest.cpp
+++ b/UnitTests/Gateway/RestoredStoreTest.cpp
@@ -13,7 +13,9 @@
 {
 protected:
   /// Age at which a router remembers every grant that may still be held.
-  static constexpr duration kRememberingAge = 11s;
+  const duration mRememberingAge =
+    range_settings().mMaxConfirmationAgeToRenew +
+    range_settings().MaxFormerGrantLifetime() + 500ms;
   static constexpr size_t kKeys = kLastKey / kKeyStep + 1;
 
   /// `aBeforeReturn`: called when the store has the copy's content and serves
@@ -100,7 +102,7 @@
   const uint16_t firstPort = StartGateway("first").mSettings.mPeers.mPort;
   ASSERT_TRUE(WaitForOwners());
   StartGateway("second", "127.0.0.2", firstPort);
-  RunFor(kRememberingAge);
+  RunFor(mRememberingAge);
   ASSERT_TRUE(MoveKeysAfterCopy("keyed-1"));
   size_t unheld = 0;
   timer check;
@@ -123,7 +125,7 @@
   const uint16_t firstPort = StartGateway("first").mSettings.mPeers.mPort;
   ASSERT_TRUE(WaitForOwners());
   StartGateway("second", "127.0.0.2", firstPort);
-  RunFor(kRememberingAge);
+  RunFor(mRememberingAge);
   ASSERT_TRUE(MoveKeysAfterCopy("keyed-1"));
   RunFor(500ms);
   StopGateway("first");
@@ -141,7 +143,7 @@
   const uint16_t firstPort = StartGateway("first").mSettings.mPeers.mPort;
   ASSERT_TRUE(WaitForOwners());
   StartGateway("second", "127.0.0.2", firstPort);
-  RunFor(kRememberingAge);
+  RunFor(mRememberingAge);
   const std::string late = mKv.Get(kRecordItem);
   ASSERT_TRUE(MoveKeysAfterCopy("keyed-1"));
   RestoreStore(200ms, [&] {
