--- a/UnitTests/Gateway/RestoredStoreTest.cpp
+++ b/UnitTests/Gateway/RestoredStoreTest.cpp
@@ -13,9 +13,9 @@
 {
 protected:
   /// Age at which a router remembers every grant that may still be held.
-  const duration mRememberingAge =
-    range_settings().mMaxConfirmationAgeToRenew +
-    range_settings().MaxFormerGrantLifetime() + 500ms;
+  const duration mRememberingAge = range_settings().mMaxConfirmationAgeToRenew +
+                                   range_settings().MaxFormerGrantLifetime() +
+                                   500ms;
   static constexpr size_t kKeys = kLastKey / kKeyStep + 1;
 
   /// `aBeforeReturn`: called when the store has the copy's content and serves
