Say not run when no connection to a target was made

Cause: a request with an open attempt counted as sent, also while the attempt's connection was not accepted yet.

Change: an attempt counts only if anything of it may have been sent; the others are cancelled with the request. gateway_test.RequestThatWaitsForAConnectionHasNotRun got 504 before by reading of the code; it was written with the change.

--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -326,8 +326,15 @@
     Deliver(aRequest, std::move(*aRequest.mFailedResponse), aNow);
     return;
   }
+  // Attempts whose connections are not accepted yet are cancelled with the
+  // request, before anything is sent.
   const bool mayHaveRun =
-    aRequest.mMayHaveRun || !aRequest.mOpenAttempts.empty();
+    aRequest.mMayHaveRun ||
+    std::any_of(aRequest.mOpenAttempts.begin(),
+                aRequest.mOpenAttempts.end(),
+                [this](const auto& aAttempt) {
+                  return mConnections.HasSent(aAttempt.first);
+                });
   if (!mayHaveRun) {
     Refuse(aRequest, refusal_kind::kNotRun, aReason, aNow);
     return;
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -134,6 +134,11 @@
   }
 }
 
+bool target_connections::HasSent(call_id aCall) const
+{
+  return mCalls.at(aCall).mConnection->HasSent();
+}
+
 size_t target_connections::CancelAll()
 {
   const size_t cancelled = mCalls.size();
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -59,6 +59,8 @@
   /// Cancels a call without calling its callback and closes its connection.
   /// Most targets drop a request when its connection closes.
   void Cancel(call_id aCall);
+  /// Whether anything of a call's request may have been sent.
+  [[nodiscard]] bool HasSent(call_id aCall) const;
   /// Whether the next call to the target reuses a connection.
   [[nodiscard]] bool HasOpenConnection(const discovered_target& aTarget,
                                        time_point aNow) const;
--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -333,6 +333,11 @@
   return static_cast<bool>(mState->mCallback);
 }
 
+bool http_connection::HasSent() const
+{
+  return mState->mSent;
+}
+
 bool http_connection::IsOpen() const
 {
   return mState->mStream != nullptr && !IsBusy() &&
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -111,6 +111,9 @@
 
   [[nodiscard]] bool IsBusy() const;
 
+  /// Tells if anything of the open call's request may have been sent.
+  [[nodiscard]] bool HasSent() const;
+
   /// True while an earlier call's connection can carry another call.
   [[nodiscard]] bool IsOpen() const;
 
--- a/UnitTests/Gateway/GatewayTest.cpp
+++ b/UnitTests/Gateway/GatewayTest.cpp
@@ -1,4 +1,5 @@
 #include "GatewayFixture.h"
+#include "UnitTests/Support/FullListener.h"
 
 namespace parsleystair {
 
@@ -110,6 +111,24 @@
   EXPECT_GE(MonotonicNow() - start, 200ms);
 }
 
+// Guards against a caller that is told that its request may have run, and so
+// doesn't repeat it, though no connection to a target was made.
+TEST_F(gateway_test, RequestThatWaitsForAConnectionHasNotRun)
+{
+  const full_listener full;
+  for (const std::string name : { "plain-1", "plain-2" }) {
+    mTargets.at(name)->SetPublicPort(full.Port());
+    mKv.Put(TargetKey(name), mTargets.at(name)->Entry("plain", "ready"));
+  }
+  // Shorter than the time after which a connection is given up.
+  PutConfiguration(2, 200ms);
+  const gateway_instance& gateway = StartGateway("a");
+  const http_result result = Call(gateway, Request("GET", "/read/x", "r-1"));
+  EXPECT_EQ(result.mResponse.mStatus, 503u);
+  EXPECT_TRUE(FindHeader(result.mResponse.mHeaders, "Retry-After"));
+  EXPECT_EQ(RunCount("r-1"), 0u);
+}
+
 // Guards against targets that continue to process a read after its caller has
 // closed the connection.
 TEST_F(gateway_test, CancelsReadWhenTheCallerDisconnects)
