--- a/UnitTests/Gateway/RelayTest.cpp
+++ b/UnitTests/Gateway/RelayTest.cpp
@@ -257,6 +257,40 @@
   EXPECT_NE(dump.find("\"plain-2\""), std::string::npos);
 }
 
+// Guards against a store that all routers call again and again while it is
+// away, and against routers that take their relay for lost with the store.
+TEST_F(relay_test, StoreThatIsAwayGetsFewCalls)
+{
+  const std::string relay = RelayName();
+  ASSERT_FALSE(relay.empty());
+  RunFor(4s);
+  constexpr uint64_t kSeconds = 6;
+  constexpr uint64_t kPrefixes = 3;
+  uint32_t version = 1;
+  for (const bool refuses : { true, false }) {
+    SCOPED_TRACE(refuses);
+    const auto setAway = [&](bool aAway) {
+      refuses ? mKv.SetUnavailable(aAway) : mKv.SetUnresponsive(aAway);
+    };
+    setAway(true);
+    RunFor(3s);
+    const uint64_t before = mKv.Calls();
+    RunFor(duration(1s) * kSeconds);
+    // One call of each router and prefix in two seconds, and the relay's.
+    const uint64_t relayCalls = kPrefixes * kSeconds * 4;
+    EXPECT_LT(mKv.Calls() - before,
+              kPrefixes * kGateways * kSeconds / 2 + relayCalls);
+    EXPECT_EQ(RelayName(), relay);
+    setAway(false);
+    PutConfiguration(++version);
+    const time_point start = MonotonicNow();
+    const std::string text =
+      "\"configurationVersion\": " + std::to_string(version) + ",";
+    EXPECT_TRUE(RunUntil([&] { return CountGatewaysWith(text) == kGateways; }));
+    EXPECT_LT(MonotonicNow() - start, 5s);
+  }
+}
+
 // Guards against routers that miss changes after their relay has stopped.
 TEST_F(relay_test, ChangesArriveInTimeAfterTheRelayStops)
 {
