Encode the leader's response to reports once

The leader answers 590 reports a second on the large deployment; while limits for keys or the list of routers change, each response was encoded and compressed on its own. It is now encoded when its content changes. Found by reading; its cost was not measured alone.

--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -150,6 +150,9 @@
   time_point mNextRoutersWrite = time_point::min();
   /// Digest of the list in the store; 0 if it is unknown.
   uint64_t mStoredRoutersDigest = 0;
+  /// The last response to a report, and its encoding.
+  report_response mReportContent;
+  std::string mReportBody;
   /// Digest of the limits for keys in use.
   uint64_t mLimitsDigest = 0;
   bool mFollowersStarted = false;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -491,7 +491,12 @@
         content.mLimits = mForwarder.Admission().Limits();
       }
     }
-    response.mBody = EncodeReportResponse(content);
+    // Most routers get the same.
+    if (content != mReportContent) {
+      mReportContent = content;
+      mReportBody = EncodeReportResponse(content);
+    }
+    response.mBody = mReportBody;
     mPeerServer.Respond(aExchange, response);
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "report_unreadable")
