Take the pause before a store that is away out again

The configuration's watch was back at 13.36 s, that of the targets only at 15.91 s, because of the pause of 2 s after a refused watch. Targets that are missing from the first read are kept for 2.2 s, so the target was used at 17.49 s, when the router counted as calm again.

--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -4,7 +4,6 @@
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Log.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -23,15 +22,6 @@
 /// If the relay doesn't respond, a change is found this much later, which must
 /// stay below the seconds within which a change must take effect.
 constexpr duration kRelayResponseTimeout = 1500ms;
-/// Times for which a relay keeps a watch and a read without a reply of the
-/// store: less than the timeouts, so that the relay isn't taken for lost with
-/// the store.
-constexpr duration kRelayPatience = 1200ms;
-constexpr duration kRelayReadPatience = 2500ms;
-constexpr duration kExpiryInterval = 100ms;
-/// Pause between watches at the store that fail like those of the relay. Failed
-/// calls are billed, and all routers behind the relay make them.
-constexpr duration kDirectWatchPause = 2s;
 /// Timeout until the relay begins to send what it has read. A relay that has
 /// started together with this router reads the store first.
 constexpr duration kRelayReadTimeout = 3s;
@@ -83,7 +73,10 @@
   if (link.mConnection->IsBusy()) {
     // The follower abandoned an earlier watch of this prefix, which still
     // occupies the connection.
-    WatchStoreInstead(aPrefix, aAfter, std::move(aCallback));
+    WatchStore(aPrefix,
+               aAfter,
+               std::min(aWait, kFallbackWatchWait),
+               std::move(aCallback));
     return;
   }
   WatchRelay(link, aPrefix, aAfter, std::move(aCallback));
@@ -126,45 +119,10 @@
         callback(*reply);
         return;
       }
-      WatchStoreInstead(aPrefix, aAfter, callback);
+      WatchStore(aPrefix, aAfter, kFallbackWatchWait, callback);
     });
 }
 
-void relayed_store::WatchStoreInstead(const std::string& aPrefix,
-                                      store_revision aAfter,
-                                      watch_callback aCallback)
-{
-  const auto next = mNextDirectWatch.find(aPrefix);
-  if (next != mNextDirectWatch.end() && MonotonicNow() < next->second) {
-    Post([callback = std::move(aCallback)] {
-      callback({ call_outcome::kRefused, {}, {} });
-    });
-    return;
-  }
-  WatchStore(aPrefix,
-             aAfter,
-             kFallbackWatchWait,
-             [this, aPrefix, callback = std::move(aCallback)](
-               const watch_reply& aReply) {
-               const bool hasReplied = aReply.mOutcome == call_outcome::kDone ||
-                                       aReply.mOutcome == call_outcome::kGone;
-               mNextDirectWatch[aPrefix] =
-                 hasReplied ? time_point::min()
-                            : MonotonicNow() + kDirectWatchPause;
-               callback(aReply);
-             });
-}
-
-void relayed_store::Post(std::function<void()> aAction)
-{
-  mPosted.push_back(std::move(aAction));
-  mPostTimer.StartOnce(mLoop, duration::zero(), [this] {
-    for (const auto& action : std::exchange(mPosted, {})) {
-      action();
-    }
-  });
-}
-
 template<typename Reply>
 std::optional<Reply> relayed_store::ReadRelayResponse(
   const http_result& aResult,
@@ -222,10 +180,15 @@
   if (found->second.mWait > kRelayWatchWait) {
     // A reply without changes, after which the follower watches again. The next
     // watch also gets the changes that this one would get.
-    Post([watch = std::move(found->second)] {
+    mPosted.push_back([watch = std::move(found->second)] {
       watch.mCallback({ call_outcome::kDone, {}, watch.mAfter });
     });
     mStoreWatches.erase(found);
+    mPostTimer.StartOnce(mLoop, duration::zero(), [this] {
+      for (const auto& action : std::exchange(mPosted, {})) {
+        action();
+      }
+    });
   }
   return true;
 }
@@ -274,16 +237,15 @@
 {
   try {
     const nlohmann::json json = nlohmann::json::parse(aRequest.mBody);
-    const time_point now = MonotonicNow();
     const pending_watch watch{ json.at("prefix").get<std::string>(),
-                               store_revision(json.at("after").get<uint64_t>()),
-                               now + kRelayPatience };
+                               store_revision(
+                                 json.at("after").get<uint64_t>()) };
     const watch_history& history = mHistories[watch.mPrefix];
+    const time_point now = MonotonicNow();
     if (!history.Covers(watch.mAfter, now)) {
       // A router that has just become the relay still waits like others.
       if (mRelays.IsRelay(now) && ShortenStoreWatch(watch.mPrefix)) {
         mPendingWatches[aExchange] = watch;
-        StartToExpire();
       } else {
         mPeerServer.Respond(aExchange, { kServiceUnavailable, {}, "" });
       }
@@ -292,7 +254,6 @@
     const watch_reply reply = history.ChangesAfter(watch.mAfter);
     if (reply.mChanges.empty()) {
       mPendingWatches[aExchange] = watch;
-      StartToExpire();
       return;
     }
     mPeerServer.Respond(aExchange, { kOk, {}, EncodeWatchReply(reply) });
@@ -304,31 +265,6 @@
   }
 }
 
-void relayed_store::ExpirePending()
-{
-  const time_point now = MonotonicNow();
-  const auto expire = [&](const auto& aPending) {
-    const bool isExpired = now >= aPending.second.mExpiresAt;
-    if (isExpired) {
-      mPeerServer.Respond(aPending.first, { kServiceUnavailable, {}, "" });
-    }
-    return isExpired;
-  };
-  std::erase_if(mPendingWatches, expire);
-  std::erase_if(mPendingReads, expire);
-  mExpires = !mPendingWatches.empty() || !mPendingReads.empty();
-  if (mExpires) {
-    mExpiryTimer.StartOnce(mLoop, kExpiryInterval, [this] { ExpirePending(); });
-  }
-}
-
-void relayed_store::StartToExpire()
-{
-  if (!std::exchange(mExpires, true)) {
-    mExpiryTimer.StartOnce(mLoop, kExpiryInterval, [this] { ExpirePending(); });
-  }
-}
-
 void relayed_store::HandleReadRequest(exchange_id aExchange,
                                       const http_request& aRequest)
 {
@@ -340,8 +276,7 @@
   const bool isExpected =
     mRelays.IsRelay(MonotonicNow()) && (!isRead || ShortenStoreWatch(prefix));
   if (isExpected) {
-    mPendingReads[aExchange] = { prefix, MonotonicNow() + kRelayReadPatience };
-    StartToExpire();
+    mPendingReads[aExchange] = prefix;
   } else {
     mPeerServer.Respond(aExchange, { kServiceUnavailable, {}, "" });
   }
@@ -364,15 +299,15 @@
                                           bool aFailed)
 {
   std::erase_if(mPendingReads, [&](const auto& aPending) {
-    const auto& [exchange, read] = aPending;
-    if (read.mPrefix != aPrefix) {
+    const auto& [exchange, prefix] = aPending;
+    if (prefix != aPrefix) {
       return false;
     }
     if (aFailed) {
       mPeerServer.Respond(exchange, { kServiceUnavailable, {}, "" });
       return true;
     }
-    return SendSnapshot(exchange, read.mPrefix);
+    return SendSnapshot(exchange, prefix);
   });
 }
 
--- a/Parsleystair/Gateway/RelayedStore.h
+++ b/Parsleystair/Gateway/RelayedStore.h
@@ -79,15 +79,6 @@
   {
     std::string mPrefix;
     store_revision mAfter;
-    /// Time at which the watch ends if the store hasn't replied to this router.
-    time_point mExpiresAt;
-  };
-
-  struct pending_read
-  {
-    std::string mPrefix;
-    /// Time at which the read ends if this router hasn't read the prefix.
-    time_point mExpiresAt;
   };
 
   void ReadStore(const std::string& aPrefix, read_callback aCallback);
@@ -117,17 +108,6 @@
                         store_revision aAfter,
                         const watch_reply& aReply);
   void RespondToPendingWatches(const std::string& aPrefix);
-  /// Ends the pending watches and reads that have expired, until there are
-  /// none.
-  void ExpirePending();
-  void StartToExpire();
-  /// Watches the store because the relay doesn't reply for it. While the store
-  /// doesn't reply to this router either, most watches end at once.
-  void WatchStoreInstead(const std::string& aPrefix,
-                         store_revision aAfter,
-                         watch_callback aCallback);
-  /// Runs an action after the present call has returned.
-  void Post(std::function<void()> aAction);
   /// Responds to a read if the snapshot of the prefix is current.
   bool SendSnapshot(exchange_id aExchange, const std::string& aPrefix);
   /// `aFailed`: this router couldn't read the prefix either.
@@ -142,18 +122,13 @@
   uint64_t mNextWatch = 1;
   /// The last watch of each prefix at the store, while it waits.
   std::map<std::string, store_watch> mStoreWatches;
-  /// Time from which a prefix is watched at the store again after a failure
-  /// there, while the relay doesn't reply for the store.
-  std::map<std::string, time_point> mNextDirectWatch;
-  timer mExpiryTimer;
-  bool mExpires = false;
   std::vector<std::function<void()>> mPosted;
   timer mPostTimer;
   std::map<std::string, watch_history> mHistories;
   std::map<std::string, prefix_snapshot> mSnapshots;
   std::map<exchange_id, pending_watch> mPendingWatches;
-  /// Reads that wait for this router's own read.
-  std::map<exchange_id, pending_read> mPendingReads;
+  /// Prefixes of the reads that wait for this router's own read.
+  std::map<exchange_id, std::string> mPendingReads;
 };
 
 } // namespace parsleystair
