Send the large grant only to a target that doesn't read

range_driver_test.GrantThatTheNetworkHoldsDelaysTheMove failed under the sanitizers: parsing the first grant of 16 MiB took longer than the grant's timeout, so that none was accepted. The first grant is now small, and one of 4 MiB follows when the target has stopped reading; the checks are the same.

--- a/UnitTests/Gateway/OrderTarget.h
+++ b/UnitTests/Gateway/OrderTarget.h
@@ -151,7 +151,7 @@
     void HandleEnd(stream_end) override { mTarget.mConnections.erase(mId); }
     void HandleTimeout() override {}
 
-    static constexpr uint32_t kMaxBytes = 32 * 1024 * 1024;
+    static constexpr uint32_t kMaxBytes = 16 * 1024;
 
     order_target& mTarget;
     size_t mId;
--- a/UnitTests/Gateway/RangeDriverTest.cpp
+++ b/UnitTests/Gateway/RangeDriverTest.cpp
@@ -557,9 +557,6 @@
 // not received when its call ends may arrive later.
 TEST_F(range_driver_test, GrantThatTheNetworkHoldsDelaysTheMove)
 {
-  // More than the buffers of a connection hold.
-  constexpr size_t kHandoverBytes = 16 * 1024 * 1024;
-  mHandover = std::string(kHandoverBytes, 'h');
   range_settings settings;
   settings.mGrantDuration = 300ms;
   settings.mMaxNetworkDelay = 1500ms;
@@ -572,6 +569,10 @@
   ASSERT_TRUE(RunUntil([&] { return !mTarget.Orders().empty(); }));
   RunFor(50ms);
   mTarget.StopReading();
+  // More than the target's system receives for a process that doesn't read.
+  constexpr size_t kHandoverBytes = 4 * 1024 * 1024;
+  mHandover = std::string(kHandoverBytes, 'h');
+  GiveRecord(1);
   ASSERT_TRUE(RunUntil([&] { return mDriver->Counters().mGrantsFailed > 0; }));
   const time_point lastGrant = MonotonicNow();
   UpdateTargets(true);
