Test that changes arrive in time after the store was silent

The test runs seven routers of one failure domain on a store that gets no answer out for 0.7 to 6 s and forgets the watches that wait, as the platform's store does; the stand-in kept them until now.

--- a/StandIns/standin_users_platform/KvServer.cpp
+++ b/StandIns/standin_users_platform/KvServer.cpp
@@ -152,6 +152,12 @@
   mWatches.clear();
 }
 
+void kv_server::SetUnresponsive(bool aSilent)
+{
+  mUnresponsive = aSilent;
+  mWatches.clear();
+}
+
 void kv_server::DropHistory()
 {
   mFirstRevision = mCore.Head();
--- a/StandIns/standin_users_platform/KvServer.h
+++ b/StandIns/standin_users_platform/KvServer.h
@@ -33,8 +33,9 @@
 
   /// From now on calls get 503, or are answered again.
   void SetUnavailable(bool aDown);
-  /// Calls get no answer at all.
-  void SetUnresponsive(bool aSilent) { mUnresponsive = aSilent; }
+  /// Calls get no answer at all, nor do the watches that wait now: the store
+  /// forgets them and keeps their connections.
+  void SetUnresponsive(bool aSilent);
   /// The answers of the next writes are lost though the writes are done.
   void LoseWriteAnswers(uint32_t aCount) { mLoseAnswers = aCount; }
   /// Forgets all changes up to now.
--- a/UnitTests/Gateway/RelayTest.cpp
+++ b/UnitTests/Gateway/RelayTest.cpp
@@ -291,6 +291,60 @@
   }
 }
 
+// Guards against routers that go on with an old configuration although the
+// store, which was silent, and their relay have the new one.
+TEST_F(relay_test, ChangesArriveInTimeAfterTheStoreWasSilent)
+{
+  ASSERT_FALSE(RelayName().empty());
+  RunFor(4s);
+  // The smallest time within which the users' platform asks for a change.
+  constexpr duration kMaxDelay = 2s;
+  uint32_t version = 1;
+  for (const duration silence : { 700ms, 1000ms, 1700ms, 3100ms, 6000ms }) {
+    SCOPED_TRACE(ToSeconds(silence));
+    mKv.SetUnresponsive(true);
+    RunFor(silence);
+    mKv.SetUnresponsive(false);
+    PutConfiguration(++version);
+    const time_point start = MonotonicNow();
+    const std::string text =
+      "\"configurationVersion\": " + std::to_string(version) + ",";
+    EXPECT_TRUE(RunUntil([&] { return CountGatewaysWith(text) == kGateways; }));
+    EXPECT_LT(MonotonicNow() - start, kMaxDelay);
+    RunFor(1200ms);
+  }
+}
+
+// Guards against routers that miss changes because the store turns away their
+// relay alone.
+TEST_F(relay_test, ChangesArriveInTimeWhileTheStoreTurnsTheRelayAway)
+{
+  const std::string relay = RelayName();
+  ASSERT_FALSE(relay.empty());
+  constexpr duration kMaxDelay = 2s;
+  uint32_t version = 1;
+  for (const store_fault fault :
+       { store_fault::kRefused, store_fault::kReplyLost }) {
+    SCOPED_TRACE(static_cast<int>(fault));
+    mGateways.at(relay).mStore->SetFaults(
+      [fault](store_call, const std::string&) { return fault; });
+    for (const duration pause : { 100ms, 700ms, 900ms }) {
+      RunFor(pause);
+      PutConfiguration(++version);
+      const time_point start = MonotonicNow();
+      const std::string text =
+        "\"configurationVersion\": " + std::to_string(version) + ",";
+      EXPECT_TRUE(
+        RunUntil([&] { return CountGatewaysWith(text) >= kGateways - 1; }));
+      EXPECT_LT(MonotonicNow() - start, kMaxDelay);
+    }
+    mGateways.at(relay).mStore->SetFaults(
+      [](store_call, const std::string&) { return store_fault::kNone; });
+    mGateways.at(relay).mStore->ReleaseAll();
+    RunFor(6s);
+  }
+}
+
 // Guards against routers that miss changes after their relay has stopped.
 TEST_F(relay_test, ChangesArriveInTimeAfterTheRelayStops)
 {
