Ask relays on while the store is away, and repeat watches that it lost

Cause: a relay that had no recent reply of the store refused, or was taken for lost after 1.5 s. Its routers then watched the store themselves with a wait of 3 s, which a silent store forgets, and asked nobody for 4 s more, though their relay had the change within 0.3 s of the store's return. Timeout of the relay, wait and timeout of the fallback, retry and next relay added up.

Change: a relay responds to each watch within 1.2 s, with changes, with none or that it has no reply of the store; so it is lost only if its process doesn't respond. Without a reply of the store a router asks its relay on, and the store besides, with a wait of 0.3 s and 2 s apart after failures; the first reply counts. A relay that stays without replies for 1.2 s while the store replies to this router is passed over. A watch at the store that gets no reply within 0.5 s of the end of its wait is repeated beside it, and each second from then on. Replies tell the time at which the store confirmed them.

--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -13,6 +13,17 @@
 /// Wait of the first watch after a failure. It is short to show soon whether
 /// the store still replies to watches on this network path.
 constexpr duration kWatchWaitAfterFailure = 300ms;
+/// Time after the end of its wait by which a watch gets its reply, also from a
+/// slow store over a link that loses a packet.
+constexpr duration kMaxReplyDelay = 500ms;
+/// Interval of watches while none gets a reply. A store that was silent has
+/// forgotten them, so this is the time until its return is found.
+constexpr duration kProbeInterval = 1s;
+/// Time since the last call after which a reply is not due soon. Watches at a
+/// relay are shorter.
+constexpr duration kMinCallAgeToConfirm = 1600ms;
+/// Wait of a watch that only confirms the present state.
+constexpr duration kConfirmationWait = 1ms;
 /// Delays of the next watch after changes, for single changes and during a
 /// burst, so that changes in quick succession cost one call. Both are small
 /// parts of the seconds within which a change must take effect.
@@ -73,6 +84,7 @@
 void prefix_follower::Read()
 {
   const uint64_t generation = ++mGeneration;
+  mLastCallAt = MonotonicNow();
   mStore.ReadPrefix(mPrefix, [this, generation](const prefix_reply& aReply) {
     if (generation == mGeneration) {
       HandleRead(aReply);
@@ -82,15 +94,52 @@
 
 void prefix_follower::Watch()
 {
-  const uint64_t generation = ++mGeneration;
-  mStore.Watch(mPrefix,
-               mRevision,
-               mFailures > 0 ? kWatchWaitAfterFailure : mMaxWatchWait,
-               [this, generation](const watch_reply& aReply) {
-                 if (generation == mGeneration) {
-                   HandleWatch(aReply);
-                 }
-               });
+  SendWatch(mFailures > 0 ? kWatchWaitAfterFailure : mMaxWatchWait);
+}
+
+void prefix_follower::SendWatch(duration aWait)
+{
+  const uint64_t number = ++mLatestWatch;
+  mLastCallAt = MonotonicNow();
+  mTimer.StartOnce(mLoop,
+                   std::max(aWait + kMaxReplyDelay, kProbeInterval),
+                   [this] { HandleOverdueWatch(); });
+  mStore.Watch(
+    mPrefix,
+    mRevision,
+    aWait,
+    [this, generation = mGeneration, number](const watch_reply& aReply) {
+      if (generation != mGeneration) {
+        return;
+      }
+      const bool isLatest = number == mLatestWatch;
+      if (aReply.mOutcome == call_outcome::kDone ||
+          aReply.mOutcome == call_outcome::kGone) {
+        HandleWatch(aReply, isLatest);
+      } else {
+        HandleWatchFailure(aReply.mOutcome, isLatest);
+      }
+    });
+}
+
+void prefix_follower::HandleOverdueWatch()
+{
+  if (!std::exchange(mIsOverdue, true)) {
+    log_line(log_severity::kInfo, "watch_overdue")
+      .Add("prefix", mPrefix)
+      .Add("revision", mRevision.Value())
+      .Add("sent_us_ago", int64_t{ (MonotonicNow() - mLastCallAt).count() });
+  }
+  SendWatch(kWatchWaitAfterFailure);
+}
+
+void prefix_follower::Confirm(time_point aNow)
+{
+  const bool isIdle =
+    mHasRead && mFailures == 0 && aNow - mLastCallAt >= kMinCallAgeToConfirm;
+  if (isIdle) {
+    SendWatch(kConfirmationWait);
+  }
 }
 
 void prefix_follower::CheckAfterGap(time_point aGapAt)
@@ -131,34 +180,32 @@
     ScheduleRetry(call_outcome::kRefused, true);
     return;
   }
-  RecordReply();
+  RecordReply(aReply.mConfirmedAt);
   mRevision = aReply.mRevision;
   mHasRead = true;
   mListener.HandleItems(aReply.mItems);
   Watch();
 }
 
-void prefix_follower::HandleWatch(const watch_reply& aReply)
+void prefix_follower::HandleWatch(const watch_reply& aReply, bool aIsLatest)
 {
+  // The watch that was repeated may be lost, and those of other prefixes too.
+  mHadUnansweredCall |= mIsOverdue && aIsLatest;
   if (aReply.mOutcome == call_outcome::kGone) {
     log_line(log_severity::kInfo, "history_gone")
       .Add("prefix", mPrefix)
       .Add("revision", mRevision.Value());
-    RecordReply();
+    RecordReply(time_point::min());
     mListener.HandleGap();
     Read();
     return;
   }
-  if (aReply.mOutcome != call_outcome::kDone) {
-    ScheduleRetry(aReply.mOutcome, false);
-    return;
-  }
   if (EraOf(aReply.mRevision) != EraOf(mRevision)) {
     // The changes up to the restore are missing from the reply.
     ScheduleRetry(call_outcome::kRefused, true);
     return;
   }
-  RecordReply();
+  RecordReply(aReply.mConfirmedAt);
   mRevision = std::max(mRevision, aReply.mRevision);
   for (const item_change& change : aReply.mChanges) {
     mListener.HandleChange(change);
@@ -175,9 +222,22 @@
     mLoop, inBurst ? kBurstBatchDelay : kBatchDelay, [this] { Watch(); });
 }
 
-void prefix_follower::RecordReply()
+void prefix_follower::HandleWatchFailure(call_outcome aOutcome, bool aIsLatest)
+{
+  if (aIsLatest) {
+    ScheduleRetry(aOutcome, false);
+  } else {
+    CountFailure(aOutcome);
+  }
+}
+
+void prefix_follower::RecordReply(time_point aConfirmedAt)
 {
+  ++mGeneration;
+  mTimer.Cancel();
   mLastReplyAt = MonotonicNow();
+  mConfirmedAt = std::max(mConfirmedAt, aConfirmedAt);
+  mIsOverdue = false;
   if (mFailures >= kFailuresUntilLost) {
     log_line(log_severity::kInfo, "store_back").Add("prefix", mPrefix);
     mListener.HandleBack();
@@ -188,12 +248,8 @@
   }
 }
 
-void prefix_follower::ScheduleRetry(call_outcome aOutcome, bool aRetryRead)
+void prefix_follower::CountFailure(call_outcome aOutcome)
 {
-  constexpr uint32_t kMaxDoublings = 3;
-  const duration maxDelay =
-    std::min(kMaxRetryDelay,
-             kInitialRetryDelay * (1 << std::min(mFailures, kMaxDoublings)));
   ++mFailures;
   mHadUnansweredCall |= aOutcome == call_outcome::kUnknown;
   if (mFailures == kFailuresUntilLost) {
@@ -203,6 +259,15 @@
       .Add("revision", mRevision.Value());
     mListener.HandleLost();
   }
+}
+
+void prefix_follower::ScheduleRetry(call_outcome aOutcome, bool aRetryRead)
+{
+  constexpr uint32_t kMaxDoublings = 3;
+  const duration maxDelay =
+    std::min(kMaxRetryDelay,
+             kInitialRetryDelay * (1 << std::min(mFailures, kMaxDoublings)));
+  CountFailure(aOutcome);
   std::uniform_int_distribution<int64_t> delay(maxDelay.count() / 2,
                                                maxDelay.count());
   mTimer.StartOnce(mLoop, duration(delay(mRandom)), [this, aRetryRead] {
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -26,7 +26,8 @@
 };
 
 /// Keeps a listener up to date with all keys of one prefix through long-polling
-/// watches.
+/// watches. A watch without a reply at the end of its wait is repeated before
+/// it fails, so that a store that was silent is found again within a second.
 class prefix_follower
 {
 public:
@@ -51,16 +52,28 @@
   /// prefix again.
   void HandleEraChange();
 
+  /// Asks the store for a reply soon, unless one is due anyway.
+  void Confirm(time_point aNow);
+
+  /// The store had no change after those that the listener has got at this
+  /// time; `time_point::min()` before the first reply.
+  [[nodiscard]] time_point ConfirmedAt() const { return mConfirmedAt; }
+
   /// True after the first complete read.
   [[nodiscard]] bool HasRead() const { return mHasRead; }
 
 private:
   void Read();
   void Watch();
+  /// Sends a watch beside those that have no reply yet.
+  void SendWatch(duration aWait);
+  void HandleOverdueWatch();
   void HandleRead(const prefix_reply& aReply);
-  void HandleWatch(const watch_reply& aReply);
+  void HandleWatch(const watch_reply& aReply, bool aIsLatest);
+  void HandleWatchFailure(call_outcome aOutcome, bool aIsLatest);
   void ReadUnlessAnswered(time_point aGapAt);
-  void RecordReply();
+  void RecordReply(time_point aConfirmedAt);
+  void CountFailure(call_outcome aOutcome);
   void ScheduleRetry(call_outcome aOutcome, bool aRetryRead);
 
   event_loop& mLoop;
@@ -77,8 +90,15 @@
   time_point mLastReplyAt = time_point::min();
   /// Time of the last reply with changes.
   time_point mLastChangeAt = time_point::min();
-  /// Replies to calls of earlier generations are ignored.
+  time_point mConfirmedAt = time_point::min();
+  time_point mLastCallAt = time_point::min();
+  /// Grows with each read and each reply. Replies to calls of earlier
+  /// generations are ignored.
   uint64_t mGeneration = 0;
+  /// Number of the latest watch.
+  uint64_t mLatestWatch = 0;
+  /// A watch got no reply at the end of its wait and was repeated.
+  bool mIsOverdue = false;
   timer mTimer;
   timer mGapTimer;
 };
--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -18,9 +18,9 @@
 /// Longest wait of a relay's own watch at the store. Each reply of the store
 /// shows the routers that use the relay that they have missed no change.
 constexpr duration kRelayWatchWait = 1s;
-/// Timeout of a watch at the relay: the relay's own watch and the round trip.
-/// If the relay doesn't respond, a change is found this much later, which must
-/// stay below the seconds within which a change must take effect.
+/// Timeout of a watch at the relay: `kRelayHoldTime` and the round trip. If the
+/// relay doesn't respond, a change is found this much later, which must stay
+/// below the seconds within which a change must take effect.
 constexpr duration kRelayResponseTimeout = 1500ms;
 /// Timeout until the relay begins to send what it has read. A relay that has
 /// started together with this router reads the store first.
@@ -28,8 +28,24 @@
 /// Longest pause within a response of the relay: the link of a relay that sends
 /// a large configuration to many routers is busy for seconds.
 constexpr duration kRelaySilenceTimeout = 1s;
-/// Longest wait of a watch at the store while the relay can't serve it.
-constexpr duration kFallbackWatchWait = 3s;
+/// Longest time for which a relay keeps a watch before it responds that there
+/// is no change, or that the store doesn't reply. A relay that responds is not
+/// lost, whatever the store does.
+constexpr duration kRelayHoldTime = 1200ms;
+/// Delay of the next watch at a relay that has no recent reply of the store.
+constexpr duration kRelayRetryDelay = 300ms;
+/// Wait of a watch at the store while the relay has no recent reply.
+constexpr duration kWatchWaitBesideRelay = 300ms;
+/// Pause after such a watch has failed. The relay asks the store more often.
+constexpr duration kStoreWatchPause = 2s;
+
+std::string EncodeChanges(const watch_history& aHistory,
+                          store_revision aAfter,
+                          time_point aNow)
+{
+  return EncodeWatchReply(
+    { aHistory.ChangesAfter(aAfter), aNow - aHistory.ConfirmedAt() });
+}
 
 http_connection_settings RelayConnectionSettings()
 {
@@ -62,24 +78,16 @@
                           watch_callback aCallback)
 {
   const time_point now = MonotonicNow();
-  const auto relay = mRelays.Current(now);
-  if (!relay) {
+  if (!mRelays.Current(now)) {
     const duration wait =
       mRelays.IsRelay(now) ? std::min(aWait, kRelayWatchWait) : aWait;
     WatchStore(aPrefix, aAfter, wait, std::move(aCallback));
     return;
   }
-  relay_link& link = LinkTo(*relay, aPrefix);
-  if (link.mConnection->IsBusy()) {
-    // The follower abandoned an earlier watch of this prefix, which still
-    // occupies the connection.
-    WatchStore(aPrefix,
-               aAfter,
-               std::min(aWait, kFallbackWatchWait),
-               std::move(aCallback));
-    return;
-  }
-  WatchRelay(link, aPrefix, aAfter, std::move(aCallback));
+  relayed_watch& watch = mRelayedWatches[aPrefix];
+  watch.mAfter = aAfter;
+  watch.mCallback = std::move(aCallback);
+  WatchRelay(aPrefix);
 }
 
 relayed_store::relay_link& relayed_store::LinkTo(const std::string& aHost,
@@ -91,38 +99,150 @@
       .Add("host", aHost)
       .Add("prefix", aPrefix);
     link.mHost = aHost;
+    link.mIsWatching = false;
     link.mConnection = std::make_unique<http_connection>(
       mLoop, aHost, mPeerPort, RelayConnectionSettings());
   }
   return link;
 }
 
-void relayed_store::WatchRelay(relay_link& aLink,
-                               const std::string& aPrefix,
-                               store_revision aAfter,
-                               watch_callback aCallback)
+void relayed_store::WatchRelay(const std::string& aPrefix)
 {
+  relayed_watch& watch = mRelayedWatches[aPrefix];
+  watch.mRelayTimer.Cancel();
+  const time_point now = MonotonicNow();
+  const auto relay = mRelays.Current(now);
+  if (!relay) {
+    if (!IsAtStore(aPrefix)) {
+      FinishRelayedWatch(aPrefix, { call_outcome::kRefused, {}, {} });
+    }
+    return;
+  }
+  relay_link& link = LinkTo(*relay, aPrefix);
+  if (link.mConnection->IsBusy()) {
+    // The response to an earlier watch is one to this watch, too.
+    if (!link.mIsWatching) {
+      HandleRelayWithoutReply(aPrefix);
+    }
+    return;
+  }
   http_request request;
   request.mMethod = "POST";
   request.mPath = "/watch";
-  request.mBody =
-    nlohmann::json{ { "prefix", aPrefix }, { "after", aAfter.Value() } }.dump();
-  const std::string host = aLink.mHost;
-  aLink.mConnection->Call(
+  request.mBody = nlohmann::json{
+    { "prefix", aPrefix }, { "after", watch.mAfter.Value() }
+  }.dump();
+  link.mIsWatching = true;
+  link.mConnection->Call(
     request,
     kRelayResponseTimeout,
-    [this, host, aPrefix, aAfter, callback = std::move(aCallback)](
+    [this, host = *relay, aPrefix, after = watch.mAfter, sentAt = now](
       const http_result& aResult) {
-      if (const auto reply =
-            ReadRelayResponse(aResult, host, DecodeWatchReply)) {
-        mSnapshots[aPrefix].HandleReply(aAfter, *reply);
-        callback(*reply);
+      mLinks[aPrefix].mIsWatching = false;
+      const auto reply = ReadRelayResponse(aResult, host, DecodeWatchReply);
+      if (!reply) {
+        HandleUnansweredRelayWatch(aPrefix, host);
         return;
       }
-      WatchStore(aPrefix, aAfter, kFallbackWatchWait, callback);
+      watch_reply changes = reply->mReply;
+      changes.mConfirmedAt = sentAt - reply->mAge;
+      HandleRelayReply(aPrefix, after, changes);
     });
 }
 
+void relayed_store::HandleRelayReply(const std::string& aPrefix,
+                                     store_revision aAfter,
+                                     const watch_reply& aReply)
+{
+  relayed_watch& watch = mRelayedWatches[aPrefix];
+  watch.mStoreRepliedAt = time_point::max();
+  if (!watch.mCallback || EraOf(aAfter) != EraOf(watch.mAfter)) {
+    HandleRelayWithoutReply(aPrefix);
+    return;
+  }
+  watch_reply reply = aReply;
+  if (aAfter < watch.mAfter) {
+    // The follower has got a part of these changes from the store.
+    reply.mRevision = std::max(reply.mRevision, watch.mAfter);
+    std::erase_if(reply.mChanges, [&](const item_change& aChange) {
+      return aChange.mRevision <= watch.mAfter;
+    });
+  }
+  mSnapshots[aPrefix].HandleReply(watch.mAfter, reply);
+  mStoreWatches[aPrefix].mCallbacks.erase(watch.mStoreWatch);
+  FinishRelayedWatch(aPrefix, reply);
+}
+
+void relayed_store::HandleUnansweredRelayWatch(const std::string& aPrefix,
+                                               const std::string& aHost)
+{
+  relayed_watch& watch = mRelayedWatches[aPrefix];
+  const time_point now = MonotonicNow();
+  const bool isWithoutStore = watch.mStoreRepliedAt < now &&
+                              now - watch.mStoreRepliedAt >= kRelayHoldTime;
+  if (isWithoutStore) {
+    log_line(log_severity::kInfo, "relay_without_store").Add("host", aHost);
+    watch.mStoreRepliedAt = time_point::max();
+    mRelays.HandleFailure(aHost, now);
+  }
+  HandleRelayWithoutReply(aPrefix);
+}
+
+void relayed_store::HandleRelayWithoutReply(const std::string& aPrefix)
+{
+  relayed_watch& watch = mRelayedWatches[aPrefix];
+  if (!watch.mCallback) {
+    return;
+  }
+  WatchStoreBesideRelay(aPrefix);
+  if (!IsAtStore(aPrefix)) {
+    FinishRelayedWatch(aPrefix, { call_outcome::kRefused, {}, {} });
+    return;
+  }
+  watch.mRelayTimer.StartOnce(
+    mLoop, kRelayRetryDelay, [this, aPrefix] { WatchRelay(aPrefix); });
+}
+
+void relayed_store::WatchStoreBesideRelay(const std::string& aPrefix)
+{
+  relayed_watch& watch = mRelayedWatches[aPrefix];
+  if (IsAtStore(aPrefix) || MonotonicNow() < watch.mNextStoreWatch) {
+    return;
+  }
+  watch.mStoreWatch =
+    WatchStore(aPrefix,
+               watch.mAfter,
+               kWatchWaitBesideRelay,
+               [this, aPrefix](const watch_reply& aReply) {
+                 relayed_watch& own = mRelayedWatches[aPrefix];
+                 if (aReply.mOutcome == call_outcome::kDone) {
+                   own.mStoreRepliedAt =
+                     std::min(own.mStoreRepliedAt, MonotonicNow());
+                 } else if (aReply.mOutcome != call_outcome::kGone) {
+                   own.mNextStoreWatch = MonotonicNow() + kStoreWatchPause;
+                 }
+                 FinishRelayedWatch(aPrefix, aReply);
+               });
+}
+
+bool relayed_store::IsAtStore(const std::string& aPrefix) const
+{
+  const auto watch = mRelayedWatches.find(aPrefix);
+  const auto watches = mStoreWatches.find(aPrefix);
+  return watch != mRelayedWatches.end() && watches != mStoreWatches.end() &&
+         watches->second.mCallbacks.contains(watch->second.mStoreWatch);
+}
+
+void relayed_store::FinishRelayedWatch(const std::string& aPrefix,
+                                       const watch_reply& aReply)
+{
+  relayed_watch& watch = mRelayedWatches[aPrefix];
+  watch.mRelayTimer.Cancel();
+  if (const auto callback = std::exchange(watch.mCallback, nullptr)) {
+    callback(aReply);
+  }
+}
+
 template<typename Reply>
 std::optional<Reply> relayed_store::ReadRelayResponse(
   const http_result& aResult,
@@ -151,39 +271,59 @@
   return std::nullopt;
 }
 
-void relayed_store::WatchStore(const std::string& aPrefix,
-                               store_revision aAfter,
-                               duration aWait,
-                               watch_callback aCallback)
+uint64_t relayed_store::WatchStore(const std::string& aPrefix,
+                                   store_revision aAfter,
+                                   duration aWait,
+                                   watch_callback aCallback)
 {
-  const uint64_t id = mNextWatch++;
-  mStoreWatches[aPrefix] = { id, aAfter, aWait, std::move(aCallback) };
+  const uint64_t number = mNextWatch++;
+  store_watches& watches = mStoreWatches[aPrefix];
+  if (watches.mAfter != aAfter) {
+    watches.mCallbacks.clear();
+  }
+  watches.mAfter = aAfter;
+  watches.mWait = aWait;
+  watches.mCallbacks[number] = std::move(aCallback);
   mStore.Watch(
-    aPrefix, aAfter, aWait, [this, aPrefix, id](const watch_reply& aReply) {
-      const auto found = mStoreWatches.find(aPrefix);
-      if (found == mStoreWatches.end() || found->second.mId != id) {
-        return;
-      }
-      const store_watch watch = std::move(found->second);
-      mStoreWatches.erase(found);
-      HandleStoreReply(aPrefix, watch.mAfter, aReply);
-      watch.mCallback(aReply);
+    aPrefix, aAfter, aWait, [this, aPrefix, number](const watch_reply& aReply) {
+      HandleStoreWatchReply(aPrefix, number, aReply);
     });
+  return number;
+}
+
+void relayed_store::HandleStoreWatchReply(const std::string& aPrefix,
+                                          uint64_t aNumber,
+                                          const watch_reply& aReply)
+{
+  store_watches& watches = mStoreWatches[aPrefix];
+  const auto found = watches.mCallbacks.find(aNumber);
+  if (found == watches.mCallbacks.end()) {
+    return;
+  }
+  const watch_callback callback = std::move(found->second);
+  watches.mCallbacks.erase(found);
+  const bool isDone = aReply.mOutcome == call_outcome::kDone;
+  if (isDone || watches.mCallbacks.empty()) {
+    watches.mCallbacks.clear();
+    HandleStoreReply(aPrefix, watches.mAfter, aReply);
+  }
+  callback(aReply);
 }
 
 bool relayed_store::ShortenStoreWatch(const std::string& aPrefix)
 {
-  const auto found = mStoreWatches.find(aPrefix);
-  if (found == mStoreWatches.end()) {
+  store_watches& watches = mStoreWatches[aPrefix];
+  if (watches.mCallbacks.empty()) {
     return false;
   }
-  if (found->second.mWait > kRelayWatchWait) {
+  if (watches.mWait > kRelayWatchWait) {
     // A reply without changes, after which the follower watches again. The next
     // watch also gets the changes that this one would get.
-    mPosted.push_back([watch = std::move(found->second)] {
-      watch.mCallback({ call_outcome::kDone, {}, watch.mAfter });
-    });
-    mStoreWatches.erase(found);
+    mPosted.push_back(
+      [after = watches.mAfter, callback = watches.mCallbacks.rbegin()->second] {
+        callback({ call_outcome::kDone, {}, after });
+      });
+    watches.mCallbacks.clear();
     mPostTimer.StartOnce(mLoop, duration::zero(), [this] {
       for (const auto& action : std::exchange(mPosted, {})) {
         action();
@@ -222,7 +362,7 @@
     if (history.Covers(watch.mAfter, now)) {
       std::string& body = encoded[watch.mAfter];
       if (body.empty()) {
-        body = EncodeWatchReply(history.ChangesAfter(watch.mAfter));
+        body = EncodeChanges(history, watch.mAfter, now);
       }
       mPeerServer.Respond(exchange, { kOk, {}, body });
     } else {
@@ -232,31 +372,76 @@
   });
 }
 
+void relayed_store::RespondToOverdueWatches()
+{
+  const time_point now = MonotonicNow();
+  std::erase_if(mPendingWatches, [&](const auto& aPending) {
+    const auto& [exchange, watch] = aPending;
+    const bool isOverdue = watch.mRespondBy <= now;
+    if (isOverdue) {
+      RespondToWatch(exchange, watch);
+    }
+    return isOverdue;
+  });
+  SchedulePendingTimer();
+}
+
+void relayed_store::SchedulePendingTimer()
+{
+  if (mPendingWatches.empty()) {
+    return;
+  }
+  const auto first = std::min_element(
+    mPendingWatches.begin(),
+    mPendingWatches.end(),
+    [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.mRespondBy < aRight.second.mRespondBy;
+    });
+  mPendingTimer.StartOnce(
+    mLoop,
+    std::max(first->second.mRespondBy - MonotonicNow(), duration::zero()),
+    [this] { RespondToOverdueWatches(); });
+}
+
+void relayed_store::RespondToWatch(exchange_id aExchange,
+                                   const pending_watch& aWatch)
+{
+  const watch_history& history = mHistories[aWatch.mPrefix];
+  const time_point now = MonotonicNow();
+  if (history.Covers(aWatch.mAfter, now)) {
+    mPeerServer.Respond(
+      aExchange, { kOk, {}, EncodeChanges(history, aWatch.mAfter, now) });
+  } else {
+    mPeerServer.Respond(aExchange, { kServiceUnavailable, {}, "" });
+  }
+}
+
 void relayed_store::HandleWatchRequest(exchange_id aExchange,
                                        const http_request& aRequest)
 {
   try {
     const nlohmann::json json = nlohmann::json::parse(aRequest.mBody);
+    const time_point now = MonotonicNow();
     const pending_watch watch{ json.at("prefix").get<std::string>(),
-                               store_revision(
-                                 json.at("after").get<uint64_t>()) };
+                               store_revision(json.at("after").get<uint64_t>()),
+                               now + kRelayHoldTime };
     const watch_history& history = mHistories[watch.mPrefix];
-    const time_point now = MonotonicNow();
-    if (!history.Covers(watch.mAfter, now)) {
-      // A router that has just become the relay still waits like others.
-      if (mRelays.IsRelay(now) && ShortenStoreWatch(watch.mPrefix)) {
-        mPendingWatches[aExchange] = watch;
-      } else {
-        mPeerServer.Respond(aExchange, { kServiceUnavailable, {}, "" });
-      }
+    const bool isCovered = history.Covers(watch.mAfter, now);
+    // A router that has just become the relay still waits like others. One that
+    // gets no reply of the store responds as soon as it has one.
+    const bool isExpected =
+      isCovered
+        ? history.ChangesAfter(watch.mAfter).mChanges.empty()
+        : mRelays.IsRelay(now) && mSnapshots[watch.mPrefix].IsComplete();
+    if (!isExpected) {
+      RespondToWatch(aExchange, watch);
       return;
     }
-    const watch_reply reply = history.ChangesAfter(watch.mAfter);
-    if (reply.mChanges.empty()) {
-      mPendingWatches[aExchange] = watch;
-      return;
+    if (!isCovered) {
+      ShortenStoreWatch(watch.mPrefix);
     }
-    mPeerServer.Respond(aExchange, { kOk, {}, EncodeWatchReply(reply) });
+    mPendingWatches[aExchange] = watch;
+    SchedulePendingTimer();
   } catch (const nlohmann::json::exception& exception) {
     log_line(log_severity::kWarning, "question_unreadable")
       .Add("peer", aRequest.mRemoteHost)
@@ -345,14 +530,19 @@
   aLink.mConnection->Call(
     request,
     kRelayReadTimeout,
-    [this, host, aPrefix, callback = std::move(aCallback)](
-      const http_result& aResult) {
+    [this,
+     host,
+     aPrefix,
+     sentAt = MonotonicNow(),
+     callback = std::move(aCallback)](const http_result& aResult) {
       const auto reply = ReadRelayResponse(aResult, host, DecodePrefixReply);
       // A relay that hasn't learned of a restore of the store yet shows the
       // lost history.
       if (reply && EraOf(reply->mRevision) == mStore.Era()) {
-        mSnapshots[aPrefix].HandleRead(*reply);
-        callback(*reply);
+        prefix_reply confirmed = *reply;
+        confirmed.mConfirmedAt = sentAt - watch_history::kMaxReplyAge;
+        mSnapshots[aPrefix].HandleRead(confirmed);
+        callback(confirmed);
         return;
       }
       ReadStore(aPrefix, callback);
@@ -362,23 +552,23 @@
 void relayed_store::ReadStore(const std::string& aPrefix,
                               read_callback aCallback)
 {
-  mStore.ReadPrefix(aPrefix,
-                    [this, aPrefix, callback = std::move(aCallback)](
-                      const prefix_reply& aReply) {
-                      const bool isDone =
-                        aReply.mOutcome == call_outcome::kDone;
-                      if (isDone) {
-                        mSnapshots[aPrefix].HandleRead(aReply);
-                        // The read shows the state of the store like a watch
-                        // from its revision.
-                        mHistories[aPrefix].HandleReply(
-                          aReply.mRevision,
-                          { call_outcome::kDone, {}, aReply.mRevision },
-                          MonotonicNow());
-                      }
-                      RespondToPendingReads(aPrefix, !isDone);
-                      callback(aReply);
-                    });
+  mStore.ReadPrefix(
+    aPrefix,
+    [this, aPrefix, callback = std::move(aCallback)](
+      const prefix_reply& aReply) {
+      const bool isDone = aReply.mOutcome == call_outcome::kDone;
+      if (isDone) {
+        mSnapshots[aPrefix].HandleRead(aReply);
+        // The read shows the state of the store like a watch
+        // from its revision.
+        mHistories[aPrefix].HandleReply(
+          aReply.mRevision,
+          { call_outcome::kDone, {}, aReply.mRevision, aReply.mConfirmedAt },
+          MonotonicNow());
+      }
+      RespondToPendingReads(aPrefix, !isDone);
+      callback(aReply);
+    });
 }
 
 void relayed_store::Write(const conditional_write& aWrite,
--- a/Parsleystair/Gateway/RelayedStore.h
+++ b/Parsleystair/Gateway/RelayedStore.h
@@ -64,39 +64,75 @@
   {
     std::string mHost;
     std::unique_ptr<http_connection> mConnection;
+    /// The call on the connection is a watch.
+    bool mIsWatching = false;
   };
 
-  /// A watch that waits at the store.
-  struct store_watch
+  /// Watches of one prefix that wait at the store, by their number. A follower
+  /// repeats a watch that gets no reply; the first reply counts.
+  struct store_watches
   {
-    uint64_t mId = 0;
     store_revision mAfter;
-    duration mWait;
+    /// Wait of the latest watch.
+    duration mWait{};
+    std::map<uint64_t, watch_callback> mCallbacks;
+  };
+
+  /// Watch of one prefix through the relay. While the relay responds that it
+  /// has no recent reply of the store, the store is asked besides.
+  struct relayed_watch
+  {
+    store_revision mAfter;
+    /// Empty if no follower waits for the reply.
     watch_callback mCallback;
+    /// Number of the watch at the store; 0 if there was none.
+    uint64_t mStoreWatch = 0;
+    /// First reply of the store since the last one of the relay;
+    /// `time_point::max()` if there is none.
+    time_point mStoreRepliedAt = time_point::max();
+    time_point mNextStoreWatch = time_point::min();
+    timer mRelayTimer;
   };
 
   struct pending_watch
   {
     std::string mPrefix;
     store_revision mAfter;
+    time_point mRespondBy;
   };
 
   void ReadStore(const std::string& aPrefix, read_callback aCallback);
   void ReadRelay(relay_link& aLink,
                  const std::string& aPrefix,
                  read_callback aCallback);
-  void WatchStore(const std::string& aPrefix,
-                  store_revision aAfter,
-                  duration aWait,
-                  watch_callback aCallback);
+  /// Returns the number of the watch.
+  uint64_t WatchStore(const std::string& aPrefix,
+                      store_revision aAfter,
+                      duration aWait,
+                      watch_callback aCallback);
+  void HandleStoreWatchReply(const std::string& aPrefix,
+                             uint64_t aNumber,
+                             const watch_reply& aReply);
   /// Ends a watch that waits at the store for longer than a relay's watches, so
   /// that it is repeated with a shorter wait. Returns whether a reply of the
   /// store for this prefix is to be expected soon.
   bool ShortenStoreWatch(const std::string& aPrefix);
-  void WatchRelay(relay_link& aLink,
-                  const std::string& aPrefix,
-                  store_revision aAfter,
-                  watch_callback aCallback);
+  /// Sends a watch to the relay unless one waits there. Without a relay, the
+  /// follower's watch fails, and its next one goes to the store.
+  void WatchRelay(const std::string& aPrefix);
+  void HandleRelayReply(const std::string& aPrefix,
+                        store_revision aAfter,
+                        const watch_reply& aReply);
+  /// The relay responded that it has no recent reply of the store, or did not
+  /// respond.
+  void HandleUnansweredRelayWatch(const std::string& aPrefix,
+                                  const std::string& aHost);
+  /// Goes on with a watch for which the relay has no reply.
+  void HandleRelayWithoutReply(const std::string& aPrefix);
+  void WatchStoreBesideRelay(const std::string& aPrefix);
+  [[nodiscard]] bool IsAtStore(const std::string& aPrefix) const;
+  void FinishRelayedWatch(const std::string& aPrefix,
+                          const watch_reply& aReply);
   relay_link& LinkTo(const std::string& aHost, const std::string& aPrefix);
   /// Body of a response of the relay, decoded; nothing if the relay gave no
   /// usable response.
@@ -108,6 +144,10 @@
                         store_revision aAfter,
                         const watch_reply& aReply);
   void RespondToPendingWatches(const std::string& aPrefix);
+  /// Responds to the watches that have waited for as long as they may.
+  void RespondToOverdueWatches();
+  void SchedulePendingTimer();
+  void RespondToWatch(exchange_id aExchange, const pending_watch& aWatch);
   /// Responds to a read if the snapshot of the prefix is current.
   bool SendSnapshot(exchange_id aExchange, const std::string& aPrefix);
   /// `aFailed`: this router couldn't read the prefix either.
@@ -120,13 +160,14 @@
   uint16_t mPeerPort;
   std::map<std::string, relay_link> mLinks;
   uint64_t mNextWatch = 1;
-  /// The last watch of each prefix at the store, while it waits.
-  std::map<std::string, store_watch> mStoreWatches;
+  std::map<std::string, store_watches> mStoreWatches;
+  std::map<std::string, relayed_watch> mRelayedWatches;
   std::vector<std::function<void()>> mPosted;
   timer mPostTimer;
   std::map<std::string, watch_history> mHistories;
   std::map<std::string, prefix_snapshot> mSnapshots;
   std::map<exchange_id, pending_watch> mPendingWatches;
+  timer mPendingTimer;
   /// Prefixes of the reads that wait for this router's own read.
   std::map<exchange_id, std::string> mPendingReads;
 };
--- a/Parsleystair/Gateway/WatchHistory.cpp
+++ b/Parsleystair/Gateway/WatchHistory.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace parsleystair {
@@ -12,10 +13,6 @@
 /// Most changes kept: more than a burst has within the second by which a router
 /// that uses the relay may be behind.
 constexpr size_t kMaxChanges = 1'000;
-/// Age up to which the last reply counts as proof that the store has no newer
-/// change: the longest wait of a relay's watch, 1 s, and half a second of
-/// transit.
-constexpr duration kMaxReplyAge = 1500ms;
 constexpr size_t kMaxEncodedBytes = 64 * 1024 * 1024;
 
 } // namespace
@@ -37,6 +34,7 @@
     mChanges.pop_front();
   }
   mLastReplyAt = aNow;
+  mConfirmedAt = std::max(mConfirmedAt, aReply.mConfirmedAt);
 }
 
 void watch_history::HandleFailure()
@@ -61,13 +59,14 @@
       reply.mChanges.push_back(change);
     }
   }
+  reply.mConfirmedAt = mConfirmedAt;
   return reply;
 }
 
-std::string EncodeWatchReply(const watch_reply& aReply)
+std::string EncodeWatchReply(const aged_watch_reply& aReply)
 {
   nlohmann::json changes = nlohmann::json::array();
-  for (const item_change& change : aReply.mChanges) {
+  for (const item_change& change : aReply.mReply.mChanges) {
     nlohmann::json each = { { "key", change.mKey },
                             { "revision", change.mRevision.Value() } };
     if (change.mValue) {
@@ -77,18 +76,25 @@
     changes.push_back(std::move(each));
   }
   const std::vector<uint8_t> bytes =
-    nlohmann::json::to_cbor({ { "revision", aReply.mRevision.Value() },
+    nlohmann::json::to_cbor({ { "revision", aReply.mReply.mRevision.Value() },
+                              { "age_us", aReply.mAge.count() },
                               { "changes", std::move(changes) } });
   return Compress(
     { reinterpret_cast<const char*>(bytes.data()), bytes.size() });
 }
 
-watch_reply DecodeWatchReply(const std::string& aText)
+aged_watch_reply DecodeWatchReply(const std::string& aText)
 {
   try {
     const nlohmann::json json =
       nlohmann::json::from_cbor(Decompress(aText, kMaxEncodedBytes));
-    watch_reply reply;
+    aged_watch_reply aged;
+    // Routers of earlier releases send no age.
+    aged.mAge =
+      std::max(duration::zero(),
+               duration(json.value(
+                 "age_us", int64_t{ watch_history::kMaxReplyAge.count() })));
+    watch_reply& reply = aged.mReply;
     reply.mOutcome = call_outcome::kDone;
     reply.mRevision = store_revision(json.at("revision").get<uint64_t>());
     for (const nlohmann::json& each : json.at("changes")) {
@@ -101,7 +107,7 @@
       }
       reply.mChanges.push_back(std::move(change));
     }
-    return reply;
+    return aged;
   } catch (const nlohmann::json::exception& exception) {
     throw parse_error(std::string("invalid watch reply: ") + exception.what());
   }
--- a/Parsleystair/Gateway/WatchHistory.h
+++ b/Parsleystair/Gateway/WatchHistory.h
@@ -11,6 +11,11 @@
 class watch_history
 {
 public:
+  /// Age up to which the last reply counts as proof that the store has no newer
+  /// change: the longest wait of a relay's watch, 1 s, and half a second of
+  /// transit.
+  static constexpr duration kMaxReplyAge = 1500ms;
+
   /// Adds the reply to a watch for changes after `aAfter`.
   void HandleReply(store_revision aAfter,
                    const watch_reply& aReply,
@@ -26,17 +31,29 @@
   /// `aAfter`: a revision that `Covers` accepts.
   [[nodiscard]] watch_reply ChangesAfter(store_revision aAfter) const;
 
+  /// The store had no further change at this time.
+  [[nodiscard]] time_point ConfirmedAt() const { return mConfirmedAt; }
+
 private:
   std::deque<item_change> mChanges;
   /// The history has all changes after `mCoveredAfter` up to `mCoveredUpTo`.
   store_revision mCoveredAfter;
   store_revision mCoveredUpTo;
   time_point mLastReplyAt = time_point::min();
+  time_point mConfirmedAt = time_point::min();
+};
+
+/// A reply and its age: the time since its `mConfirmedAt`, which is not part of
+/// the encoding, as clocks of machines differ.
+struct aged_watch_reply
+{
+  watch_reply mReply;
+  duration mAge{};
 };
 
-std::string EncodeWatchReply(const watch_reply& aReply);
+std::string EncodeWatchReply(const aged_watch_reply& aReply);
 
 /// Throws `parse_error`.
-watch_reply DecodeWatchReply(const std::string& aText);
+aged_watch_reply DecodeWatchReply(const std::string& aText);
 
 } // namespace parsleystair
--- a/Parsleystair/Platform/CoordinationStore.h
+++ b/Parsleystair/Platform/CoordinationStore.h
@@ -54,6 +54,8 @@
   std::vector<stored_item> mItems;
   /// Revision of the store from which a watch can go on.
   store_revision mRevision;
+  /// The store had no change after `mRevision` at this time.
+  time_point mConfirmedAt = time_point::min();
 };
 
 struct watch_reply
@@ -61,6 +63,8 @@
   call_outcome mOutcome = call_outcome::kUnknown;
   std::vector<item_change> mChanges;
   store_revision mRevision;
+  /// The store had no change of the prefix after `mRevision` at this time.
+  time_point mConfirmedAt = time_point::min();
 };
 
 struct item_write
--- a/UnitTests/Gateway/RelayTest.cpp
+++ b/UnitTests/Gateway/RelayTest.cpp
@@ -140,7 +140,10 @@
   watch_reply reply = Reply({ { "k", std::string("\xff\0\"x", 4), {} } }, 9);
   reply.mChanges[0].mRevision = store_revision(9);
   reply.mChanges.push_back({ "gone", std::nullopt, store_revision(8) });
-  const watch_reply read = DecodeWatchReply(EncodeWatchReply(reply));
+  const aged_watch_reply decoded =
+    DecodeWatchReply(EncodeWatchReply({ reply, 20ms }));
+  EXPECT_EQ(decoded.mAge, 20ms);
+  const watch_reply& read = decoded.mReply;
   EXPECT_EQ(read.mChanges, reply.mChanges);
   EXPECT_EQ(read.mRevision, reply.mRevision);
   EXPECT_THROW(DecodeWatchReply("{}"), parse_error);
