Refuse with 404 only by routes that the store confirmed lately

Cause: routes of any age were taken for proof that there is no other one. An old table proves that a route exists, never that it doesn't.

Change: a request without a route gets 404 if the store confirmed the routes within configurationApplySeconds (new setting, default 2) before it came. Otherwise the router asks the store, once for all such requests, and keeps them for 0.5 s at most; without a confirmation, or if the store doesn't reply at present, they get 503 and come back after 1 s. The time that a request has is counted from its arrival.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -69,12 +69,14 @@
                      const forwarder_settings& aSettings,
                      const request_protocol& aProtocol,
                      const forwarder_view& aView,
+                     route_source& aRouteSource,
                      http_server& aServer,
                      uint64_t aSeed)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mProtocol(aProtocol)
   , mView(aView)
+  , mRouteSource(aRouteSource)
   , mServer(aServer)
   , mBalancer(aSettings.mLocation, aSeed)
   , mConnections(aLoop, TargetConnectionSettings(), kDefaultKeepAlive)
@@ -95,17 +97,23 @@
   request.mReceivedAt = now;
   request.mRetryAfter = kRetryAfter;
   mRequestsByExchange[aExchange] = id;
-  if (!ResolveRoute(request, now)) {
+  Process(request, now);
+}
+
+void forwarder::Process(open_request& aRequest, time_point aNow)
+{
+  if (!ResolveRoute(aRequest, aNow)) {
     return;
   }
-  RetryBudgetOf(request.mService).AddRequest();
-  if (request.mKeyed && request.mTerms.mKey) {
-    ++mLoad[request.mService].mCounts[key_load::BucketOf(*request.mTerms.mKey)];
-    if (!AdmitKey(request, now)) {
+  RetryBudgetOf(aRequest.mService).AddRequest();
+  if (aRequest.mKeyed && aRequest.mTerms.mKey) {
+    ++mLoad[aRequest.mService]
+        .mCounts[key_load::BucketOf(*aRequest.mTerms.mKey)];
+    if (!AdmitKey(aRequest, aNow)) {
       return;
     }
   }
-  Dispatch(request, now);
+  Dispatch(aRequest, aNow);
 }
 
 bool forwarder::AdmitKey(open_request& aRequest, time_point aNow)
@@ -144,7 +152,7 @@
   aRequest.mRoute =
     mView.mRoutes->Find(host.value_or(""), aRequest.mRequest.mPath);
   if (aRequest.mRoute == nullptr) {
-    Refuse(aRequest, refusal_kind::kUnknownRoute, "unknown route", aNow);
+    HandleUnknownRoute(aRequest, aNow);
     return false;
   }
   const route& matchedRoute = *aRequest.mRoute;
@@ -158,7 +166,7 @@
                              ? matchedRoute.mTimeout
                              : kDefaultTimeout;
   const duration left = aRequest.mTerms.mTimeLeft.value_or(timeout);
-  aRequest.mDeadline = aNow + std::min(timeout, left);
+  aRequest.mDeadline = aRequest.mReceivedAt + std::min(timeout, left);
   aRequest.mResponseDeadline = aRequest.mDeadline + kResponseGrace;
   return true;
 }
@@ -308,6 +316,7 @@
     mConnections.Cancel(call);
   }
   mRequestsByExchange.erase(aRequest.mExchange);
+  mWithoutRoute.erase(aRequest.mId);
   mRequestTimers.erase({ aRequest.mTimerExpiry, aRequest.mId });
   mRequests.erase(aRequest.mId);
 }
@@ -329,7 +338,7 @@
     .Add("held_us", int64_t{ elapsed.count() });
   // A request that is not idempotent is not cancelled once it was sent; its
   // response is discarded.
-  if (!request.mRoute->mIdempotent && !request.mOpenAttempts.empty()) {
+  if (!request.mOpenAttempts.empty() && !request.mRoute->mIdempotent) {
     request.mCallerGone = true;
     mRequestsByExchange.erase(found);
     return;
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -37,6 +37,22 @@
 {
   router_location mLocation;
   shared_budget_settings mRetryBudget;
+  /// Age up to which routes prove that there is no other one.
+  duration mMaxRoutesAge = 2s;
+};
+
+/// Source of the routes, which may be behind the store.
+class route_source
+{
+public:
+  virtual ~route_source() = default;
+
+  /// The routes in use were the newest ones at this time; `time_point::min()`
+  /// if that is unknown.
+  [[nodiscard]] virtual time_point RoutesConfirmedAt() const = 0;
+
+  /// Asks for a confirmation. Returns false if none is to be expected soon.
+  virtual bool ConfirmRoutes(time_point aNow) = 0;
 };
 
 /// Forwards requests of callers to targets and returns the responses. A request
@@ -49,6 +65,7 @@
             const forwarder_settings& aSettings,
             const request_protocol& aProtocol,
             const forwarder_view& aView,
+            route_source& aRouteSource,
             http_server& aServer,
             uint64_t aSeed);
   forwarder(const forwarder&) = delete;
@@ -63,6 +80,9 @@
   /// Dispatches waiting requests after the key owners or targets changed.
   void HandleViewChanged();
 
+  /// Resolves the requests that wait for a confirmation of the routes.
+  void HandleRoutesConfirmed();
+
   /// Replaces the limits of the retry budgets.
   void SetRetryBudget(const shared_budget_settings& aSettings);
 
@@ -117,6 +137,7 @@
     exchange_id mExchange;
     http_request mRequest;
     request_metadata mTerms;
+    /// Null while the request waits for a confirmation of the routes.
     std::shared_ptr<const route> mRoute;
     service_name mService;
     bool mKeyed = false;
@@ -148,6 +169,7 @@
   };
 
   // Steps of a request, in order.
+  void Process(open_request& aRequest, time_point aNow);
   bool ResolveRoute(open_request& aRequest, time_point aNow);
   /// Refuses a request for a key whose owner is overloaded, if it is one of
   /// those that the owner can't serve. Returns whether it is admitted.
@@ -195,6 +217,9 @@
                          time_point aNow);
 
   // Waiting.
+  /// Refuses a request without a route, or keeps it until the routes are
+  /// confirmed.
+  void HandleUnknownRoute(open_request& aRequest, time_point aNow);
   void WaitForOwner(open_request& aRequest,
                     const std::string& aReason,
                     time_point aNow);
@@ -222,6 +247,7 @@
   forwarder_settings mSettings;
   const request_protocol& mProtocol;
   const forwarder_view& mView;
+  route_source& mRouteSource;
   http_server& mServer;
   target_balancer mBalancer;
   target_connections mConnections;
@@ -235,6 +261,8 @@
   uint64_t mNextId = 1;
   std::unordered_map<forward_id, open_request> mRequests;
   std::unordered_map<exchange_id, forward_id> mRequestsByExchange;
+  /// Requests that wait for a confirmation of the routes.
+  std::set<forward_id> mWithoutRoute;
   std::set<std::pair<time_point, forward_id>> mRequestTimers;
   std::unordered_map<service_name, shared_retry_budget> mRetryBudgets;
   load_report mLoad;
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Gateway/Forwarder.h"
 
 #include <algorithm>
+#include <utility>
 
 // Requests that wait for an owner of their key, request timers, and periodic
 // work.
@@ -15,11 +16,56 @@
 /// owner of a key. After that, a refusal that tells the caller when to retry is
 /// more useful than a longer wait.
 constexpr int kOwnerWaitDivisor = 4;
+/// Longest wait for a confirmation of the routes: a call to a slow store, or
+/// the rest of a watch at a relay.
+constexpr duration kMaxConfirmationWait = 500ms;
+/// Time after which a caller may come back if the routes can't be confirmed. A
+/// router finds a store that is back within a second.
+constexpr duration kRetryAfterConfirmation = 1s;
 /// Interval between checks for a free connection to the owner.
 constexpr duration kConnectionRetryDelay = 25ms;
 
 } // namespace
 
+void forwarder::HandleUnknownRoute(open_request& aRequest, time_point aNow)
+{
+  // Routes prove that there is no other one only if they are recent. The
+  // request is checked against those that were the newest when it came.
+  const time_point confirmedAt = mRouteSource.RoutesConfirmedAt();
+  if (confirmedAt != time_point::min() &&
+      aRequest.mReceivedAt - confirmedAt <= mSettings.mMaxRoutesAge) {
+    Refuse(aRequest, refusal_kind::kUnknownRoute, "unknown route", aNow);
+    return;
+  }
+  const time_point waitEnd =
+    aRequest.mReceivedAt +
+    std::min(kMaxConfirmationWait,
+             aRequest.mTerms.mTimeLeft.value_or(kMaxConfirmationWait));
+  if (aNow >= waitEnd || !mRouteSource.ConfirmRoutes(aNow)) {
+    aRequest.mRetryAfter = kRetryAfterConfirmation;
+    Refuse(aRequest,
+           refusal_kind::kNotRun,
+           "the routes are not confirmed by the store",
+           aNow);
+    return;
+  }
+  mWithoutRoute.insert(aRequest.mId);
+  aRequest.mDeadline = waitEnd;
+  aRequest.mResponseDeadline = waitEnd;
+  SetRequestTimer(aRequest, aNow);
+}
+
+void forwarder::HandleRoutesConfirmed()
+{
+  const time_point now = MonotonicNow();
+  for (const forward_id id : std::exchange(mWithoutRoute, {})) {
+    const auto found = mRequests.find(id);
+    if (found != mRequests.end()) {
+      Process(found->second, now);
+    }
+  }
+}
+
 void forwarder::WaitForOwner(open_request& aRequest,
                              const std::string& aReason,
                              time_point aNow)
@@ -86,9 +132,9 @@
   if (aRequest.mWaitUntil) {
     expiry = std::min(expiry, *aRequest.mWaitUntil);
   }
-  const bool mayHedge = aRequest.mRoute->mIdempotent &&
-                        !aRequest.mHedgeConsidered && !aRequest.mKeyed &&
-                        !aRequest.mOpenAttempts.empty();
+  const bool mayHedge = !aRequest.mOpenAttempts.empty() &&
+                        aRequest.mRoute->mIdempotent &&
+                        !aRequest.mHedgeConsidered && !aRequest.mKeyed;
   if (mayHedge) {
     const time_point hedge =
       aRequest.mOpenAttempts.begin()->second.mSentAt + HedgeDelay(aRequest);
@@ -131,6 +177,10 @@
 
 void forwarder::HandleRequestTimer(open_request& aRequest, time_point aNow)
 {
+  if (mWithoutRoute.erase(aRequest.mId) > 0) {
+    Process(aRequest, aNow);
+    return;
+  }
   if (aNow >= aRequest.mResponseDeadline) {
     FinishWithFailure(aRequest, "the time is over", aNow);
     return;
--- a/Parsleystair/Gateway/GatewaySettings.cpp
+++ b/Parsleystair/Gateway/GatewaySettings.cpp
@@ -136,6 +136,9 @@
   settings.mMaxNetworkDelay =
     get("maxNetworkDelaySeconds")
       .Seconds(settings.mMaxNetworkDelay, kMaxDuration);
+  settings.mConfigurationApplyTime =
+    get("configurationApplySeconds")
+      .Seconds(settings.mConfigurationApplyTime, kMaxDuration);
   settings.mRetryRatio = get("retryRatio").Number(settings.mRetryRatio, 0, 1);
   constexpr double kMaxSlack = 1'000'000;
   settings.mRetrySlack = static_cast<uint32_t>(
--- a/Parsleystair/Gateway/GatewaySettings.h
+++ b/Parsleystair/Gateway/GatewaySettings.h
@@ -32,6 +32,9 @@
   duration mMaxGrantDuration = 10s;
   /// Longest time for which the network holds bytes that were sent.
   duration mMaxNetworkDelay = 4s;
+  /// Time within which a configuration takes effect that the store has
+  /// accepted.
+  duration mConfigurationApplyTime = 2s;
   /// Retry budget of all gateways together: retries per request, and retries
   /// allowed in addition in each time window.
   double mRetryRatio = 0.2;
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -67,6 +67,7 @@
   settings.mLocation.mFailureDomain = aSettings.mFailureDomain;
   settings.mLocation.mRegions = aSettings.mRegions;
   settings.mRetryBudget = { aSettings.mRetryRatio, aSettings.mRetrySlack };
+  settings.mMaxRoutesAge = aSettings.mConfigurationApplyTime;
   return settings;
 }
 
@@ -117,16 +118,19 @@
 public:
   using items_handler = std::function<void(const std::vector<stored_item>&)>;
   using change_handler = std::function<void(const item_change&)>;
+  using confirmation_handler = std::function<void()>;
 
   follower(gateway_task& aTask,
            const std::string& aPrefix,
            items_handler aItems,
            change_handler aChange,
            duration aLongestWait,
-           uint64_t aSeed)
+           uint64_t aSeed,
+           confirmation_handler aConfirmation = nullptr)
     : mTask(aTask)
     , mItemsHandler(std::move(aItems))
     , mChangeHandler(std::move(aChange))
+    , mConfirmationHandler(std::move(aConfirmation))
     , mFollower(aTask.mLoop,
                 aTask.mRelayedStore,
                 aPrefix,
@@ -140,6 +144,7 @@
   void HandleEraChange() { mFollower.HandleEraChange(); }
   void CheckAfterGap(time_point aAt) { mFollower.CheckAfterGap(aAt); }
   [[nodiscard]] const prefix_follower& Follower() const { return mFollower; }
+  bool Confirm(time_point aNow) { return mFollower.Confirm(aNow); }
 
   void HandleItems(const std::vector<stored_item>& aItems) override
   {
@@ -149,6 +154,12 @@
   {
     mChangeHandler(aChange);
   }
+  void HandleConfirmed() override
+  {
+    if (mConfirmationHandler) {
+      mConfirmationHandler();
+    }
+  }
   void HandleLost() override
   {
     mTask.mView.mDirectory.HandleStoreOutage(MonotonicNow());
@@ -171,6 +182,7 @@
   gateway_task& mTask;
   items_handler mItemsHandler;
   change_handler mChangeHandler;
+  confirmation_handler mConfirmationHandler;
   prefix_follower mFollower;
 };
 
@@ -214,6 +226,7 @@
                ForwarderSettings(aSettings),
                aPlatform.mRequestProtocol,
                mView,
+               *this,
                mCallerServer,
                aSeed)
   , mElection(aLoop,
@@ -271,7 +284,8 @@
       }
     },
     kMaxConfigurationWatchWait,
-    aSeed + 2);
+    aSeed + 2,
+    [this] { mForwarder.HandleRoutesConfirmed(); });
   mTargetFollower = std::make_unique<follower>(
     *this,
     aPlatform.mCatalog.TargetPrefix(),
@@ -395,6 +409,16 @@
   HandleTargetsChanged();
 }
 
+time_point gateway_task::RoutesConfirmedAt() const
+{
+  return mConfigurationFollower->Follower().ConfirmedAt();
+}
+
+bool gateway_task::ConfirmRoutes(time_point aNow)
+{
+  return mConfigurationFollower->Confirm(aNow);
+}
+
 uint64_t gateway_task::ConfigurationVersion() const
 {
   return mView.mRoutes == nullptr ? 0 : mView.mRoutes->Configuration().mVersion;
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -30,14 +30,14 @@
 /// One gateway: forwards requests of callers, watches the store, and assigns
 /// the owners of keys while it is the elected leader. Everything runs on one
 /// event loop because a machine has less than one core.
-class gateway_task
+class gateway_task : private route_source
 {
 public:
   gateway_task(event_loop& aLoop,
                const gateway_settings& aSettings,
                const gateway_platform& aPlatform,
                uint64_t aSeed);
-  ~gateway_task();
+  ~gateway_task() override;
   gateway_task(const gateway_task&) = delete;
   gateway_task& operator=(const gateway_task&) = delete;
 
@@ -60,6 +60,8 @@
   /// Watches one prefix of the store and passes its changes to the task.
   class follower;
 
+  [[nodiscard]] time_point RoutesConfirmedAt() const override;
+  bool ConfirmRoutes(time_point aNow) override;
   void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
   void ApplyTargets(const std::vector<stored_item>& aItems);
   void ApplyTarget(const item_change& aChange);
--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -133,13 +133,15 @@
   SendWatch(kWatchWaitAfterFailure);
 }
 
-void prefix_follower::Confirm(time_point aNow)
+bool prefix_follower::Confirm(time_point aNow)
 {
-  const bool isIdle =
-    mHasRead && mFailures == 0 && aNow - mLastCallAt >= kMinCallAgeToConfirm;
-  if (isIdle) {
+  if (!mHasRead || mFailures > 0) {
+    return false;
+  }
+  if (aNow - mLastCallAt >= kMinCallAgeToConfirm) {
     SendWatch(kConfirmationWait);
   }
+  return true;
 }
 
 void prefix_follower::CheckAfterGap(time_point aGapAt)
@@ -184,6 +186,7 @@
   mRevision = aReply.mRevision;
   mHasRead = true;
   mListener.HandleItems(aReply.mItems);
+  mListener.HandleConfirmed();
   Watch();
 }
 
@@ -210,6 +213,7 @@
   for (const item_change& change : aReply.mChanges) {
     mListener.HandleChange(change);
   }
+  mListener.HandleConfirmed();
   if (aReply.mChanges.empty()) {
     Watch();
     return;
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -16,6 +16,8 @@
   /// All keys of the prefix, after the start or a gap in the history.
   virtual void HandleItems(const std::vector<stored_item>& aItems) = 0;
   virtual void HandleChange(const item_change& aChange) = 0;
+  /// The store has confirmed that the listener knows all keys and changes.
+  virtual void HandleConfirmed() = 0;
   /// The store stopped replying.
   virtual void HandleLost() = 0;
   /// The store replies again after `HandleLost`.
@@ -52,8 +54,9 @@
   /// prefix again.
   void HandleEraChange();
 
-  /// Asks the store for a reply soon, unless one is due anyway.
-  void Confirm(time_point aNow);
+  /// Asks the store for a reply soon, unless one is due anyway. Returns false
+  /// if the store doesn't reply at present.
+  bool Confirm(time_point aNow);
 
   /// The store had no change after those that the listener has got at this
   /// time; `time_point::min()` before the first reply.
