Bound the bytes that all connections together keep

Cause: one answer was bounded, by 64 KiB for what is no body and 8 MiB for the body, but not the sum. Output to callers that don't read came on top.

Change: each HTTP connection of an event loop counts what it keeps of requests, answers and unsent output in one budget, an eighth of the machine's memory (new setting memoryMegabytes, default 512). Beyond it the largest one is dropped: a call fails, a client's connection closes. Messages between routers unpack to 8 MiB at most, not 64. A connection that is closed frees its parser.

--- a/Parsleystair/Core/EventLoop.cpp
+++ b/Parsleystair/Core/EventLoop.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <event2/event.h>
 #include <sys/time.h>
+#include <utility>
 
 namespace parsleystair {
 
@@ -19,6 +20,9 @@
 
 namespace {
 
+/// Limit of the bytes that connections hold, unless a program sets another.
+constexpr size_t kDefaultByteLimit = 64 * 1024 * 1024;
+
 /// Collects changes of watched sockets until the next wait: a connection that
 /// is read and written in turn else costs several system calls a request.
 /// Sockets are never duplicated here, which this mode does not allow.
@@ -38,6 +42,7 @@
 
 event_loop::event_loop()
   : mBase(NewBase())
+  , mBytes(kDefaultByteLimit)
 {
   if (mBase == nullptr) {
     throw system_error("libevent could not create an event loop");
@@ -65,6 +70,25 @@
   event_base_loopbreak(mBase);
 }
 
+void event_loop::DropExcessBytesSoon()
+{
+  if (std::exchange(mDropsBytesSoon, true)) {
+    return;
+  }
+  const timeval now{};
+  event_base_once(
+    mBase,
+    -1,
+    EV_TIMEOUT,
+    [](evutil_socket_t, short, void* aArgument) {
+      auto* loop = static_cast<event_loop*>(aArgument);
+      loop->mDropsBytesSoon = false;
+      loop->mBytes.DropExcess();
+    },
+    this,
+    &now);
+}
+
 struct timer::state
 {
   event* mEvent = nullptr;
--- a/Parsleystair/Core/EventLoop.h
+++ b/Parsleystair/Core/EventLoop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Parsleystair/Core/ByteBudget.h"
 #include "Parsleystair/Core/Time.h"
 
 #include <functional>
@@ -30,8 +31,16 @@
   void Run();
   void Stop();
 
+  /// Budget of the connections on this loop.
+  [[nodiscard]] byte_budget& Bytes() { return mBytes; }
+
+  /// Lets the budget drop its excess in the next round of the loop.
+  void DropExcessBytesSoon();
+
 private:
   event_base* mBase;
+  byte_budget mBytes;
+  bool mDropsBytesSoon = false;
 };
 
 /// Calls a function again and again, or once, on the loop that owns it.
--- a/Parsleystair/Gateway/GatewaySettings.cpp
+++ b/Parsleystair/Gateway/GatewaySettings.cpp
@@ -128,6 +128,15 @@
   constexpr double kMaxShare = 1'000;
   settings.mProcessorShare =
     get("processorShare").Number(settings.mProcessorShare, 0, kMaxShare);
+  constexpr double kMegabyte = 1024 * 1024;
+  constexpr double kMinMegabytes = 16;
+  constexpr double kMaxMegabytes = 1024 * 1024;
+  settings.mMemoryBytes = static_cast<uint64_t>(
+    kMegabyte *
+    get("memoryMegabytes")
+      .Number(static_cast<double>(settings.mMemoryBytes) / kMegabyte,
+              kMinMegabytes,
+              kMaxMegabytes));
   settings.mFirstStart = get("firstStart").Flag(settings.mFirstStart);
   settings.mShutdownGrace =
     get("shutdownGraceSeconds").Seconds(settings.mShutdownGrace, kMaxDuration);
--- a/Parsleystair/Gateway/GatewaySettings.h
+++ b/Parsleystair/Gateway/GatewaySettings.h
@@ -23,6 +23,8 @@
   socket_address mStore;
   /// Processor time that this process may use, in cores.
   double mProcessorShare = 1;
+  /// Memory that this process may use, in bytes.
+  uint64_t mMemoryBytes = 512 * 1024 * 1024;
   /// The whole deployment starts for the first time, so the store has no state
   /// of other gateways yet.
   bool mFirstStart = false;
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -12,6 +12,10 @@
 
 constexpr uint32_t kOk = 200;
 constexpr uint32_t kNotFound = 404;
+/// Divisor of a machine's memory that gives the limit of the bytes that
+/// connections hold. Buffers grow by doubling, and an answer that is complete
+/// is copied on its way to the caller.
+constexpr uint64_t kConnectionMemoryDivisor = 8;
 constexpr uint32_t kUnavailable = 503;
 
 /// Interval of periodic work that no event triggers: health checks, closing of
@@ -249,6 +253,7 @@
       },
       aSeed + 5)
 {
+  aLoop.Bytes().SetLimit(aSettings.mMemoryBytes / kConnectionMemoryDivisor);
   mCallerServer.OnClose(
     [this](exchange_id aExchange) { mForwarder.HandleCallerGone(aExchange); });
   mPeerServer.OnClose([this](exchange_id aExchange) {
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -75,6 +75,14 @@
                "counter",
                static_cast<double>(counts.mReceived));
   AppendRequestStatistics(text, mForwarder.Statistics());
+  AppendMetric(text,
+               "connection_bytes",
+               "gauge",
+               static_cast<double>(mLoop.Bytes().Total()));
+  AppendMetric(text,
+               "connections_dropped_total",
+               "counter",
+               static_cast<double>(mLoop.Bytes().Drops()));
   text += "# TYPE parsleystair_tries_total counter\n";
   const std::string tries = "tries_total";
   AppendLabelledMetric(text, tries, "result", "sent", counts.mAttempts);
--- a/Parsleystair/Gateway/OwnerFeed.cpp
+++ b/Parsleystair/Gateway/OwnerFeed.cpp
@@ -4,6 +4,7 @@
 #include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Log.h"
+#include "Parsleystair/Gateway/PeerMessage.h"
 
 #include <nlohmann/json.hpp>
 
@@ -21,7 +22,6 @@
 constexpr duration kRetryDelay = 300ms;
 /// Failed polls after which another router is asked who leads.
 constexpr uint32_t kFailedPollsBeforePeers = 3;
-constexpr size_t kMaxRecordBytes = 64 * 1024 * 1024;
 
 http_connection_settings FeedConnectionSettings()
 {
@@ -254,7 +254,8 @@
 void owner_feed_client::HandleRecords(const std::string& aText)
 {
   try {
-    mRecordsHandler(DecodeOwnerRecords(Decompress(aText, kMaxRecordBytes)));
+    mRecordsHandler(
+      DecodeOwnerRecords(Decompress(aText, kMaxPeerMessageBytes)));
     SchedulePoll(duration::zero());
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "owners_unreadable")
--- a/Parsleystair/Gateway/PeerReport.cpp
+++ b/Parsleystair/Gateway/PeerReport.cpp
@@ -3,18 +3,13 @@
 #include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Hash.h"
+#include "Parsleystair/Gateway/PeerMessage.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace parsleystair {
 
-namespace {
-
-constexpr size_t kMaxResponseBytes = 8 * 1024 * 1024;
-
-} // namespace
-
 std::string EncodePeerReport(const peer_report& aReport)
 {
   return nlohmann::json{
@@ -148,7 +143,7 @@
   }
   try {
     const nlohmann::json json =
-      nlohmann::json::parse(Decompress(aText, kMaxResponseBytes));
+      nlohmann::json::parse(Decompress(aText, kMaxPeerMessageBytes));
     if (json.contains("routers")) {
       response.mRouters =
         DecodeRouterList(json.at("routers").get<std::string>());
--- a/Parsleystair/Gateway/PrefixSnapshot.cpp
+++ b/Parsleystair/Gateway/PrefixSnapshot.cpp
@@ -2,17 +2,12 @@
 
 #include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Gateway/PeerMessage.h"
 
 #include <nlohmann/json.hpp>
 
 namespace parsleystair {
 
-namespace {
-
-constexpr size_t kMaxEncodedBytes = 64 * 1024 * 1024;
-
-} // namespace
-
 void prefix_snapshot::HandleRead(const prefix_reply& aReply)
 {
   mItems.clear();
@@ -80,7 +75,7 @@
 {
   try {
     const nlohmann::json json =
-      nlohmann::json::from_cbor(Decompress(aText, kMaxEncodedBytes));
+      nlohmann::json::from_cbor(Decompress(aText, kMaxPeerMessageBytes));
     prefix_reply reply;
     reply.mOutcome = call_outcome::kDone;
     reply.mRevision = store_revision(json.at("revision").get<uint64_t>());
--- a/Parsleystair/Gateway/WatchHistory.cpp
+++ b/Parsleystair/Gateway/WatchHistory.cpp
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Gateway/PeerMessage.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -13,7 +14,6 @@
 /// Most changes kept: more than a burst has within the second by which a router
 /// that uses the relay may be behind.
 constexpr size_t kMaxChanges = 1'000;
-constexpr size_t kMaxEncodedBytes = 64 * 1024 * 1024;
 
 } // namespace
 
@@ -87,7 +87,7 @@
 {
   try {
     const nlohmann::json json =
-      nlohmann::json::from_cbor(Decompress(aText, kMaxEncodedBytes));
+      nlohmann::json::from_cbor(Decompress(aText, kMaxPeerMessageBytes));
     aged_watch_reply aged;
     // Routers of earlier releases send no age.
     aged.mAge =
--- a/Parsleystair/Http/AnswerParser.cpp
+++ b/Parsleystair/Http/AnswerParser.cpp
@@ -164,6 +164,11 @@
   return !mState->mParser->keep_alive();
 }
 
+size_t answer_parser::HeldBytes() const
+{
+  return mState->mParser->mContent.HeldBytes();
+}
+
 http_response answer_parser::Take()
 {
   PARSLEYSTAIR_INVARIANT(State() == parse_state::kComplete);
--- a/Parsleystair/Http/CollectingParser.h
+++ b/Parsleystair/Http/CollectingParser.h
@@ -36,6 +36,14 @@
 {
   std::vector<http_header> mHeaders;
   std::string mBody;
+
+  /// Memory of the body and the fields; fields are limited, so a rough size is
+  /// enough for them.
+  [[nodiscard]] size_t HeldBytes() const
+  {
+    constexpr size_t kFieldBytes = 128;
+    return mBody.capacity() + mHeaders.size() * kFieldBytes;
+  }
 };
 
 /// Collects the parts of a message that Beast reports. `IsRequest` selects the
--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Core/Invariant.h"
+#include "Parsleystair/Core/Log.h"
 #include "Parsleystair/Http/MessageParser.h"
 #include "Parsleystair/Http/MessageText.h"
 
@@ -19,6 +20,7 @@
 
 struct http_connection::state
   : stream_handler
+  , byte_holder
   , std::enable_shared_from_this<state>
 {
   event_loop& mLoop;
@@ -48,7 +50,8 @@
         std::string aHost,
         uint16_t aPort,
         const http_connection_settings& aSettings)
-    : mLoop(aLoop)
+    : byte_holder(aLoop.Bytes())
+    , mLoop(aLoop)
     , mHost(std::move(aHost))
     , mPort(aPort)
     , mSettings(aSettings)
@@ -61,6 +64,10 @@
   void HandleTimeout() override;
   void HandleConnected() override;
 
+  // byte_holder
+  [[nodiscard]] size_t HeldBytes() const override;
+  void DropBytes() override;
+
   void Connect();
   void StartDeadline(duration aTimeout);
   void StartParser();
@@ -144,9 +151,28 @@
     ExtendDeadline(MonotonicNow());
   }
   mInput += aBytes;
+  UpdateHeldBytes();
+  if (mLoop.Bytes().IsExceeded()) {
+    mLoop.DropExcessBytesSoon();
+  }
   ReadAnswers();
 }
 
+size_t http_connection::state::HeldBytes() const
+{
+  return mInput.capacity() + (mParser ? mParser->HeldBytes() : 0);
+}
+
+void http_connection::state::DropBytes()
+{
+  log_line(log_severity::kWarning, "answer_dropped")
+    .Add("host", mHost)
+    .Add("port", uint64_t{ mPort })
+    .Add("bytes", uint64_t{ HeldBytes() });
+  const std::shared_ptr<state> kept = shared_from_this();
+  kept->Fail(http_failure::kMalformed, false);
+}
+
 void http_connection::state::ExtendDeadline(time_point aNow)
 {
   if (!mTransferEnd) {
@@ -272,6 +298,7 @@
   mDeadline.Cancel();
   mFilter = nullptr;
   aResult.mReused = mReused;
+  UpdateHeldBytes();
   const callback done = std::move(mCallback);
   mCallback = nullptr;
   if (done) {
@@ -285,7 +312,9 @@
     mStream->ResetOnClose();
   }
   mStream.reset();
-  mInput.clear();
+  mInput = {};
+  mParser.reset();
+  UpdateHeldBytes();
 }
 
 http_connection::http_connection(event_loop& aLoop,
--- a/Parsleystair/Http/MessageParser.h
+++ b/Parsleystair/Http/MessageParser.h
@@ -39,6 +39,9 @@
   /// True once any byte of the message was consumed.
   [[nodiscard]] bool HasStarted() const;
 
+  /// Memory that the request takes, in bytes.
+  [[nodiscard]] size_t HeldBytes() const;
+
   /// The whole request. Call once, in state kComplete.
   http_request Take();
 
@@ -88,6 +91,9 @@
   /// Status and headers, once all of them have arrived.
   [[nodiscard]] std::optional<http_response> Head() const;
 
+  /// Memory that the answer takes, in bytes.
+  [[nodiscard]] size_t HeldBytes() const;
+
   /// The whole answer. Call once, in state kComplete.
   http_response Take();
 
--- a/Parsleystair/Http/RequestParser.cpp
+++ b/Parsleystair/Http/RequestParser.cpp
@@ -221,6 +221,11 @@
   return mState->mParser.got_some();
 }
 
+size_t request_parser::HeldBytes() const
+{
+  return mState->mParser.mContent.HeldBytes();
+}
+
 http_request request_parser::Take()
 {
   PARSLEYSTAIR_INVARIANT(State() == parse_state::kComplete);
--- a/Parsleystair/Http/ServerConnection.cpp
+++ b/Parsleystair/Http/ServerConnection.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/Http/ServerConnection.h"
 
 #include "Parsleystair/Core/Invariant.h"
+#include "Parsleystair/Core/Log.h"
 #include "Parsleystair/Http/MessageText.h"
 
 namespace parsleystair {
@@ -21,7 +22,9 @@
                                      int aDescriptor,
                                      const http_server_settings& aSettings,
                                      server_connection_owner& aOwner)
-  : mId(aId)
+  : byte_holder(aLoop.Bytes())
+  , mId(aId)
+  , mLoop(aLoop)
   , mSettings(aSettings)
   , mOwner(aOwner)
   , mStream(aLoop, aDescriptor, {}, *this)
@@ -48,6 +51,7 @@
     return;
   }
   mInput += aBytes;
+  CountBytes();
   if (!mAwaitsAnswer) {
     ReadNext();
   } else if (mInput.size() > kMaxPipelinedBytes) {
@@ -55,6 +59,28 @@
   }
 }
 
+void server_connection::CountBytes()
+{
+  UpdateHeldBytes();
+  if (mLoop.Bytes().IsExceeded()) {
+    mLoop.DropExcessBytesSoon();
+  }
+}
+
+size_t server_connection::HeldBytes() const
+{
+  return mInput.capacity() + mParser.HeldBytes() + mStream.Unsent();
+}
+
+void server_connection::DropBytes()
+{
+  log_line(log_severity::kWarning, "connection_dropped")
+    .Add("peer", mPeerHost)
+    .Add("bytes", uint64_t{ HeldBytes() })
+    .Add("unsent", uint64_t{ mStream.Unsent() });
+  mOwner.HandleGone(mId);
+}
+
 void server_connection::ReadNext()
 {
   if (mInput.empty()) {
@@ -129,6 +155,7 @@
   PARSLEYSTAIR_INVARIANT(mAwaitsAnswer);
   const bool close = aClose || mEndsAfterAnswer;
   mStream.Write(AnswerText(aAnswer, close, mHeadOnly));
+  CountBytes();
   FinishAnswer(close);
 }
 
@@ -142,6 +169,7 @@
   // A chunk of length 0 would end the stream.
   if (!aChunk.empty()) {
     mStream.Write(ChunkText(aChunk));
+    CountBytes();
   }
 }
 
--- a/Parsleystair/Http/ServerConnection.h
+++ b/Parsleystair/Http/ServerConnection.h
@@ -24,7 +24,9 @@
 
 /// One connection of a client to an `http_server`: reads a request, waits for
 /// its answer, reads the next.
-class server_connection : public stream_handler
+class server_connection
+  : public stream_handler
+  , public byte_holder
 {
 public:
   server_connection(connection_id aId,
@@ -55,7 +57,12 @@
   void HandleEnd(stream_end aEnd) override;
   void HandleTimeout() override;
 
+  // byte_holder
+  [[nodiscard]] size_t HeldBytes() const override;
+  void DropBytes() override;
+
 private:
+  void CountBytes();
   void ReadNext();
   void Refuse(uint32_t aStatus, const std::string& aReason);
   void FinishAnswer(bool aClose);
@@ -65,6 +72,7 @@
   void StartSendTimer(duration aDelay);
 
   connection_id mId;
+  event_loop& mLoop;
   http_server_settings mSettings;
   server_connection_owner& mOwner;
   socket_stream mStream;
--- a/UnitTests/Gateway/GatewaySettingsTest.cpp
+++ b/UnitTests/Gateway/GatewaySettingsTest.cpp
@@ -36,6 +36,7 @@
   json["firstStart"] = true;
   json["maxNetworkDelaySeconds"] = 1.5;
   json["configurationApplySeconds"] = 3;
+  json["memoryMegabytes"] = 160;
   json["fromTheFuture"] = { 1, 2 };
   const gateway_settings settings = ParseGatewaySettings(json.dump());
   EXPECT_EQ(settings.mVm, vm_name("front-1"));
@@ -43,6 +44,7 @@
   EXPECT_EQ(settings.mRetrySlack, 218u);
   EXPECT_EQ(settings.mShutdownGrace, 6500ms);
   EXPECT_TRUE(settings.mFirstStart);
+  EXPECT_EQ(settings.mMemoryBytes, 160u * 1024 * 1024);
   EXPECT_EQ(settings.mMaxNetworkDelay, 1500ms);
   EXPECT_EQ(settings.mConfigurationApplyTime, 3s);
   EXPECT_FALSE(ParseGatewaySettings(Valid().dump()).mFirstStart);
--- a/UnitTests/Gateway/PrefixSnapshotTest.cpp
+++ b/UnitTests/Gateway/PrefixSnapshotTest.cpp
@@ -1,6 +1,8 @@
 #include "Parsleystair/Gateway/PrefixSnapshot.h"
 
+#include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Gateway/WatchHistory.h"
 
 #include <gtest/gtest.h>
 
@@ -68,6 +70,15 @@
   EXPECT_FALSE(snapshot.IsComplete());
 }
 
+// Guards against a short message that unpacks to more than the machine has.
+TEST(PrefixSnapshot, RefusesMessagesThatUnpackToTooMuch)
+{
+  const std::string zeros = Compress(std::string(9 * 1024 * 1024, '\0'));
+  EXPECT_LT(zeros.size(), 100'000u);
+  EXPECT_THROW(DecodePrefixReply(zeros), parse_error);
+  EXPECT_THROW(DecodeWatchReply(zeros), parse_error);
+}
+
 // Guards against a malformed response that ends a starting router.
 TEST(PrefixSnapshot, RefusesMalformedText)
 {
