--- a/Parsleystair/Gateway/GatewaySettings.h
+++ b/Parsleystair/Gateway/GatewaySettings.h
@@ -23,6 +23,8 @@
   socket_address mStore;
   /// Processor time that this process may use, in cores.
   double mProcessorShare = 1;
+  /// Memory that this process may use, in bytes.
+  uint64_t mMemoryBytes = 512 * 1024 * 1024;
   /// The whole deployment starts for the first time, so the store has no state
   /// of other gateways yet.
   bool mFirstStart = false;
@@ -32,6 +34,9 @@
   duration mMaxGrantDuration = 10s;
   /// Longest time for which the network holds bytes that were sent.
   duration mMaxNetworkDelay = 4s;
+  /// Time within which a configuration takes effect that the store has
+  /// accepted.
+  duration mConfigurationApplyTime = 2s;
   /// Retry budget of all gateways together: retries per request, and retries
   /// allowed in addition in each time window.
   double mRetryRatio = 0.2;
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -12,6 +12,10 @@
 
 constexpr uint32_t kOk = 200;
 constexpr uint32_t kNotFound = 404;
+/// Divisor of a machine's memory that gives the limit of the bytes that
+/// connections hold. Buffers grow by doubling, and an answer that is complete
+/// is copied on its way to the caller.
+constexpr uint64_t kConnectionMemoryDivisor = 8;
 constexpr uint32_t kUnavailable = 503;
 
 /// Interval of periodic work that no event triggers: health checks, closing of
@@ -67,6 +71,7 @@
   settings.mLocation.mFailureDomain = aSettings.mFailureDomain;
   settings.mLocation.mRegions = aSettings.mRegions;
   settings.mRetryBudget = { aSettings.mRetryRatio, aSettings.mRetrySlack };
+  settings.mMaxRoutesAge = aSettings.mConfigurationApplyTime;
   return settings;
 }
 
@@ -117,16 +122,19 @@
 public:
   using items_handler = std::function<void(const std::vector<stored_item>&)>;
   using change_handler = std::function<void(const item_change&)>;
+  using confirmation_handler = std::function<void()>;
 
   follower(gateway_task& aTask,
            const std::string& aPrefix,
            items_handler aItems,
            change_handler aChange,
            duration aLongestWait,
-           uint64_t aSeed)
+           uint64_t aSeed,
+           confirmation_handler aConfirmation = nullptr)
     : mTask(aTask)
     , mItemsHandler(std::move(aItems))
     , mChangeHandler(std::move(aChange))
+    , mConfirmationHandler(std::move(aConfirmation))
     , mFollower(aTask.mLoop,
                 aTask.mRelayedStore,
                 aPrefix,
@@ -140,6 +148,7 @@
   void HandleEraChange() { mFollower.HandleEraChange(); }
   void CheckAfterGap(time_point aAt) { mFollower.CheckAfterGap(aAt); }
   [[nodiscard]] const prefix_follower& Follower() const { return mFollower; }
+  bool Confirm(time_point aNow) { return mFollower.Confirm(aNow); }
 
   void HandleItems(const std::vector<stored_item>& aItems) override
   {
@@ -149,6 +158,12 @@
   {
     mChangeHandler(aChange);
   }
+  void HandleConfirmed() override
+  {
+    if (mConfirmationHandler) {
+      mConfirmationHandler();
+    }
+  }
   void HandleLost() override
   {
     mTask.mView.mDirectory.HandleStoreOutage(MonotonicNow());
@@ -171,6 +186,7 @@
   gateway_task& mTask;
   items_handler mItemsHandler;
   change_handler mChangeHandler;
+  confirmation_handler mConfirmationHandler;
   prefix_follower mFollower;
 };
 
@@ -214,6 +230,7 @@
                ForwarderSettings(aSettings),
                aPlatform.mRequestProtocol,
                mView,
+               *this,
                mCallerServer,
                aSeed)
   , mElection(aLoop,
@@ -236,6 +253,7 @@
       },
       aSeed + 5)
 {
+  aLoop.Bytes().SetLimit(aSettings.mMemoryBytes / kConnectionMemoryDivisor);
   mCallerServer.OnClose(
     [this](exchange_id aExchange) { mForwarder.HandleCallerGone(aExchange); });
   mPeerServer.OnClose([this](exchange_id aExchange) {
@@ -271,7 +289,8 @@
       }
     },
     kMaxConfigurationWatchWait,
-    aSeed + 2);
+    aSeed + 2,
+    [this] { mForwarder.HandleRoutesConfirmed(); });
   mTargetFollower = std::make_unique<follower>(
     *this,
     aPlatform.mCatalog.TargetPrefix(),
@@ -395,6 +414,16 @@
   HandleTargetsChanged();
 }
 
+time_point gateway_task::RoutesConfirmedAt() const
+{
+  return mConfigurationFollower->Follower().ConfirmedAt();
+}
+
+bool gateway_task::ConfirmRoutes(time_point aNow)
+{
+  return mConfigurationFollower->Confirm(aNow);
+}
+
 uint64_t gateway_task::ConfigurationVersion() const
 {
   return mView.mRoutes == nullptr ? 0 : mView.mRoutes->Configuration().mVersion;
