--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -122,7 +122,9 @@
   if (link.mConnection->IsBusy()) {
     // The response to an earlier watch is one to this watch, too.
     if (!link.mIsWatching) {
-      HandleRelayWithoutReply(aPrefix);
+      watch.mRelayTimer.StartOnce(mLoop, duration::zero(), [this, aPrefix] {
+        HandleRelayWithoutReply(aPrefix);
+      });
     }
     return;
   }
