Keep the follower of a relayed prefix at one revision and never without a call

Callers: a target that had left, or an old configuration, for good, on a router whose relay was unwell at the end of an outage or a restore.

Causes: a watch besides the relay was not tied to a revision, so a late reply took a follower back that had read a newer state; a retry of a watch could replace the connection on which a read of the follower waited, whose callback then never came; a relay that learned of a change by a read told nobody; a relay repeated its own watches by the wait of the follower, 3 s, not by its own, 1 s; a reply after 1 s of a relay that may hold a watch for 1.2 s counted as overdue, so that other prefixes were read; an age of 1.5 s was claimed for reads through relays, whatever their age.

Change: a new watch or read drops the watch besides the relay; a follower takes no change at or before its revision; a relay passes on the changes that a read shows; the store tells by when a watch has its reply; reads carry their age. A confirmation of the routes is asked for each 0.5 s at most, also just after a change.

--- a/Parsleystair/Gateway/PeerMessage.h
+++ b/Parsleystair/Gateway/PeerMessage.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
 
 namespace parsleystair {
 
@@ -9,4 +11,9 @@
 /// machines have 160 MB.
 inline constexpr size_t kMaxPeerMessageBytes = 8 * 1024 * 1024;
 
+/// Unpacks a message in CBOR and parses it. Throws `parse_error` if it is
+/// malformed or has more values than a router sends: a value of one byte takes
+/// sixteen or more in memory.
+nlohmann::json ReadCborMessage(const std::string& aCompressed);
+
 } // namespace parsleystair
--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -13,15 +13,11 @@
 /// Wait of the first watch after a failure. It is short to show soon whether
 /// the store still replies to watches on this network path.
 constexpr duration kWatchWaitAfterFailure = 300ms;
-/// Time after the end of its wait by which a watch gets its reply, also from a
-/// slow store over a link that loses a packet.
-constexpr duration kMaxReplyDelay = 500ms;
 /// Interval of watches while none gets a reply. A store that was silent has
 /// forgotten them, so this is the time until its return is found.
 constexpr duration kProbeInterval = 1s;
-/// Time since the last call after which a reply is not due soon. Watches at a
-/// relay are shorter.
-constexpr duration kMinCallAgeToConfirm = 1600ms;
+/// Shortest interval of calls that only confirm the present state.
+constexpr duration kMinConfirmInterval = 500ms;
 /// Wait of a watch that only confirms the present state.
 constexpr duration kConfirmationWait = 1ms;
 /// Delays of the next watch after changes, for single changes and during a
@@ -84,9 +80,12 @@
 void prefix_follower::Read()
 {
   const uint64_t generation = ++mGeneration;
+  mTimer.Cancel();
+  mIsReading = true;
   mLastCallAt = MonotonicNow();
   mStore.ReadPrefix(mPrefix, [this, generation](const prefix_reply& aReply) {
     if (generation == mGeneration) {
+      mIsReading = false;
       HandleRead(aReply);
     }
   });
@@ -102,7 +101,7 @@
   const uint64_t number = ++mLatestWatch;
   mLastCallAt = MonotonicNow();
   mTimer.StartOnce(mLoop,
-                   std::max(aWait + kMaxReplyDelay, kProbeInterval),
+                   std::max(mStore.ReplyTime(aWait), kProbeInterval),
                    [this] { HandleOverdueWatch(); });
   mStore.Watch(
     mPrefix,
@@ -138,7 +137,10 @@
   if (!mHasRead || mFailures > 0) {
     return false;
   }
-  if (aNow - mLastCallAt >= kMinCallAgeToConfirm) {
+  const bool isDue = mLastConfirmAt == time_point::min() ||
+                     aNow - mLastConfirmAt >= kMinConfirmInterval;
+  if (isDue && !mIsReading) {
+    mLastConfirmAt = aNow;
     SendWatch(kConfirmationWait);
   }
   return true;
@@ -209,9 +211,12 @@
     return;
   }
   RecordReply(aReply.mConfirmedAt);
+  const store_revision known = mRevision;
   mRevision = std::max(mRevision, aReply.mRevision);
   for (const item_change& change : aReply.mChanges) {
-    mListener.HandleChange(change);
+    if (change.mRevision > known) {
+      mListener.HandleChange(change);
+    }
   }
   mListener.HandleConfirmed();
   if (aReply.mChanges.empty()) {
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -95,6 +95,8 @@
   time_point mLastChangeAt = time_point::min();
   time_point mConfirmedAt = time_point::min();
   time_point mLastCallAt = time_point::min();
+  time_point mLastConfirmAt = time_point::min();
+  bool mIsReading = false;
   /// Grows with each read and each reply. Replies to calls of earlier
   /// generations are ignored.
   uint64_t mGeneration = 0;
--- a/Parsleystair/Gateway/PrefixSnapshot.cpp
+++ b/Parsleystair/Gateway/PrefixSnapshot.cpp
@@ -5,6 +5,7 @@
 #include "Parsleystair/Gateway/PeerMessage.h"
 
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace parsleystair {
 
@@ -40,6 +41,32 @@
   }
 }
 
+std::optional<watch_reply> prefix_snapshot::ChangesUntil(
+  const prefix_reply& aReply) const
+{
+  if (!mIsComplete || EraOf(aReply.mRevision) != EraOf(mRevision) ||
+      aReply.mRevision < mRevision) {
+    return std::nullopt;
+  }
+  watch_reply changes{
+    call_outcome::kDone, {}, aReply.mRevision, aReply.mConfirmedAt
+  };
+  std::set<std::string> remaining;
+  for (const stored_item& item : aReply.mItems) {
+    remaining.insert(item.mKey);
+    const auto known = mItems.find(item.mKey);
+    if (known == mItems.end() || known->second != item) {
+      changes.mChanges.push_back({ item.mKey, item.mValue, item.mRevision });
+    }
+  }
+  for (const auto& [key, item] : mItems) {
+    if (!remaining.contains(key)) {
+      changes.mChanges.push_back({ key, std::nullopt, aReply.mRevision });
+    }
+  }
+  return changes;
+}
+
 const std::string& prefix_snapshot::Encoded() const
 {
   if (mEncoded.empty()) {
@@ -74,8 +101,7 @@
 prefix_reply DecodePrefixReply(const std::string& aText)
 {
   try {
-    const nlohmann::json json =
-      nlohmann::json::from_cbor(Decompress(aText, kMaxPeerMessageBytes));
+    const nlohmann::json json = ReadCborMessage(aText);
     prefix_reply reply;
     reply.mOutcome = call_outcome::kDone;
     reply.mRevision = store_revision(json.at("revision").get<uint64_t>());
--- a/Parsleystair/Gateway/PrefixSnapshot.h
+++ b/Parsleystair/Gateway/PrefixSnapshot.h
@@ -3,6 +3,7 @@
 #include "Parsleystair/Platform/CoordinationStore.h"
 
 #include <map>
+#include <optional>
 
 namespace parsleystair {
 
@@ -20,6 +21,12 @@
 
   /// The snapshot has all items at its revision.
   [[nodiscard]] bool IsComplete() const { return mIsComplete; }
+
+  /// Changes from this snapshot to a later read; nothing if there may be others
+  /// that neither shows.
+  [[nodiscard]] std::optional<watch_reply> ChangesUntil(
+    const prefix_reply& aReply) const;
+
   [[nodiscard]] store_revision Revision() const { return mRevision; }
   /// The snapshot as `EncodePrefixReply` encodes it.
   [[nodiscard]] const std::string& Encoded() const;
--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -4,6 +4,7 @@
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Log.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -36,9 +37,32 @@
 constexpr duration kRelayRetryDelay = 300ms;
 /// Wait of a watch at the store while the relay has no recent reply.
 constexpr duration kWatchWaitBesideRelay = 300ms;
-/// Pause after such a watch has failed. The relay asks the store more often.
+/// Time by which a watch through the relay has ended: the response to an
+/// earlier one, its own, and a watch at the store that gets no reply.
+constexpr duration kMaxRelayedWatchTime = 5s;
+/// Pause after a watch besides the relay has failed. The relay asks the store
+/// more often.
 constexpr duration kStoreWatchPause = 2s;
 
+/// Age of what a relay responds to a read, in microseconds: the time since the
+/// store confirmed it.
+constexpr const char* kAgeHeader = "Confirmed-Age-Us";
+
+/// Routers of earlier releases state no age.
+duration ReadAge(const http_response& aResponse)
+{
+  duration age = watch_history::kMaxReplyAge;
+  if (const auto text = FindHeader(aResponse.mHeaders, kAgeHeader)) {
+    int64_t count = 0;
+    const char* end = text->data() + text->size();
+    const auto result = std::from_chars(text->data(), end, count);
+    if (result.ec == std::errc() && result.ptr == end && count >= 0) {
+      age = duration(count);
+    }
+  }
+  return age;
+}
+
 std::string EncodeChanges(const watch_history& aHistory,
                           store_revision aAfter,
                           time_point aNow)
@@ -85,11 +109,24 @@
     return;
   }
   relayed_watch& watch = mRelayedWatches[aPrefix];
+  if (watch.mAfter != aAfter) {
+    DropWatchBesideRelay(aPrefix);
+  }
   watch.mAfter = aAfter;
   watch.mCallback = std::move(aCallback);
   WatchRelay(aPrefix);
 }
 
+duration relayed_store::ReplyTime(duration aWait) const
+{
+  const time_point now = MonotonicNow();
+  if (mRelays.Current(now)) {
+    return kMaxRelayedWatchTime;
+  }
+  return coordination_store::ReplyTime(
+    mRelays.IsRelay(now) ? std::min(aWait, kRelayWatchWait) : aWait);
+}
+
 relayed_store::relay_link& relayed_store::LinkTo(const std::string& aHost,
                                                  const std::string& aPrefix)
 {
@@ -100,6 +137,7 @@
       .Add("prefix", aPrefix);
     link.mHost = aHost;
     link.mIsWatching = false;
+    mRelayedWatches[aPrefix].mStoreRepliedAt = time_point::max();
     link.mConnection = std::make_unique<http_connection>(
       mLoop, aHost, mPeerPort, RelayConnectionSettings());
   }
@@ -171,7 +209,7 @@
     });
   }
   mSnapshots[aPrefix].HandleReply(watch.mAfter, reply);
-  mStoreWatches[aPrefix].mCallbacks.erase(watch.mStoreWatch);
+  DropWatchBesideRelay(aPrefix);
   FinishRelayedWatch(aPrefix, reply);
 }
 
@@ -187,6 +225,10 @@
     watch.mStoreRepliedAt = time_point::max();
     mRelays.HandleFailure(aHost, now);
   }
+  if (mRelays.Current(now) != aHost) {
+    // No relay asks the store for this router now.
+    watch.mNextStoreWatch = time_point::min();
+  }
   HandleRelayWithoutReply(aPrefix);
 }
 
@@ -235,6 +277,14 @@
          watches->second.mCallbacks.contains(watch->second.mStoreWatch);
 }
 
+void relayed_store::DropWatchBesideRelay(const std::string& aPrefix)
+{
+  const auto watches = mStoreWatches.find(aPrefix);
+  if (watches != mStoreWatches.end()) {
+    watches->second.mCallbacks.erase(mRelayedWatches[aPrefix].mStoreWatch);
+  }
+}
+
 void relayed_store::FinishRelayedWatch(const std::string& aPrefix,
                                        const watch_reply& aReply)
 {
@@ -477,7 +527,11 @@
     snapshot.IsComplete() && EraOf(snapshot.Revision()) == mStore.Era() &&
     mHistories[aPrefix].Covers(snapshot.Revision(), MonotonicNow());
   if (isCurrent) {
-    mPeerServer.Respond(aExchange, { kOk, {}, snapshot.Encoded() });
+    const duration age = MonotonicNow() - mHistories[aPrefix].ConfirmedAt();
+    mPeerServer.Respond(aExchange,
+                        { kOk,
+                          { { kAgeHeader, std::to_string(age.count()) } },
+                          snapshot.Encoded() });
   }
   return isCurrent;
 }
@@ -507,6 +561,12 @@
 void relayed_store::ReadPrefix(const std::string& aPrefix,
                                read_callback aCallback)
 {
+  // The follower has given up its watch. A retry of it could replace the
+  // connection on which the read waits.
+  relayed_watch& watch = mRelayedWatches[aPrefix];
+  watch.mCallback = nullptr;
+  watch.mRelayTimer.Cancel();
+  DropWatchBesideRelay(aPrefix);
   const auto relay = mRelays.Current(MonotonicNow());
   if (!relay) {
     ReadStore(aPrefix, std::move(aCallback));
@@ -542,7 +602,7 @@
       // lost history.
       if (reply && EraOf(reply->mRevision) == mStore.Era()) {
         prefix_reply confirmed = *reply;
-        confirmed.mConfirmedAt = sentAt - watch_history::kMaxReplyAge;
+        confirmed.mConfirmedAt = sentAt - ReadAge(aResult.mResponse);
         mSnapshots[aPrefix].HandleRead(confirmed);
         callback(confirmed);
         return;
@@ -554,23 +614,33 @@
 void relayed_store::ReadStore(const std::string& aPrefix,
                               read_callback aCallback)
 {
-  mStore.ReadPrefix(
-    aPrefix,
-    [this, aPrefix, callback = std::move(aCallback)](
-      const prefix_reply& aReply) {
-      const bool isDone = aReply.mOutcome == call_outcome::kDone;
-      if (isDone) {
-        mSnapshots[aPrefix].HandleRead(aReply);
-        // The read shows the state of the store like a watch
-        // from its revision.
-        mHistories[aPrefix].HandleReply(
-          aReply.mRevision,
-          { call_outcome::kDone, {}, aReply.mRevision, aReply.mConfirmedAt },
-          MonotonicNow());
-      }
-      RespondToPendingReads(aPrefix, !isDone);
-      callback(aReply);
-    });
+  mStore.ReadPrefix(aPrefix,
+                    [this, aPrefix, callback = std::move(aCallback)](
+                      const prefix_reply& aReply) {
+                      const bool isDone =
+                        aReply.mOutcome == call_outcome::kDone;
+                      if (isDone) {
+                        HandleStoreRead(aPrefix, aReply);
+                      }
+                      RespondToPendingReads(aPrefix, !isDone);
+                      callback(aReply);
+                    });
+}
+
+void relayed_store::HandleStoreRead(const std::string& aPrefix,
+                                    const prefix_reply& aReply)
+{
+  prefix_snapshot& snapshot = mSnapshots[aPrefix];
+  // Routers that wait for changes get those that the read shows.
+  const auto changes = snapshot.ChangesUntil(aReply);
+  const store_revision after = changes ? snapshot.Revision() : aReply.mRevision;
+  snapshot.HandleRead(aReply);
+  mHistories[aPrefix].HandleReply(
+    after,
+    changes.value_or(watch_reply{
+      call_outcome::kDone, {}, aReply.mRevision, aReply.mConfirmedAt }),
+    MonotonicNow());
+  RespondToPendingWatches(aPrefix);
 }
 
 void relayed_store::Write(const conditional_write& aWrite,
--- a/Parsleystair/Gateway/RelayedStore.h
+++ b/Parsleystair/Gateway/RelayedStore.h
@@ -34,6 +34,7 @@
   /// The router that sent the watch or the read has disconnected.
   void HandleDisconnect(exchange_id aExchange);
 
+  [[nodiscard]] duration ReplyTime(duration aWait) const override;
   [[nodiscard]] store_era Era() const override { return mStore.Era(); }
   void OnEraChange(era_handler aHandler) override
   {
@@ -102,6 +103,7 @@
   };
 
   void ReadStore(const std::string& aPrefix, read_callback aCallback);
+  void HandleStoreRead(const std::string& aPrefix, const prefix_reply& aReply);
   void ReadRelay(relay_link& aLink,
                  const std::string& aPrefix,
                  read_callback aCallback);
@@ -133,6 +135,9 @@
   [[nodiscard]] bool IsAtStore(const std::string& aPrefix) const;
   void FinishRelayedWatch(const std::string& aPrefix,
                           const watch_reply& aReply);
+  /// Drops a watch besides the relay; its reply would be about a revision that
+  /// the follower has left.
+  void DropWatchBesideRelay(const std::string& aPrefix);
   relay_link& LinkTo(const std::string& aHost, const std::string& aPrefix);
   /// Body of a response of the relay, decoded; nothing if the relay gave no
   /// usable response.
--- a/Parsleystair/Gateway/WatchHistory.cpp
+++ b/Parsleystair/Gateway/WatchHistory.cpp
@@ -86,8 +86,7 @@
 aged_watch_reply DecodeWatchReply(const std::string& aText)
 {
   try {
-    const nlohmann::json json =
-      nlohmann::json::from_cbor(Decompress(aText, kMaxPeerMessageBytes));
+    const nlohmann::json json = ReadCborMessage(aText);
     aged_watch_reply aged;
     // Routers of earlier releases send no age.
     aged.mAge =
--- a/Parsleystair/Platform/CoordinationStore.h
+++ b/Parsleystair/Platform/CoordinationStore.h
@@ -140,6 +140,15 @@
 public:
   virtual ~coordination_store() = default;
 
+  /// Time by which a watch with this wait has its reply, unless the store has
+  /// lost the watch.
+  [[nodiscard]] virtual duration ReplyTime(duration aWait) const
+  {
+    // A reply of a slow store, over a link that loses a packet.
+    constexpr duration kMaxReplyDelay = std::chrono::milliseconds(500);
+    return aWait + kMaxReplyDelay;
+  }
+
   /// Latest era of which a reply has arrived; the first era before any reply.
   [[nodiscard]] virtual store_era Era() const = 0;
 
--- a/UnitTests/Gateway/PrefixSnapshotTest.cpp
+++ b/UnitTests/Gateway/PrefixSnapshotTest.cpp
@@ -77,6 +77,38 @@
   EXPECT_LT(zeros.size(), 100'000u);
   EXPECT_THROW(DecodePrefixReply(zeros), parse_error);
   EXPECT_THROW(DecodeWatchReply(zeros), parse_error);
+  // An array of nulls takes sixteen bytes for each of one.
+  constexpr size_t kNulls = 7 * 1024 * 1024;
+  const std::string nulls = Compress(std::string("\x9a\x00\x70\x00\x00", 5) +
+                                     std::string(kNulls, '\xf6'));
+  EXPECT_THROW(DecodePrefixReply(nulls), parse_error);
+  EXPECT_THROW(DecodeWatchReply(nulls), parse_error);
+}
+
+// Guards against a read of a relay whose changes its routers learn of seconds
+// later.
+TEST(PrefixSnapshot, ShowsTheChangesUntilARead)
+{
+  prefix_snapshot snapshot;
+  EXPECT_FALSE(snapshot.ChangesUntil(Read({}, 9)));
+  snapshot.HandleRead(Read({ { "a", "1", store_revision(2) },
+                             { "b", "1", store_revision(3) },
+                             { "c", "1", store_revision(4) } },
+                           5));
+  const auto changes =
+    snapshot.ChangesUntil(Read({ { "a", "1", store_revision(2) },
+                                 { "b", "2", store_revision(7) },
+                                 { "d", "1", store_revision(8) } },
+                               9));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->mRevision, store_revision(9));
+  const std::vector<item_change> expected{
+    { "b", "2", store_revision(7) },
+    { "d", "1", store_revision(8) },
+    { "c", std::nullopt, store_revision(9) }
+  };
+  EXPECT_EQ(changes->mChanges, expected);
+  EXPECT_FALSE(snapshot.ChangesUntil(Read({}, 4)));
 }
 
 // Guards against a malformed response that ends a starting router.
