Free the output of a connection when it is sent, and count requests

Cause: a string that is emptied, or assigned an empty one, keeps its memory; the count used the length. Requests that are sent to targets were not counted.

Change: output and requests are freed by a swap, and the memory is counted.

--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -123,7 +123,8 @@
   }
   mSent = true;
   mStream->Write(mRequest, mSendUntil);
-  mRequest.clear();
+  std::string().swap(mRequest);
+  UpdateHeldBytes();
 }
 
 void http_connection::state::HandleConnected()
@@ -160,7 +161,9 @@
 
 size_t http_connection::state::HeldBytes() const
 {
-  return mInput.capacity() + (mParser ? mParser->HeldBytes() : 0);
+  return mInput.capacity() + mRequest.capacity() +
+         (mParser ? mParser->HeldBytes() : 0) +
+         (mStream != nullptr ? mStream->HeldBytes() : 0);
 }
 
 void http_connection::state::DropBytes()
--- a/Parsleystair/Http/ServerConnection.cpp
+++ b/Parsleystair/Http/ServerConnection.cpp
@@ -69,7 +69,7 @@
 
 size_t server_connection::HeldBytes() const
 {
-  return mInput.capacity() + mParser.HeldBytes() + mStream.Unsent();
+  return mInput.capacity() + mParser.HeldBytes() + mStream.HeldBytes();
 }
 
 void server_connection::DropBytes()
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -23,6 +23,9 @@
 /// Probes without an answer after which the system gives a peer up.
 constexpr int kKeepAliveProbes = 2;
 
+/// Memory that a stream keeps for its next output.
+constexpr size_t kKeptOutputBytes = 16 * 1024;
+
 /// What has arrived on a stream and is not read yet.
 enum class input_state
 {
@@ -255,6 +258,10 @@
     event_add(mWriteEvent, nullptr);
     return;
   }
+  if (mOutput.empty() && mOutput.capacity() > kKeptOutputBytes) {
+    // An assignment of an empty string would keep the memory.
+    std::string().swap(mOutput);
+  }
   if (mFinishing && mOutput.empty() && !mConnecting && !mBroken) {
     shutdown(mDescriptor, SHUT_WR);
   }
@@ -333,6 +340,11 @@
   return mState->mOutput.size();
 }
 
+size_t socket_stream::HeldBytes() const
+{
+  return mState->mOutput.capacity();
+}
+
 size_t socket_stream::Unacknowledged() const
 {
   return Unsent() + QueuedBytes(mState->mDescriptor).value_or(0);
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -76,6 +76,9 @@
   /// Bytes that the system has not taken yet.
   [[nodiscard]] size_t Unsent() const;
 
+  /// Memory of the bytes that the system has not taken yet.
+  [[nodiscard]] size_t HeldBytes() const;
+
   /// Bytes written that the peer has not acknowledged yet, sent or not.
   [[nodiscard]] size_t Unacknowledged() const;
 
--- a/UnitTests/Gateway/EndlessAnswersTest.cpp
+++ b/UnitTests/Gateway/EndlessAnswersTest.cpp
@@ -118,6 +118,42 @@
     endless_case{ "Interim", "", Repeat("HTTP/1.1 102 Wait\r\n\r\n") }),
   [](const auto& aInfo) { return aInfo.param.mName; });
 
+// Guards against connections that keep the memory of their largest answer.
+TEST(ByteBudget, KeptConnectionsHoldLittle)
+{
+  event_loop loop;
+  constexpr size_t kConnections = 20;
+  const std::string large(4 * 1024 * 1024, 'x');
+  http_server* responder = nullptr;
+  http_server server(loop, {}, [&](exchange_id aExchange, const http_request&) {
+    responder->Respond(aExchange, { 200, {}, large });
+  });
+  responder = &server;
+  server.Listen("127.0.0.1", 0);
+  const size_t before = AllocatedBytes();
+  std::vector<std::unique_ptr<http_connection>> connections;
+  size_t ended = 0;
+  std::function<void()> callNext = [&] {
+    if (connections.size() == kConnections) {
+      loop.Stop();
+      return;
+    }
+    connections.push_back(
+      std::make_unique<http_connection>(loop, "127.0.0.1", server.Port()));
+    connections.back()->Call(
+      { "GET", "/large", {}, {}, {} }, 5s, [&](const http_result& aEnd) {
+        EXPECT_EQ(aEnd.mResponse.mBody.size(), large.size());
+        ++ended;
+        callNext();
+      });
+  };
+  timer start;
+  start.StartOnce(loop, duration::zero(), [&] { callNext(); });
+  loop.Run();
+  EXPECT_EQ(ended, kConnections);
+  EXPECT_LT(AllocatedBytes(), before + 2 * large.size());
+}
+
 // Guards against answers that fill the memory because their callers don't read
 // them, and against other callers that lose their requests to these.
 TEST(ByteBudget, CallersThatDoNotReadAreDropped)
