Check the memory of routers under answers without end in the soak

Cause: the bound on the bytes that all connections keep was shown within one test process only, by its allocator's figures; no run of parsleystair_gateway would fail if a router took the memory of its machine.

Change: after the last fault gateway_soak sends a hundred requests at once to each of the seven routers, one router a second, to a service whose targets answer with a body without end. Settings have 160 MB of memory. It fails if the highest memory (VmHWM) of a router reaches 80 MB, if any of the other requests sent meanwhile is not served, or if fewer than 50 such answers for each router began.

Callers that don't read large answers are not part of it.

--- a/PerformanceTest/gateway_soak/FaultProxy.cpp
+++ b/PerformanceTest/gateway_soak/FaultProxy.cpp
@@ -18,6 +18,7 @@
 constexpr size_t kCutLength = 30;
 /// Size and interval of the parts of an endless answer.
 constexpr size_t kEndlessFields = 200;
+constexpr size_t kEndlessBodyBytes = 64 * 1024;
 constexpr duration kEndlessInterval = 5ms;
 
 } // namespace
@@ -118,19 +119,31 @@
       mCaller->Write(aBytes.substr(0, kCutLength));
       mCaller->FinishWriting();
     } else if (aFault == link_fault::kEndlessAnswers) {
-      mSwallowBack = true;
-      mCaller->Write("HTTP/1.1 200 OK\r\n");
-      mEndless.StartRepeating(mProxy.mLoop, kEndlessInterval, [this] {
-        // The router may be paused, and these bytes would fill the memory here.
-        const size_t fields = mCaller->Unsent() == 0 ? kEndlessFields : 0;
-        for (size_t field = 0; field < fields; ++field) {
-          mCaller->Write("X-Field: without end\r\n");
-        }
-      });
+      std::string fields;
+      for (size_t field = 0; field < kEndlessFields; ++field) {
+        fields += "X-Field: without end\r\n";
+      }
+      AnswerWithoutEnd("HTTP/1.1 200 OK\r\n", fields);
+    } else if (aFault == link_fault::kEndlessBodies) {
+      AnswerWithoutEnd("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                       std::string(kEndlessBodyBytes, 'x'));
     }
     return aBytes;
   }
 
+  void AnswerWithoutEnd(std::string_view aBeginning,
+                        const std::string& aRepeated)
+  {
+    mSwallowBack = true;
+    mCaller->Write(aBeginning);
+    mEndless.StartRepeating(mProxy.mLoop, kEndlessInterval, [this, aRepeated] {
+      // The router may be paused, and these bytes would fill the memory here.
+      if (mCaller->Unsent() == 0) {
+        mCaller->Write(aRepeated);
+      }
+    });
+  }
+
   void Flush()
   {
     mHolding = false;
--- a/PerformanceTest/gateway_soak/FaultProxy.h
+++ b/PerformanceTest/gateway_soak/FaultProxy.h
@@ -30,6 +30,8 @@
   kCutAnswers,
   /// Answers have fields without end.
   kEndlessAnswers,
+  /// Answers have a body without end.
+  kEndlessBodies,
 };
 
 /// Passes connections on to another loopback port, with faults.
--- a/PerformanceTest/gateway_soak/GatewayProcess.cpp
+++ b/PerformanceTest/gateway_soak/GatewayProcess.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
 
@@ -62,4 +63,16 @@
   return mStatus;
 }
 
+uint64_t gateway_process::MemoryKilobytes(const std::string& aField) const
+{
+  std::ifstream status("/proc/" + std::to_string(mProcess) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.starts_with(aField + ":")) {
+      return std::stoull(line.substr(aField.size() + 1));
+    }
+  }
+  return 0;
+}
+
 } // namespace parsleystair
--- a/PerformanceTest/gateway_soak/GatewayProcess.h
+++ b/PerformanceTest/gateway_soak/GatewayProcess.h
@@ -26,6 +26,10 @@
   /// How it ended, as `waitpid` tells; empty while it runs.
   std::optional<int> Status();
 
+  /// A field of the process's status in the system, such as `VmHWM`, its
+  /// highest memory, in kilobytes; 0 if it has ended.
+  [[nodiscard]] uint64_t MemoryKilobytes(const std::string& aField) const;
+
 private:
   pid_t mProcess = -1;
   std::optional<int> mStatus;
--- a/PerformanceTest/gateway_soak/SoakFaults.cpp
+++ b/PerformanceTest/gateway_soak/SoakFaults.cpp
@@ -12,6 +12,11 @@
 constexpr duration kLongestPause = 5s;
 /// Grace time of the settings, and the time that the end of a process takes.
 constexpr duration kLongestShutdown = 4500ms;
+constexpr size_t kEndlessTargets = 2;
+/// Requests at once to each router that are answered without end.
+constexpr size_t kEndlessCallers = 100;
+/// Time between the routers, in which the answers grow.
+constexpr duration kEndlessTime = 1s;
 
 } // namespace
 
@@ -55,6 +60,24 @@
     mLoop, RandomTime(2 * kFaultInterval), [this] { Inject(); });
 }
 
+void soak_world::SendEndlessAnswers()
+{
+  AddTargets("endless", kEndlessTargets);
+  RunFor(kEndlessTime);
+  for (auto& [name, each] : mTargets) {
+    if (each.mService == "endless") {
+      each.mProxy->SetFault(link_fault::kEndlessBodies);
+    }
+  }
+  mPhase = play_phase::kEndless;
+  for (gateway& each : mGateways) {
+    for (size_t caller = 0; caller < kEndlessCallers; ++caller) {
+      Send("endless", each);
+    }
+    RunFor(kEndlessTime);
+  }
+}
+
 void soak_world::Heal(duration aAfter, std::function<void()> aAction)
 {
   mHeals.push_back(std::make_unique<timer>());
--- a/PerformanceTest/gateway_soak/SoakWorld.cpp
+++ b/PerformanceTest/gateway_soak/SoakWorld.cpp
@@ -32,6 +32,12 @@
 constexpr duration kHealTime = 12s;
 constexpr duration kFinalTime = 3s;
 constexpr double kFinalShare = 0.98;
+/// Memory of the users' smallest machines, and what a router may take of it.
+constexpr uint64_t kMachineMegabytes = 160;
+constexpr uint64_t kMaxMegabytes = kMachineMegabytes / 2;
+/// Endless answers for each router at least. An answer may grow to 8 MiB, so
+/// these would take more memory than the routers may.
+constexpr size_t kMinEndlessAnswers = 50;
 constexpr uint32_t kKeys = 64;
 constexpr uint32_t kKeyStep = 1024;
 
@@ -59,13 +65,15 @@
 {
   constexpr duration kTimeout = 2s;
   constexpr uint32_t kMaxAttempts = 3;
-  mStore.Put(kConfigurationKey,
-             EncodeOperatorConfiguration(
-               ++mVersion,
-               { { "read", true, "plain", kTimeout, kMaxAttempts },
-                 { "order", false, "orders", kTimeout, kMaxAttempts },
-                 { "history", true, "keyed", kTimeout, kMaxAttempts } },
-               { { "plain" }, { "orders" }, { "keyed", true } }));
+  mStore.Put(
+    kConfigurationKey,
+    EncodeOperatorConfiguration(
+      ++mVersion,
+      { { "read", true, "plain", kTimeout, kMaxAttempts },
+        { "order", false, "orders", kTimeout, kMaxAttempts },
+        { "history", true, "keyed", kTimeout, kMaxAttempts },
+        { "endless", false, "endless", kTimeout, kMaxAttempts } },
+      { { "plain" }, { "orders" }, { "keyed", true }, { "endless" } }));
 }
 
 void soak_world::AddTargets(const std::string& aService, size_t aCount)
@@ -120,6 +128,7 @@
     { "operators", address(kOperatorsPort) },
     { "peers", address(kPeersPort) },
     { "store", "127.0.0.1:" + std::to_string(each.mStoreProxy->Port()) },
+    { "memoryMegabytes", kMachineMegabytes },
     { "shutdownGraceSeconds", 4 }
   };
   each.mSettingsPath = mSettings.mDirectory + "/" + name + ".json";
@@ -148,11 +157,14 @@
   mFaultTimer.Cancel();
   PutConfiguration();
   RunFor(kHealTime);
-  mFinal = true;
+  mPhase = play_phase::kHealed;
   RunFor(kFinalTime);
+  SendEndlessAnswers();
   mTraffic.Cancel();
   RunFor(kFinalTime);
-  CheckServed();
+  CheckServed(play_phase::kHealed, kFinalShare);
+  CheckServed(play_phase::kEndless, 1);
+  CheckMemory();
   CheckConfiguration();
   CheckLedger();
   return mViolations;
@@ -174,18 +186,24 @@
 {
   static const std::vector<std::string> kKinds = { "read", "order", "history" };
   const std::string& kind = kKinds[Random(kKinds.size())];
+  ++mSent[mPhase];
+  Send(kind, mGateways[Random(kGateways)]);
+}
+
+void soak_world::Send(const std::string& aKind, gateway& aGateway)
+{
   std::string id = "r-";
   id += std::to_string(mNextRequest++);
   constexpr duration kTimeLeft = 3s;
-  const std::string path = "/" + kind + "/" + std::to_string(Random(1000));
+  const std::string path = "/" + aKind + "/" + std::to_string(Random(1000));
   const auto key = static_cast<uint32_t>(Random(kKeys)) * kKeyStep;
+  const bool isUnsafe = aKind == "order" || aKind == "endless";
   const http_request request =
-    CallerRequest(kind == "order" ? "POST" : "GET", path, id, kTimeLeft, key);
-  mRequests[id] = { kind == "order", false, request.mPath, 0 };
-  mFinalSent += mFinal ? 1 : 0;
+    CallerRequest(isUnsafe ? "POST" : "GET", path, id, kTimeLeft, key);
+  mRequests[id] = { isUnsafe, mPhase, false, request.mPath, 0 };
   constexpr duration kCallerTimeout = 4s;
-  ConnectionTo(mGateways[Random(kGateways)])
-    .Call(request, kCallerTimeout, [this, id](const http_result& aResult) {
+  ConnectionTo(aGateway).Call(
+    request, kCallerTimeout, [this, id](const http_result& aResult) {
       HandleResult(id, aResult);
     });
 }
@@ -209,7 +227,7 @@
   if (status != kOk) {
     return;
   }
-  mFinalServed += mFinal ? 1 : 0;
+  ++mServed[request.mPhase];
   const bool own = IsSignedAnswer(aResult.mResponse, aId) &&
                    aResult.mResponse.mBody.ends_with(" ran " + request.mPath);
   if (!own || request.mRuns == 0) {
@@ -224,7 +242,9 @@
     Violation("a request that nobody sent ran: " + aId);
     return;
   }
-  ++found->second.mRuns;
+  sent_request& request = found->second;
+  ++request.mRuns;
+  mFaults["endless-body"] += request.mPath.starts_with("/endless/") ? 1 : 0;
 }
 
 void soak_world::CheckOwners()
@@ -244,13 +264,35 @@
   }
 }
 
-void soak_world::CheckServed()
+void soak_world::CheckServed(play_phase aPhase, double aShare)
 {
-  const double share = static_cast<double>(mFinalServed) /
-                       static_cast<double>(std::max<size_t>(mFinalSent, 1));
-  if (share < kFinalShare) {
-    Violation("after all faults " + std::to_string(mFinalServed) + " of " +
-              std::to_string(mFinalSent) + " requests were served");
+  const size_t served = mServed[aPhase];
+  const size_t sent = std::max<size_t>(mSent[aPhase], 1);
+  if (static_cast<double>(served) < aShare * static_cast<double>(sent)) {
+    const bool isEndless = aPhase == play_phase::kEndless;
+    Violation(
+      std::string(isEndless ? "beside endless answers " : "after all faults ") +
+      std::to_string(served) + " of " + std::to_string(sent) +
+      " requests were served");
+  }
+}
+
+void soak_world::CheckMemory()
+{
+  // Answers that never began would prove nothing.
+  const size_t begun = mFaults["endless-body"];
+  if (begun < kGateways * kMinEndlessAnswers) {
+    Violation("only " + std::to_string(begun) + " endless answers began");
+  }
+  for (const gateway& each : mGateways) {
+    constexpr uint64_t kKilobytes = 1024;
+    const uint64_t highest =
+      each.mProcess->MemoryKilobytes("VmHWM") / kKilobytes;
+    mHighestMegabytes = std::max(mHighestMegabytes, highest);
+    if (highest == 0 || highest >= kMaxMegabytes) {
+      Violation(each.mHost + " took " + std::to_string(highest) +
+                " MB of memory");
+    }
   }
 }
 
@@ -304,7 +346,7 @@
   for (const auto& [name, count] : mFaults) {
     text += " " + name + ": " + std::to_string(count) + ",";
   }
-  return text;
+  return text + " highest memory " + std::to_string(mHighestMegabytes) + " MB";
 }
 
 void soak_world::RunFor(duration aTime)
--- a/PerformanceTest/gateway_soak/SoakWorld.h
+++ b/PerformanceTest/gateway_soak/SoakWorld.h
@@ -63,9 +63,18 @@
     uint64_t mStartedMs = 1000;
   };
 
+  enum class play_phase
+  {
+    kFaults,
+    kHealed,
+    /// Answers without end use up the memory of the routers.
+    kEndless,
+  };
+
   struct sent_request
   {
     bool mUnsafe = false;
+    play_phase mPhase = play_phase::kFaults;
     bool mRefused = false;
     std::string mPath;
     size_t mRuns = 0;
@@ -80,11 +89,13 @@
 
   // Traffic.
   void SendRequest();
+  void Send(const std::string& aKind, gateway& aGateway);
   void HandleResult(const std::string& aId, const http_result& aResult);
   void CountRun(const std::string& aId);
   http_connection& ConnectionTo(gateway& aGateway);
   void CheckOwners();
-  void CheckServed();
+  void CheckServed(play_phase aPhase, double aShare);
+  void CheckMemory();
   void CheckConfiguration();
   void CheckLedger();
   void Violation(const std::string& aText);
@@ -96,6 +107,7 @@
   void HarmStore();
   void HarmTarget();
   void HarmAnswers(target& aTarget);
+  void SendEndlessAnswers();
   void Heal(duration aAfter, std::function<void()> aAction);
   void EndGateway(gateway& aGateway, int aSignal);
   void CheckProcesses();
@@ -118,9 +130,10 @@
   std::vector<std::unique_ptr<timer>> mHeals;
   uint32_t mVersion = 0;
   uint64_t mNextRequest = 1;
-  bool mFinal = false;
-  size_t mFinalServed = 0;
-  size_t mFinalSent = 0;
+  play_phase mPhase = play_phase::kFaults;
+  std::map<play_phase, size_t> mSent;
+  std::map<play_phase, size_t> mServed;
+  uint64_t mHighestMegabytes = 0;
   timer mTraffic;
   timer mOwnersCheck;
   timer mFaultTimer;
