--- a/UnitTests/Gateway/EndlessAnswersTest.cpp
+++ b/UnitTests/Gateway/EndlessAnswersTest.cpp
@@ -160,11 +160,12 @@
   size_t served = 0;
   size_t failed = 0;
   std::function<void()> callNext = [&] {
-    connection.Call({ "GET", "/small", {}, {}, {} }, 5s, [&](http_result aEnd) {
-      most = std::max(most, loop.Bytes().Total());
-      ++(aEnd.mStatus == http_status::kResponded ? served : failed);
-      callNext();
-    });
+    connection.Call(
+      { "GET", "/small", {}, {}, {} }, 5s, [&](const http_result& aEnd) {
+        most = std::max(most, loop.Bytes().Total());
+        ++(aEnd.mStatus == http_status::kResponded ? served : failed);
+        callNext();
+      });
   };
   callNext();
   timer end;
