Free the input buffer of a connection that is closed

Cause: http_connection::state::Close assigns {} to the buffer of received bytes. For a std::string that keeps the memory, so a closed connection stays in the budget with its buffer, and dropping it frees nothing. DropExcess stops when the largest holder frees nothing, so such a connection would end the bound.

Change: the buffer is swapped with an empty one. A new test lets a hundred idle connections receive bytes without end after an answer of 16 KiB each.

Not measured: a connection that ends the bound in this way.

--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -312,7 +312,8 @@
     mStream->ResetOnClose();
   }
   mStream.reset();
-  mInput = {};
+  // An assignment of an empty string would keep the memory.
+  std::string().swap(mInput);
   mParser.reset();
   UpdateHeldBytes();
 }
--- a/UnitTests/Gateway/EndlessAnswersTest.cpp
+++ b/UnitTests/Gateway/EndlessAnswersTest.cpp
@@ -118,6 +118,58 @@
     endless_case{ "Interim", "", Repeat("HTTP/1.1 102 Wait\r\n\r\n") }),
   [](const auto& aInfo) { return aInfo.param.mName; });
 
+// Guards against bytes that arrive without end on connections that no request
+// uses and that are kept for the next one.
+TEST(ByteBudget, IdleConnectionsKeepNoBytes)
+{
+  constexpr size_t kConnections = 100;
+  constexpr size_t kBodyBytes = 16 * 1024;
+  constexpr size_t kMaxBytes = 8 * 1024 * 1024;
+  // An empty string has room for some characters within itself.
+  const size_t emptyBytes = kConnections * std::string().capacity();
+  event_loop loop;
+  endless_options options;
+  options.mPause = 300ms;
+  const std::string body(kBodyBytes, 'x');
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) +
+    "\r\n\r\n" + body;
+  endless_server server(answer, Repeat("x"), options);
+  std::vector<std::unique_ptr<http_connection>> connections;
+  size_t served = 0;
+  for (size_t index = 0; index < kConnections; ++index) {
+    connections.push_back(
+      std::make_unique<http_connection>(loop, "127.0.0.1", server.Port()));
+    connections.back()->Call(
+      { "GET", "/", {}, {}, {} }, 5s, [&](const http_result& aResult) {
+        served += aResult.mStatus == http_status::kResponded ? 1 : 0;
+      });
+  }
+  size_t mostOpen = 0;
+  size_t mostBytes = 0;
+  const size_t answers = kConnections * answer.size();
+  timer poll;
+  poll.StartRepeating(loop, 1ms, [&] {
+    const auto open = static_cast<size_t>(
+      std::ranges::count_if(connections, &http_connection::IsOpen));
+    mostOpen = std::max(mostOpen, open);
+    mostBytes = std::max(mostBytes, loop.Bytes().Total());
+    // A connection with bytes that are not read yet is not open.
+    if (served == kConnections && open == 0 &&
+        loop.Bytes().Total() <= emptyBytes && server.SentBytes() > answers) {
+      loop.Stop();
+    }
+  });
+  timer end;
+  end.StartOnce(loop, 10s, [&] { loop.Stop(); });
+  loop.Run();
+  EXPECT_EQ(served, kConnections);
+  EXPECT_GT(mostOpen, 0u);
+  EXPECT_GT(server.SentBytes(), answers);
+  EXPECT_LT(mostBytes, kMaxBytes);
+  EXPECT_LE(loop.Bytes().Total(), emptyBytes);
+}
+
 // Guards against answers that fill the memory because their callers don't read
 // them, and against other callers that lose their requests to these.
 TEST(ByteBudget, CallersThatDoNotReadAreDropped)
--- a/UnitTests/Support/EndlessServer.h
+++ b/UnitTests/Support/EndlessServer.h
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -14,6 +15,14 @@
 
 namespace parsleystair {
 
+struct endless_options
+{
+  /// Sends nothing before a request arrives.
+  bool mWaitsForRequest = true;
+  /// Time between the beginning and the first of the repeated bytes.
+  std::chrono::milliseconds mPause{ 0 };
+};
+
 /// Server that answers each request with a beginning and then with the same
 /// bytes again and again until the peer closes the connection. Runs in its own
 /// thread and keeps none of what it sends.
@@ -21,9 +30,12 @@
 {
 public:
   /// `aRepeated`: a long text, as it is sent in one piece.
-  endless_server(std::string aBeginning, std::string aRepeated)
+  endless_server(std::string aBeginning,
+                 std::string aRepeated,
+                 const endless_options& aOptions = {})
     : mBeginning(std::move(aBeginning))
     , mRepeated(std::move(aRepeated))
+    , mOptions(aOptions)
     , mListener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
   {
     sockaddr_in address{};
@@ -50,6 +62,8 @@
   endless_server& operator=(const endless_server&) = delete;
 
   [[nodiscard]] uint16_t Port() const { return mPort; }
+  /// Connections to which an answer was begun, at any time.
+  [[nodiscard]] size_t Answers() const { return mAnswers; }
   [[nodiscard]] uint64_t SentBytes() const { return mSentBytes; }
   /// Most connections to which answers were sent at the same time.
   [[nodiscard]] size_t MostAnswers() const { return mMostAnswers; }
@@ -61,6 +75,12 @@
     bool mHasRequest = false;
     size_t mPosition = 0;
     bool mIsClosed = false;
+    std::chrono::steady_clock::time_point mResumeAt{};
+
+    [[nodiscard]] bool Sends() const
+    {
+      return mHasRequest && std::chrono::steady_clock::now() >= mResumeAt;
+    }
   };
 
   void Run()
@@ -70,7 +90,7 @@
       size_t answers = 0;
       for (const peer& each : mPeers) {
         answers += each.mHasRequest ? 1 : 0;
-        const int events = each.mHasRequest ? POLLIN | POLLOUT : POLLIN;
+        const int events = each.Sends() ? POLLIN | POLLOUT : POLLIN;
         waits.push_back({ each.mDescriptor, static_cast<int16_t>(events), 0 });
       }
       mMostAnswers = std::max<size_t>(mMostAnswers, answers);
@@ -88,7 +108,7 @@
       const int accepted =
         accept4(mListener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (accepted >= 0) {
-        mPeers.push_back({ accepted });
+        mPeers.push_back({ accepted, !mOptions.mWaitsForRequest });
       }
     }
   }
@@ -120,18 +140,24 @@
       aPeer.mIsClosed = errno != EAGAIN;
       return;
     }
+    mAnswers += aPeer.mPosition == 0 ? 1 : 0;
     aPeer.mPosition += static_cast<size_t>(count);
+    if (aPeer.mPosition == mBeginning.size()) {
+      aPeer.mResumeAt = std::chrono::steady_clock::now() + mOptions.mPause;
+    }
     mSentBytes += static_cast<uint64_t>(count);
   }
 
   std::string mBeginning;
   std::string mRepeated;
+  endless_options mOptions;
   int mListener;
   uint16_t mPort = 0;
   std::vector<peer> mPeers;
   std::atomic<bool> mStops = false;
   std::atomic<uint64_t> mSentBytes = 0;
   std::atomic<size_t> mMostAnswers = 0;
+  std::atomic<size_t> mAnswers = 0;
   std::thread mThread;
 };
 
