Test early bytes, grants and health checks that are answered without end

Cause: the tests of answers without end covered only those to callers' requests that were written before the first byte.

Change: two more cases send bytes as soon as a connection is accepted. Two tests put such a server at the place of keyed targets, which get grants, and of targets that failed requests and get health checks, until it has sent 32 MB.

The tests of grants and health checks were not run without the budget; few such calls are open at a time. Not run: the sanitizers, and the whole of unit_tests. Not tested yet: the connections to the store and to relays.

--- a/UnitTests/Gateway/EndlessAnswersTest.cpp
+++ b/UnitTests/Gateway/EndlessAnswersTest.cpp
@@ -32,20 +32,66 @@
   std::string mRepeated;
   /// The answers grow until all of them together reach the limit.
   bool mGrows = false;
+  /// The bytes begin before the request is written.
+  bool mIsEarly = false;
 };
 
+const std::string kUnframedHead =
+  "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 const std::string kChunkedHead =
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Runs a gateway of a machine with 160 MB, as the smallest ones of the users
-/// have, and a hundred callers whose target sends an answer without end.
+/// have.
+class endless_calls_test : public gateway_test
+{
+protected:
+  static constexpr size_t kMachineBytes = 160 * 1024 * 1024;
+
+  /// Puts a server at the place of all targets of a service.
+  void Replace(const std::string& aService, const endless_server& aServer)
+  {
+    for (const char* number : { "-1", "-2" }) {
+      const std::string name = aService + number;
+      mTargets.at(name)->SetPublicPort(aServer.Port());
+      mKv.Put(TargetKey(name), mTargets.at(name)->Entry(aService, "ready"));
+    }
+  }
+
+  /// Makes requests to another service until the server has sent a lot in
+  /// response to the gateway's own calls.
+  void CheckBounded(const gateway_instance& aGateway,
+                    const endless_server& aServer)
+  {
+    constexpr uint64_t kSentBytes = uint64_t{ 32 } * 1024 * 1024;
+    mLoop.Bytes().SetLimit(kMachineBytes / 8);
+    const size_t before = AllocatedBytes();
+    size_t most = before;
+    timer sample;
+    sample.StartRepeating(
+      mLoop, 1ms, [&] { most = std::max(most, AllocatedBytes()); });
+    const uint64_t enough = aServer.SentBytes() + kSentBytes;
+    const time_point end = MonotonicNow() + kTimeout;
+    size_t others = 0;
+    while (aServer.SentBytes() < enough && MonotonicNow() < end) {
+      const std::string id = "other-" + std::to_string(++others);
+      ASSERT_EQ(Call(aGateway, Request("GET", "/read/x", id)).mResponse.mStatus,
+                200u)
+        << id;
+    }
+    EXPECT_GE(aServer.SentBytes(), enough);
+    EXPECT_LT(most - before, kMachineBytes / 2);
+    RecordProperty("mostMegabytes", std::to_string((most - before) >> 20));
+  }
+};
+
+/// The same, with a hundred callers whose target sends an answer without end.
 class endless_answers_test
-  : public gateway_test
+  : public endless_calls_test
   , public testing::WithParamInterface<endless_case>
 {
 protected:
   static constexpr size_t kCallers = 100;
-  static constexpr size_t kMachineBytes = 160 * 1024 * 1024;
 };
 
 } // namespace
@@ -54,7 +100,9 @@
 // bytes without end, and that loses the requests of other callers with it.
 TEST_P(endless_answers_test, MemoryStaysBoundedAndOthersAreServed)
 {
-  endless_server server(GetParam().mBeginning, GetParam().mRepeated);
+  endless_options options;
+  options.mWaitsForRequest = !GetParam().mIsEarly;
+  endless_server server(GetParam().mBeginning, GetParam().mRepeated, options);
   for (const std::string name : { "orders-1", "orders-2" }) {
     mTargets.at(name)->SetPublicPort(server.Port());
     mKv.Put(TargetKey(name), mTargets.at(name)->Entry("orders", "ready"));
@@ -115,9 +163,42 @@
     endless_case{ "Chunks", kChunkedHead, Repeat("1\r\nx\r\n"), true },
     endless_case{ "ChunkExtension", kChunkedHead + "1;", Repeat("x") },
     endless_case{ "Trailers", kChunkedHead + "0\r\n", Repeat("X-F: x\r\n") },
-    endless_case{ "Interim", "", Repeat("HTTP/1.1 102 Wait\r\n\r\n") }),
+    endless_case{ "Interim", "", Repeat("HTTP/1.1 102 Wait\r\n\r\n") },
+    endless_case{ "BeforeTheRequest", "", Repeat("x"), false, true },
+    endless_case{ "BodyBeforeTheRequest",
+                  "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                  Repeat("x"),
+                  false,
+                  true }),
   [](const auto& aInfo) { return aInfo.param.mName; });
 
+// Guards against targets that answer grants without end, and that take the
+// memory of the router with it.
+TEST_F(endless_calls_test, GrantsStayBounded)
+{
+  endless_server server(kUnframedHead, Repeat("x"));
+  Replace("keyed", server);
+  const gateway_instance& gateway = StartGateway("a");
+  CheckBounded(gateway, server);
+}
+
+// Guards against the same from targets that answer health checks without end.
+TEST_F(endless_calls_test, HealthChecksStayBounded)
+{
+  endless_server server(kUnframedHead, Repeat("x"));
+  Replace("orders", server);
+  const gateway_instance& gateway = StartGateway("a");
+  // Targets that fail a request get health checks.
+  constexpr size_t kRequests = 6;
+  for (size_t index = 0; index < kRequests; ++index) {
+    Call(gateway,
+         Request("POST", "/order/1", "endless-" + std::to_string(index)));
+  }
+  const size_t before = server.Answers();
+  CheckBounded(gateway, server);
+  EXPECT_GT(server.Answers(), before);
+}
+
 // Guards against bytes that arrive without end on connections that no request
 // uses and that are kept for the next one.
 TEST(ByteBudget, IdleConnectionsKeepNoBytes)
