--- a/Parsleystair/Core/ByteBudget.h
+++ b/Parsleystair/Core/ByteBudget.h
@@ -3,11 +3,19 @@
 #include <cstddef>
 #include <cstdint>
 #include <set>
+#include <string>
 
 namespace parsleystair {
 
 class byte_budget;
 
+/// Memory of a text outside of the object itself.
+inline size_t HeapBytes(const std::string& aText)
+{
+  const size_t bytes = aText.capacity();
+  return bytes > std::string().capacity() ? bytes : 0;
+}
+
 /// Keeps bytes of a peer in memory, such as an answer that is not whole yet.
 /// Belongs to one budget for as long as it exists.
 class byte_holder
--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -161,7 +161,7 @@
 
 size_t http_connection::state::HeldBytes() const
 {
-  return mInput.capacity() + mRequest.capacity() +
+  return HeapBytes(mInput) + HeapBytes(mRequest) +
          (mParser ? mParser->HeldBytes() : 0) +
          (mStream != nullptr ? mStream->HeldBytes() : 0);
 }
@@ -315,7 +315,8 @@
     mStream->ResetOnClose();
   }
   mStream.reset();
-  mInput = {};
+  // An assignment of an empty string would keep the memory.
+  std::string().swap(mInput);
   mParser.reset();
   UpdateHeldBytes();
 }
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -342,7 +342,7 @@
 
 size_t socket_stream::HeldBytes() const
 {
-  return mState->mOutput.capacity();
+  return HeapBytes(mState->mOutput);
 }
 
 size_t socket_stream::Unacknowledged() const
