Test answers of the store without end

Cause: no test covered calls to the store; a store, or what stands at its address, that answers a hundred reads with chunks of one byte without end.

Change: such a test of the store's client, with the budget of a 160 MB machine.

Not run: sanitizers. Not tested: relays.

--- a/UnitTests/Gateway/EndlessAnswersTest.cpp
+++ b/UnitTests/Gateway/EndlessAnswersTest.cpp
@@ -199,6 +199,41 @@
   EXPECT_GT(server.Answers(), before);
 }
 
+// Guards against a store that answers without end, and that takes the memory
+// with it.
+TEST(ByteBudget, AnswersOfTheStoreStayBounded)
+{
+  constexpr size_t kCalls = 100;
+  constexpr size_t kLimit = 20 * 1024 * 1024;
+  constexpr size_t kMaxBytes = 80 * 1024 * 1024;
+  event_loop loop;
+  loop.Bytes().SetLimit(kLimit);
+  endless_server server(kChunkedHead, Repeat("1\r\nx\r\n"));
+  platform::kv_store store(loop, "127.0.0.1", server.Port());
+  const size_t before = AllocatedBytes();
+  size_t most = before;
+  size_t failed = 0;
+  for (size_t index = 0; index < kCalls; ++index) {
+    store.ReadPrefix("op/", [&](const prefix_reply& aReply) {
+      failed += aReply.mOutcome != call_outcome::kDone ? 1 : 0;
+    });
+  }
+  timer poll;
+  poll.StartRepeating(loop, 1ms, [&] {
+    most = std::max(most, AllocatedBytes());
+    if (failed == kCalls) {
+      loop.Stop();
+    }
+  });
+  timer end;
+  end.StartOnce(loop, 60s, [&] { loop.Stop(); });
+  loop.Run();
+  EXPECT_EQ(failed, kCalls);
+  EXPECT_GT(server.MostAnswers(), kCalls / 4);
+  EXPECT_LT(most - before, kMaxBytes);
+  RecordProperty("mostMegabytes", std::to_string((most - before) >> 20));
+}
+
 // Guards against bytes that arrive without end on connections that no request
 // uses and that are kept for the next one.
 TEST(ByteBudget, IdleConnectionsKeepNoBytes)
