--- a/UnitTests/Gateway/EndlessAnswersTest.cpp
+++ b/UnitTests/Gateway/EndlessAnswersTest.cpp
@@ -177,8 +177,9 @@
                   true }),
   [](const auto& aInfo) { return aInfo.param.mName; });
 
-// Guards against connections that keep the memory of their largest answer.
-TEST(ByteBudget, KeptConnectionsHoldLittle)
+// Guards against targets that answer grants without end, and that take the
+// memory of the router with it.
+TEST_F(endless_calls_test, GrantsStayBounded)
 {
   endless_server server(kUnframedHead, Repeat("x"));
   Replace("keyed", server);
@@ -247,6 +248,52 @@
   constexpr size_t kMaxBytes = 8 * 1024 * 1024;
   // An empty string has room for some characters within itself.
   const size_t emptyBytes = kConnections * std::string().capacity();
+  event_loop loop;
+  endless_options options;
+  options.mPause = 300ms;
+  const std::string body(kBodyBytes, 'x');
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) +
+    "\r\n\r\n" + body;
+  endless_server server(answer, Repeat("x"), options);
+  std::vector<std::unique_ptr<http_connection>> connections;
+  size_t served = 0;
+  for (size_t index = 0; index < kConnections; ++index) {
+    connections.push_back(
+      std::make_unique<http_connection>(loop, "127.0.0.1", server.Port()));
+    connections.back()->Call(
+      { "GET", "/", {}, {}, {} }, 5s, [&](const http_result& aResult) {
+        served += aResult.mStatus == http_status::kResponded ? 1 : 0;
+      });
+  }
+  size_t mostOpen = 0;
+  size_t mostBytes = 0;
+  const size_t answers = kConnections * answer.size();
+  timer poll;
+  poll.StartRepeating(loop, 1ms, [&] {
+    const auto open = static_cast<size_t>(
+      std::ranges::count_if(connections, &http_connection::IsOpen));
+    mostOpen = std::max(mostOpen, open);
+    mostBytes = std::max(mostBytes, loop.Bytes().Total());
+    // A connection with bytes that are not read yet is not open.
+    if (served == kConnections && open == 0 &&
+        loop.Bytes().Total() <= emptyBytes && server.SentBytes() > answers) {
+      loop.Stop();
+    }
+  });
+  timer end;
+  end.StartOnce(loop, 10s, [&] { loop.Stop(); });
+  loop.Run();
+  EXPECT_EQ(served, kConnections);
+  EXPECT_GT(mostOpen, 0u);
+  EXPECT_GT(server.SentBytes(), answers);
+  EXPECT_LT(mostBytes, kMaxBytes);
+  EXPECT_LE(loop.Bytes().Total(), emptyBytes);
+}
+
+// Guards against connections that keep the memory of their largest answer.
+TEST(ByteBudget, KeptConnectionsHoldLittle)
+{
   event_loop loop;
   constexpr size_t kConnections = 20;
   const std::string large(4 * 1024 * 1024, 'x');
@@ -278,153 +325,76 @@
   loop.Run();
   EXPECT_EQ(ended, kConnections);
   EXPECT_LT(AllocatedBytes(), before + 2 * large.size());
-  // Guards against targets that answer grants without end, and that take the
-  // memory of the router with it.
-  TEST_F(endless_calls_test, GrantsStayBounded)
-  {
-    endless_server server(kUnframedHead, Repeat("x"));
-    Replace("keyed", server);
-    const gateway_instance& gateway = StartGateway("a");
-    CheckBounded(gateway, server);
-  }
-
-  // Guards against the same from targets that answer health checks without end.
-  TEST_F(endless_calls_test, HealthChecksStayBounded)
-  {
-    endless_server server(kUnframedHead, Repeat("x"));
-    Replace("orders", server);
-    const gateway_instance& gateway = StartGateway("a");
-    // Targets that fail a request get health checks.
-    constexpr size_t kRequests = 6;
-    for (size_t index = 0; index < kRequests; ++index) {
-      Call(gateway,
-           Request("POST", "/order/1", "endless-" + std::to_string(index)));
-    }
-    const size_t before = server.Answers();
-    CheckBounded(gateway, server);
-    EXPECT_GT(server.Answers(), before);
-  }
+}
 
-  // Guards against bytes that arrive without end on connections that no request
-  // uses and that are kept for the next one.
-  TEST(ByteBudget, IdleConnectionsKeepNoBytes)
-  {
-    constexpr size_t kConnections = 100;
-    constexpr size_t kBodyBytes = 16 * 1024;
-    constexpr size_t kMaxBytes = 8 * 1024 * 1024;
-    // An empty string has room for some characters within itself.
-    const size_t emptyBytes = kConnections * std::string().capacity();
-    event_loop loop;
-    endless_options options;
-    options.mPause = 300ms;
-    const std::string body(kBodyBytes, 'x');
-    const std::string answer =
-      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) +
-      "\r\n\r\n" + body;
-    endless_server server(answer, Repeat("x"), options);
-    std::vector<std::unique_ptr<http_connection>> connections;
-    size_t served = 0;
-    for (size_t index = 0; index < kConnections; ++index) {
-      connections.push_back(
-        std::make_unique<http_connection>(loop, "127.0.0.1", server.Port()));
-      connections.back()->Call(
-        { "GET", "/", {}, {}, {} }, 5s, [&](const http_result& aResult) {
-          served += aResult.mStatus == http_status::kResponded ? 1 : 0;
-        });
-    }
-    size_t mostOpen = 0;
-    size_t mostBytes = 0;
-    const size_t answers = kConnections * answer.size();
-    timer poll;
-    poll.StartRepeating(loop, 1ms, [&] {
-      const auto open = static_cast<size_t>(
-        std::ranges::count_if(connections, &http_connection::IsOpen));
-      mostOpen = std::max(mostOpen, open);
-      mostBytes = std::max(mostBytes, loop.Bytes().Total());
-      // A connection with bytes that are not read yet is not open.
-      if (served == kConnections && open == 0 &&
-          loop.Bytes().Total() <= emptyBytes && server.SentBytes() > answers) {
-        loop.Stop();
-      }
+// Guards against answers that fill the memory because their callers don't read
+// them, and against other callers that lose their requests to these.
+TEST(ByteBudget, CallersThatDoNotReadAreDropped)
+{
+  event_loop loop;
+  constexpr size_t kLimit = 16 * 1024 * 1024;
+  constexpr size_t kCallers = 50;
+  loop.Bytes().SetLimit(kLimit);
+  const std::string large(4 * 1024 * 1024, 'x');
+  http_server* responder = nullptr;
+  size_t requests = 0;
+  http_server server(
+    loop, {}, [&](exchange_id aExchange, const http_request& aRequest) {
+      ++requests;
+      responder->Respond(aExchange,
+                         { 200, {}, aRequest.mPath == "/large" ? large : "x" });
     });
-    timer end;
-    end.StartOnce(loop, 10s, [&] { loop.Stop(); });
-    loop.Run();
-    EXPECT_EQ(served, kConnections);
-    EXPECT_GT(mostOpen, 0u);
-    EXPECT_GT(server.SentBytes(), answers);
-    EXPECT_LT(mostBytes, kMaxBytes);
-    EXPECT_LE(loop.Bytes().Total(), emptyBytes);
+  responder = &server;
+  server.Listen("127.0.0.1", 0);
+  std::vector<int> slow;
+  for (size_t index = 0; index < kCallers; ++index) {
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    const int bytes = 4096;
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.Port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(connect(descriptor,
+                      reinterpret_cast<sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    const std::string text = "GET /large HTTP/1.1\r\nHost: a\r\n\r\n";
+    ASSERT_EQ(send(descriptor, text.data(), text.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(text.size()));
+    slow.push_back(descriptor);
   }
-
-  // Guards against answers that fill the memory because their callers don't
-  // read them, and against other callers that lose their requests to these.
-  TEST(ByteBudget, CallersThatDoNotReadAreDropped)
-  {
-    event_loop loop;
-    constexpr size_t kLimit = 16 * 1024 * 1024;
-    constexpr size_t kCallers = 50;
-    loop.Bytes().SetLimit(kLimit);
-    const std::string large(4 * 1024 * 1024, 'x');
-    http_server* responder = nullptr;
-    size_t requests = 0;
-    http_server server(
-      loop, {}, [&](exchange_id aExchange, const http_request& aRequest) {
-        ++requests;
-        responder->Respond(
-          aExchange, { 200, {}, aRequest.mPath == "/large" ? large : "x" });
+  http_connection connection(loop, "127.0.0.1", server.Port());
+  size_t most = 0;
+  size_t served = 0;
+  size_t failed = 0;
+  std::function<void()> callNext = [&] {
+    connection.Call(
+      { "GET", "/small", {}, {}, {} }, 5s, [&](const http_result& aEnd) {
+        most = std::max(most, loop.Bytes().Total());
+        ++(aEnd.mStatus == http_status::kResponded ? served : failed);
+        callNext();
       });
-    responder = &server;
-    server.Listen("127.0.0.1", 0);
-    std::vector<int> slow;
-    for (size_t index = 0; index < kCallers; ++index) {
-      const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-      const int bytes = 4096;
-      setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-      sockaddr_in address{};
-      address.sin_family = AF_INET;
-      address.sin_port = htons(server.Port());
-      address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      ASSERT_EQ(connect(descriptor,
-                        reinterpret_cast<sockaddr*>(&address),
-                        sizeof(address)),
-                0);
-      const std::string text = "GET /large HTTP/1.1\r\nHost: a\r\n\r\n";
-      ASSERT_EQ(send(descriptor, text.data(), text.size(), MSG_NOSIGNAL),
-                static_cast<ssize_t>(text.size()));
-      slow.push_back(descriptor);
-    }
-    http_connection connection(loop, "127.0.0.1", server.Port());
-    size_t most = 0;
-    size_t served = 0;
-    size_t failed = 0;
-    std::function<void()> callNext = [&] {
-      connection.Call(
-        { "GET", "/small", {}, {}, {} }, 5s, [&](const http_result& aEnd) {
-          most = std::max(most, loop.Bytes().Total());
-          ++(aEnd.mStatus == http_status::kResponded ? served : failed);
-          callNext();
-        });
-    };
-    callNext();
-    timer end;
-    timer poll;
-    poll.StartRepeating(loop, 5ms, [&] {
-      if (requests >= kCallers + served && served > 100 && failed == 0 &&
-          !loop.Bytes().IsExceeded()) {
-        loop.Stop();
-      }
-    });
-    end.StartOnce(loop, 10s, [&] { loop.Stop(); });
-    loop.Run();
-    EXPECT_GT(served, 100u);
-    EXPECT_EQ(failed, 0u);
-    EXPECT_GE(requests, kCallers);
-    EXPECT_GT(loop.Bytes().Drops(), 0u);
-    EXPECT_LE(loop.Bytes().Total(), kLimit);
-    for (const int descriptor : slow) {
-      close(descriptor);
+  };
+  callNext();
+  timer end;
+  timer poll;
+  poll.StartRepeating(loop, 5ms, [&] {
+    if (requests >= kCallers + served && served > 100 && failed == 0 &&
+        !loop.Bytes().IsExceeded()) {
+      loop.Stop();
     }
+  });
+  end.StartOnce(loop, 10s, [&] { loop.Stop(); });
+  loop.Run();
+  EXPECT_GT(served, 100u);
+  EXPECT_EQ(failed, 0u);
+  EXPECT_GE(requests, kCallers);
+  EXPECT_GT(loop.Bytes().Drops(), 0u);
+  EXPECT_LE(loop.Bytes().Total(), kLimit);
+  for (const int descriptor : slow) {
+    close(descriptor);
   }
+}
 
 } // namespace parsleystair
