Bound the age of a relay's history without a confirmed reply

A history whose replies state no time had an age beyond the range of a duration. No store client leaves the time out today; found by reading.

--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -68,7 +68,7 @@
                           time_point aNow)
 {
   return EncodeWatchReply(
-    { aHistory.ChangesAfter(aAfter), aNow - aHistory.ConfirmedAt() });
+    { aHistory.ChangesAfter(aAfter), aHistory.Age(aNow) });
 }
 
 http_connection_settings RelayConnectionSettings()
@@ -527,7 +527,7 @@
     snapshot.IsComplete() && EraOf(snapshot.Revision()) == mStore.Era() &&
     mHistories[aPrefix].Covers(snapshot.Revision(), MonotonicNow());
   if (isCurrent) {
-    const duration age = MonotonicNow() - mHistories[aPrefix].ConfirmedAt();
+    const duration age = mHistories[aPrefix].Age(MonotonicNow());
     mPeerServer.Respond(aExchange,
                         { kOk,
                           { { kAgeHeader, std::to_string(age.count()) } },
--- a/Parsleystair/Gateway/WatchHistory.cpp
+++ b/Parsleystair/Gateway/WatchHistory.cpp
@@ -49,6 +49,11 @@
   return fresh && aAfter >= mCoveredAfter;
 }
 
+duration watch_history::Age(time_point aNow) const
+{
+  return mConfirmedAt == time_point::min() ? kUnknownAge : aNow - mConfirmedAt;
+}
+
 watch_reply watch_history::ChangesAfter(store_revision aAfter) const
 {
   watch_reply reply;
--- a/Parsleystair/Gateway/WatchHistory.h
+++ b/Parsleystair/Gateway/WatchHistory.h
@@ -15,6 +15,7 @@
   /// change: the longest wait of a relay's watch, 1 s, and half a second of
   /// transit.
   static constexpr duration kMaxReplyAge = 1500ms;
+  static constexpr duration kUnknownAge = 1h;
 
   /// Adds the reply to a watch for changes after `aAfter`.
   void HandleReply(store_revision aAfter,
@@ -31,8 +32,9 @@
   /// `aAfter`: a revision that `Covers` accepts.
   [[nodiscard]] watch_reply ChangesAfter(store_revision aAfter) const;
 
-  /// The store had no further change at this time.
-  [[nodiscard]] time_point ConfirmedAt() const { return mConfirmedAt; }
+  /// Time since which the store may have had a further change; `kUnknownAge`
+  /// before the first reply that states it.
+  [[nodiscard]] duration Age(time_point aNow) const;
 
 private:
   std::deque<item_change> mChanges;
