--- a/Parsleystair/Http/CollectingParser.h
+++ b/Parsleystair/Http/CollectingParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Parsleystair/Core/ByteBudget.h"
 #include "Parsleystair/Http/HttpMessage.h"
 
 #include <algorithm>
@@ -42,7 +43,7 @@
   [[nodiscard]] size_t HeldBytes() const
   {
     constexpr size_t kFieldBytes = 128;
-    return mBody.capacity() + mHeaders.size() * kFieldBytes;
+    return HeapBytes(mBody) + mHeaders.size() * kFieldBytes;
   }
 };
 
