--- a/Parsleystair/Http/ServerConnection.cpp
+++ b/Parsleystair/Http/ServerConnection.cpp
@@ -138,7 +138,7 @@
   // Reading goes on until the client closes: a close with unread bytes would
   // reset the connection and could take the answer with it.
   mClosing = true;
-  mInput.clear();
+  std::string().swap(mInput);
   mStream.FinishWriting();
   StartSendTimer(kLingerTime);
 }
