Give up a follower's watches at the store when it reads again

Callers reached targets that had left up to 20 s before, and whole regions did after a restore of the store. No call of the router had failed.

Cause: a follower that reads a prefix again ignores its earlier watch, but relayed_store kept that watch's callback. If nothing had changed since, the next watch starts from the same revision and waits beside the earlier one. The first reply of the store ends all watches of the revision, and goes to the earlier callback, which the follower ignores. The reply to the next watch is then dropped as unknown. The follower hears nothing until its watch is overdue, 20.5 s later. Routers read again after each restore, after a gap and after a call without a reply, just when targets come and go.

Change: a read ends the follower's watches at the store, as it already did with those beside a relay.

Test: relayed_follower_test.ReadWithoutChangesKeepsTheNextWatch failed before (the change isn't seen within 1 s), and passes now. relay_test, relayed_follower_test and route_confirmation_test pass (14 of 14).

--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -561,12 +561,13 @@
 void relayed_store::ReadPrefix(const std::string& aPrefix,
                                read_callback aCallback)
 {
-  // The follower has given up its watch. A retry of it could replace the
-  // connection on which the read waits.
+  // The follower has given up its watches. A retry at the relay could replace
+  // the connection on which the read waits, and a reply of the store would end
+  // the follower's next watch if that starts from the same revision.
   relayed_watch& watch = mRelayedWatches[aPrefix];
   watch.mCallback = nullptr;
   watch.mRelayTimer.Cancel();
-  DropWatchBesideRelay(aPrefix);
+  mStoreWatches[aPrefix].mCallbacks.clear();
   const auto relay = mRelays.Current(MonotonicNow());
   if (!relay) {
     ReadStore(aPrefix, std::move(aCallback));
--- a/UnitTests/Gateway/RelayedFollowerTest.cpp
+++ b/UnitTests/Gateway/RelayedFollowerTest.cpp
@@ -169,4 +169,21 @@
   EXPECT_EQ(Value(), "newest");
 }
 
+// Guards against a watch that is lost because an earlier watch of the same
+// revision, which its follower has given up, gets the reply.
+TEST_F(relayed_follower_test, ReadWithoutChangesKeepsTheNextWatch)
+{
+  item_listener listener;
+  prefix_follower follower(mLoop, *mRelayed, "u/", listener, 20s, 8);
+  mKv.Put("u/x", "first");
+  follower.Start();
+  ASSERT_TRUE(RunUntil([&] { return listener.mItems["u/x"] == "first"; }));
+  RunFor(100ms);
+  follower.HandleEraChange();
+  RunFor(100ms);
+  mKv.Put("u/x", "second");
+  RunFor(1s);
+  EXPECT_EQ(listener.mItems["u/x"], "second");
+}
+
 } // namespace parsleystair
