Use no target at whose address another one has responded

Cause: a 421 that names another target was taken for a failure of this one request. The owner of a key was asked again at the same address, and each further request met the same server. The store, which would remove the entry, was away.

Change: such an answer takes the target out of use at this router until it reports again, starts again or changes its address. Requests for its keys wait for another owner within the usual bound, and are refused as not run.

ReplacedTargetReturnsOnlyWithAnotherReport guards the return of a live target.

--- a/Parsleystair/Discovery/TargetDirectory.cpp
+++ b/Parsleystair/Discovery/TargetDirectory.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/Discovery/TargetDirectory.h"
 
 #include <set>
+#include <utility>
 
 namespace parsleystair {
 
@@ -40,6 +41,13 @@
   known_target& known = position->second;
   const bool restarted =
     isNew || known.mTarget.mStartedMs != aTarget.mStartedMs;
+  // A report that was made before another target responded at the address may
+  // be read again.
+  if (restarted || known.mTarget.mReportNumber != aTarget.mReportNumber ||
+      known.mTarget.mHost != aTarget.mHost ||
+      known.mTarget.mPort != aTarget.mPort) {
+    known.mReplaced = false;
+  }
   known.mTarget = aTarget;
   known.mDropAt.reset();
   if (restarted) {
@@ -98,6 +106,13 @@
           aTarget.mReportNumber <= removed.mReportNumber);
 }
 
+bool target_directory::HandleReplaced(const target_name& aName)
+{
+  const auto found = mTargets.find(aName);
+  return found != mTargets.end() &&
+         !std::exchange(found->second.mReplaced, true);
+}
+
 void target_directory::HandleStoreOutage(time_point /*aNow*/)
 {
   mStoreLost = true;
--- a/Parsleystair/Discovery/TargetDirectory.h
+++ b/Parsleystair/Discovery/TargetDirectory.h
@@ -44,9 +44,14 @@
   /// Time at which a target whose entry is missing is dropped; empty while the
   /// entry exists.
   std::optional<time_point> mDropAt;
+  /// Another target has responded at the address since the last report.
+  bool mReplaced = false;
 
   /// Returns true if the target may get new requests.
-  [[nodiscard]] bool IsUsable() const { return !mTarget.mDraining; }
+  [[nodiscard]] bool IsUsable() const
+  {
+    return !mTarget.mDraining && !mReplaced;
+  }
 };
 
 /// Targets that are registered in the platform's store.
@@ -70,6 +75,10 @@
   /// Handles the removal of an entry.
   void Remove(const target_name& aName, time_point aNow);
 
+  /// Another target responds at the address of a target, which gets no new
+  /// requests until it reports again. Returns false if that is known.
+  bool HandleReplaced(const target_name& aName);
+
   /// Handle the start and the end of an outage of the store.
   void HandleStoreOutage(time_point aNow);
   void HandleStoreRecovery(time_point aNow);
--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -70,6 +70,7 @@
                      const request_protocol& aProtocol,
                      const forwarder_view& aView,
                      route_source& aRouteSource,
+                     target_observer& aTargetObserver,
                      http_server& aServer,
                      uint64_t aSeed)
   : mLoop(aLoop)
@@ -77,6 +78,7 @@
   , mProtocol(aProtocol)
   , mView(aView)
   , mRouteSource(aRouteSource)
+  , mTargetObserver(aTargetObserver)
   , mServer(aServer)
   , mBalancer(aSettings.mLocation, aSeed)
   , mConnections(aLoop, TargetConnectionSettings(), kDefaultKeepAlive)
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -55,6 +55,16 @@
   virtual bool ConfirmRoutes(time_point aNow) = 0;
 };
 
+/// Learns what responses of targets say about their registrations.
+class target_observer
+{
+public:
+  virtual ~target_observer() = default;
+
+  /// Another target has responded at the address of `aTarget`.
+  virtual void HandleReplacedTarget(const target_name& aTarget) = 0;
+};
+
 /// Forwards requests of callers to targets and returns the responses. A request
 /// ends with one response: a target's, or a refusal that tells if it may have
 /// run.
@@ -66,6 +76,7 @@
             const request_protocol& aProtocol,
             const forwarder_view& aView,
             route_source& aRouteSource,
+            target_observer& aTargetObserver,
             http_server& aServer,
             uint64_t aSeed);
   forwarder(const forwarder&) = delete;
@@ -248,6 +259,7 @@
   const request_protocol& mProtocol;
   const forwarder_view& mView;
   route_source& mRouteSource;
+  target_observer& mTargetObserver;
   http_server& mServer;
   target_balancer mBalancer;
   target_connections mConnections;
--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -203,6 +203,9 @@
     .Add("target", aAttempt.mTarget.Value())
     .Add("wrong_target", aTerms.mWrongTarget)
     .Add("after_us", int64_t{ (aNow - aAttempt.mSentAt).count() });
+  if (aTerms.mWrongTarget) {
+    mTargetObserver.HandleReplacedTarget(aAttempt.mTarget);
+  }
   if (!aRequest.mKeyed) {
     mBalancer.HandleOutcome(aAttempt.mTarget,
                             aAttempt.mSend,
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -231,6 +231,7 @@
                aPlatform.mRequestProtocol,
                mView,
                *this,
+               *this,
                mCallerServer,
                aSeed)
   , mElection(aLoop,
@@ -481,6 +482,16 @@
   HandleTargetsChanged();
 }
 
+void gateway_task::HandleReplacedTarget(const target_name& aTarget)
+{
+  if (!mView.mDirectory.HandleReplaced(aTarget)) {
+    return;
+  }
+  log_line(log_severity::kWarning, "target_replaced")
+    .Add("target", aTarget.Value());
+  HandleTargetsChanged();
+}
+
 void gateway_task::HandleTargetsChanged()
 {
   mRangeDriver.HandleTargets(mView.mDirectory, MonotonicNow());
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -30,7 +30,9 @@
 /// One gateway: forwards requests of callers, watches the store, and assigns
 /// the owners of keys while it is the elected leader. Everything runs on one
 /// event loop because a machine has less than one core.
-class gateway_task : private route_source
+class gateway_task
+  : private route_source
+  , private target_observer
 {
 public:
   gateway_task(event_loop& aLoop,
@@ -62,6 +64,7 @@
 
   [[nodiscard]] time_point RoutesConfirmedAt() const override;
   bool ConfirmRoutes(time_point aNow) override;
+  void HandleReplacedTarget(const target_name& aTarget) override;
   void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
   void ApplyTargets(const std::vector<stored_item>& aItems);
   void ApplyTarget(const item_change& aChange);
--- a/UnitTests/Discovery/TargetDirectoryTest.cpp
+++ b/UnitTests/Discovery/TargetDirectoryTest.cpp
@@ -159,4 +159,21 @@
   EXPECT_EQ(UsableCount(), 1u);
 }
 
+// Guards against a replaced target that is used again by a report from before,
+// and against a live target that stays unused.
+TEST_F(target_directory_test, ReplacedTargetReturnsOnlyWithAnotherReport)
+{
+  discovered_target replaced = Target("a");
+  replaced.mReportNumber = 5;
+  mDirectory.Reset({ replaced, Target("b") }, mNow);
+  EXPECT_TRUE(mDirectory.HandleReplaced(target_name("a")));
+  EXPECT_FALSE(mDirectory.HandleReplaced(target_name("a")));
+  EXPECT_FALSE(mDirectory.HandleReplaced(target_name("unknown")));
+  mDirectory.Reset({ replaced, Target("b") }, mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+  replaced.mReportNumber = 6;
+  mDirectory.Update(replaced, mNow);
+  EXPECT_EQ(UsableCount(), 2u);
+}
+
 } // namespace parsleystair
--- a/UnitTests/Gateway/FaultyTargetTest.cpp
+++ b/UnitTests/Gateway/FaultyTargetTest.cpp
@@ -291,4 +291,41 @@
   EXPECT_EQ(target.Accepted(), 5u);
 }
 
+// Guards against requests that are sent again and again to an address where
+// another target has said that it isn't the one.
+TEST_F(faulty_target_test, AddressOfAnotherTargetGetsOneRequest)
+{
+  size_t arrivals = 0;
+  for (const std::string name : { "orders-1", "keyed-1", "keyed-2" }) {
+    Script(name,
+           name == "orders-1" ? "orders" : "keyed",
+           [&arrivals](scripted_target::connection& aConnection,
+                       const http_request& aRequest) {
+             // Health checks have no id.
+             arrivals += IdOf(aRequest).empty() ? 0 : 1;
+             aConnection.Send("HTTP/1.1 421 Misdirected Request\r\n"
+                              "X-Not-Executed: 1\r\n"
+                              "X-Instance-Id: another\r\nX-Request-Id: " +
+                              IdOf(aRequest) + "\r\nContent-Length: 0\r\n\r\n");
+           });
+  }
+  gateway_instance& gateway = StartGateway("a");
+  RunFor(3s);
+  constexpr int kRequests = 20;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = "order-" + std::to_string(i);
+    const http_result result = Call(gateway, Request("POST", "/order/1", id));
+    EXPECT_EQ(result.mResponse.mStatus, 200u) << id;
+  }
+  EXPECT_LE(arrivals, 1u);
+  arrivals = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    http_request request =
+      Request("GET", "/history/a", "keyed-" + std::to_string(i));
+    request.mHeaders.push_back({ "X-Shard-Key", "100" });
+    EXPECT_EQ(Call(gateway, request).mResponse.mStatus, 503u);
+  }
+  EXPECT_LE(arrivals, 1u);
+}
+
 } // namespace parsleystair
