Count the recovery after a restore from the restore, not from each leader

Callers of keyed services were refused for 19 to 24 s after a restore of the store: no key had an owner.

Cause: a leader that recovers waits until grants of earlier eras have expired. Both waits, 7 s for silent leaders and 7.66 s for grants, counted from that leader's election and from the last answer. Each further leader began from zero, so that the sum had no bound: a roll of the routers elects several leaders within seconds. The class: a wait that proves something by time is counted from whoever waits, not from the event after which nothing more can happen.

Change: - The store confirms no leader of an earlier era after the restore. Each router counts from its first answer in the era and tells a leader the rest of its count; no recovery ends later. - A process tells how long grants of an earlier process at its address may last, counted from its own start. - When all routers have told their records, the leader writes them in the present era at once, and the rest of the wait beside the terms. A successor waits for that rest only. - A leader that keeps its grants of the era before records them before others count them as expired, or stops renewing them.

--- a/Parsleystair/Gateway/ElectionController.cpp
+++ b/Parsleystair/Gateway/ElectionController.cpp
@@ -30,6 +30,12 @@
 /// interval of the leader's calls, from which it learns of the restore.
 constexpr duration kRecoveryCampaignDelay = 800ms;
 constexpr duration kNewRouterCampaignDelay = 1600ms;
+/// Shortest time for which a leader asks for lost records: two requests to each
+/// router.
+constexpr duration kMinSurveyTime = 1500ms;
+/// Time that remains to record kept grants in the present era when a leader
+/// stops waiting for routers that haven't told their records.
+constexpr duration kRecordKeptGrantsTime = 2s;
 /// Time for which routers that are no longer live are remembered; longer than
 /// the orders and grants of a leader can last.
 constexpr duration kRouterRetention = 30s;
@@ -66,6 +72,13 @@
   mEra = aEra;
   mEraHasLeader = false;
   mLedBeforeEra = mLeading;
+  mUnrecordedGrantsUntil =
+    mLeading ? mLeadership.mConfirmedAt + mSettings.mMaxRenewalTime
+             : time_point::min();
+  // The store confirmed no leader of an earlier era after the restore, which
+  // was before this router learned of it.
+  mLostLeadersEnd = aNow + mSettings.mMaxRenewalTime;
+  mLostGrantsEnd = mLostLeadersEnd + mSettings.mGrantLifetime;
   // The state of the leader key is read again.
   mKeyObserved = false;
   mKeyExists = false;
@@ -112,9 +125,38 @@
   return hosts;
 }
 
-bool election_controller::KnowsGrantedRecords(time_point aNow) const
+duration election_controller::ForgottenGrantsExpireIn(time_point aNow) const
 {
-  return aNow - mSettings.mGrantLifetime >= mSettings.mStartedAt;
+  // An earlier process at this address had ended when this one started.
+  const duration age = mSettings.mStartedAt <= aNow - mSettings.mGrantLifetime
+                         ? mSettings.mGrantLifetime
+                         : aNow - mSettings.mStartedAt;
+  return mSettings.mGrantLifetime - age;
+}
+
+std::optional<duration> election_controller::LostGrantsExpireIn(
+  term_number aTerm,
+  time_point aNow) const
+{
+  if (EraOfNumber(aTerm.Value()) != mEra || mEra == kFirstEra) {
+    return std::nullopt;
+  }
+  return std::max(mLostGrantsEnd - aNow, duration::zero());
+}
+
+void election_controller::LimitLostGrants(duration aExpireIn, time_point aNow)
+{
+  const duration longest = mSettings.mMaxRenewalTime + mSettings.mGrantLifetime;
+  mLostGrantsEnd =
+    std::min(mLostGrantsEnd, aNow + std::min(aExpireIn, longest));
+}
+
+time_point election_controller::RecoveryDeadline() const
+{
+  if (!mLeadership.mRecovers) {
+    return time_point::min();
+  }
+  return std::min(mRecoveryEnd.value_or(time_point::max()), mLostGrantsEnd);
 }
 
 bool election_controller::KnowsAllRouters(time_point aNow) const
@@ -253,6 +295,9 @@
       if (isCurrent) {
         terms = stored;
         revision = item.mRevision;
+        if (stored.mLostGrantsExpireIn) {
+          LimitLostGrants(*stored.mLostGrantsExpireIn, aNow);
+        }
         continue;
       }
       for (const leader_entry& former : stored.mLeaders) {
@@ -271,7 +316,7 @@
   }
   mCampaign->mTerms = std::move(terms);
   mCampaign->mTermsRevision = revision;
-  WriteLeaderIfReady();
+  WriteLeaderIfReady(aNow);
 }
 
 void election_controller::HandleLeaseOpened(const lease_reply& aReply,
@@ -285,10 +330,10 @@
     return;
   }
   mCampaign->mLease = aReply.mLease;
-  WriteLeaderIfReady();
+  WriteLeaderIfReady(aNow);
 }
 
-void election_controller::WriteLeaderIfReady()
+void election_controller::WriteLeaderIfReady(time_point aNow)
 {
   if (!mCampaign->mTerms || !mCampaign->mLease) {
     return;
@@ -309,6 +354,9 @@
   RemoveLeader(terms, entry);
   terms.mLeaders.push_back(entry);
   terms.mNext = term_number(terms.mNext.Value() + 1);
+  if (terms.mLostGrantsExpireIn) {
+    terms.mLostGrantsExpireIn = LostGrantsExpireIn(entry.mTerm, aNow);
+  }
   mCampaign->mEntry = entry;
 
   conditional_write write;
@@ -360,7 +408,8 @@
   mKeyExists = true;
   mRevision = aRevision;
   mTermsRevision = aRevision;
-  mTermsWritePending = false;
+  mPendingTerms.reset();
+  mProgressWriteFailed = false;
   mLease = mLeader->mLease;
   const bool isFirstOfEra = mLeader->mTerm.Value() == FirstNumberOf(mEra);
   mLeadership = { mLeader->mTerm,
@@ -375,7 +424,10 @@
   mAskedRouters.clear();
   mRecoveryEnd.reset();
   mRecordsWritten = false;
-  if (mLeadership.mRecovers) {
+  mForgottenGrantsEnd = aNow;
+  mSurveyState =
+    mTerms.mLostGrantsExpireIn ? survey_state::kClosed : survey_state::kOpen;
+  if (mLeadership.mRecovers && mSurveyState == survey_state::kOpen) {
     mMayHaveUnknownLeaders = !KnowsAllRouters(aNow);
     mKnowsAllRecords = !mMayHaveUnknownLeaders;
     AddPossibleLeaders(KnownRouters(aNow));
@@ -437,18 +489,22 @@
   }
 }
 
-void election_controller::HandleAbdicated(
-  const request_abdication& aRequest,
-  bool aKnowsRecords,
-  const std::vector<std::string>& aRouters,
-  time_point aNow)
+void election_controller::HandleAbdicated(const request_abdication& aRequest,
+                                          const abdication_reply& aReply,
+                                          time_point aNow)
 {
   if (!mLeading || aRequest.mBefore != mLeadership.mTerm) {
     return;
   }
-  mKnowsAllRecords &= aKnowsRecords;
-  if (mLeadership.mRecovers && !mRecoveryEnd) {
-    AddPossibleLeaders(aRouters);
+  mForgottenGrantsEnd = std::max(
+    mForgottenGrantsEnd,
+    aNow + std::min(aReply.mForgottenGrantsExpireIn, mSettings.mGrantLifetime));
+  if (mLeadership.mRecovers && aReply.mLostGrantsExpireIn) {
+    LimitLostGrants(*aReply.mLostGrantsExpireIn, aNow);
+  }
+  if (mLeadership.mRecovers && !mRecoveryEnd &&
+      mSurveyState == survey_state::kOpen) {
+    AddPossibleLeaders(aReply.mRouters);
   }
   std::erase_if(mFormerLeaders, [&](const leader_entry& aFormer) {
     return HasAddressOf(aFormer, aRequest.mLeader);
@@ -458,26 +514,44 @@
 
 void election_controller::SetRecoveryEndIfKnown(time_point aNow)
 {
-  if (mLeadership.mRecovers && !mRecoveryEnd && AreFormerLeadersGone()) {
-    mRecoveryEnd = mKnowsAllRecords ? aNow : aNow + mSettings.mGrantLifetime;
+  if (!mLeadership.mRecovers || mRecoveryEnd || !AreFormerLeadersGone()) {
+    return;
+  }
+  if (mKnowsAllRecords && mSurveyState == survey_state::kOpen) {
+    mSurveyState = survey_state::kComplete;
+    mRecoveryEnd =
+      std::min(std::max(aNow, mForgottenGrantsEnd), mLostGrantsEnd);
+  } else {
+    mRecoveryEnd = mLostGrantsEnd;
   }
 }
 
 void election_controller::HandleTermsWritten(const write_reply& aReply)
 {
-  mTermsWritePending = false;
-  if (!mLeading) {
+  const auto written = std::exchange(mPendingTerms, std::nullopt);
+  if (!mLeading || !written) {
     return;
   }
-  if (aReply.mOutcome == call_outcome::kDone) {
+  const bool isDone = aReply.mOutcome == call_outcome::kDone;
+  if (isDone) {
     mTermsRevision = aReply.mRevision;
   }
+  if (!written->mRecovered) {
+    mProgressWriteFailed = !isDone;
+    if (isDone) {
+      mTerms = *written;
+    }
+    if (isDone && mSurveyState == survey_state::kComplete) {
+      mLostGrantsEnd = std::min(mLostGrantsEnd, *mRecoveryEnd);
+    } else if (isDone) {
+      mSurveyState = survey_state::kClosed;
+    }
+    return;
+  }
   // After a conflict, either an earlier write took effect without a reply, or
   // this router no longer leads.
-  if (aReply.mOutcome == call_outcome::kDone ||
-      aReply.mOutcome == call_outcome::kConflict) {
-    mTerms.mLeaders = { *mLeader };
-    mTerms.mRecovered = true;
+  if (isDone || aReply.mOutcome == call_outcome::kConflict) {
+    mTerms = *written;
   }
 }
 
@@ -523,6 +597,7 @@
 {
   const time_point formerLeadersEnd =
     mLeadership.mSince + mSettings.mMaxRenewalTime;
+  RemoveLeadersOfLostEras(aNow);
   if (aNow >= formerLeadersEnd) {
     mKnowsAllRecords &= AreFormerLeadersGone();
     mFormerLeaders.clear();
@@ -532,7 +607,7 @@
   if (aNow >= mNextRenewalAt) {
     mNextRenewalAt = aNow + kLeaseRenewInterval;
     mActions.emplace_back(renew_lease{ mLease, mLeadership.mTerm });
-    WriteTerms();
+    WriteTerms(aNow);
   }
   if (!AreFormerLeadersGone()) {
     if (aNow >= mNextAbdicationRequestAt) {
@@ -544,25 +619,70 @@
     }
     AddStepTime(mNextAbdicationRequestAt);
     AddStepTime(formerLeadersEnd);
+    if (mLeadership.mRecovers && aNow < LostLeadersRemovalTime()) {
+      AddStepTime(LostLeadersRemovalTime());
+    }
   }
   AddStepTime(mNextRenewalAt);
 }
 
-void election_controller::WriteTerms()
+time_point election_controller::LostLeadersRemovalTime() const
+{
+  return std::max(mLostLeadersEnd, mLeadership.mSince + kMinSurveyTime);
+}
+
+void election_controller::RemoveLeadersOfLostEras(time_point aNow)
 {
-  const bool isCurrent = mTerms.mLeaders.size() <= 1 && mTerms.mRecovered;
-  const bool isRecovering = !mTerms.mRecovered && !mRecordsWritten;
-  if (!AreFormerLeadersGone() || isCurrent || isRecovering ||
-      mTermsWritePending) {
+  if (!mLeadership.mRecovers || aNow < LostLeadersRemovalTime()) {
     return;
   }
-  mTermsWritePending = true;
-  leader_terms remaining;
-  remaining.mNext = mTerms.mNext;
-  remaining.mLeaders = { *mLeader };
+  const size_t removed =
+    std::erase_if(mFormerLeaders, [this](const leader_entry& aFormer) {
+      return aFormer.mTerm.Value() < FirstNumberOf(mEra);
+    });
+  mKnowsAllRecords &= removed == 0 && !mMayHaveUnknownLeaders;
+  mMayHaveUnknownLeaders = false;
+}
+
+bool election_controller::MustWriteProgress(time_point aNow) const
+{
+  if (mTerms.mLostGrantsExpireIn || mProgressWriteFailed ||
+      aNow >= RecoveryDeadline()) {
+    return false;
+  }
+  // A leader that keeps grants of the era before for longer than a successor
+  // could know records them first, and the terms show before that the records
+  // don't name all holders yet.
+  const bool mustRecordKept =
+    mSurveyState == survey_state::kOpen && mLeadership.mContinues &&
+    aNow >= mUnrecordedGrantsUntil - kRecordKeptGrantsTime;
+  return mustRecordKept ||
+         (mSurveyState == survey_state::kComplete && mRecordsWritten);
+}
+
+void election_controller::WriteTerms(time_point aNow)
+{
+  if (mPendingTerms) {
+    return;
+  }
+  leader_terms terms = mTerms;
+  if (MustWriteProgress(aNow)) {
+    terms.mLostGrantsExpireIn = RecoveryDeadline() - aNow;
+  } else {
+    const bool isCurrent = mTerms.mLeaders.size() <= 1 && mTerms.mRecovered;
+    const bool isRecovering =
+      !mTerms.mRecovered && (!mRecordsWritten || aNow < RecoveryDeadline());
+    if (!AreFormerLeadersGone() || isCurrent || isRecovering) {
+      return;
+    }
+    terms.mLeaders = { *mLeader };
+    terms.mRecovered = true;
+    terms.mLostGrantsExpireIn.reset();
+  }
   conditional_write write;
   write.mConditions = { Condition(), { TermsKey(), mTermsRevision } };
-  write.mWrites = { { TermsKey(), EncodeLeaderTerms(remaining), lease_id(0) } };
+  write.mWrites = { { TermsKey(), EncodeLeaderTerms(terms), lease_id(0) } };
+  mPendingTerms = std::move(terms);
   mActions.emplace_back(write_terms{ std::move(write) });
 }
 
--- a/Parsleystair/Gateway/ElectionController.h
+++ b/Parsleystair/Gateway/ElectionController.h
@@ -93,6 +93,22 @@
   bool operator==(const write_terms&) const = default;
 };
 
+/// Reply of a router to `request_abdication`: it leads in no term before that
+/// of the request and sends no orders of such terms.
+struct abdication_reply
+{
+  /// Time after which all grants have expired that an earlier process at the
+  /// router's address may have made, if the records that the router has told
+  /// don't name them.
+  duration mForgottenGrantsExpireIn{};
+  /// See `election_controller::LostGrantsExpireIn`.
+  std::optional<duration> mLostGrantsExpireIn;
+  /// Addresses of all routers that the router knows.
+  std::vector<std::string> mRouters;
+
+  bool operator==(const abdication_reply&) const = default;
+};
+
 using election_action = std::variant<read_terms,
                                      open_lease,
                                      write_leader,
@@ -115,7 +131,8 @@
 /// ownership records. The next leader therefore recovers: it takes every router
 /// that it knows for a former leader, and asks each for the records that it
 /// knows. Until all have told, or until every grant of a former leader must
-/// have expired, the records don't name all holders of keys.
+/// have expired, the records don't name all holders of keys. The latter time
+/// counts from the restore, whichever router leads since.
 class election_controller
 {
 public:
@@ -156,16 +173,10 @@
                           call_outcome aOutcome,
                           time_point aSentAt,
                           time_point aNow);
-  /// The process at the former leader's address leads in no term before that of
-  /// the request and sends no orders of such terms. `aKnowsRecords`: it has
-  /// told all ownership records that it or an earlier process at its address
-  /// knew. `aRouters`: addresses of all routers that it knows.
   void HandleAbdicated(const request_abdication& aRequest,
-                       bool aKnowsRecords,
-                       const std::vector<std::string>& aRouters,
+                       const abdication_reply& aReply,
                        time_point aNow);
-  /// This router has written all ownership records in the present era since
-  /// `RecoveryEnd`.
+  /// This router has written all ownership records in the present era.
   void HandleRecordsWritten();
   void HandleTermsWritten(const write_reply& aReply);
 
@@ -196,10 +207,24 @@
   {
     return mRecoveryEnd;
   }
-  /// Whether this process can tell all ownership records of which its address
-  /// has granted keys that may still be held. An earlier process at the address
-  /// may have granted others.
-  [[nodiscard]] bool KnowsGrantedRecords(time_point aNow) const;
+  /// Latest end of a leadership's recovery, as far as it is known now;
+  /// `time_point::min()` in a leadership that doesn't recover.
+  [[nodiscard]] time_point RecoveryDeadline() const;
+  /// Whether a leader that recovers may write records in the present era
+  /// before its recovery has ended.
+  [[nodiscard]] bool MayWriteRecords() const
+  {
+    return mSurveyState != survey_state::kOpen;
+  }
+  /// Time after which all grants have expired that an earlier process at this
+  /// router's address may have made: this process can't tell their records.
+  [[nodiscard]] duration ForgottenGrantsExpireIn(time_point aNow) const;
+  /// Time after which all grants of earlier eras have expired that the records
+  /// in the store don't name; empty if the era of `aTerm` isn't the era that
+  /// this router knows.
+  [[nodiscard]] std::optional<duration> LostGrantsExpireIn(
+    term_number aTerm,
+    time_point aNow) const;
   /// Former leaders that may still send orders.
   [[nodiscard]] const std::vector<leader_entry>& FormerLeaders() const
   {
@@ -234,6 +259,17 @@
     bool mOutcomeUnknown = false;
   };
 
+  /// Whether this leader still finds out which records the store has lost.
+  enum class survey_state : uint8_t
+  {
+    kOpen,
+    /// All routers that may have led have told their records.
+    kComplete,
+    /// Records were written in this era before all routers had told theirs.
+    /// What they tell later doesn't shorten the recovery.
+    kClosed,
+  };
+
   [[nodiscard]] bool IsCampaigning() const;
   [[nodiscard]] std::string TermsKey() const
   {
@@ -250,9 +286,10 @@
   void AddPossibleLeaders(const std::vector<std::string>& aHosts);
   void RememberLeader(const leader_entry& aLeader, time_point aNow);
   void SetRecoveryEndIfKnown(time_point aNow);
+  void LimitLostGrants(duration aExpireIn, time_point aNow);
   void ScheduleCampaign(time_point aTime);
   void AbandonCampaign(time_point aNow);
-  void WriteLeaderIfReady();
+  void WriteLeaderIfReady(time_point aNow);
   void HandleOwnEntry(const leader_entry& aEntry,
                       store_revision aRevision,
                       time_point aNow);
@@ -261,7 +298,14 @@
   void Confirm(time_point aSentAt);
   void StepCampaign(time_point aNow);
   void StepLeadership(time_point aNow);
-  void WriteTerms();
+  /// Time from which a leader that recovers asks routers no more that led in an
+  /// earlier era at most.
+  [[nodiscard]] time_point LostLeadersRemovalTime() const;
+  void RemoveLeadersOfLostEras(time_point aNow);
+  void WriteTerms(time_point aNow);
+  /// Whether the stored terms are to show how far the recovery is, so that a
+  /// successor doesn't begin again.
+  [[nodiscard]] bool MustWriteProgress(time_point aNow) const;
   void AddStepTime(time_point aTime);
 
   election_settings mSettings;
@@ -299,12 +343,25 @@
   bool mMayHaveUnknownLeaders = false;
   /// All former leaders have told the records that they know.
   bool mKnowsAllRecords = false;
+  /// Time at which all grants have expired that earlier processes at the
+  /// addresses of former leaders may have made.
+  time_point mForgottenGrantsEnd = time_point::min();
+  survey_state mSurveyState = survey_state::kOpen;
   std::optional<time_point> mRecoveryEnd;
   bool mRecordsWritten = false;
+  /// Time at which no leader of an earlier era sends orders any more.
+  time_point mLostLeadersEnd = time_point::min();
+  /// Time at which all grants of earlier eras have expired that the records in
+  /// the store don't name.
+  time_point mLostGrantsEnd = time_point::min();
+  /// Time until which this router may renew grants of the era before without
+  /// having recorded them in the present era.
+  time_point mUnrecordedGrantsUntil = time_point::min();
   /// Stored terms while this router leads, and their revision.
   leader_terms mTerms;
   store_revision mTermsRevision;
-  bool mTermsWritePending = false;
+  std::optional<leader_terms> mPendingTerms;
+  bool mProgressWriteFailed = false;
   time_point mNextRenewalAt = time_point::min();
   time_point mNextAbdicationRequestAt = time_point::min();
   std::vector<election_action> mActions;
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -275,6 +275,7 @@
     [this] { mRangeDriver.HandleLeadershipConfirmed(); });
   mElection.OnFormerLeadersGone(
     [this] { mRangeDriver.HandleFormerLeadersGone(MonotonicNow()); });
+  mElection.OnRecoveryChange([this] { mRangeDriver.HandleRecoveryChange(); });
   mConfigurationFollower = std::make_unique<follower>(
     *this,
     aPlatform.mCatalog.ConfigurationPrefix(),
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -187,8 +187,7 @@
   }
   const time_point now = MonotonicNow();
   return EncodeSurveyResponse({ NewerRecords(mOwnerRecords, known),
-                                mElection.KnowsGrantedRecords(now),
-                                mElection.KnownRouters(now) });
+                                mElection.AbdicationReply(aRequest, now) });
 }
 
 std::optional<survey_response> gateway_task::ApplySurveyResponse(
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -79,6 +79,11 @@
   mFormerLeadersGoneHandler = std::move(aHandler);
 }
 
+void leader_election::OnRecoveryChange(change_handler aHandler)
+{
+  mRecoveryHandler = std::move(aHandler);
+}
+
 void leader_election::OnSurvey(survey_provider aProvider,
                                survey_handler aHandler)
 {
@@ -129,6 +134,15 @@
   }
 }
 
+abdication_reply leader_election::AbdicationReply(const http_request& aRequest,
+                                                  time_point aNow) const
+{
+  const term_number before = ReadTerm(aRequest).value_or(term_number(0));
+  return { mController.ForgottenGrantsExpireIn(aNow),
+           mController.LostGrantsExpireIn(before, aNow),
+           mController.KnownRouters(aNow) };
+}
+
 void leader_election::StepDown()
 {
   mController.StepDown(std::nullopt);
@@ -178,6 +192,8 @@
     mReportedLeading = true;
     mReportedConfirmation = time_point::min();
     mReportedFormerLeadersGone = false;
+    mReportedRecoveryDeadline = time_point::min();
+    mReportedRecordsWritable = false;
     log_line(log_severity::kInfo, "leading_started")
       .Add("revision", mController.Revision().Value())
       .Add("lease", mController.Leader()->mLease.Value())
@@ -201,6 +217,26 @@
     }
     mFormerLeadersGoneHandler();
   }
+  ReportRecovery();
+}
+
+void leader_election::ReportRecovery()
+{
+  const leadership& current = mController.Leadership();
+  const time_point deadline = mController.RecoveryDeadline();
+  const bool isWritable = mController.MayWriteRecords();
+  if (!current.mRecovers || (mReportedRecoveryDeadline == deadline &&
+                             mReportedRecordsWritable == isWritable)) {
+    return;
+  }
+  mReportedRecoveryDeadline = deadline;
+  mReportedRecordsWritable = isWritable;
+  log_line(log_severity::kInfo, "recovery_deadline")
+    .Add("term", current.mTerm.Value())
+    .Add("in_us",
+         int64_t{ std::max(deadline - MonotonicNow(), duration()).count() })
+    .Add("writable", isWritable);
+  mRecoveryHandler();
 }
 
 void leader_election::Execute(const read_terms& aAction)
@@ -282,12 +318,14 @@
         .Add("vm", aAction.mLeader.mVm.Value())
         .Add("former_term", aAction.mLeader.mTerm.Value())
         .Add("term", aAction.mBefore.Value());
-      survey_response told;
+      abdication_reply reply;
       if (aAction.mAsksRecords) {
-        told = mSurveyHandler(aResult.mResponse.mBody).value_or(told);
+        const auto told = mSurveyHandler(aResult.mResponse.mBody);
+        // The records of a response that can't be read are unknown.
+        reply = told ? told->mReply
+                     : abdication_reply{ mSettings.mGrantLifetime, {}, {} };
       }
-      mController.HandleAbdicated(
-        aAction, told.mKnowsGrantedRecords, told.mRouters, MonotonicNow());
+      mController.HandleAbdicated(aAction, reply, MonotonicNow());
       Step();
     });
 }
--- a/Parsleystair/Gateway/LeaderElection.h
+++ b/Parsleystair/Gateway/LeaderElection.h
@@ -33,6 +33,9 @@
   void OnLeadershipConfirmed(change_handler aHandler);
   /// Called when no former leader sends orders any more.
   void OnFormerLeadersGone(change_handler aHandler);
+  /// Called when `RecoveryDeadline` or `MayWriteRecords` changes while this
+  /// router leads and recovers.
+  void OnRecoveryChange(change_handler aHandler);
 
   /// Provides the body of requests for ownership records.
   using survey_provider = std::function<std::string()>;
@@ -54,20 +57,19 @@
   {
     return mController.LeaderKey();
   }
-  [[nodiscard]] std::optional<time_point> RecoveryEnd() const
+  /// See `election_controller::RecoveryDeadline`.
+  [[nodiscard]] time_point RecoveryDeadline() const
   {
-    return mController.RecoveryEnd();
+    return mController.RecoveryDeadline();
   }
-  /// See `election_controller::KnownRouters`.
-  [[nodiscard]] std::vector<std::string> KnownRouters(time_point aNow) const
+  /// See `election_controller::MayWriteRecords`.
+  [[nodiscard]] bool MayWriteRecords() const
   {
-    return mController.KnownRouters(aNow);
-  }
-  /// See `election_controller::KnowsGrantedRecords`.
-  [[nodiscard]] bool KnowsGrantedRecords(time_point aNow) const
-  {
-    return mController.KnowsGrantedRecords(aNow);
+    return mController.MayWriteRecords();
   }
+  /// What this router tells the sender of an abdication request.
+  [[nodiscard]] abdication_reply AbdicationReply(const http_request& aRequest,
+                                                 time_point aNow) const;
 
   /// Handles the present state of the leader key in the store; `aItem` is empty
   /// if the key doesn't exist.
@@ -111,6 +113,7 @@
   /// Executes the actions that are due and reports what has changed.
   void Step();
   void ReportChanges();
+  void ReportRecovery();
   void Execute(const read_terms& aAction);
   void Execute(const open_lease& aAction);
   void Execute(const write_leader& aAction);
@@ -126,12 +129,15 @@
   change_handler mChangeHandler;
   change_handler mConfirmedHandler;
   change_handler mFormerLeadersGoneHandler;
+  change_handler mRecoveryHandler;
   survey_provider mSurveyProvider;
   survey_handler mSurveyHandler;
   /// State as last reported to the handlers.
   bool mReportedLeading = false;
   time_point mReportedConfirmation = time_point::min();
   bool mReportedFormerLeadersGone = false;
+  time_point mReportedRecoveryDeadline = time_point::min();
+  bool mReportedRecordsWritable = false;
   /// Pending requests to former leaders, by address.
   std::map<std::string, std::unique_ptr<http_connection>> mAbdicationRequests;
   timer mTimer;
--- a/Parsleystair/Gateway/LeaderEntry.cpp
+++ b/Parsleystair/Gateway/LeaderEntry.cpp
@@ -64,6 +64,9 @@
   if (!aTerms.mRecovered) {
     encoded["recovered"] = false;
   }
+  if (aTerms.mLostGrantsExpireIn) {
+    encoded["lostGrantsExpireInUs"] = aTerms.mLostGrantsExpireIn->count();
+  }
   return encoded.dump();
 }
 
@@ -74,6 +77,10 @@
     leader_terms terms;
     terms.mNext = term_number(parsed.at("next").get<uint64_t>());
     terms.mRecovered = parsed.value("recovered", true);
+    if (parsed.contains("lostGrantsExpireInUs")) {
+      terms.mLostGrantsExpireIn =
+        duration(parsed.at("lostGrantsExpireInUs").get<uint64_t>());
+    }
     for (const json& each : parsed.at("leaders")) {
       terms.mLeaders.push_back(FromJson(each));
     }
--- a/Parsleystair/Gateway/LeaderEntry.h
+++ b/Parsleystair/Gateway/LeaderEntry.h
@@ -43,6 +43,10 @@
   /// keys. After the store was restored, they don't until a leader has found
   /// out what the store has lost.
   bool mRecovered = true;
+  /// Set if records were written in the present era before the recovery had
+  /// ended. When this time has passed since, every grant of earlier eras that
+  /// they don't name has expired.
+  std::optional<duration> mLostGrantsExpireIn;
   /// The leader of the newest term is last. There is one entry per address, as
   /// a process can only lead after an earlier one at its address has ended.
   std::vector<leader_entry> mLeaders;
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -160,8 +160,14 @@
   if (mElection.AreFormerLeadersGone()) {
     aController.HandleFormerLeadersGone(aNow);
   }
-  if (const auto recoveryEnd = mElection.RecoveryEnd()) {
-    aController.HandleRecordsRecovered(*recoveryEnd);
+  ApplyRecovery(aController);
+}
+
+void range_driver::ApplyRecovery(range_controller& aController) const
+{
+  aController.HandleRecordsRecovered(mElection.RecoveryDeadline());
+  if (mElection.MayWriteRecords()) {
+    aController.HandleRecordWritable();
   }
 }
 
@@ -200,12 +206,16 @@
 
 void range_driver::HandleFormerLeadersGone(time_point aNow)
 {
-  const auto recoveryEnd = mElection.RecoveryEnd();
   for (auto& [service, controller] : mControllers) {
     controller.HandleFormerLeadersGone(aNow);
-    if (recoveryEnd) {
-      controller.HandleRecordsRecovered(*recoveryEnd);
-    }
+  }
+  ScheduleStep();
+}
+
+void range_driver::HandleRecoveryChange()
+{
+  for (auto& [service, controller] : mControllers) {
+    ApplyRecovery(controller);
   }
   ScheduleStep();
 }
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -89,6 +89,10 @@
   void StopLeading(time_point aNow);
   void HandleLeadershipConfirmed();
   void HandleFormerLeadersGone(time_point aNow);
+
+  /// The end of the leadership's recovery is known better, or the records may
+  /// be written before it.
+  void HandleRecoveryChange();
   void HandleRecord(const service_name& aService,
                     const range_record& aRecord,
                     store_revision aRevision);
@@ -112,6 +116,7 @@
 
 private:
   void StartController(range_controller& aController, time_point aNow);
+  void ApplyRecovery(range_controller& aController) const;
   void StepAll();
   void ScheduleStep();
   void Execute(const service_name& aService, const grant_order& aOrder);
--- a/Parsleystair/Gateway/RecordSurvey.h
+++ b/Parsleystair/Gateway/RecordSurvey.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Parsleystair/Gateway/ElectionController.h"
 #include "Parsleystair/Gateway/OwnerFeed.h"
 
 #include <string>
@@ -12,11 +13,7 @@
 {
   /// Records that are newer than those of the leader.
   owner_records mRecords;
-  /// No other record was granted from the router's address of which a target
-  /// may still hold keys.
-  bool mKnowsGrantedRecords = false;
-  /// Addresses of all routers that the router knows.
-  std::vector<std::string> mRouters;
+  abdication_reply mReply;
 
   bool operator==(const survey_response&) const = default;
 };
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -30,7 +30,10 @@
 // granted itself before the restore, if its leadership was confirmed then
 // within the time for which it may renew: an unknown later leader can't have
 // waited for these grants to expire, so it can have got the keys only from the
-// owner, which then knows a higher fence and refuses the renewal.
+// owner, which then knows a higher fence and refuses the renewal. A later
+// leader of the present era counts such grants as expired unless its record
+// names them, so they are only renewed for as long as the leadership before the
+// restore allowed it, or once the record is written in the present era.
 //
 // A target that restarts forgets the fences that it has seen. A release or an
 // accepted grant therefore says nothing about the target's next process, and
@@ -74,6 +77,7 @@
   }
   mRecoversUntil =
     aLeadership.mRecovers ? time_point::max() : time_point::min();
+  mMayWriteWhileRecovering = false;
   mTerm = aLeadership.mTerm;
   mLeading = !IsSuperseded();
   mLeadershipConfirmedAt = aLeadership.mConfirmedAt;
@@ -164,6 +168,11 @@
   mRecoversUntil = std::min(mRecoversUntil, aFrom);
 }
 
+void range_controller::HandleRecordWritable()
+{
+  mMayWriteWhileRecovering = true;
+}
+
 bool range_controller::MayRenew(time_point aNow) const
 {
   return mLeading &&
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -115,6 +115,10 @@
   /// `aFrom` name every target that holds keys from then on.
   void HandleRecordsRecovered(time_point aFrom);
 
+  /// In a leadership that recovers, the record may be written in the present
+  /// era before it names every target that holds keys.
+  void HandleRecordWritable();
+
   /// Takes over the record in the store. Revisions that are not newer than the
   /// known one are ignored. A record of a later term ends the leadership.
   void HandleRecord(const range_record& aRecord, store_revision aRevision);
@@ -249,9 +253,12 @@
   void StepGrants(time_point aNow, std::vector<range_action>& aActions);
   void GrantKeys(const key_interval& aKeys,
                  const owned_range& aRange,
+                 time_point aSendUntil,
                  time_point aConnectUntil,
                  time_point aNow,
                  std::vector<range_action>& aActions);
+  /// Whether the record of the present era names a grant.
+  [[nodiscard]] bool IsRecorded(const owned_range& aGrant) const;
   void ApplyMove(const move& aMove,
                  range_record& aRecord,
                  std::vector<owner_candidate>& aCandidates) const;
@@ -302,6 +309,7 @@
   std::vector<owned_range> mFormerLeaderGrants;
   /// Time until which targets may hold keys without being named by the record.
   time_point mRecoversUntil = time_point::min();
+  bool mMayWriteWhileRecovering = false;
   /// Keys that this router granted before a restore of the store and that can
   /// have got no other owner.
   std::vector<owned_range> mKeptGrants;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -143,6 +143,9 @@
   mNextStepTime = aNow + mSettings.mRenewInterval;
   if (aNow < mRecoversUntil) {
     mNextStepTime = std::min(mNextStepTime, mRecoversUntil);
+    if (mMayWriteWhileRecovering && MayMove(aNow)) {
+      StepWrite(aNow, actions);
+    }
     StepKeptGrants(aNow, actions);
     return actions;
   }
@@ -461,6 +464,7 @@
     for (const key_interval& piece : SubtractMoves(range.mKeys)) {
       GrantKeys(piece,
                 range,
+                mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew,
                 mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToMove,
                 aNow,
                 aActions);
@@ -474,17 +478,32 @@
   if (!MayRenew(aNow)) {
     return;
   }
+  const time_point sendUntil =
+    mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew;
+  const time_point unrecordedUntil =
+    mKeptGrantsConfirmedAt + mSettings.mMaxConfirmationAgeToRenew;
   for (const owned_range& kept : std::vector(mKeptGrants)) {
+    const time_point keptUntil =
+      IsRecorded(kept) ? sendUntil : std::min(sendUntil, unrecordedUntil);
     // A new connection might lead to a process that has replaced the owner and
     // knows no fences.
-    if (mOwners.contains(kept.mOwner.mName)) {
-      GrantKeys(kept.mKeys, kept, time_point::min(), aNow, aActions);
+    if (aNow < keptUntil && mOwners.contains(kept.mOwner.mName)) {
+      GrantKeys(kept.mKeys, kept, keptUntil, time_point::min(), aNow, aActions);
     }
   }
 }
 
+bool range_controller::IsRecorded(const owned_range& aGrant) const
+{
+  const owned_range* range = FindRange(mRecord, aGrant.mKeys.mFirst);
+  return EraOf(mRevision) == EraOfNumber(mTerm.Value()) && range != nullptr &&
+         range->mKeys.Contains(aGrant.mKeys.mLast) &&
+         range->mOwner == aGrant.mOwner && range->mFence == aGrant.mFence;
+}
+
 void range_controller::GrantKeys(const key_interval& aKeys,
                                  const owned_range& aRange,
+                                 time_point aSendUntil,
                                  time_point aConnectUntil,
                                  time_point aNow,
                                  std::vector<range_action>& aActions)
@@ -509,7 +528,7 @@
                  aRange.mFence,
                  mSettings.mGrantDuration,
                  aRange.mHandover,
-                 mLeadershipConfirmedAt + mSettings.mMaxConfirmationAgeToRenew,
+                 aSendUntil,
                  aConnectUntil });
 }
 
--- a/UnitTests/Gateway/LeadershipStateTest.cpp
+++ b/UnitTests/Gateway/LeadershipStateTest.cpp
@@ -122,6 +122,42 @@
   }
 }
 
+// Guards against keys that are away for longer after a restore of the store the
+// more leaders follow one another.
+TEST(leadership_state, KeysAreHeldInTimeAfterARestoreWhoeverLeads)
+{
+  constexpr uint64_t kRuns = 10;
+  constexpr duration kTimeOfEachLeader = 2500ms;
+  constexpr duration kOutage = 500ms;
+  // Detection of the last lost leader, election, reads and grants.
+  constexpr duration kTakeoverTime = 4s;
+  const range_settings ranges;
+  const duration lostGrantsTime =
+    ranges.mMaxConfirmationAgeToRenew + ranges.MaxFormerGrantLifetime();
+  for (uint64_t seed = 1; seed <= kRuns; ++seed) {
+    leadership_world_settings settings;
+    settings.mRouters = 8;
+    world simulated(seed, settings);
+    simulated.Run(lostGrantsTime + 5s);
+    ASSERT_EQ(simulated.UnheldSamples(), 0u);
+    simulated.RestoreStore(0, kOutage.count() / 1000);
+    duration elapsed{};
+    while (elapsed < lostGrantsTime) {
+      if (const auto leader = simulated.Leader()) {
+        simulated.RestartRouter(*leader, 2 * kTimeOfEachLeader);
+      }
+      simulated.Run(kTimeOfEachLeader);
+      elapsed += kTimeOfEachLeader;
+    }
+    while (simulated.UnheldSamples() > 0 && elapsed < 3 * lostGrantsTime) {
+      simulated.Run(100ms);
+      elapsed += 100ms;
+    }
+    EXPECT_LE(elapsed, kOutage + lostGrantsTime + kTakeoverTime)
+      << "seed " << seed;
+  }
+}
+
 // Guards against failures that can't be repeated: the same seed and the same
 // faults give the same run.
 TEST(leadership_state, RepeatsRunOfSameSeed)
--- a/UnitTests/Gateway/SimulatedRouter.h
+++ b/UnitTests/Gateway/SimulatedRouter.h
@@ -70,8 +70,7 @@
   {
     std::optional<range_record> mRecord;
     store_revision mRevision;
-    bool mKnowsGrantedRecords = false;
-    std::vector<std::string> mRouters;
+    abdication_reply mReply;
   };
 
   survey HandleAbdicationRequest(term_number aBefore)
@@ -83,8 +82,10 @@
     if (mRecordRevision != store_revision(0)) {
       told.mRecord = mRanges.Record();
     }
-    told.mKnowsGrantedRecords = mElection.KnowsGrantedRecords(mNetwork.Now());
-    told.mRouters = mElection.KnownRouters(mNetwork.Now());
+    const time_point now = mNetwork.Now();
+    told.mReply = { mElection.ForgottenGrantsExpireIn(now),
+                    mElection.LostGrantsExpireIn(aBefore, now),
+                    mElection.KnownRouters(now) };
     return told;
   }
 
@@ -380,16 +381,17 @@
     mDriverLeading = true;
     mRanges.StartLeading(mElection.Leadership());
     if (mElection.AreFormerLeadersGone()) {
-      HandleFormerLeadersGone();
+      mRanges.HandleFormerLeadersGone(mNetwork.Now());
     }
+    ApplyRecovery();
     ScheduleStep();
   }
 
-  void HandleFormerLeadersGone()
+  void ApplyRecovery()
   {
-    mRanges.HandleFormerLeadersGone(mNetwork.Now());
-    if (const auto recoveryEnd = mElection.RecoveryEnd()) {
-      mRanges.HandleRecordsRecovered(*recoveryEnd);
+    mRanges.HandleRecordsRecovered(mElection.RecoveryDeadline());
+    if (mElection.MayWriteRecords()) {
+      mRanges.HandleRecordWritable();
     }
   }
 
@@ -442,7 +444,11 @@
     if (!mReportedFormerLeadersGone && mElection.AreFormerLeadersGone()) {
       mReportedFormerLeadersGone = true;
       Trace("has no former leaders in term " + term);
-      HandleFormerLeadersGone();
+      mRanges.HandleFormerLeadersGone(mNetwork.Now());
+      ScheduleStep();
+    }
+    if (current.mRecovers && mDriverLeading) {
+      ApplyRecovery();
       ScheduleStep();
     }
   }
@@ -530,8 +536,7 @@
         if (aAction.mAsksRecords && told->mRecord) {
           ApplyRecord(*told->mRecord, told->mRevision);
         }
-        mElection.HandleAbdicated(
-          aAction, told->mKnowsGrantedRecords, told->mRouters, mNetwork.Now());
+        mElection.HandleAbdicated(aAction, told->mReply, mNetwork.Now());
         StepElection();
       });
   }
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -995,4 +995,35 @@
   EXPECT_TRUE(Step().empty());
 }
 
+// Guards against grants of the time before a restore that are renewed for
+// longer than a later leader, which doesn't know of them, waits.
+TEST_F(range_controller_test, KeptGrantsAreRenewedForLongOnlyIfRecorded)
+{
+  AssignKeysToBothTargets();
+  const std::vector<owned_range> ranges = mController.Record().mRanges;
+  mController.StopLeading(mNow);
+  leadership continued{ term_number(FirstNumberOf(store_era(2))), mNow, mNow };
+  continued.mRecovers = true;
+  continued.mContinues = true;
+  mController.StartLeading(continued);
+  const time_point until = mNow + range_settings().mMaxConfirmationAgeToRenew;
+  mNow = until - 100ms;
+  mController.HandleLeadershipConfirmed(mNow);
+  auto grants = Orders<grant_order>();
+  ASSERT_EQ(grants.size(), 2u);
+  for (const grant_order& each : grants) {
+    EXPECT_EQ(each.mSendUntil, until);
+    mController.HandleGrantResult(each.mId, order_result::kAccepted, mNow);
+  }
+  mNow += 1s;
+  mController.HandleLeadershipConfirmed(mNow);
+  EXPECT_TRUE(Orders<grant_order>().empty());
+  mController.HandleRecordWritable();
+  mRevision = MakeRevision(store_era(2), 1).Value();
+  Step();
+  grants = Orders<grant_order>();
+  EXPECT_EQ(grants.size(), 2u);
+  EXPECT_EQ(mController.Record().mRanges, ranges);
+}
+
 } // namespace parsleystair
