Let only recorded holders shorten what a leader tells of its recovery

Now the reason is noted when the write is sent (LateAnswerDoesNotShortenTheToldRecovery). Besides: stored and told times are checked and bounded, and a router whose records can't be read counts as silent, no longer as one that has told.

--- a/Parsleystair/Gateway/ElectionController.cpp
+++ b/Parsleystair/Gateway/ElectionController.cpp
@@ -147,8 +147,8 @@
 void election_controller::LimitLostGrants(duration aExpireIn, time_point aNow)
 {
   const duration longest = mSettings.mMaxRenewalTime + mSettings.mGrantLifetime;
-  mLostGrantsEnd =
-    std::min(mLostGrantsEnd, aNow + std::min(aExpireIn, longest));
+  mLostGrantsEnd = std::min(
+    mLostGrantsEnd, aNow + std::clamp(aExpireIn, duration::zero(), longest));
 }
 
 time_point election_controller::RecoveryDeadline() const
@@ -541,9 +541,9 @@
     if (isDone) {
       mTerms = *written;
     }
-    if (isDone && mSurveyState == survey_state::kComplete) {
+    if (isDone && mPendingTermsComplete) {
       mLostGrantsEnd = std::min(mLostGrantsEnd, *mRecoveryEnd);
-    } else if (isDone) {
+    } else if (isDone && mSurveyState == survey_state::kOpen) {
       mSurveyState = survey_state::kClosed;
     }
     return;
@@ -667,6 +667,7 @@
   }
   leader_terms terms = mTerms;
   if (MustWriteProgress(aNow)) {
+    mPendingTermsComplete = mSurveyState == survey_state::kComplete;
     terms.mLostGrantsExpireIn = RecoveryDeadline() - aNow;
   } else {
     const bool isCurrent = mTerms.mLeaders.size() <= 1 && mTerms.mRecovered;
--- a/Parsleystair/Gateway/ElectionController.h
+++ b/Parsleystair/Gateway/ElectionController.h
@@ -361,6 +361,9 @@
   leader_terms mTerms;
   store_revision mTermsRevision;
   std::optional<leader_terms> mPendingTerms;
+  /// The records that are written name all holders of keys once the time in
+  /// `mPendingTerms` has passed.
+  bool mPendingTermsComplete = false;
   bool mProgressWriteFailed = false;
   time_point mNextRenewalAt = time_point::min();
   time_point mNextAbdicationRequestAt = time_point::min();
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -321,9 +321,11 @@
       abdication_reply reply;
       if (aAction.mAsksRecords) {
         const auto told = mSurveyHandler(aResult.mResponse.mBody);
-        // The records of a response that can't be read are unknown.
-        reply = told ? told->mReply
-                     : abdication_reply{ mSettings.mGrantLifetime, {}, {} };
+        if (!told) {
+          // Its records and routers are unknown, as if it had not responded.
+          return;
+        }
+        reply = told->mReply;
       }
       mController.HandleAbdicated(aAction, reply, MonotonicNow());
       Step();
--- a/Parsleystair/Gateway/LeaderEntry.cpp
+++ b/Parsleystair/Gateway/LeaderEntry.cpp
@@ -78,8 +78,12 @@
     terms.mNext = term_number(parsed.at("next").get<uint64_t>());
     terms.mRecovered = parsed.value("recovered", true);
     if (parsed.contains("lostGrantsExpireInUs")) {
-      terms.mLostGrantsExpireIn =
-        duration(parsed.at("lostGrantsExpireInUs").get<uint64_t>());
+      const auto count = parsed.at("lostGrantsExpireInUs").get<int64_t>();
+      if (count < 0) {
+        throw parse_error("invalid leader terms: lostGrantsExpireInUs is " +
+                          std::to_string(count));
+      }
+      terms.mLostGrantsExpireIn = duration(count);
     }
     for (const json& each : parsed.at("leaders")) {
       terms.mLeaders.push_back(FromJson(each));
--- a/UnitTests/Gateway/ElectionControllerTest.cpp
+++ b/UnitTests/Gateway/ElectionControllerTest.cpp
@@ -426,6 +426,35 @@
   EXPECT_TRUE(mSecond.MayWriteRecords());
 }
 
+// Guards against a successor that counts on records that its predecessor has
+// not written: the predecessor heard the last router while its write of the
+// terms was pending.
+TEST_F(election_controller_test, LateAnswerDoesNotShortenTheToldRecovery)
+{
+  Elect(mFirst);
+  FollowRouters(mFirst, { "a", "b" });
+  mFirst.HandleEra(store_era(2), mNow);
+  mItems.erase("leader");
+  Elect(mFirst);
+  std::vector<write_terms> writes;
+  request_abdication asked;
+  for (int i = 0; i < 40 && writes.empty(); ++i) {
+    mNow += 250ms;
+    const auto actions = mFirst.Step(mNow);
+    writes = Only<write_terms>(actions);
+    for (const auto& request : Only<request_abdication>(actions)) {
+      asked = request;
+    }
+  }
+  ASSERT_EQ(writes.size(), 1u);
+  const term_number term = mFirst.Leadership().mTerm;
+  const auto told = mFirst.LostGrantsExpireIn(term, mNow);
+  mFirst.HandleAbdicated(asked, {}, mNow);
+  EXPECT_EQ(mFirst.RecoveryDeadline(), mNow);
+  mFirst.HandleTermsWritten(Write(writes[0].mWrite));
+  EXPECT_EQ(mFirst.LostGrantsExpireIn(term, mNow), told);
+}
+
 // Guards against records that are written before all routers have told theirs,
 // and a successor that takes what it is told since for complete.
 TEST_F(election_controller_test, AnswersDoNotShortenARecoveryWithWrittenRecords)
