Count no grant as arrived by its acknowledgement alone

Cause: a grant without an answer counted as arrived at the end of its call if the target's system had acknowledged its bytes. A system acknowledges bytes for a process that takes them later.

Change: without its own answer, a grant may be taken until the end of the connection has reached the target, maxNetworkDelaySeconds after the call, whether its bytes were acknowledged or not.

--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -91,8 +91,8 @@
   /// This router dropped the order because no connection to the process that
   /// accepted the grant before was open, and none may be opened.
   kNoConnection,
-  /// No answer arrived. The order has reached the target, which may have
-  /// accepted it or may still do so; a grant is valid from its arrival.
+  /// No answer arrived. The order has reached the target's system. Its process
+  /// may have accepted it, or may take it later.
   kNoResponse,
   /// No answer arrived, and the target's system has not acknowledged the order.
   /// The network may deliver it later.
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -11,14 +11,14 @@
 // while it has a valid grant with the key's recorded fence. A new owner is
 // recorded only after the old owner has released the key, after which it
 // refuses that fence permanently, or after all grants with that fence have
-// expired. A grant is valid from its arrival, which is before its answer, or
-// before the target's system acknowledged it; without either, the network may
-// deliver it for `mMaxNetworkDelay` after its call. This router stops renewing
-// the grant when a move starts. Former leaders stop at
-// `mFormerLeaderRenewsUntil` at the latest, as no order leaves a leader when
-// its last confirmation of leadership is too old. They only send fences that
-// were recorded before this leadership, as a record of a later term ends
-// theirs.
+// expired. A grant is valid from the time at which the target's process takes
+// it, which is before its answer. Without an answer, the process may take it
+// until the end of the connection reaches the target, `mMaxNetworkDelay` after
+// the call, also if the target's system has acknowledged it. This router stops
+// renewing the grant when a move starts. Former leaders stop at
+// `mFormerLeaderRenewsUntil` at the latest, as no order leaves a leader when its
+// last confirmation of leadership is too old. They only send fences that were
+// recorded before this leadership, as a record of a later term ends theirs.
 //
 // A leader only grants fences that it has recorded itself, as it has no
 // connection that shows whether a process with a fence of a former leader has
@@ -301,7 +301,11 @@
     return;
   }
   if (aResult != order_result::kNotSent) {
-    const bool mayArriveLater = aResult == order_result::kUnacknowledged;
+    // The target's system acknowledges bytes for a process that takes them
+    // later, until the reset of the connection reaches it.
+    const bool mayArriveLater = aResult == order_result::kUnacknowledged ||
+                                aResult == order_result::kNoResponse ||
+                                aResult == order_result::kUnverified;
     RecordGrantCall(
       grant, aNow, mayArriveLater ? mSettings.mMaxNetworkDelay : 0ms);
     for (move& each : mMoves) {
--- a/UnitTests/Gateway/SimulatedConnections.h
+++ b/UnitTests/Gateway/SimulatedConnections.h
@@ -174,13 +174,26 @@
     const duration maxDelay =
       aCall->mDeadline + kMaxDeliveryAfterCall - mNetwork.Now();
     // The bytes are delivered also if the process ends or cancels the call.
+    mNetwork.SendOnTargetPath(
+      mRun.mRouter, aCall->mTarget, maxDelay, [this, aCall] {
+        aCall->mArrived = true;
+        Take(aCall);
+      });
+  }
+
+  /// The target's process takes an order that its system has acknowledged, at
+  /// once or, while it stands still, until the end of the connection reaches
+  /// it.
+  void Take(const call_pointer& aCall)
+  {
+    const duration maxDelay = std::max(
+      aCall->mDeadline + kMaxDeliveryAfterCall - mNetwork.Now(), duration(1ms));
     simulated_network& network = mNetwork;
     const router_run run = mRun;
     network.SendOnTargetPath(
       run.mRouter, aCall->mTarget, maxDelay, [this, &network, run, aCall] {
         simulated_target& target = network.Target(aCall->mTarget);
         std::optional<target_response> response;
-        aCall->mArrived = true;
         const bool reached =
           target.IsUp() && target.StartedMs() == aCall->mProcess;
         if (reached) {
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -313,21 +313,22 @@
 }
 
 // Guards against two owners of one key: an overloaded link may deliver a grant
-// seconds after its call ended without an answer, and it is valid from then on.
-TEST_F(range_controller_test, UnacknowledgedGrantMayArriveAfterItsCall)
+// seconds after its call ended without an answer, or a process that stands
+// still may take it so late, and it is valid from then on.
+TEST_F(range_controller_test, UnansweredGrantMayBeTakenAfterItsCall)
 {
   const range_settings settings;
-  for (const order_result result :
-       { order_result::kNoResponse, order_result::kUnacknowledged }) {
+  for (const order_result result : { order_result::kNoResponse,
+                                     order_result::kUnacknowledged,
+                                     order_result::kUnverified }) {
     SCOPED_TRACE(static_cast<int>(result));
     AssignKeysToBothTargets();
     mNow += settings.mRenewInterval;
     for (const grant_order& grant : Orders<grant_order>()) {
       mController.HandleGrantResult(grant.mId, result, mNow);
     }
-    const duration delay =
-      result == order_result::kUnacknowledged ? settings.mMaxNetworkDelay : 0ms;
-    const time_point expiry = mNow + delay + settings.MaxHoldTime();
+    const time_point expiry =
+      mNow + settings.mMaxNetworkDelay + settings.MaxHoldTime();
     mTargets.erase(mTargets.begin());
     UpdateTargets();
     const auto step = [&] {
