Give a reply of the store to all watches of its revision

The cause of the lost watch stayed in relayed_store: of several watches of one revision, the first that got a reply took it from the others, whether its follower still waited for it or not. Now all of them get the reply, and the follower ignores it for those that it has given up; the removal at a read goes.

--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -147,6 +147,7 @@
   void Start() { mFollower.Start(); }
   void HandleEraChange() { mFollower.HandleEraChange(); }
   void CheckAfterGap(time_point aAt) { mFollower.CheckAfterGap(aAt); }
+  void CheckAfterSilence() { mFollower.CheckAfterSilence(); }
   [[nodiscard]] const prefix_follower& Follower() const { return mFollower; }
   bool Confirm(time_point aNow) { return mFollower.Confirm(aNow); }
 
@@ -275,6 +276,10 @@
     [this] { mRangeDriver.HandleLeadershipConfirmed(); });
   mElection.OnFormerLeadersGone(
     [this] { mRangeDriver.HandleFormerLeadersGone(MonotonicNow()); });
+  mElection.OnStoreSilenceEnd([this] {
+    ++mStoreSilences;
+    CheckFollowersAfterSilence();
+  });
   mConfigurationFollower = std::make_unique<follower>(
     *this,
     aPlatform.mCatalog.ConfigurationPrefix(),
@@ -365,6 +370,16 @@
                           [this] { mTargetFollower->HandleEraChange(); });
 }
 
+void gateway_task::CheckFollowersAfterSilence()
+{
+  log_line(log_severity::kInfo, "watches_checked")
+    .Add("leading", mElection.IsLeading());
+  for (const auto& prefixFollower :
+       { &mConfigurationFollower, &mTargetFollower, &mLeaderFollower }) {
+    (*prefixFollower)->CheckAfterSilence();
+  }
+}
+
 bool gateway_task::IsReady() const
 {
   return mView.mRoutes != nullptr && !mShutdownStartedAt &&
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -48,6 +48,8 @@
   /// Starts a graceful shutdown. The event loop stops when it is complete.
   void Shutdown();
 
+  /// Repeats the watches that the store may have forgotten while it was silent.
+  void CheckFollowersAfterSilence();
   [[nodiscard]] bool IsReady() const;
 
   /// Metrics in the Prometheus text format.
@@ -171,6 +173,10 @@
   std::unique_ptr<http_connection> mConfigurationConnection;
   /// Restores of the store since this process has read the targets first.
   uint64_t mRestoreCount = 0;
+  /// Silences of the store that this router has met as the leader.
+  uint64_t mStoreSilences = 0;
+  /// The leader's last word on silences; empty before the first.
+  std::string mReportedSilences;
   timer mRestoreTimer;
   std::unique_ptr<http_connection> mReportConnection;
   std::optional<leader_entry> mReportLeader;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -38,6 +38,10 @@
 constexpr const char* kConfigurationVersionHeader = "Configuration-Version";
 /// Says that the reporting router has the leader's present list of routers.
 constexpr const char* kRoutersCurrentHeader = "Routers-Current";
+/// Term of the leader and number of silences of the store that it has met. The
+/// store forgets waiting watches in them, and a router that makes no call then
+/// doesn't notice.
+constexpr const char* kStoreSilencesHeader = "Store-Silences";
 /// Says that the reporting router has the leader's present limits for keys.
 constexpr const char* kLimitsCurrentHeader = "Limits-Current";
 
@@ -319,6 +323,16 @@
     CompareConfigurations(std::strtoull(version->c_str(), nullptr, 10),
                           mReportLeader->mHost);
   }
+  const auto silences =
+    FindHeader(aResult.mResponse.mHeaders, kStoreSilencesHeader);
+  if (silences && mReportedSilences != *silences) {
+    // Another leader may have been elected because the store was silent.
+    const bool isFirst = mReportedSilences.empty();
+    mReportedSilences = *silences;
+    if (!isFirst && !mRelayChoice.Current(MonotonicNow())) {
+      CheckFollowersAfterSilence();
+    }
+  }
   const auto hasHeader = [&](const char* aName) {
     return FindHeader(aResult.mResponse.mHeaders, aName).has_value();
   };
@@ -485,6 +499,10 @@
       }
     }
     if (mElection.IsLeading()) {
+      response.mHeaders.push_back(
+        { kStoreSilencesHeader,
+          std::to_string(mElection.Leadership().mTerm.Value()) + "-" +
+            std::to_string(mStoreSilences) });
       if (report.mKnownLimits == mLimitsDigest) {
         response.mHeaders.push_back({ kLimitsCurrentHeader, "1" });
       } else {
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -79,6 +79,11 @@
   mFormerLeadersGoneHandler = std::move(aHandler);
 }
 
+void leader_election::OnStoreSilenceEnd(change_handler aHandler)
+{
+  mStoreSilenceEndHandler = std::move(aHandler);
+}
+
 void leader_election::OnSurvey(survey_provider aProvider,
                                survey_handler aHandler)
 {
@@ -235,12 +240,28 @@
   const time_point sentAt = MonotonicNow();
   mStore.RenewLease(aAction.mLease,
                     [this, aAction, sentAt](const lease_reply& aReply) {
+                      HandleRenewalOutcome(aReply.mOutcome, sentAt);
                       mController.HandleLeaseRenewed(
                         aAction, aReply.mOutcome, sentAt, MonotonicNow());
                       Step();
                     });
 }
 
+void leader_election::HandleRenewalOutcome(call_outcome aOutcome,
+                                           time_point aSentAt)
+{
+  if (aOutcome == call_outcome::kDone || aOutcome == call_outcome::kGone) {
+    mAnsweredRenewalSentAt = std::max(mAnsweredRenewalSentAt, aSentAt);
+  } else {
+    mIsStoreSilent = true;
+  }
+  // A later renewal may get its reply before an earlier one fails.
+  if (mIsStoreSilent && mAnsweredRenewalSentAt >= aSentAt) {
+    mIsStoreSilent = false;
+    mStoreSilenceEndHandler();
+  }
+}
+
 void leader_election::Execute(const end_lease& aAction)
 {
   mStore.EndLease(aAction.mLease, [](const lease_reply&) {});
--- a/Parsleystair/Gateway/LeaderElection.h
+++ b/Parsleystair/Gateway/LeaderElection.h
@@ -33,6 +33,9 @@
   void OnLeadershipConfirmed(change_handler aHandler);
   /// Called when no former leader sends orders any more.
   void OnFormerLeadersGone(change_handler aHandler);
+  /// Called when the store replies to this leader again after a renewal without
+  /// a reply.
+  void OnStoreSilenceEnd(change_handler aHandler);
 
   /// Provides the body of requests for ownership records.
   using survey_provider = std::function<std::string()>;
@@ -111,6 +114,8 @@
   /// Executes the actions that are due and reports what has changed.
   void Step();
   void ReportChanges();
+  /// Notes whether the store replied to a renewal that was sent at `aSentAt`.
+  void HandleRenewalOutcome(call_outcome aOutcome, time_point aSentAt);
   void Execute(const read_terms& aAction);
   void Execute(const open_lease& aAction);
   void Execute(const write_leader& aAction);
@@ -126,11 +131,16 @@
   change_handler mChangeHandler;
   change_handler mConfirmedHandler;
   change_handler mFormerLeadersGoneHandler;
+  change_handler mStoreSilenceEndHandler;
   survey_provider mSurveyProvider;
   survey_handler mSurveyHandler;
   /// State as last reported to the handlers.
   bool mReportedLeading = false;
   time_point mReportedConfirmation = time_point::min();
+  /// Time at which the last renewal was sent that got a reply.
+  time_point mAnsweredRenewalSentAt = time_point::min();
+  /// A renewal got no reply, and none that was sent later has got one.
+  bool mIsStoreSilent = false;
   bool mReportedFormerLeadersGone = false;
   /// Pending requests to former leaders, by address.
   std::map<std::string, std::unique_ptr<http_connection>> mAbdicationRequests;
--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -165,6 +165,14 @@
   Read();
 }
 
+void prefix_follower::CheckAfterSilence()
+{
+  // A retry follows anyway after a failure.
+  if (mHasRead && mFailures == 0 && !mIsReading) {
+    SendWatch(kWatchWaitAfterFailure);
+  }
+}
+
 void prefix_follower::HandleEraChange()
 {
   if (mHasRead) {
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -50,6 +50,10 @@
   /// again unless the store replies to this follower at about that time.
   void CheckAfterGap(time_point aGapAt);
 
+  /// Call when the store replies again after a silence that another router met.
+  /// It may have forgotten the watch that waits, so it is asked beside it.
+  void CheckAfterSilence();
+
   /// Call when the store has come back from an older copy. Reads the whole
   /// prefix again.
   void HandleEraChange();
--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -352,14 +352,20 @@
   if (found == watches.mCallbacks.end()) {
     return;
   }
-  const watch_callback callback = std::move(found->second);
-  watches.mCallbacks.erase(found);
-  const bool isDone = aReply.mOutcome == call_outcome::kDone;
-  if (isDone || watches.mCallbacks.empty()) {
-    watches.mCallbacks.clear();
+  std::map<uint64_t, watch_callback> callbacks;
+  if (aReply.mOutcome == call_outcome::kDone) {
+    // The reply is one to all watches of this revision. The follower ignores it
+    // for those that it has given up.
+    callbacks = std::exchange(watches.mCallbacks, {});
+  } else {
+    callbacks.insert(watches.mCallbacks.extract(found));
+  }
+  if (watches.mCallbacks.empty()) {
     HandleStoreReply(aPrefix, watches.mAfter, aReply);
   }
-  callback(aReply);
+  for (const auto& [number, callback] : callbacks) {
+    callback(aReply);
+  }
 }
 
 bool relayed_store::ShortenStoreWatch(const std::string& aPrefix)
@@ -561,13 +567,12 @@
 void relayed_store::ReadPrefix(const std::string& aPrefix,
                                read_callback aCallback)
 {
-  // The follower has given up its watches. A retry at the relay could replace
-  // the connection on which the read waits, and a reply of the store would end
-  // the follower's next watch if that starts from the same revision.
+  // The follower has given up its watch. A retry of it could replace the
+  // connection on which the read waits.
   relayed_watch& watch = mRelayedWatches[aPrefix];
   watch.mCallback = nullptr;
   watch.mRelayTimer.Cancel();
-  mStoreWatches[aPrefix].mCallbacks.clear();
+  DropWatchBesideRelay(aPrefix);
   const auto relay = mRelays.Current(MonotonicNow());
   if (!relay) {
     ReadStore(aPrefix, std::move(aCallback));
