--- a/Parsleystair/Discovery/TargetDirectory.cpp
+++ b/Parsleystair/Discovery/TargetDirectory.cpp
@@ -1,7 +1,6 @@
 #include "Parsleystair/Discovery/TargetDirectory.h"
 
 #include <set>
-#include <utility>
 
 namespace parsleystair {
 
@@ -41,12 +40,9 @@
   known_target& known = position->second;
   const bool restarted =
     isNew || known.mTarget.mStartedMs != aTarget.mStartedMs;
-  // A report that was made before another target responded at the address may
-  // be read again.
-  if (restarted || known.mTarget.mReportNumber != aTarget.mReportNumber ||
-      known.mTarget.mHost != aTarget.mHost ||
-      known.mTarget.mPort != aTarget.mPort) {
-    known.mReplaced = false;
+  // An unchanged entry may be read again and shows nothing new.
+  if (known.mTarget != aTarget) {
+    known.mReplacedUntil.reset();
   }
   known.mTarget = aTarget;
   known.mDropAt.reset();
@@ -106,11 +102,22 @@
           aTarget.mReportNumber <= removed.mReportNumber);
 }
 
-bool target_directory::HandleReplaced(const target_name& aName)
+bool target_directory::HandleReplaced(const target_name& aName,
+                                      const std::string& aHost,
+                                      uint16_t aPort,
+                                      time_point aNow)
 {
   const auto found = mTargets.find(aName);
-  return found != mTargets.end() &&
-         !std::exchange(found->second.mReplaced, true);
+  if (found == mTargets.end()) {
+    return false;
+  }
+  known_target& known = found->second;
+  if (known.mReplacedUntil || known.mTarget.mHost != aHost ||
+      known.mTarget.mPort != aPort) {
+    return false;
+  }
+  known.mReplacedUntil = aNow + kReplacedTime;
+  return true;
 }
 
 void target_directory::HandleStoreOutage(time_point /*aNow*/)
@@ -140,7 +147,12 @@
 bool target_directory::Expire(time_point aNow)
 {
   std::vector<target_name> expired;
-  for (const auto& [name, target] : mTargets) {
+  bool isAnyUsable = false;
+  for (auto& [name, target] : mTargets) {
+    if (target.mReplacedUntil && *target.mReplacedUntil <= aNow) {
+      target.mReplacedUntil.reset();
+      isAnyUsable = true;
+    }
     if (target.mDropAt && *target.mDropAt <= aNow) {
       expired.push_back(name);
     }
@@ -148,7 +160,7 @@
   for (const target_name& name : expired) {
     Erase(name, aNow);
   }
-  return !expired.empty();
+  return isAnyUsable || !expired.empty();
 }
 
 const known_target* target_directory::Find(const target_name& aName) const
--- a/Parsleystair/Discovery/TargetDirectory.h
+++ b/Parsleystair/Discovery/TargetDirectory.h
@@ -44,13 +44,14 @@
   /// Time at which a target whose entry is missing is dropped; empty while the
   /// entry exists.
   std::optional<time_point> mDropAt;
-  /// Another target has responded at the address since the last report.
-  bool mReplaced = false;
+  /// Set while the target gets no requests because another one has responded at
+  /// its address: the time at which it may be tried again.
+  std::optional<time_point> mReplacedUntil;
 
   /// Returns true if the target may get new requests.
   [[nodiscard]] bool IsUsable() const
   {
-    return !mTarget.mDraining && !mReplaced;
+    return !mTarget.mDraining && !mReplacedUntil;
   }
 };
 
@@ -75,9 +76,18 @@
   /// Handles the removal of an entry.
   void Remove(const target_name& aName, time_point aNow);
 
-  /// Another target responds at the address of a target, which gets no new
-  /// requests until it reports again. Returns false if that is known.
-  bool HandleReplaced(const target_name& aName);
+  /// Time after which a target at whose address another one responded is tried
+  /// again. The response may be wrong, and an entry that doesn't change doesn't
+  /// show that its target is alive.
+  static constexpr duration kReplacedTime = 10s;
+
+  /// Another target responds at an address. If it is the present address of
+  /// `aName`, that target gets no new requests until its entry changes or
+  /// `kReplacedTime` has passed. Returns whether this changes anything.
+  bool HandleReplaced(const target_name& aName,
+                      const std::string& aHost,
+                      uint16_t aPort,
+                      time_point aNow);
 
   /// Handle the start and the end of an outage of the store.
   void HandleStoreOutage(time_point aNow);
@@ -89,8 +99,8 @@
   /// may have left since, or be draining.
   void HandleStoreRestored(time_point aNow);
 
-  /// Drops the targets that did not register again in time. Returns true if any
-  /// was dropped.
+  /// Drops the targets that did not register again in time, and makes targets
+  /// usable that are to be tried again. Returns true if there was any.
   bool Expire(time_point aNow);
 
   [[nodiscard]] const known_target* Find(const target_name& aName) const;
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -61,8 +61,11 @@
 public:
   virtual ~target_observer() = default;
 
-  /// Another target has responded at the address of `aTarget`.
-  virtual void HandleReplacedTarget(const target_name& aTarget) = 0;
+  /// Another target has responded at an address of `aTarget`.
+  virtual void HandleReplacedTarget(const target_name& aTarget,
+                                    const std::string& aHost,
+                                    uint16_t aPort,
+                                    time_point aNow) = 0;
 };
 
 /// Forwards requests of callers to targets and returns the responses. A request
@@ -140,6 +143,9 @@
     target_name mTarget;
     attempt_id mSend;
     time_point mSentAt;
+    /// Address that the attempt was sent to.
+    std::string mHost;
+    uint16_t mPort = 0;
   };
 
   struct open_request
--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -116,7 +116,9 @@
   *expected = call;
   const attempt_id send =
     mBalancer.HandleSent(target.mName, aRequest.mService, aNow);
-  aRequest.mOpenAttempts[call] = { target.mName, send, aNow };
+  aRequest.mOpenAttempts[call] = {
+    target.mName, send, aNow, target.mHost, target.mPort
+  };
   SetRequestTimer(aRequest, aNow);
 }
 
@@ -204,7 +206,8 @@
     .Add("wrong_target", aTerms.mWrongTarget)
     .Add("after_us", int64_t{ (aNow - aAttempt.mSentAt).count() });
   if (aTerms.mWrongTarget) {
-    mTargetObserver.HandleReplacedTarget(aAttempt.mTarget);
+    mTargetObserver.HandleReplacedTarget(
+      aAttempt.mTarget, aAttempt.mHost, aAttempt.mPort, aNow);
   }
   if (!aRequest.mKeyed) {
     mBalancer.HandleOutcome(aAttempt.mTarget,
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -482,9 +482,12 @@
   HandleTargetsChanged();
 }
 
-void gateway_task::HandleReplacedTarget(const target_name& aTarget)
+void gateway_task::HandleReplacedTarget(const target_name& aTarget,
+                                        const std::string& aHost,
+                                        uint16_t aPort,
+                                        time_point aNow)
 {
-  if (!mView.mDirectory.HandleReplaced(aTarget)) {
+  if (!mView.mDirectory.HandleReplaced(aTarget, aHost, aPort, aNow)) {
     return;
   }
   log_line(log_severity::kWarning, "target_replaced")
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -64,7 +64,10 @@
 
   [[nodiscard]] time_point RoutesConfirmedAt() const override;
   bool ConfirmRoutes(time_point aNow) override;
-  void HandleReplacedTarget(const target_name& aTarget) override;
+  void HandleReplacedTarget(const target_name& aTarget,
+                            const std::string& aHost,
+                            uint16_t aPort,
+                            time_point aNow) override;
   void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
   void ApplyTargets(const std::vector<stored_item>& aItems);
   void ApplyTarget(const item_change& aChange);
