--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -16,9 +16,10 @@
 // until the end of the connection reaches the target, `mMaxNetworkDelay` after
 // the call, also if the target's system has acknowledged it. This router stops
 // renewing the grant when a move starts. Former leaders stop at
-// `mFormerLeaderRenewsUntil` at the latest, as no order leaves a leader when its
-// last confirmation of leadership is too old. They only send fences that were
-// recorded before this leadership, as a record of a later term ends theirs.
+// `mFormerLeaderRenewsUntil` at the latest, as no order leaves a leader when
+// its last confirmation of leadership is too old. They only send fences that
+// were recorded before this leadership, as a record of a later term ends
+// theirs.
 //
 // A leader only grants fences that it has recorded itself, as it has no
 // connection that shows whether a process with a fence of a former leader has
