--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -147,6 +147,7 @@
   void Start() { mFollower.Start(); }
   void HandleEraChange() { mFollower.HandleEraChange(); }
   void CheckAfterGap(time_point aAt) { mFollower.CheckAfterGap(aAt); }
+  void CheckAfterSilence() { mFollower.CheckAfterSilence(); }
   [[nodiscard]] const prefix_follower& Follower() const { return mFollower; }
   bool Confirm(time_point aNow) { return mFollower.Confirm(aNow); }
 
@@ -231,6 +232,7 @@
                aPlatform.mRequestProtocol,
                mView,
                *this,
+               *this,
                mCallerServer,
                aSeed)
   , mElection(aLoop,
@@ -275,6 +277,11 @@
     [this] { mRangeDriver.HandleLeadershipConfirmed(); });
   mElection.OnFormerLeadersGone(
     [this] { mRangeDriver.HandleFormerLeadersGone(MonotonicNow()); });
+  mElection.OnRecoveryChange([this] { mRangeDriver.HandleRecoveryChange(); });
+  mElection.OnStoreSilenceEnd([this] {
+    ++mStoreSilences;
+    CheckFollowersAfterSilence();
+  });
   mConfigurationFollower = std::make_unique<follower>(
     *this,
     aPlatform.mCatalog.ConfigurationPrefix(),
@@ -365,6 +372,16 @@
                           [this] { mTargetFollower->HandleEraChange(); });
 }
 
+void gateway_task::CheckFollowersAfterSilence()
+{
+  log_line(log_severity::kInfo, "watches_checked")
+    .Add("leading", mElection.IsLeading());
+  for (const auto& prefixFollower :
+       { &mConfigurationFollower, &mTargetFollower, &mLeaderFollower }) {
+    (*prefixFollower)->CheckAfterSilence();
+  }
+}
+
 bool gateway_task::IsReady() const
 {
   return mView.mRoutes != nullptr && !mShutdownStartedAt &&
@@ -481,6 +498,19 @@
   HandleTargetsChanged();
 }
 
+void gateway_task::HandleReplacedTarget(const target_name& aTarget,
+                                        const std::string& aHost,
+                                        uint16_t aPort,
+                                        time_point aNow)
+{
+  if (!mView.mDirectory.HandleReplaced(aTarget, aHost, aPort, aNow)) {
+    return;
+  }
+  log_line(log_severity::kWarning, "target_replaced")
+    .Add("target", aTarget.Value());
+  HandleTargetsChanged();
+}
+
 void gateway_task::HandleTargetsChanged()
 {
   mRangeDriver.HandleTargets(mView.mDirectory, MonotonicNow());
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -30,7 +30,9 @@
 /// One gateway: forwards requests of callers, watches the store, and assigns
 /// the owners of keys while it is the elected leader. Everything runs on one
 /// event loop because a machine has less than one core.
-class gateway_task : private route_source
+class gateway_task
+  : private route_source
+  , private target_observer
 {
 public:
   gateway_task(event_loop& aLoop,
@@ -48,6 +50,8 @@
   /// Starts a graceful shutdown. The event loop stops when it is complete.
   void Shutdown();
 
+  /// Repeats the watches that the store may have forgotten while it was silent.
+  void CheckFollowersAfterSilence();
   [[nodiscard]] bool IsReady() const;
 
   /// Metrics in the Prometheus text format.
@@ -62,6 +66,10 @@
 
   [[nodiscard]] time_point RoutesConfirmedAt() const override;
   bool ConfirmRoutes(time_point aNow) override;
+  void HandleReplacedTarget(const target_name& aTarget,
+                            const std::string& aHost,
+                            uint16_t aPort,
+                            time_point aNow) override;
   void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
   void ApplyTargets(const std::vector<stored_item>& aItems);
   void ApplyTarget(const item_change& aChange);
@@ -171,6 +179,10 @@
   std::unique_ptr<http_connection> mConfigurationConnection;
   /// Restores of the store since this process has read the targets first.
   uint64_t mRestoreCount = 0;
+  /// Silences of the store that this router has met as the leader.
+  uint64_t mStoreSilences = 0;
+  /// The leader's last word on silences; empty before the first.
+  std::string mReportedSilences;
   timer mRestoreTimer;
   std::unique_ptr<http_connection> mReportConnection;
   std::optional<leader_entry> mReportLeader;
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -79,6 +79,16 @@
   mFormerLeadersGoneHandler = std::move(aHandler);
 }
 
+void leader_election::OnRecoveryChange(change_handler aHandler)
+{
+  mRecoveryHandler = std::move(aHandler);
+}
+
+void leader_election::OnStoreSilenceEnd(change_handler aHandler)
+{
+  mStoreSilenceEndHandler = std::move(aHandler);
+}
+
 void leader_election::OnSurvey(survey_provider aProvider,
                                survey_handler aHandler)
 {
@@ -129,6 +139,15 @@
   }
 }
 
+abdication_reply leader_election::AbdicationReply(const http_request& aRequest,
+                                                  time_point aNow) const
+{
+  const term_number before = ReadTerm(aRequest).value_or(term_number(0));
+  return { mController.ForgottenGrantsExpireIn(aNow),
+           mController.LostGrantsExpireIn(before, aNow),
+           mController.KnownRouters(aNow) };
+}
+
 void leader_election::StepDown()
 {
   mController.StepDown(std::nullopt);
@@ -178,6 +197,8 @@
     mReportedLeading = true;
     mReportedConfirmation = time_point::min();
     mReportedFormerLeadersGone = false;
+    mReportedRecoveryDeadline = time_point::min();
+    mReportedRecordsWritable = false;
     log_line(log_severity::kInfo, "leading_started")
       .Add("revision", mController.Revision().Value())
       .Add("lease", mController.Leader()->mLease.Value())
@@ -201,6 +222,26 @@
     }
     mFormerLeadersGoneHandler();
   }
+  ReportRecovery();
+}
+
+void leader_election::ReportRecovery()
+{
+  const leadership& current = mController.Leadership();
+  const time_point deadline = mController.RecoveryDeadline();
+  const bool isWritable = mController.MayWriteRecords();
+  if (!current.mRecovers || (mReportedRecoveryDeadline == deadline &&
+                             mReportedRecordsWritable == isWritable)) {
+    return;
+  }
+  mReportedRecoveryDeadline = deadline;
+  mReportedRecordsWritable = isWritable;
+  log_line(log_severity::kInfo, "recovery_deadline")
+    .Add("term", current.mTerm.Value())
+    .Add("in_us",
+         int64_t{ std::max(deadline - MonotonicNow(), duration()).count() })
+    .Add("writable", isWritable);
+  mRecoveryHandler();
 }
 
 void leader_election::Execute(const read_terms& aAction)
@@ -235,12 +276,28 @@
   const time_point sentAt = MonotonicNow();
   mStore.RenewLease(aAction.mLease,
                     [this, aAction, sentAt](const lease_reply& aReply) {
+                      HandleRenewalOutcome(aReply.mOutcome, sentAt);
                       mController.HandleLeaseRenewed(
                         aAction, aReply.mOutcome, sentAt, MonotonicNow());
                       Step();
                     });
 }
 
+void leader_election::HandleRenewalOutcome(call_outcome aOutcome,
+                                           time_point aSentAt)
+{
+  if (aOutcome == call_outcome::kDone || aOutcome == call_outcome::kGone) {
+    mAnsweredRenewalSentAt = std::max(mAnsweredRenewalSentAt, aSentAt);
+  } else {
+    mIsStoreSilent = true;
+  }
+  // A later renewal may get its reply before an earlier one fails.
+  if (mIsStoreSilent && mAnsweredRenewalSentAt >= aSentAt) {
+    mIsStoreSilent = false;
+    mStoreSilenceEndHandler();
+  }
+}
+
 void leader_election::Execute(const end_lease& aAction)
 {
   mStore.EndLease(aAction.mLease, [](const lease_reply&) {});
@@ -282,12 +339,16 @@
         .Add("vm", aAction.mLeader.mVm.Value())
         .Add("former_term", aAction.mLeader.mTerm.Value())
         .Add("term", aAction.mBefore.Value());
-      survey_response told;
+      abdication_reply reply;
       if (aAction.mAsksRecords) {
-        told = mSurveyHandler(aResult.mResponse.mBody).value_or(told);
+        const auto told = mSurveyHandler(aResult.mResponse.mBody);
+        if (!told) {
+          // Its records and routers are unknown, as if it had not responded.
+          return;
+        }
+        reply = told->mReply;
       }
-      mController.HandleAbdicated(
-        aAction, told.mKnowsGrantedRecords, told.mRouters, MonotonicNow());
+      mController.HandleAbdicated(aAction, reply, MonotonicNow());
       Step();
     });
 }
--- a/Parsleystair/Gateway/LeaderEntry.cpp
+++ b/Parsleystair/Gateway/LeaderEntry.cpp
@@ -64,6 +64,9 @@
   if (!aTerms.mRecovered) {
     encoded["recovered"] = false;
   }
+  if (aTerms.mLostGrantsExpireIn) {
+    encoded["lostGrantsExpireInUs"] = aTerms.mLostGrantsExpireIn->count();
+  }
   return encoded.dump();
 }
 
@@ -74,6 +77,14 @@
     leader_terms terms;
     terms.mNext = term_number(parsed.at("next").get<uint64_t>());
     terms.mRecovered = parsed.value("recovered", true);
+    if (parsed.contains("lostGrantsExpireInUs")) {
+      const auto count = parsed.at("lostGrantsExpireInUs").get<int64_t>();
+      if (count < 0) {
+        throw parse_error("invalid leader terms: lostGrantsExpireInUs is " +
+                          std::to_string(count));
+      }
+      terms.mLostGrantsExpireIn = duration(count);
+    }
     for (const json& each : parsed.at("leaders")) {
       terms.mLeaders.push_back(FromJson(each));
     }
--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -352,14 +352,20 @@
   if (found == watches.mCallbacks.end()) {
     return;
   }
-  const watch_callback callback = std::move(found->second);
-  watches.mCallbacks.erase(found);
-  const bool isDone = aReply.mOutcome == call_outcome::kDone;
-  if (isDone || watches.mCallbacks.empty()) {
-    watches.mCallbacks.clear();
+  std::map<uint64_t, watch_callback> callbacks;
+  if (aReply.mOutcome == call_outcome::kDone) {
+    // The reply is one to all watches of this revision. The follower ignores it
+    // for those that it has given up.
+    callbacks = std::exchange(watches.mCallbacks, {});
+  } else {
+    callbacks.insert(watches.mCallbacks.extract(found));
+  }
+  if (watches.mCallbacks.empty()) {
     HandleStoreReply(aPrefix, watches.mAfter, aReply);
   }
-  callback(aReply);
+  for (const auto& [number, callback] : callbacks) {
+    callback(aReply);
+  }
 }
 
 bool relayed_store::ShortenStoreWatch(const std::string& aPrefix)
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -11,10 +11,11 @@
 // while it has a valid grant with the key's recorded fence. A new owner is
 // recorded only after the old owner has released the key, after which it
 // refuses that fence permanently, or after all grants with that fence have
-// expired. A grant is valid from its arrival, which is before its answer, or
-// before the target's system acknowledged it; without either, the network may
-// deliver it for `mMaxNetworkDelay` after its call. This router stops renewing
-// the grant when a move starts. Former leaders stop at
+// expired. A grant is valid from the time at which the target's process takes
+// it, which is before its answer. Without an answer, the process may take it
+// until the end of the connection reaches the target, `mMaxNetworkDelay` after
+// the call, also if the target's system has acknowledged it. This router stops
+// renewing the grant when a move starts. Former leaders stop at
 // `mFormerLeaderRenewsUntil` at the latest, as no order leaves a leader when
 // its last confirmation of leadership is too old. They only send fences that
 // were recorded before this leadership, as a record of a later term ends
@@ -30,7 +31,10 @@
 // granted itself before the restore, if its leadership was confirmed then
 // within the time for which it may renew: an unknown later leader can't have
 // waited for these grants to expire, so it can have got the keys only from the
-// owner, which then knows a higher fence and refuses the renewal.
+// owner, which then knows a higher fence and refuses the renewal. A later
+// leader of the present era counts such grants as expired unless its record
+// names them, so they are only renewed for as long as the leadership before the
+// restore allowed it, or once the record is written in the present era.
 //
 // A target that restarts forgets the fences that it has seen. A release or an
 // accepted grant therefore says nothing about the target's next process, and
@@ -74,6 +78,7 @@
   }
   mRecoversUntil =
     aLeadership.mRecovers ? time_point::max() : time_point::min();
+  mMayWriteWhileRecovering = false;
   mTerm = aLeadership.mTerm;
   mLeading = !IsSuperseded();
   mLeadershipConfirmedAt = aLeadership.mConfirmedAt;
@@ -164,6 +169,11 @@
   mRecoversUntil = std::min(mRecoversUntil, aFrom);
 }
 
+void range_controller::HandleRecordWritable()
+{
+  mMayWriteWhileRecovering = true;
+}
+
 bool range_controller::MayRenew(time_point aNow) const
 {
   return mLeading &&
@@ -292,7 +302,11 @@
     return;
   }
   if (aResult != order_result::kNotSent) {
-    const bool mayArriveLater = aResult == order_result::kUnacknowledged;
+    // The target's system acknowledges bytes for a process that takes them
+    // later, until the reset of the connection reaches it.
+    const bool mayArriveLater = aResult == order_result::kUnacknowledged ||
+                                aResult == order_result::kNoResponse ||
+                                aResult == order_result::kUnverified;
     RecordGrantCall(
       grant, aNow, mayArriveLater ? mSettings.mMaxNetworkDelay : 0ms);
     for (move& each : mMoves) {
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -313,21 +313,22 @@
 }
 
 // Guards against two owners of one key: an overloaded link may deliver a grant
-// seconds after its call ended without an answer, and it is valid from then on.
-TEST_F(range_controller_test, UnacknowledgedGrantMayArriveAfterItsCall)
+// seconds after its call ended without an answer, or a process that stands
+// still may take it so late, and it is valid from then on.
+TEST_F(range_controller_test, UnansweredGrantMayBeTakenAfterItsCall)
 {
   const range_settings settings;
-  for (const order_result result :
-       { order_result::kNoResponse, order_result::kUnacknowledged }) {
+  for (const order_result result : { order_result::kNoResponse,
+                                     order_result::kUnacknowledged,
+                                     order_result::kUnverified }) {
     SCOPED_TRACE(static_cast<int>(result));
     AssignKeysToBothTargets();
     mNow += settings.mRenewInterval;
     for (const grant_order& grant : Orders<grant_order>()) {
       mController.HandleGrantResult(grant.mId, result, mNow);
     }
-    const duration delay =
-      result == order_result::kUnacknowledged ? settings.mMaxNetworkDelay : 0ms;
-    const time_point expiry = mNow + delay + settings.MaxHoldTime();
+    const time_point expiry =
+      mNow + settings.mMaxNetworkDelay + settings.MaxHoldTime();
     mTargets.erase(mTargets.begin());
     UpdateTargets();
     const auto step = [&] {
@@ -995,4 +996,35 @@
   EXPECT_TRUE(Step().empty());
 }
 
+// Guards against grants of the time before a restore that are renewed for
+// longer than a later leader, which doesn't know of them, waits.
+TEST_F(range_controller_test, KeptGrantsAreRenewedForLongOnlyIfRecorded)
+{
+  AssignKeysToBothTargets();
+  const std::vector<owned_range> ranges = mController.Record().mRanges;
+  mController.StopLeading(mNow);
+  leadership continued{ term_number(FirstNumberOf(store_era(2))), mNow, mNow };
+  continued.mRecovers = true;
+  continued.mContinues = true;
+  mController.StartLeading(continued);
+  const time_point until = mNow + range_settings().mMaxConfirmationAgeToRenew;
+  mNow = until - 100ms;
+  mController.HandleLeadershipConfirmed(mNow);
+  auto grants = Orders<grant_order>();
+  ASSERT_EQ(grants.size(), 2u);
+  for (const grant_order& each : grants) {
+    EXPECT_EQ(each.mSendUntil, until);
+    mController.HandleGrantResult(each.mId, order_result::kAccepted, mNow);
+  }
+  mNow += 1s;
+  mController.HandleLeadershipConfirmed(mNow);
+  EXPECT_TRUE(Orders<grant_order>().empty());
+  mController.HandleRecordWritable();
+  mRevision = MakeRevision(store_era(2), 1).Value();
+  Step();
+  grants = Orders<grant_order>();
+  EXPECT_EQ(grants.size(), 2u);
+  EXPECT_EQ(mController.Record().mRanges, ranges);
+}
+
 } // namespace parsleystair
