Ignore replies to writes of the terms of an earlier leadership

Found while reading the diff: a router that loses and regains the leadership within the timeout of a write took the reply to its earlier write for one to the present one, and could write records before the terms show that they are not complete. No run has shown it; the caller now compares the terms' numbers.

--- a/Parsleystair/Gateway/ElectionController.h
+++ b/Parsleystair/Gateway/ElectionController.h
@@ -178,6 +178,7 @@
                        time_point aNow);
   /// This router has written all ownership records in the present era.
   void HandleRecordsWritten();
+  /// `aReply`: to a write of the present leadership.
   void HandleTermsWritten(const write_reply& aReply);
 
   /// Stops leading without waiting for the store, because another router leads
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -355,9 +355,12 @@
 
 void leader_election::Execute(const write_terms& aAction)
 {
-  mStore.Write(aAction.mWrite, [this](const write_reply& aReply) {
-    mController.HandleTermsWritten(aReply);
-    Step();
+  const term_number term = mController.Leadership().mTerm;
+  mStore.Write(aAction.mWrite, [this, term](const write_reply& aReply) {
+    if (term == mController.Leadership().mTerm) {
+      mController.HandleTermsWritten(aReply);
+      Step();
+    }
   });
 }
 
--- a/UnitTests/Gateway/SimulatedRouter.h
+++ b/UnitTests/Gateway/SimulatedRouter.h
@@ -543,9 +543,12 @@
 
   void Execute(const write_terms& aAction)
   {
-    Write(aAction.mWrite, [this](const write_reply& aReply) {
-      mElection.HandleTermsWritten(aReply);
-      StepElection();
+    const term_number term = mElection.Leadership().mTerm;
+    Write(aAction.mWrite, [this, term](const write_reply& aReply) {
+      if (term == mElection.Leadership().mTerm) {
+        mElection.HandleTermsWritten(aReply);
+        StepElection();
+      }
     });
   }
 
