--- a/UnitTests/Gateway/ElectionControllerTest.cpp
+++ b/UnitTests/Gateway/ElectionControllerTest.cpp
@@ -350,6 +350,8 @@
     started.Step(mNow);
     EXPECT_GE(started.RecoveryDeadline(), lostGrantsEnd);
     EXPECT_FALSE(started.MayWriteRecords());
+    const bool mayLeadersSend = mNow < lostGrantsEnd - settings.mGrantLifetime;
+    EXPECT_EQ(started.AreFormerLeadersGone(), !mayLeadersSend);
   }
   EXPECT_EQ(started.RecoveryDeadline(), lostGrantsEnd);
 }
