Keep a relay whose store has become silent for all

Cause: a router counted its relay as cut off from the store if the store had replied to the router once and the relay hadn't for 1.2 s since. A store that replied once and then became silent for all looked the same. The router then asked the next router, which doesn't ask the store for others while it has a relay of its own, and paused for 2 s between its own calls.

Change: the relay is passed over only if the store has replied to the router over 1.2 s while the relay had no reply.

--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -218,8 +218,11 @@
 {
   relayed_watch& watch = mRelayedWatches[aPrefix];
   const time_point now = MonotonicNow();
-  const bool isWithoutStore = watch.mStoreRepliedAt < now &&
-                              now - watch.mStoreRepliedAt >= kRelayHoldTime;
+  // A store that has become silent after its first reply replies to the relay
+  // no more either.
+  const bool isWithoutStore =
+    watch.mStoreRepliedAt < watch.mStoreLastRepliedAt &&
+    watch.mStoreLastRepliedAt - watch.mStoreRepliedAt >= kRelayHoldTime;
   if (isWithoutStore) {
     log_line(log_severity::kInfo, "relay_without_store").Add("host", aHost);
     watch.mStoreRepliedAt = time_point::max();
@@ -260,8 +263,9 @@
                [this, aPrefix](const watch_reply& aReply) {
                  relayed_watch& own = mRelayedWatches[aPrefix];
                  if (aReply.mOutcome == call_outcome::kDone) {
-                   own.mStoreRepliedAt =
-                     std::min(own.mStoreRepliedAt, MonotonicNow());
+                   own.mStoreLastRepliedAt = MonotonicNow();
+                   own.mStoreRepliedAt = std::min(own.mStoreRepliedAt,
+                                                  own.mStoreLastRepliedAt);
                  } else if (aReply.mOutcome != call_outcome::kGone) {
                    own.mNextStoreWatch = MonotonicNow() + kStoreWatchPause;
                  }
--- a/Parsleystair/Gateway/RelayedStore.h
+++ b/Parsleystair/Gateway/RelayedStore.h
@@ -91,6 +91,8 @@
     /// First reply of the store since the last one of the relay;
     /// `time_point::max()` if there is none.
     time_point mStoreRepliedAt = time_point::max();
+    /// Latest reply of the store to this router.
+    time_point mStoreLastRepliedAt = time_point::min();
     time_point mNextStoreWatch = time_point::min();
     timer mRelayTimer;
   };
--- a/UnitTests/Gateway/RelayedFollowerTest.cpp
+++ b/UnitTests/Gateway/RelayedFollowerTest.cpp
@@ -186,4 +186,20 @@
   EXPECT_EQ(listener.mItems["u/x"], "second");
 }
 
+// Guards against routers that pass over their relay, and ask one that doesn't
+// ask the store, because the store became silent for all after one reply.
+TEST_F(relayed_follower_test, SilentStoreIsNoFailureOfTheRelay)
+{
+  AddRelays();
+  const uint64_t before = mDirect.Counters().mDone;
+  ASSERT_TRUE(RunUntil([&] { return mDirect.Counters().mDone > before; }));
+  mKv.SetUnresponsive(true);
+  RunFor(3s);
+  EXPECT_EQ(mRelays.Current(MonotonicNow()), kFirstHost);
+
+  mKv.SetUnresponsive(false);
+  EXPECT_TRUE(RunUntil(
+    [&] { return mRelays.Current(MonotonicNow()) == kSecondHost; }));
+}
+
 } // namespace parsleystair
