Don't pause for a relay that has a relay itself

Cause: one router took its relay for lost (relay_lost, timed out), asked the next one, which responds at once that it has no reply of the store, as it asks the first relay. The router called the store itself, but only once in 2 s, as if its relay asked too.

Change: a router that responds without a reply of the store and has a relay itself says so (header Not-A-Relay); the one that asked calls the store after the usual 0.6 s.

Why the relay was taken for lost is not traced.

--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -48,6 +48,10 @@
 /// store confirmed it.
 constexpr const char* kAgeHeader = "Confirmed-Age-Us";
 
+/// Set if the router that responds has a relay itself, and so doesn't ask the
+/// store for others.
+constexpr const char* kNoRelayHeader = "Not-A-Relay";
+
 /// Routers of earlier releases state no age.
 duration ReadAge(const http_response& aResponse)
 {
@@ -181,7 +185,9 @@
       mLinks[aPrefix].mIsWatching = false;
       const auto reply = ReadRelayResponse(aResult, host, DecodeWatchReply);
       if (!reply) {
-        HandleUnansweredRelayWatch(aPrefix, host);
+        const bool isRelay =
+          !FindHeader(aResult.mResponse.mHeaders, kNoRelayHeader);
+        HandleUnansweredRelayWatch(aPrefix, host, isRelay);
         return;
       }
       watch_reply changes = reply->mReply;
@@ -214,7 +220,8 @@
 }
 
 void relayed_store::HandleUnansweredRelayWatch(const std::string& aPrefix,
-                                               const std::string& aHost)
+                                               const std::string& aHost,
+                                               bool aIsRelay)
 {
   relayed_watch& watch = mRelayedWatches[aPrefix];
   const time_point now = MonotonicNow();
@@ -228,7 +235,7 @@
     watch.mStoreRepliedAt = time_point::max();
     mRelays.HandleFailure(aHost, now);
   }
-  if (mRelays.Current(now) != aHost) {
+  if (!aIsRelay || mRelays.Current(now) != aHost) {
     // No relay asks the store for this router now.
     watch.mNextStoreWatch = time_point::min();
   }
@@ -473,9 +480,13 @@
   if (history.Covers(aWatch.mAfter, now)) {
     mPeerServer.Respond(
       aExchange, { kOk, {}, EncodeChanges(history, aWatch.mAfter, now) });
-  } else {
-    mPeerServer.Respond(aExchange, { kServiceUnavailable, {}, "" });
+    return;
+  }
+  http_response response{ kServiceUnavailable, {}, "" };
+  if (mRelays.Current(now)) {
+    response.mHeaders.push_back({ kNoRelayHeader, "1" });
   }
+  mPeerServer.Respond(aExchange, response);
 }
 
 void relayed_store::HandleWatchRequest(exchange_id aExchange,
--- a/Parsleystair/Gateway/RelayedStore.h
+++ b/Parsleystair/Gateway/RelayedStore.h
@@ -128,9 +128,10 @@
                         store_revision aAfter,
                         const watch_reply& aReply);
   /// The relay responded that it has no recent reply of the store, or did not
-  /// respond.
+  /// respond. `aIsRelay`: it may still ask the store for this router.
   void HandleUnansweredRelayWatch(const std::string& aPrefix,
-                                  const std::string& aHost);
+                                  const std::string& aHost,
+                                  bool aIsRelay);
   /// Goes on with a watch for which the relay has no reply.
   void HandleRelayWithoutReply(const std::string& aPrefix);
   void WatchStoreBesideRelay(const std::string& aPrefix);
--- a/UnitTests/Gateway/RelayedFollowerTest.cpp
+++ b/UnitTests/Gateway/RelayedFollowerTest.cpp
@@ -90,7 +90,7 @@
   void HandleRequest(exchange_id aExchange, const http_request& aRequest)
   {
     if (aRequest.mPath == "/watch") {
-      mFirst.Respond(aExchange, { kUnavailable, {}, "" });
+      mFirst.Respond(aExchange, mResponse);
       return;
     }
     ++mReads;
@@ -111,6 +111,8 @@
   std::unique_ptr<relayed_store> mRelayed;
   item_listener mListener;
   std::unique_ptr<prefix_follower> mFollower;
+  /// What the first relay responds to a watch.
+  http_response mResponse{ kUnavailable, {}, "" };
   /// What the first relay responds to a read; it doesn't respond if empty.
   std::string mSnapshot;
   size_t mReads = 0;
@@ -202,4 +204,26 @@
     [&] { return mRelays.Current(MonotonicNow()) == kSecondHost; }));
 }
 
+// Guards against routers that wait for a relay which waits for another one,
+// after a call to the store got no reply.
+TEST_F(relayed_follower_test, RouterWithARelayIsNoRelay)
+{
+  mResponse.mHeaders = { { "Not-A-Relay", "1" } };
+  AddRelays();
+  mKv.SetUnresponsive(true);
+  RunFor(1500ms);
+  // Some calls of this time get no reply.
+  for (int index = 0; index < 5; ++index) {
+    const std::string value = "change-" + std::to_string(index);
+    mKv.SetUnresponsive(false);
+    mKv.Put(kItem, value);
+    const time_point start = MonotonicNow();
+    EXPECT_TRUE(RunUntil([&] { return Value() == value; }));
+    EXPECT_LT(MonotonicNow() - start, 2s);
+    RunFor(150ms * index);
+    mKv.SetUnresponsive(true);
+    RunFor(1500ms);
+  }
+}
+
 } // namespace parsleystair
