Tell the latest known changes in reports between routers

Cause: the age of what a router knows of one prefix was bounded by the wait of its own watch alone. The leader's word on silences covers only those that the leader meets.

Change: reports and the leader's responses carry the revisions of the latest changes of configuration, targets and leader key (header Known-Changes, in responses only if it differs). No store calls at idle.

--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -5,6 +5,7 @@
 #include "Parsleystair/Core/Log.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace parsleystair {
 
@@ -148,6 +149,10 @@
   void HandleEraChange() { mFollower.HandleEraChange(); }
   void CheckAfterGap(time_point aAt) { mFollower.CheckAfterGap(aAt); }
   void CheckAfterSilence() { mFollower.CheckAfterSilence(); }
+  void HandleKnownChange(store_revision aRevision)
+  {
+    mFollower.HandleKnownChange(aRevision);
+  }
   [[nodiscard]] const prefix_follower& Follower() const { return mFollower; }
   bool Confirm(time_point aNow) { return mFollower.Confirm(aNow); }
 
@@ -382,6 +387,39 @@
   }
 }
 
+std::string gateway_task::KnownChangesText() const
+{
+  std::ostringstream text;
+  text << mConfigurationFollower->Follower().LastChange().Value() << ' '
+       << mTargetFollower->Follower().LastChange().Value() << ' '
+       << mLeaderFollower->Follower().LastChange().Value();
+  return text.str();
+}
+
+void gateway_task::HandleKnownChanges(const std::string& aText)
+{
+  if (mRelayChoice.Current(MonotonicNow())) {
+    // The relay responds within its hold time, and learns of changes itself.
+    return;
+  }
+  std::istringstream text(aText);
+  for (const auto& prefixFollower :
+       { &mConfigurationFollower, &mTargetFollower, &mLeaderFollower }) {
+    uint64_t revision = 0;
+    if (!(text >> revision)) {
+      return;
+    }
+    (*prefixFollower)->HandleKnownChange(store_revision(revision));
+  }
+}
+
+uint64_t gateway_task::LateChanges() const
+{
+  return mConfigurationFollower->Follower().LateChanges() +
+         mTargetFollower->Follower().LateChanges() +
+         mLeaderFollower->Follower().LateChanges();
+}
+
 bool gateway_task::IsReady() const
 {
   return mView.mRoutes != nullptr && !mShutdownStartedAt &&
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -110,6 +110,12 @@
   void HandleReport(exchange_id aExchange, const http_request& aRequest);
   void Tick();
   void SendReport();
+  /// Revisions of the latest changes that this router knows, for other routers.
+  [[nodiscard]] std::string KnownChangesText() const;
+  /// `aText`: what another router wrote with `KnownChangesText`.
+  void HandleKnownChanges(const std::string& aText);
+  /// Number of changes that waiting watches didn't report.
+  [[nodiscard]] uint64_t LateChanges() const;
   void HandleReportResponse(const http_result& aResult);
   void ApplyRouterList(const router_list& aRouters);
   void ApplyLimits(service_limits aLimits, time_point aNow);
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -42,6 +42,10 @@
 /// store forgets waiting watches in them, and a router that makes no call then
 /// doesn't notice.
 constexpr const char* kStoreSilencesHeader = "Store-Silences";
+/// Revisions of the latest changes of the configuration, of the targets and of
+/// the leader key that a router knows, in reports and their responses. A router
+/// that lost a waiting watch learns by it what it misses.
+constexpr const char* kKnownChangesHeader = "Known-Changes";
 /// Says that the reporting router has the leader's present limits for keys.
 constexpr const char* kLimitsCurrentHeader = "Limits-Current";
 
@@ -303,6 +307,7 @@
                                      ConfigurationVersion(),
                                      mLimitsDigest,
                                      report });
+  request.mHeaders = { { kKnownChangesHeader, KnownChangesText() } };
   // A lost report isn't retried: it only makes the load appear lower for a
   // second.
   mReportConnection->Call(
@@ -332,6 +337,11 @@
       CheckFollowersAfterSilence();
     }
   }
+  const auto changes =
+    FindHeader(aResult.mResponse.mHeaders, kKnownChangesHeader);
+  if (changes) {
+    HandleKnownChanges(*changes);
+  }
   const auto hasHeader = [&](const char* aName) {
     return FindHeader(aResult.mResponse.mHeaders, aName).has_value();
   };
@@ -489,6 +499,12 @@
                             { { kConfigurationVersionHeader,
                                 std::to_string(ConfigurationVersion()) } },
                             "" };
+    const auto changes = FindHeader(aRequest.mHeaders, kKnownChangesHeader);
+    const std::string ownChanges = KnownChangesText();
+    if (changes && *changes != ownChanges) {
+      HandleKnownChanges(*changes);
+      response.mHeaders.push_back({ kKnownChangesHeader, ownChanges });
+    }
     report_response content;
     if (HasCompleteRouterList(now)) {
       if (report.mKnownRouters == mRoutersDigest) {
--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -31,6 +31,9 @@
 /// Time within which the store also ends the other watches when it drops its
 /// history.
 constexpr duration kGapCheckDelay = 300ms;
+/// Time within which a watch reports a change that another router knows, with
+/// the longest delay before the watch.
+constexpr duration kKnownChangeDelay = 500ms;
 /// Longest retry delay after the first failure; doubles with each further
 /// failure up to `kMaxRetryDelay`. Failed calls are billed, too.
 constexpr duration kInitialRetryDelay = 100ms;
@@ -173,6 +176,37 @@
   }
 }
 
+void prefix_follower::HandleKnownChange(store_revision aRevision)
+{
+  mKnownChange = std::max(mKnownChange, aRevision);
+  if (!MissesKnownChange() || std::exchange(mAwaitsKnownChange, true)) {
+    return;
+  }
+  mKnownChangeTimer.StartOnce(
+    mLoop, kKnownChangeDelay, [this] { AskForKnownChange(); });
+}
+
+bool prefix_follower::MissesKnownChange() const
+{
+  return mHasRead && EraOf(mKnownChange) == EraOf(mRevision) &&
+         mRevision < mKnownChange;
+}
+
+void prefix_follower::AskForKnownChange()
+{
+  mAwaitsKnownChange = false;
+  if (!MissesKnownChange()) {
+    return;
+  }
+  ++mLateChanges;
+  log_line(log_severity::kInfo, "watch_behind")
+    .Add("prefix", mPrefix)
+    .Add("revision", mRevision.Value())
+    .Add("known", mKnownChange.Value())
+    .Add("replied_us_ago", int64_t{ (MonotonicNow() - mLastReplyAt).count() });
+  CheckAfterSilence();
+}
+
 void prefix_follower::HandleEraChange()
 {
   if (mHasRead) {
@@ -194,6 +228,11 @@
   }
   RecordReply(aReply.mConfirmedAt);
   mRevision = aReply.mRevision;
+  // Changes of the former era say nothing about this one.
+  mLastChange = MakeRevision(EraOf(mRevision), 0);
+  for (const stored_item& item : aReply.mItems) {
+    mLastChange = std::max(mLastChange, item.mRevision);
+  }
   mHasRead = true;
   mListener.HandleItems(aReply.mItems);
   mListener.HandleConfirmed();
@@ -223,6 +262,7 @@
   mRevision = std::max(mRevision, aReply.mRevision);
   for (const item_change& change : aReply.mChanges) {
     if (change.mRevision > known) {
+      mLastChange = std::max(mLastChange, change.mRevision);
       mListener.HandleChange(change);
     }
   }
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -54,6 +54,10 @@
   /// It may have forgotten the watch that waits, so it is asked beside it.
   void CheckAfterSilence();
 
+  /// Call when another router knows a change of revision `aRevision`. Asks the
+  /// store beside the waiting watch if the change doesn't come soon.
+  void HandleKnownChange(store_revision aRevision);
+
   /// Call when the store has come back from an older copy. Reads the whole
   /// prefix again.
   void HandleEraChange();
@@ -66,6 +70,13 @@
   /// time; `time_point::min()` before the first reply.
   [[nodiscard]] time_point ConfirmedAt() const { return mConfirmedAt; }
 
+  /// Revision of the latest change that the listener has got.
+  [[nodiscard]] store_revision LastChange() const { return mLastChange; }
+
+  /// Number of changes that the store had to be asked for as the waiting watch
+  /// didn't report them.
+  [[nodiscard]] uint64_t LateChanges() const { return mLateChanges; }
+
   /// True after the first complete read.
   [[nodiscard]] bool HasRead() const { return mHasRead; }
 
@@ -79,6 +90,9 @@
   void HandleWatch(const watch_reply& aReply, bool aIsLatest);
   void HandleWatchFailure(call_outcome aOutcome, bool aIsLatest);
   void ReadUnlessAnswered(time_point aGapAt);
+  /// Tells if a change that another router knows is missing here.
+  [[nodiscard]] bool MissesKnownChange() const;
+  void AskForKnownChange();
   void RecordReply(time_point aConfirmedAt);
   void CountFailure(call_outcome aOutcome);
   void ScheduleRetry(call_outcome aOutcome, bool aRetryRead);
@@ -90,6 +104,12 @@
   duration mMaxWatchWait;
   std::mt19937_64 mRandom;
   store_revision mRevision;
+  store_revision mLastChange;
+  /// Revision of the latest change that another router has told of.
+  store_revision mKnownChange;
+  /// The time within which that change should come is not over.
+  bool mAwaitsKnownChange = false;
+  uint64_t mLateChanges = 0;
   bool mHasRead = false;
   uint32_t mFailures = 0;
   /// A call got no reply, and no call has got one since.
@@ -110,6 +130,7 @@
   bool mIsOverdue = false;
   timer mTimer;
   timer mGapTimer;
+  timer mKnownChangeTimer;
 };
 
 } // namespace parsleystair
--- a/UnitTests/Gateway/SilentStoreTest.cpp
+++ b/UnitTests/Gateway/SilentStoreTest.cpp
@@ -46,4 +46,34 @@
   }
 }
 
+// Guards against requests to a target that has left, by the one router whose
+// watch the store has lost while it replies to all others.
+TEST_F(silent_store_test, RouterThatLostItsWatchLearnsOfTargetsInTime)
+{
+  constexpr duration kMaxDelay = 2s;
+  const uint16_t peerPort = StartGateway("first").mSettings.mPeers.mPort;
+  StartGateway("second", "127.0.0.2", peerPort);
+  RunFor(4s);
+  for (const std::string router : { "first", "second" }) {
+    SCOPED_TRACE(router);
+    unreliable_store& store = *mGateways.at(router).mStore;
+    // The reply to the waiting watch is delivered, and the next watch is lost.
+    size_t decisions = 0;
+    store.SetFaults([&](store_call aCall, const std::string& aPrefix) {
+      const bool isWatch = aCall == store_call::kWatch && aPrefix == "servers/";
+      return isWatch && ++decisions == 2 ? store_fault::kHeld
+                                         : store_fault::kNone;
+    });
+    AddTarget("before-" + router, "orders", false);
+    EXPECT_TRUE(RunUntil([&] { return store.HeldCount() > 0; }));
+    RunFor(1s);
+    const std::string name = "added-" + router;
+    const time_point start = MonotonicNow();
+    AddTarget(name, "orders", false);
+    EXPECT_TRUE(RunUntil([&] { return KnowTarget(name); }));
+    EXPECT_LT(MonotonicNow() - start, kMaxDelay);
+    store.SetFaults(nullptr);
+  }
+}
+
 } // namespace parsleystair
