--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -48,6 +48,10 @@
 /// store confirmed it.
 constexpr const char* kAgeHeader = "Confirmed-Age-Us";
 
+/// Set if the router that responds has a relay itself, and so doesn't ask the
+/// store for others.
+constexpr const char* kNoRelayHeader = "Not-A-Relay";
+
 /// Routers of earlier releases state no age.
 duration ReadAge(const http_response& aResponse)
 {
@@ -181,7 +185,9 @@
       mLinks[aPrefix].mIsWatching = false;
       const auto reply = ReadRelayResponse(aResult, host, DecodeWatchReply);
       if (!reply) {
-        HandleUnansweredRelayWatch(aPrefix, host);
+        const bool isRelay =
+          !FindHeader(aResult.mResponse.mHeaders, kNoRelayHeader);
+        HandleUnansweredRelayWatch(aPrefix, host, isRelay);
         return;
       }
       watch_reply changes = reply->mReply;
@@ -214,18 +220,22 @@
 }
 
 void relayed_store::HandleUnansweredRelayWatch(const std::string& aPrefix,
-                                               const std::string& aHost)
+                                               const std::string& aHost,
+                                               bool aIsRelay)
 {
   relayed_watch& watch = mRelayedWatches[aPrefix];
   const time_point now = MonotonicNow();
-  const bool isWithoutStore = watch.mStoreRepliedAt < now &&
-                              now - watch.mStoreRepliedAt >= kRelayHoldTime;
+  // A store that has become silent after its first reply replies to the relay
+  // no more either.
+  const bool isWithoutStore =
+    watch.mStoreRepliedAt < watch.mStoreLastRepliedAt &&
+    watch.mStoreLastRepliedAt - watch.mStoreRepliedAt >= kRelayHoldTime;
   if (isWithoutStore) {
     log_line(log_severity::kInfo, "relay_without_store").Add("host", aHost);
     watch.mStoreRepliedAt = time_point::max();
     mRelays.HandleFailure(aHost, now);
   }
-  if (mRelays.Current(now) != aHost) {
+  if (!aIsRelay || mRelays.Current(now) != aHost) {
     // No relay asks the store for this router now.
     watch.mNextStoreWatch = time_point::min();
   }
@@ -260,8 +270,9 @@
                [this, aPrefix](const watch_reply& aReply) {
                  relayed_watch& own = mRelayedWatches[aPrefix];
                  if (aReply.mOutcome == call_outcome::kDone) {
-                   own.mStoreRepliedAt =
-                     std::min(own.mStoreRepliedAt, MonotonicNow());
+                   own.mStoreLastRepliedAt = MonotonicNow();
+                   own.mStoreRepliedAt = std::min(own.mStoreRepliedAt,
+                                                  own.mStoreLastRepliedAt);
                  } else if (aReply.mOutcome != call_outcome::kGone) {
                    own.mNextStoreWatch = MonotonicNow() + kStoreWatchPause;
                  }
@@ -469,9 +480,13 @@
   if (history.Covers(aWatch.mAfter, now)) {
     mPeerServer.Respond(
       aExchange, { kOk, {}, EncodeChanges(history, aWatch.mAfter, now) });
-  } else {
-    mPeerServer.Respond(aExchange, { kServiceUnavailable, {}, "" });
+    return;
+  }
+  http_response response{ kServiceUnavailable, {}, "" };
+  if (mRelays.Current(now)) {
+    response.mHeaders.push_back({ kNoRelayHeader, "1" });
   }
+  mPeerServer.Respond(aExchange, response);
 }
 
 void relayed_store::HandleWatchRequest(exchange_id aExchange,
--- a/Parsleystair/Gateway/RelayedStore.h
+++ b/Parsleystair/Gateway/RelayedStore.h
@@ -91,6 +91,8 @@
     /// First reply of the store since the last one of the relay;
     /// `time_point::max()` if there is none.
     time_point mStoreRepliedAt = time_point::max();
+    /// Latest reply of the store to this router.
+    time_point mStoreLastRepliedAt = time_point::min();
     time_point mNextStoreWatch = time_point::min();
     timer mRelayTimer;
   };
@@ -126,9 +128,10 @@
                         store_revision aAfter,
                         const watch_reply& aReply);
   /// The relay responded that it has no recent reply of the store, or did not
-  /// respond.
+  /// respond. `aIsRelay`: it may still ask the store for this router.
   void HandleUnansweredRelayWatch(const std::string& aPrefix,
-                                  const std::string& aHost);
+                                  const std::string& aHost,
+                                  bool aIsRelay);
   /// Goes on with a watch for which the relay has no reply.
   void HandleRelayWithoutReply(const std::string& aPrefix);
   void WatchStoreBesideRelay(const std::string& aPrefix);
