Tell the rest of the wait for lost grants in reports between routers

Callers saw keys without an owner for up to 19 s after a restore of the store, if every router that saw the restore ended in a roll meanwhile.

Cause: a router told the rest of its count only in the answer to an abdication request. A process that started later counted from its own start, and each successor counted the rest that it read in the stored terms from its reading.

Change: reports to the leader and their responses carry the header `Lost-Grants: <era> <microseconds>` in eras after the first. A receiver in the same era takes the shorter count, and a leader that recovers reports its changed deadline. Unreadable or huge values are ignored. The simulation sends the reports too, some of them to routers that no longer lead.

--- a/Parsleystair/Gateway/ElectionController.cpp
+++ b/Parsleystair/Gateway/ElectionController.cpp
@@ -138,10 +138,31 @@
   term_number aTerm,
   time_point aNow) const
 {
-  if (EraOfNumber(aTerm.Value()) != mEra || mEra == kFirstEra) {
+  const auto told = LostGrants(aNow);
+  return told && EraOfNumber(aTerm.Value()) == mEra
+           ? std::optional(told->mExpireIn)
+           : std::nullopt;
+}
+
+std::optional<lost_grants> election_controller::LostGrants(
+  time_point aNow) const
+{
+  if (mEra == kFirstEra) {
     return std::nullopt;
   }
-  return std::max(mLostGrantsEnd - aNow, duration::zero());
+  return lost_grants{ mEra, std::max(mLostGrantsEnd - aNow, duration::zero()) };
+}
+
+void election_controller::HandleLostGrants(const lost_grants& aTold,
+                                           time_point aNow)
+{
+  // A leader whose records don't name all holders isn't told less than the time
+  // that counts from the restore. A router tells less only after a later leader
+  // has written records that name all, to which all leaders before it have
+  // abdicated, and which all leaders after it read.
+  if (mEra != kFirstEra && aTold.mEra == mEra) {
+    LimitLostGrants(aTold.mExpireIn, aNow);
+  }
 }
 
 void election_controller::LimitLostGrants(duration aExpireIn, time_point aNow)
--- a/Parsleystair/Gateway/ElectionController.h
+++ b/Parsleystair/Gateway/ElectionController.h
@@ -109,6 +109,16 @@
   bool operator==(const abdication_reply&) const = default;
 };
 
+/// What a router tells others of a restore that it saw.
+struct lost_grants
+{
+  store_era mEra;
+  /// See `election_controller::LostGrantsExpireIn`.
+  duration mExpireIn{};
+
+  bool operator==(const lost_grants&) const = default;
+};
+
 using election_action = std::variant<read_terms,
                                      open_lease,
                                      write_leader,
@@ -176,6 +186,8 @@
   void HandleAbdicated(const request_abdication& aRequest,
                        const abdication_reply& aReply,
                        time_point aNow);
+  /// What another router has told in a report or in the response to one.
+  void HandleLostGrants(const lost_grants& aTold, time_point aNow);
   /// This router has written all ownership records in the present era.
   void HandleRecordsWritten();
   /// `aReply`: to a write of the present leadership.
@@ -226,6 +238,9 @@
   [[nodiscard]] std::optional<duration> LostGrantsExpireIn(
     term_number aTerm,
     time_point aNow) const;
+  /// What this router tells in reports and their responses; empty in the first
+  /// era.
+  [[nodiscard]] std::optional<lost_grants> LostGrants(time_point aNow) const;
   /// Former leaders that may still send orders.
   [[nodiscard]] const std::vector<leader_entry>& FormerLeaders() const
   {
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -46,6 +46,10 @@
 /// the leader key that a router knows, in reports and their responses. A router
 /// that lost a waiting watch learns by it what it misses.
 constexpr const char* kKnownChangesHeader = "Known-Changes";
+/// Era of the store and time after which all grants of earlier eras have
+/// expired, in reports and their responses. A router that started after a
+/// restore learns by it how long others have known of the restore.
+constexpr const char* kLostGrantsHeader = "Lost-Grants";
 /// Says that the reporting router has the leader's present limits for keys.
 constexpr const char* kLimitsCurrentHeader = "Limits-Current";
 
@@ -308,6 +312,9 @@
                                      mLimitsDigest,
                                      report });
   request.mHeaders = { { kKnownChangesHeader, KnownChangesText() } };
+  if (const auto lostGrants = mElection.LostGrantsText(MonotonicNow())) {
+    request.mHeaders.push_back({ kLostGrantsHeader, *lostGrants });
+  }
   // A lost report isn't retried: it only makes the load appear lower for a
   // second.
   mReportConnection->Call(
@@ -342,6 +349,11 @@
   if (changes) {
     HandleKnownChanges(*changes);
   }
+  const auto lostGrants =
+    FindHeader(aResult.mResponse.mHeaders, kLostGrantsHeader);
+  if (lostGrants) {
+    mElection.HandleLostGrants(*lostGrants);
+  }
   const auto hasHeader = [&](const char* aName) {
     return FindHeader(aResult.mResponse.mHeaders, aName).has_value();
   };
@@ -505,6 +517,12 @@
       HandleKnownChanges(*changes);
       response.mHeaders.push_back({ kKnownChangesHeader, ownChanges });
     }
+    if (const auto told = FindHeader(aRequest.mHeaders, kLostGrantsHeader)) {
+      mElection.HandleLostGrants(*told);
+    }
+    if (const auto lostGrants = mElection.LostGrantsText(now)) {
+      response.mHeaders.push_back({ kLostGrantsHeader, *lostGrants });
+    }
     report_response content;
     if (HasCompleteRouterList(now)) {
       if (report.mKnownRouters == mRoutersDigest) {
--- a/Parsleystair/Gateway/LeaderElection.cpp
+++ b/Parsleystair/Gateway/LeaderElection.cpp
@@ -111,6 +111,21 @@
   mController.HandleRouters(hosts, MonotonicNow());
 }
 
+std::optional<std::string> leader_election::LostGrantsText(
+  time_point aNow) const
+{
+  const auto told = mController.LostGrants(aNow);
+  return told ? std::optional(EncodeLostGrants(*told)) : std::nullopt;
+}
+
+void leader_election::HandleLostGrants(const std::string& aText)
+{
+  if (const auto told = DecodeLostGrants(aText)) {
+    mController.HandleLostGrants(*told, MonotonicNow());
+    ReportChanges();
+  }
+}
+
 void leader_election::HandleRecordsWritten()
 {
   mController.HandleRecordsWritten();
--- a/Parsleystair/Gateway/LeaderElection.h
+++ b/Parsleystair/Gateway/LeaderElection.h
@@ -52,6 +52,12 @@
   void HandleEra(const store_era& aEra);
   /// `aRouters`: all live routers, as the leader knows them now.
   void HandleRouters(const router_list& aRouters);
+  /// Text for reports to other routers and their responses; empty in the first
+  /// era. See `election_controller::LostGrants`.
+  [[nodiscard]] std::optional<std::string> LostGrantsText(
+    time_point aNow) const;
+  /// Handles such a text of another router. Unreadable ones are ignored.
+  void HandleLostGrants(const std::string& aText);
   /// This router has written all ownership records in the present era.
   void HandleRecordsWritten();
 
--- a/Parsleystair/Gateway/RecordSurvey.cpp
+++ b/Parsleystair/Gateway/RecordSurvey.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Core/Error.h"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace parsleystair {
@@ -68,4 +69,29 @@
   }
 }
 
+std::string EncodeLostGrants(const lost_grants& aLostGrants)
+{
+  return std::to_string(aLostGrants.mEra.Value()) + " " +
+         std::to_string(aLostGrants.mExpireIn.count());
+}
+
+std::optional<lost_grants> DecodeLostGrants(const std::string& aText)
+{
+  uint64_t era = 0;
+  uint64_t microseconds = 0;
+  const char* end = aText.data() + aText.size();
+  const auto eraResult = std::from_chars(aText.data(), end, era);
+  if (eraResult.ec != std::errc() || eraResult.ptr == end ||
+      *eraResult.ptr != ' ') {
+    return std::nullopt;
+  }
+  const auto result = std::from_chars(eraResult.ptr + 1, end, microseconds);
+  const auto longest = static_cast<uint64_t>(kMaxExpiryTime.count());
+  if (result.ec != std::errc() || result.ptr != end || microseconds > longest) {
+    return std::nullopt;
+  }
+  return lost_grants{ store_era(era),
+                      duration(static_cast<int64_t>(microseconds)) };
+}
+
 } // namespace parsleystair
--- a/Parsleystair/Gateway/RecordSurvey.h
+++ b/Parsleystair/Gateway/RecordSurvey.h
@@ -3,6 +3,7 @@
 #include "Parsleystair/Gateway/ElectionController.h"
 #include "Parsleystair/Gateway/OwnerFeed.h"
 
+#include <optional>
 #include <string>
 
 namespace parsleystair {
@@ -23,4 +24,10 @@
 /// Throws `parse_error`.
 survey_response DecodeSurveyResponse(const std::string& aText);
 
+/// Text of a header in reports between routers and in their responses.
+std::string EncodeLostGrants(const lost_grants& aLostGrants);
+
+/// Returns nothing if `aText` isn't such a text.
+std::optional<lost_grants> DecodeLostGrants(const std::string& aText);
+
 } // namespace parsleystair
--- a/UnitTests/Gateway/ElectionControllerTest.cpp
+++ b/UnitTests/Gateway/ElectionControllerTest.cpp
@@ -1,5 +1,7 @@
 #include "Parsleystair/Gateway/ElectionController.h"
 
+#include "Parsleystair/Gateway/RecordSurvey.h"
+
 #include <gtest/gtest.h>
 
 #include <map>
@@ -396,6 +398,88 @@
   EXPECT_EQ(mSecond.RecoveryDeadline(), lostGrantsEnd);
 }
 
+// Guards against a count that begins anew at a router which has started after
+// the restore, though reports reached it before all that saw it had ended.
+TEST_F(election_controller_test, StartedRouterCountsFromTheRestoreInReports)
+{
+  mFirst.HandleEra(store_era(2), mNow);
+  const time_point lostGrantsEnd =
+    mNow + Settings("a").mMaxRenewalTime + Settings("a").mGrantLifetime;
+  mNow += 4s;
+  mSecond.HandleEra(store_era(2), mNow);
+  const auto report = mFirst.LostGrants(mNow);
+  ASSERT_TRUE(report.has_value());
+  mNow += 300ms;
+  mSecond.HandleLostGrants(*report, mNow);
+  mNow += 4s;
+  mThird.HandleEra(store_era(2), mNow);
+  mThird.HandleLostGrants(mSecond.LostGrants(mNow).value(), mNow);
+  mThird.HandleRouters({ "a", "b", "c" }, mNow);
+  Elect(mThird);
+  EXPECT_EQ(mThird.RecoveryDeadline(), lostGrantsEnd + 300ms);
+}
+
+// Guards against a leader that goes on waiting for its own count when a report
+// tells a shorter one during its recovery.
+TEST_F(election_controller_test, LeaderTakesTheShorterCountOfAReport)
+{
+  FollowRouters(mSecond, { "a", "b", "lost" });
+  mFirst.HandleEra(store_era(2), mNow);
+  const time_point lostGrantsEnd =
+    mNow + Settings("a").mMaxRenewalTime + Settings("a").mGrantLifetime;
+  mNow += 3s;
+  mSecond.HandleEra(store_era(2), mNow);
+  Elect(mSecond);
+  const time_point ownEnd = mSecond.RecoveryDeadline();
+  EXPECT_GT(ownEnd, lostGrantsEnd);
+  mSecond.HandleLostGrants(mFirst.LostGrants(mNow).value(), mNow);
+  EXPECT_EQ(mSecond.RecoveryDeadline(), lostGrantsEnd);
+  mSecond.HandleLostGrants({ store_era(2), 1h }, mNow);
+  EXPECT_EQ(mSecond.RecoveryDeadline(), lostGrantsEnd);
+}
+
+// Guards against grants of the era before that are taken for expired because
+// those of an earlier or later era have, or because the store wasn't restored.
+TEST_F(election_controller_test, CountsOfOtherErasAreIgnored)
+{
+  EXPECT_EQ(mFirst.LostGrants(mNow), std::nullopt);
+  mFirst.HandleLostGrants({ kFirstEra, {} }, mNow);
+  EXPECT_EQ(mFirst.LostGrants(mNow), std::nullopt);
+  mFirst.HandleEra(store_era(2), mNow);
+  mFirst.HandleEra(store_era(3), mNow);
+  const auto own = mFirst.LostGrants(mNow);
+  for (const uint64_t era : { 1, 2, 4 }) {
+    mFirst.HandleLostGrants({ store_era(era), {} }, mNow);
+    EXPECT_EQ(mFirst.LostGrants(mNow), own);
+  }
+}
+
+// Guards against a count that can't be read and is taken for a short one.
+TEST(lost_grants_test, OnlyReadableCountsAreTaken)
+{
+  const lost_grants told{ store_era(7), 14'656'000us };
+  EXPECT_EQ(EncodeLostGrants(told), "7 14656000");
+  EXPECT_EQ(DecodeLostGrants("7 14656000"), told);
+  EXPECT_EQ(DecodeLostGrants("7 0"), (lost_grants{ store_era(7), {} }));
+  for (const char* text : { "",
+                            "7",
+                            "7 ",
+                            " 7 1",
+                            "7  1",
+                            "7 1 ",
+                            "7 1x",
+                            "7 -1",
+                            "-7 1",
+                            "7 1.5",
+                            "x 1",
+                            "7 3600000001",
+                            "7 18446744073709551615",
+                            "7 18446744073709551616",
+                            "18446744073709551616 1" }) {
+    EXPECT_EQ(DecodeLostGrants(text), std::nullopt) << text;
+  }
+}
+
 // Guards against a successor that asks all routers again after its predecessor
 // has asked them and waits only for grants of a restarted router.
 TEST_F(election_controller_test, SuccessorWaitsOnlyForTheRestOfARecovery)
--- a/UnitTests/Gateway/SimulatedRouter.h
+++ b/UnitTests/Gateway/SimulatedRouter.h
@@ -89,6 +89,13 @@
     return told;
   }
 
+  std::optional<lost_grants> HandleReport(
+    const std::optional<lost_grants>& aTold)
+  {
+    HandleLostGrants(aTold);
+    return mElection.LostGrants(mNetwork.Now());
+  }
+
   void HandleLoad(const service_load& aLoad)
   {
     mRanges.HandleLoad(aLoad, mNetwork.Now());
@@ -98,6 +105,8 @@
   static constexpr duration kFollowInterval = 60ms;
   static constexpr duration kFeedInterval = 200ms;
   static constexpr duration kTickInterval = 250ms;
+  static constexpr duration kReportInterval = 500ms;
+  static constexpr duration kReportTimeout = 400ms;
   static constexpr duration kOwnersReadInterval = 1s;
   static constexpr duration kStepDelay = 20ms;
   /// Simulated time advances between two steps of which the second is due
@@ -297,6 +306,10 @@
     if (!routers.empty()) {
       mElection.HandleRouters(routers, now);
     }
+    if (now >= mNextReport) {
+      mNextReport = now + kReportInterval;
+      SendReport();
+    }
     if (mElection.IsLeading() && !mDriverLeading && now >= mNextOwnersRead) {
       mNextOwnersRead = now + kOwnersReadInterval;
       ReadOwners();
@@ -306,6 +319,44 @@
 
   // As in `gateway_task`.
 
+  void SendReport()
+  {
+    constexpr uint64_t kRedirectedPercent = 10;
+    const time_point now = mNetwork.Now();
+    const auto lostGrants = mElection.LostGrants(now);
+    if (mElection.IsLeading() || !mElection.Leader() || !lostGrants) {
+      return;
+    }
+    std::string host = mElection.Leader()->mHost;
+    const std::vector<std::string> known = mElection.KnownRouters(now);
+    // A router may report to one that led before, as another one that hasn't
+    // heard of the present leader has redirected it.
+    if (!known.empty() && mNetwork.Random().Percent(kRedirectedPercent)) {
+      host = known[mNetwork.Random().Below(known.size())];
+    }
+    const auto told = std::make_shared<std::optional<lost_grants>>();
+    mNetwork.CallRouter(
+      mRun,
+      host,
+      kReportTimeout,
+      [lostGrants, told](simulated_router& aReceiver) {
+        *told = aReceiver.HandleReport(lostGrants);
+      },
+      [this, told](bool aAnswered) {
+        if (aAnswered) {
+          HandleLostGrants(*told);
+        }
+      });
+  }
+
+  void HandleLostGrants(const std::optional<lost_grants>& aTold)
+  {
+    if (aTold) {
+      mElection.HandleLostGrants(*aTold, mNetwork.Now());
+      ReportElection();
+    }
+  }
+
   /// Records of all eras, each with the revision that it had in its era.
   static std::vector<stored_item> StoredRecords(const simulated_store& aStore)
   {
@@ -761,6 +812,7 @@
   uint32_t mTargetFailures = 0;
   store_revision mRecordRevision;
   time_point mNextOwnersRead = time_point::min();
+  time_point mNextReport = time_point::min();
   /// The range controller has been started in the present leadership.
   bool mDriverLeading = false;
   bool mStepScheduled = false;
