Take a target out of use when an answer says that it leaves

Callers' requests went on to targets that had said `Server-Leaving: 1`, as long as their entries said `ready` or the store was away.

Cause: the gateway didn't read the header.

Change: an answer of a target with this header, to a request, a health check or an order, takes that start of the target out of use at this router at once, as a draining entry does. Only another start of the target brings it back. A leader moves the keys of such a target. An answer that names another target tells nothing. `target_leaving` in the log tells when it happens.

Open: a router that doesn't lead doesn't tell the leader, which learns it from the target's responses to its own orders. A request that begins before the answer and is sent after it is not called back.

--- a/Parsleystair/Discovery/TargetDirectory.cpp
+++ b/Parsleystair/Discovery/TargetDirectory.cpp
@@ -9,6 +9,9 @@
 /// Time for which the last report of a target that has left is kept. Copies of
 /// the store are some seconds old.
 constexpr duration kRemovedTargetRetention = 60s;
+/// The same for a target that has said that it leaves. Its entry may come back
+/// after a long outage of the store.
+constexpr duration kLeavingTargetRetention = 1h;
 
 } // namespace
 
@@ -38,6 +41,10 @@
   }
   const auto [position, isNew] = mTargets.try_emplace(aTarget.mName);
   known_target& known = position->second;
+  if (const auto removed = mRemoved.find(aTarget.mName);
+      isNew && removed != mRemoved.end()) {
+    known.mLeavingStartedMs = removed->second.mLeavingStartedMs;
+  }
   const bool restarted =
     isNew || known.mTarget.mStartedMs != aTarget.mStartedMs;
   // An unchanged entry may be read again and shows nothing new.
@@ -58,7 +65,7 @@
     return;
   }
   // Entries of live targets expire during an outage of the store.
-  if (IsInGracePeriod(aNow) && !found->second.mTarget.mDraining) {
+  if (IsInGracePeriod(aNow) && !found->second.IsLeaving()) {
     found->second.mDropAt =
       mStoreLost ? aNow + kOutageGracePeriod : mGracePeriodEnd;
     return;
@@ -70,10 +77,16 @@
 {
   const auto found = mTargets.find(aName);
   const discovered_target& target = found->second.mTarget;
-  mRemoved[aName] = { target.mStartedMs, target.mReportNumber, aNow };
+  mRemoved[aName] = { target.mStartedMs,
+                      target.mReportNumber,
+                      aNow,
+                      found->second.mLeavingStartedMs };
   mTargets.erase(found);
   std::erase_if(mRemoved, [&](const auto& aRemoved) {
-    return aNow - aRemoved.second.mRemovedAt > kRemovedTargetRetention;
+    const removed_target& removed = aRemoved.second;
+    return aNow - removed.mRemovedAt > (removed.mLeavingStartedMs
+                                          ? kLeavingTargetRetention
+                                          : kRemovedTargetRetention);
   });
 }
 
@@ -120,6 +133,27 @@
   return true;
 }
 
+bool target_directory::HandleLeaving(const target_name& aName,
+                                     uint64_t aStartedMs)
+{
+  const auto found = mTargets.find(aName);
+  if (found == mTargets.end()) {
+    // The entry may come back.
+    const auto removed = mRemoved.find(aName);
+    if (removed != mRemoved.end() && removed->second.mStartedMs == aStartedMs) {
+      removed->second.mLeavingStartedMs = aStartedMs;
+    }
+    return false;
+  }
+  known_target& known = found->second;
+  if (known.mTarget.mStartedMs != aStartedMs ||
+      known.mLeavingStartedMs == aStartedMs) {
+    return false;
+  }
+  known.mLeavingStartedMs = aStartedMs;
+  return true;
+}
+
 void target_directory::HandleStoreOutage(time_point /*aNow*/)
 {
   mStoreLost = true;
--- a/Parsleystair/Discovery/TargetDirectory.h
+++ b/Parsleystair/Discovery/TargetDirectory.h
@@ -47,11 +47,19 @@
   /// Set while the target gets no requests because another one has responded at
   /// its address: the time at which it may be tried again.
   std::optional<time_point> mReplacedUntil;
+  /// Start time of the process that has said in an answer that it leaves.
+  std::optional<uint64_t> mLeavingStartedMs;
+
+  /// Returns true if the target leaves, according to its entry or an answer.
+  [[nodiscard]] bool IsLeaving() const
+  {
+    return mTarget.mDraining || mLeavingStartedMs == mTarget.mStartedMs;
+  }
 
   /// Returns true if the target may get new requests.
   [[nodiscard]] bool IsUsable() const
   {
-    return !mTarget.mDraining && !mReplacedUntil;
+    return !IsLeaving() && !mReplacedUntil;
   }
 };
 
@@ -89,6 +97,12 @@
                       uint16_t aPort,
                       time_point aNow);
 
+  /// The process of a target that was started at `aStartedMs` has said in an
+  /// answer that it leaves. It gets no new requests, whatever its entry says;
+  /// another start of the target does. Returns whether this is new of a target
+  /// that is known.
+  bool HandleLeaving(const target_name& aName, uint64_t aStartedMs);
+
   /// Handle the start and the end of an outage of the store.
   void HandleStoreOutage(time_point aNow);
   void HandleStoreRecovery(time_point aNow);
@@ -120,6 +134,7 @@
     uint64_t mStartedMs = 0;
     uint64_t mReportNumber = 0;
     time_point mRemovedAt = time_point::min();
+    std::optional<uint64_t> mLeavingStartedMs;
   };
 
   [[nodiscard]] bool IsInGracePeriod(time_point aNow) const;
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -66,6 +66,11 @@
                                     const std::string& aHost,
                                     uint16_t aPort,
                                     time_point aNow) = 0;
+
+  /// The process of `aTarget` that was started at `aStartedMs` has said that it
+  /// leaves.
+  virtual void HandleLeavingTarget(const target_name& aTarget,
+                                   uint64_t aStartedMs) = 0;
 };
 
 /// Forwards requests of callers to targets and returns the responses. A request
@@ -146,6 +151,8 @@
     /// Address that the attempt was sent to.
     std::string mHost;
     uint16_t mPort = 0;
+    /// Start time of the target that the attempt was sent to.
+    uint64_t mStartedMs = 0;
   };
 
   struct open_request
--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -117,7 +117,7 @@
   const attempt_id send =
     mBalancer.HandleSent(target.mName, aRequest.mService, aNow);
   aRequest.mOpenAttempts[call] = {
-    target.mName, send, aNow, target.mHost, target.mPort
+    target.mName, send, aNow, target.mHost, target.mPort, target.mStartedMs
   };
   SetRequestTimer(aRequest, aNow);
 }
@@ -158,6 +158,9 @@
   if (terms.mKeepAlive) {
     mConnections.SetKeepAlive(aAttempt.mTarget, *terms.mKeepAlive);
   }
+  if (mProtocol.IsLeaving(aAnswer, aAttempt.mTarget)) {
+    mTargetObserver.HandleLeavingTarget(aAttempt.mTarget, aAttempt.mStartedMs);
+  }
   if (terms.mNotRun) {
     HandleNotRun(aRequest, aAttempt, terms, aNow);
     return;
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -219,7 +219,12 @@
     mProtocol.HealthCheck(service->mHealthPath),
     kProbeTimeout,
     aNow,
-    [this, aTarget](const http_result& aResult) {
+    [this, aTarget, startedMs = known->mTarget.mStartedMs](
+      const http_result& aResult) {
+      if (aResult.mStatus == http_status::kResponded &&
+          mProtocol.IsLeaving(aResult.mResponse, aTarget)) {
+        mTargetObserver.HandleLeavingTarget(aTarget, startedMs);
+      }
       const bool healthy = aResult.mStatus == http_status::kResponded &&
                            mProtocol.IsHealthy(aResult.mResponse, aTarget);
       log_line(log_severity::kInfo, "target_probed")
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -277,6 +277,10 @@
     [this](const service_name& aService, const versioned_record& aRecord) {
       ApplyOwners(aService, aRecord);
     });
+  mRangeDriver.OnLeaving(
+    [this](const target_name& aTarget, uint64_t aStartedMs) {
+      HandleLeavingTarget(aTarget, aStartedMs);
+    });
   mRangeDriver.OnWriteFailed([this] { ReadOwners(); });
   mElection.OnLeadershipConfirmed(
     [this] { mRangeDriver.HandleLeadershipConfirmed(); });
@@ -549,6 +553,18 @@
   HandleTargetsChanged();
 }
 
+void gateway_task::HandleLeavingTarget(const target_name& aTarget,
+                                       uint64_t aStartedMs)
+{
+  if (!mView.mDirectory.HandleLeaving(aTarget, aStartedMs)) {
+    return;
+  }
+  log_line(log_severity::kInfo, "target_leaving")
+    .Add("target", aTarget.Value())
+    .Add("started_ms", aStartedMs);
+  HandleTargetsChanged();
+}
+
 void gateway_task::HandleTargetsChanged()
 {
   mRangeDriver.HandleTargets(mView.mDirectory, MonotonicNow());
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -70,6 +70,8 @@
                             const std::string& aHost,
                             uint16_t aPort,
                             time_point aNow) override;
+  void HandleLeavingTarget(const target_name& aTarget,
+                           uint64_t aStartedMs) override;
   void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
   void ApplyTargets(const std::vector<stored_item>& aItems);
   void ApplyTarget(const item_change& aChange);
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -258,6 +258,10 @@
     }
     controller.HandleTargets(targets, aNow);
   }
+  mStartTimes.clear();
+  for (const auto& [name, target] : aDirectory.All()) {
+    mStartTimes[name] = target.mTarget.mStartedMs;
+  }
   mConnections.RemoveUnknownTargets(aDirectory);
   std::erase_if(mTargetsWithoutRequestIds, [&](const target_name& aName) {
     return aDirectory.Find(aName) == nullptr;
@@ -410,15 +414,22 @@
                               const call_options& aOptions,
                               order_callback aCallback)
 {
+  const auto start = mStartTimes.find(aAddress.mTarget);
+  const uint64_t startedMs = start == mStartTimes.end() ? 0 : start->second;
   mConnections.Call(
     ToDiscoveredTarget(aAddress),
     aRequest,
     aTimeout,
     MonotonicNow(),
-    [this, target = aAddress.mTarget, callback = std::move(aCallback)](
-      const http_result& aResult) {
+    [this,
+     target = aAddress.mTarget,
+     startedMs,
+     callback = std::move(aCallback)](const http_result& aResult) {
       const order_response outcome = ReadOutcome(aResult);
       if (aResult.mStatus == http_status::kResponded) {
+        if (mProtocol.IsLeaving(aResult.mResponse, target)) {
+          mLeavingHandler(target, startedMs);
+        }
         if (outcome.mRequestId.empty()) {
           mTargetsWithoutRequestIds.insert(target);
         } else {
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -81,6 +81,14 @@
     mWriteFailedHandler = std::move(aHandler);
   }
 
+  /// Called with a target that says in a response to an order that it leaves,
+  /// and the start time of its process.
+  using leaving_handler = std::function<void(const target_name&, uint64_t)>;
+  void OnLeaving(leaving_handler aHandler)
+  {
+    mLeavingHandler = std::move(aHandler);
+  }
+
   void SetServices(const std::set<service_name>& aServices);
   /// The election's leader is this router, and the records have been read since
   /// it was elected.
@@ -160,7 +168,10 @@
   std::set<target_name> mTargetsWithoutRequestIds;
   /// Targets whose connections were found broken since the last step began.
   std::set<target_name> mBrokenTargets;
+  /// Start times of the registered targets.
+  std::map<target_name, uint64_t> mStartTimes;
   record_handler mRecordHandler;
+  leaving_handler mLeavingHandler;
   std::function<void()> mWriteFailedHandler;
   bool mLeading = false;
   bool mStepScheduled = false;
--- a/Parsleystair/Gateway/RequestProtocol.h
+++ b/Parsleystair/Gateway/RequestProtocol.h
@@ -89,6 +89,11 @@
   [[nodiscard]] virtual bool IsHealthy(const http_response& aAnswer,
                                        const target_name& aTarget) const = 0;
 
+  /// Whether `aTarget` says in a response that it leaves. A response of another
+  /// target tells nothing.
+  [[nodiscard]] virtual bool IsLeaving(const http_response& aAnswer,
+                                       const target_name& aTarget) const = 0;
+
   [[nodiscard]] virtual http_response RefusalResponse(
     const refusal& aRefusal,
     const std::string& aRequestId) const = 0;
@@ -121,6 +126,9 @@
     const std::string& aRequestId) const = 0;
   [[nodiscard]] virtual order_response ReadOrderResponse(
     const http_response& aAnswer) const = 0;
+  /// See `request_protocol::IsLeaving`.
+  [[nodiscard]] virtual bool IsLeaving(const http_response& aAnswer,
+                                       const target_name& aTarget) const = 0;
 };
 
 } // namespace parsleystair
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -238,6 +238,7 @@
     owner_state& state = mOwners[each->mTarget.mName];
     const bool restarted = state.mTarget.mStartedMs != each->mTarget.mStartedMs;
     state.mTarget = each->mTarget;
+    state.mTarget.mDraining = each->IsLeaving();
     state.mRegistered = true;
     state.mUsable = each->IsUsable() && !each->mDropAt;
     if (restarted) {
--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -73,8 +73,11 @@
 {
   if (aRequest.mPath == kGrantPath || aRequest.mPath == kReleasePath) {
     HandleOrder(aExchange, aRequest);
-  } else if (aRequest.mPath == "/health") {
-    mServer.Respond(aExchange, { kOk, { { "X-Instance-Id", mName } }, "" });
+    return;
+  }
+  ++mArrivals;
+  if (aRequest.mPath == "/health") {
+    Respond(aExchange, { kOk, { { "X-Instance-Id", mName } }, "" });
   } else {
     Run(aExchange, aRequest);
   }
@@ -139,10 +142,10 @@
     });
     mHeld.push_back(keys);
   }
-  mServer.Respond(aExchange,
-                  { fenced ? kConflict : kOk,
-                    { { "X-Request-Id", Header(aRequest, "X-Request-Id") } },
-                    "" });
+  Respond(aExchange,
+          { fenced ? kConflict : kOk,
+            { { "X-Request-Id", Header(aRequest, "X-Request-Id") } },
+            "" });
 }
 
 void keyed_target::HandleRelease(exchange_id aExchange,
@@ -167,23 +170,31 @@
   }
   rest.push_back({ from, to, body.at("fence").get<uint64_t>(), {} });
   mHeld = std::move(rest);
-  mServer.Respond(aExchange,
-                  { kOk,
-                    { { "X-Request-Id", Header(aRequest, "X-Request-Id") },
-                      { "X-Handover", "state" } },
-                    "" });
+  Respond(aExchange,
+          { kOk,
+            { { "X-Request-Id", Header(aRequest, "X-Request-Id") },
+              { "X-Handover", "state" } },
+            "" });
+}
+
+void keyed_target::Respond(exchange_id aExchange, http_response aAnswer)
+{
+  if (mLeaving) {
+    aAnswer.mHeaders.push_back({ "Server-Leaving", "1" });
+  }
+  mServer.Respond(aExchange, aAnswer);
 }
 
 void keyed_target::Refuse(exchange_id aExchange,
                           const http_request& aRequest,
                           uint32_t aStatus)
 {
-  mServer.Respond(aExchange,
-                  { aStatus,
-                    { { "X-Request-Id", Header(aRequest, "X-Request-Id") },
-                      { "X-Not-Executed", "1" },
-                      { "X-Instance-Id", mName } },
-                    "" });
+  Respond(aExchange,
+          { aStatus,
+            { { "X-Request-Id", Header(aRequest, "X-Request-Id") },
+              { "X-Not-Executed", "1" },
+              { "X-Instance-Id", mName } },
+            "" });
 }
 
 void keyed_target::Run(exchange_id aExchange, const http_request& aRequest)
@@ -228,7 +239,7 @@
   if (mAnswersOthers) {
     answer.mHeaders[0].mValue = "another-request";
   }
-  mServer.Respond(aExchange, answer);
+  Respond(aExchange, answer);
 }
 
 } // namespace parsleystair
--- a/StandIns/standin_users_platform/KeyedTarget.h
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -49,6 +49,10 @@
   void SetWork(duration aWork) { mWork = aWork; }
   /// Refuses all requests without running them.
   void SetFull(bool aFull) { mFull = aFull; }
+  /// Says in all answers that it leaves.
+  void SetLeaving(bool aLeaving) { mLeaving = aLeaving; }
+  /// Requests of callers and health checks that arrived.
+  [[nodiscard]] size_t Arrivals() const { return mArrivals; }
   /// Closes connections in place of answers, after running the request.
   void SetDropsResponses(bool aLoses) { mDropsResponses = aLoses; }
   /// Takes and answers no orders of these routers; see `kSenderHeader`.
@@ -88,6 +92,7 @@
   void ExecuteOrder(exchange_id aExchange, const http_request& aRequest);
   void HandleGrant(exchange_id aExchange, const http_request& aRequest);
   void HandleRelease(exchange_id aExchange, const http_request& aRequest);
+  void Respond(exchange_id aExchange, http_response aAnswer);
   void Run(exchange_id aExchange, const http_request& aRequest);
   void Finish(exchange_id aExchange, const http_request& aRequest);
   void Refuse(exchange_id aExchange,
@@ -101,6 +106,8 @@
   std::optional<uint16_t> mPublicPort;
   duration mWork{};
   bool mFull = false;
+  bool mLeaving = false;
+  size_t mArrivals = 0;
   bool mDropsResponses = false;
   bool mAnswersOthers = false;
   size_t mGrants = 0;
--- a/UnitTests/Discovery/TargetDirectoryTest.cpp
+++ b/UnitTests/Discovery/TargetDirectoryTest.cpp
@@ -190,4 +190,70 @@
   EXPECT_EQ(UsableCount(), 2u);
 }
 
+// Guards against a target that is used again by an entry of the process that
+// has said that it leaves, and against one whose next process gets no requests.
+TEST_F(target_directory_test, LeavingTargetReturnsOnlyWithAnotherStart)
+{
+  const target_name name("a");
+  EXPECT_FALSE(mDirectory.HandleLeaving(name, 2));
+  EXPECT_FALSE(mDirectory.HandleLeaving(target_name("unknown"), 1));
+  EXPECT_EQ(UsableCount(), 2u);
+  EXPECT_TRUE(mDirectory.HandleLeaving(name, 1));
+  EXPECT_FALSE(mDirectory.HandleLeaving(name, 1));
+  EXPECT_EQ(UsableCount(), 1u);
+
+  // An entry that is stale, or that contradicts the answer.
+  discovered_target entry = Target("a");
+  mDirectory.Reset({ entry, Target("b") }, mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+  entry.mReportNumber = 7;
+  entry.mPort = 1;
+  mDirectory.Update(entry, mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+  mNow += 10min;
+  mDirectory.Expire(mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+
+  entry.mStartedMs = 2;
+  mDirectory.Update(entry, mNow);
+  EXPECT_EQ(UsableCount(), 2u);
+  // A late answer of the process before.
+  EXPECT_FALSE(mDirectory.HandleLeaving(name, 1));
+  EXPECT_EQ(UsableCount(), 2u);
+  // A late entry of the process before.
+  mDirectory.Update(Target("a"), mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+}
+
+// Guards against a leaving target that is used again after an outage of the
+// store, or because its entry was missing for a time.
+TEST_F(target_directory_test, LeavingTargetStaysOutOfUseOverAnOutage)
+{
+  const target_name name("a");
+  EXPECT_TRUE(mDirectory.HandleLeaving(name, 1));
+  mDirectory.HandleStoreOutage(mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+  mNow += 5s;
+  mDirectory.HandleStoreRecovery(mNow);
+  mDirectory.Reset({ Target("a"), Target("b") }, mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+
+  mNow += 10s;
+  mDirectory.Remove(name, mNow);
+  EXPECT_EQ(mDirectory.Find(name), nullptr);
+  // An answer may arrive after the entry has gone.
+  mDirectory.Remove(target_name("b"), mNow);
+  EXPECT_FALSE(mDirectory.HandleLeaving(target_name("b"), 1));
+  mNow += 5min;
+  mDirectory.Remove(target_name("unknown"), mNow);
+  mDirectory.Update(Target("c"), mNow);
+  mDirectory.Remove(target_name("c"), mNow);
+  mDirectory.Reset({ Target("a"), Target("b") }, mNow);
+  EXPECT_EQ(UsableCount(), 0u);
+  discovered_target restarted = Target("a");
+  restarted.mStartedMs = 2;
+  mDirectory.Update(restarted, mNow);
+  EXPECT_EQ(UsableCount(), 1u);
+}
+
 } // namespace parsleystair
