Count only the first told change as late, and no silence against a relay

Found by a review, by reading: (1) watch_behind compared what a router knows with changes told during the 0.5 s, so a burst of changes made routers call the store beside their watch and late_changes_total count nothing real. (2) A reply of the store before a silence and one after it counted as over 1.2 s of replies without the relay, which was then passed over for 5 s.

Change: the check is of the change that was told first. A watch without a reply ends the count of replies.

Measured: relayed_follower_test.ChangesInABurstAreNotLate and SilenceBetweenRepliesIsNoFailureOfTheRelay pass; they were not run on the code before. The other tests of both kinds pass as before.

--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -178,31 +178,31 @@
 
 void prefix_follower::HandleKnownChange(store_revision aRevision)
 {
-  mKnownChange = std::max(mKnownChange, aRevision);
-  if (!MissesKnownChange() || std::exchange(mAwaitsKnownChange, true)) {
+  if (!IsMissing(aRevision) || std::exchange(mAwaitsKnownChange, true)) {
     return;
   }
+  // Later changes have as long to come.
   mKnownChangeTimer.StartOnce(
-    mLoop, kKnownChangeDelay, [this] { AskForKnownChange(); });
+    mLoop, kKnownChangeDelay, [this, aRevision] { AskForChange(aRevision); });
 }
 
-bool prefix_follower::MissesKnownChange() const
+bool prefix_follower::IsMissing(store_revision aKnownChange) const
 {
-  return mHasRead && EraOf(mKnownChange) == EraOf(mRevision) &&
-         mRevision < mKnownChange;
+  return mHasRead && EraOf(aKnownChange) == EraOf(mRevision) &&
+         mRevision < aKnownChange;
 }
 
-void prefix_follower::AskForKnownChange()
+void prefix_follower::AskForChange(store_revision aKnownChange)
 {
   mAwaitsKnownChange = false;
-  if (!MissesKnownChange()) {
+  if (!IsMissing(aKnownChange)) {
     return;
   }
   ++mLateChanges;
   log_line(log_severity::kInfo, "watch_behind")
     .Add("prefix", mPrefix)
     .Add("revision", mRevision.Value())
-    .Add("known", mKnownChange.Value())
+    .Add("known", aKnownChange.Value())
     .Add("replied_us_ago", int64_t{ (MonotonicNow() - mLastReplyAt).count() });
   CheckAfterSilence();
 }
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -91,8 +91,8 @@
   void HandleWatchFailure(call_outcome aOutcome, bool aIsLatest);
   void ReadUnlessAnswered(time_point aGapAt);
   /// Tells if a change that another router knows is missing here.
-  [[nodiscard]] bool MissesKnownChange() const;
-  void AskForKnownChange();
+  [[nodiscard]] bool IsMissing(store_revision aKnownChange) const;
+  void AskForChange(store_revision aKnownChange);
   void RecordReply(time_point aConfirmedAt);
   void CountFailure(call_outcome aOutcome);
   void ScheduleRetry(call_outcome aOutcome, bool aRetryRead);
@@ -105,9 +105,8 @@
   std::mt19937_64 mRandom;
   store_revision mRevision;
   store_revision mLastChange;
-  /// Revision of the latest change that another router has told of.
-  store_revision mKnownChange;
-  /// The time within which that change should come is not over.
+  /// The time within which a change should come that another router has told of
+  /// is not over.
   bool mAwaitsKnownChange = false;
   uint64_t mLateChanges = 0;
   bool mHasRead = false;
--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -274,6 +274,8 @@
                    own.mStoreRepliedAt = std::min(own.mStoreRepliedAt,
                                                   own.mStoreLastRepliedAt);
                  } else if (aReply.mOutcome != call_outcome::kGone) {
+                   // The relay may have got no reply either.
+                   own.mStoreRepliedAt = time_point::max();
                    own.mNextStoreWatch = MonotonicNow() + kStoreWatchPause;
                  }
                  FinishRelayedWatch(aPrefix, aReply);
--- a/UnitTests/Gateway/RelayedFollowerTest.cpp
+++ b/UnitTests/Gateway/RelayedFollowerTest.cpp
@@ -200,8 +200,41 @@
   EXPECT_EQ(mRelays.Current(MonotonicNow()), kFirstHost);
 
   mKv.SetUnresponsive(false);
-  EXPECT_TRUE(RunUntil(
-    [&] { return mRelays.Current(MonotonicNow()) == kSecondHost; }));
+  EXPECT_TRUE(
+    RunUntil([&] { return mRelays.Current(MonotonicNow()) == kSecondHost; }));
+}
+
+// Guards against routers that pass over their relay because the store has
+// replied to them before and after a silence.
+TEST_F(relayed_follower_test, SilenceBetweenRepliesIsNoFailureOfTheRelay)
+{
+  AddRelays();
+  const uint64_t before = mDirect.Counters().mDone;
+  ASSERT_TRUE(RunUntil([&] { return mDirect.Counters().mDone > before; }));
+  mKv.SetUnresponsive(true);
+  RunFor(3s);
+  mKv.SetUnresponsive(false);
+  const uint64_t silent = mDirect.Counters().mDone;
+  ASSERT_TRUE(RunUntil([&] { return mDirect.Counters().mDone > silent; }));
+  RunFor(400ms);
+  EXPECT_EQ(mRelays.Current(MonotonicNow()), kFirstHost);
+}
+
+// Guards against calls to the store for changes that arrive in time, in a burst
+// of changes that another router hears of first.
+TEST_F(relayed_follower_test, ChangesInABurstAreNotLate)
+{
+  constexpr int kChanges = 30;
+  for (int index = 0; index < kChanges; ++index) {
+    mKv.Put(kItem, "change-" + std::to_string(index));
+    std::optional<prefix_reply> known;
+    mDirect.ReadPrefix(kPrefix,
+                       [&](const prefix_reply& aReply) { known = aReply; });
+    ASSERT_TRUE(RunUntil([&] { return known.has_value(); }));
+    mFollower->HandleKnownChange(known->mRevision);
+    RunFor(100ms);
+  }
+  EXPECT_EQ(mFollower->LateChanges(), 0U);
 }
 
 // Guards against routers that wait for a relay which waits for another one,
