Share what the loop reads in a turn among fast peers

Seen: KNOWN-RED entry of Bytes/endless_answers_test.MemoryStaysBounded- AndOthersAreServed/Chunks: while a hundred answers came in chunks of one byte, a request of another caller got 504.

Cause: each connection read up to 64 KiB a turn of the loop. With a hundred peers that send faster than the loop reads, one turn parsed 6.4 MB, over a million chunks of one byte, while all others waited.

--- a/Parsleystair/Core/EventLoop.h
+++ b/Parsleystair/Core/EventLoop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Parsleystair/Core/ByteBudget.h"
+#include "Parsleystair/Core/ReadShare.h"
 #include "Parsleystair/Core/Time.h"
 
 #include <functional>
@@ -34,12 +35,16 @@
   /// Budget of the connections on this loop.
   [[nodiscard]] byte_budget& Bytes() { return mBytes; }
 
+  /// Share of the connections on this loop in what it reads in a turn.
+  [[nodiscard]] read_share& Reads() { return mReads; }
+
   /// Lets the budget drop its excess in the next round of the loop.
   void DropExcessBytesSoon();
 
 private:
   event_base* mBase;
   byte_budget mBytes;
+  read_share mReads;
   bool mDropsBytesSoon = false;
 };
 
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -15,6 +15,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace parsleystair {
 
@@ -99,11 +100,14 @@
 
 struct socket_stream::state
 {
+  read_share& mReads;
   stream_handler& mHandler;
   int mDescriptor = -1;
   bool mConnecting = false;
   bool mBroken = false;
   bool mFinishing = false;
+  /// The last read returned all that was allowed.
+  bool mIsFullReader = false;
   std::string mOutput;
   /// Time after which nothing of `mOutput` is sent.
   time_point mWriteUntil = time_point::max();
@@ -111,14 +115,16 @@
   event* mWriteEvent = nullptr;
   event* mTimer = nullptr;
 
-  explicit state(stream_handler& aHandler)
-    : mHandler(aHandler)
+  state(event_loop& aLoop, stream_handler& aHandler)
+    : mReads(aLoop.Reads())
+    , mHandler(aHandler)
   {
   }
   ~state();
 
   void Start(event_loop& aLoop);
   void Read();
+  void SetFullReader(bool aIsFull);
   void HandleWritable();
   void Flush();
   void FailLater();
@@ -145,6 +151,7 @@
 
 socket_stream::state::~state()
 {
+  SetFullReader(false);
   for (event* each : { mReadEvent, mWriteEvent, mTimer }) {
     if (each != nullptr) {
       event_free(each);
@@ -198,9 +205,10 @@
                                    : stream_end::kBroken);
     return;
   }
-  constexpr size_t kReadBytes = 64 * 1024;
-  std::array<char, kReadBytes> buffer; // NOLINT: filled by recv
-  const ssize_t count = recv(mDescriptor, buffer.data(), buffer.size(), 0);
+  std::array<char, read_share::kMaxBytes> buffer; // NOLINT: filled by recv
+  const size_t allowed = mReads.Bytes();
+  const ssize_t count = recv(mDescriptor, buffer.data(), allowed, 0);
+  SetFullReader(count == static_cast<ssize_t>(allowed));
   if (count > 0) {
     mHandler.HandleBytes({ buffer.data(), static_cast<size_t>(count) });
     return;
@@ -212,6 +220,18 @@
   mHandler.HandleEnd(count == 0 ? stream_end::kClosed : stream_end::kBroken);
 }
 
+void socket_stream::state::SetFullReader(bool aIsFull)
+{
+  if (std::exchange(mIsFullReader, aIsFull) == aIsFull) {
+    return;
+  }
+  if (aIsFull) {
+    mReads.AddFullReader();
+  } else {
+    mReads.RemoveFullReader();
+  }
+}
+
 bool socket_stream::state::FinishConnect()
 {
   int failure = 0;
@@ -293,7 +313,7 @@
                              int aDescriptor,
                              const stream_settings& aSettings,
                              stream_handler& aHandler)
-  : mState(std::make_unique<state>(aHandler))
+  : mState(std::make_unique<state>(aLoop, aHandler))
 {
   mState->mDescriptor = aDescriptor;
   ApplySettings(aDescriptor, aSettings);
@@ -305,7 +325,7 @@
                              uint16_t aPort,
                              const stream_settings& aSettings,
                              stream_handler& aHandler)
-  : mState(std::make_unique<state>(aHandler))
+  : mState(std::make_unique<state>(aLoop, aHandler))
 {
   mState->mConnecting = true;
   mState->mDescriptor = StartConnect(aHost, aPort);
@@ -386,6 +406,7 @@
     event_add(mState->mReadEvent, nullptr);
   } else {
     event_del(mState->mReadEvent);
+    mState->SetFullReader(false);
   }
 }
 
