--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -39,8 +39,8 @@
   /// than `mGrantDuration`.
   double mClockDriftFactor = 1.02;
   /// Maximum time for which the network holds bytes that were sent, as in the
-  /// queue of an overloaded link. An order that the target's system has not
-  /// acknowledged may arrive this long after its connection was closed.
+  /// queue of an overloaded link. An order without an answer may be taken this
+  /// long after its connection was closed.
   duration mMaxNetworkDelay = 4s;
   /// Maximum time for which the operating system of a process that was killed
   /// resends what the process has written: the TCP user timeout.
