--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -154,10 +154,8 @@
                "store_restores_total",
                "counter",
                static_cast<double>(mRestoreCount));
-  AppendMetric(text,
-               "late_changes_total",
-               "counter",
-               static_cast<double>(LateChanges()));
+  AppendMetric(
+    text, "late_changes_total", "counter", static_cast<double>(LateChanges()));
   AppendMetric(text, "leading", "gauge", mElection.IsLeading() ? 1 : 0);
   AppendMetric(
     text, "open_requests", "gauge", static_cast<double>(mForwarder.Open()));
--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -271,8 +271,8 @@
                  relayed_watch& own = mRelayedWatches[aPrefix];
                  if (aReply.mOutcome == call_outcome::kDone) {
                    own.mStoreLastRepliedAt = MonotonicNow();
-                   own.mStoreRepliedAt = std::min(own.mStoreRepliedAt,
-                                                  own.mStoreLastRepliedAt);
+                   own.mStoreRepliedAt =
+                     std::min(own.mStoreRepliedAt, own.mStoreLastRepliedAt);
                  } else if (aReply.mOutcome != call_outcome::kGone) {
                    // The relay may have got no reply either.
                    own.mStoreRepliedAt = time_point::max();
