Keep a request that crashes targets away from them

Change: lost_targets finds out which of the targets that ended connections have crashed: they don't react to a health check, or register with another start time. crash_guard counts the crashes of different target processes by content (caller, method, host, target, body). Routers report them to the leader (crash_registry), which tells all routers and writes refused contents to the store for routers that start. From two crashes on a content is sent to one target at a time without a retry, from three on it is refused with 503 and a Retry-After; an answer of a target clears it everywhere. One router at a time may try a refused content 10 s and 60 s after its last crash, so that a sound one is found. A crashed target is ejected at once until a health check passes.

--- a/Parsleystair/Balancing/TargetBalancer.cpp
+++ b/Parsleystair/Balancing/TargetBalancer.cpp
@@ -301,6 +301,14 @@
   found->second.mNextProbeTime = aNow + kProbeInterval;
 }
 
+void target_balancer::HandleCrash(const target_name& aTarget, time_point aNow)
+{
+  const auto found = mTargets.find(aTarget);
+  if (found != mTargets.end()) {
+    Eject(aTarget, found->second, "crashed", aNow);
+  }
+}
+
 std::vector<target_name> target_balancer::TakeDueHealthChecks(time_point aNow)
 {
   std::vector<target_name> due;
--- a/Parsleystair/Balancing/TargetBalancer.h
+++ b/Parsleystair/Balancing/TargetBalancer.h
@@ -79,6 +79,9 @@
                          bool aHealthy,
                          time_point aNow);
 
+  /// Ejects a target that has crashed.
+  void HandleCrash(const target_name& aTarget, time_point aNow);
+
   /// Returns the ejected targets whose next health check is due. A target is
   /// not returned again until `HandleHealthCheck` reports the result of its
   /// check.
--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -82,6 +82,18 @@
   , mServer(aServer)
   , mBalancer(aSettings.mLocation, aSeed)
   , mConnections(aLoop, TargetConnectionSettings(), kDefaultKeepAlive)
+  , mCrashGuard(aSettings.mHost)
+  , mLostTargets(
+      aLoop,
+      mConnections,
+      aView.mDirectory,
+      [this](const discovered_target& aTarget,
+             std::function<void(bool)> aCallback) {
+        CheckLostTarget(aTarget, std::move(aCallback));
+      },
+      [this](const discovered_target& aTarget,
+             const std::vector<content_fingerprint>& aContents,
+             time_point aNow) { HandleCrash(aTarget, aContents, aNow); })
   , mRandom(aSeed + 1)
 {
 }
@@ -176,6 +188,9 @@
 void forwarder::Dispatch(open_request& aRequest, time_point aNow)
 {
   aRequest.mWaitUntil.reset();
+  if (!AdmitContent(aRequest, aNow)) {
+    return;
+  }
   const known_target* target = ChooseTarget(aRequest, aNow);
   if (target != nullptr && aRequest.mKeyed &&
       mConnections.IsAtLimit(target->mTarget.mName,
@@ -194,6 +209,40 @@
   FinishWithFailure(aRequest, "no target in service", aNow);
 }
 
+bool forwarder::AdmitContent(open_request& aRequest, time_point aNow)
+{
+  if (aRequest.mTrial) {
+    return true;
+  }
+  const crash_assessment assessment =
+    mCrashGuard.Assess(aRequest.mRequest, aNow);
+  if (assessment.mDecision == crash_decision::kAdmit) {
+    return true;
+  }
+  aRequest.mSentAlone = true;
+  const bool isRefused = assessment.mDecision == crash_decision::kRefuse;
+  log_line(log_severity::kInfo, "content_assessed")
+    .Add("request", aRequest.mTerms.mRequestId)
+    .Add("content", FormatFingerprint(assessment.mContent))
+    .Add("refused", isRefused)
+    .Add("trial", assessment.mDecision == crash_decision::kTrial)
+    .Add("crashes", uint64_t{ assessment.mCrashes })
+    .Add("age_us", int64_t{ assessment.mAge.count() });
+  if (isRefused) {
+    aRequest.mRetryAfter = assessment.mRetryAfter;
+    FinishWithFailure(aRequest, "the content crashed targets", aNow);
+    return false;
+  }
+  if (aRequest.mMayHaveRun) {
+    FinishWithFailure(aRequest, "the content may crash targets", aNow);
+    return false;
+  }
+  if (assessment.mDecision == crash_decision::kTrial) {
+    aRequest.mTrial = assessment.mContent;
+  }
+  return true;
+}
+
 const known_target* forwarder::ChooseTarget(const open_request& aRequest,
                                             time_point aNow)
 {
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -3,11 +3,13 @@
 #include "Parsleystair/Balancing/TargetBalancer.h"
 #include "Parsleystair/Dump/LatencyHistogram.h"
 #include "Parsleystair/Gateway/ForwarderCounters.h"
+#include "Parsleystair/Gateway/LostTargets.h"
 #include "Parsleystair/Gateway/RequestProtocol.h"
 #include "Parsleystair/Gateway/RequestStatistics.h"
 #include "Parsleystair/Gateway/TargetConnections.h"
 #include "Parsleystair/Http/HttpServer.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
+#include "Parsleystair/Limits/CrashGuard.h"
 #include "Parsleystair/Limits/KeyAdmission.h"
 #include "Parsleystair/Limits/SharedRetryBudget.h"
 #include "Parsleystair/Routing/RouteTable.h"
@@ -35,6 +37,8 @@
 
 struct forwarder_settings
 {
+  /// Address of this router, as other routers know it.
+  std::string mHost;
   router_location mLocation;
   shared_budget_settings mRetryBudget;
   /// Age up to which routes prove that there is no other one.
@@ -112,6 +116,10 @@
   /// Limits for the keys of overloaded owners.
   [[nodiscard]] key_admission& Admission() { return mAdmission; }
 
+  /// Contents that crash targets.
+  [[nodiscard]] crash_guard& CrashGuard() { return mCrashGuard; }
+  [[nodiscard]] const crash_guard& CrashGuard() const { return mCrashGuard; }
+
   /// Sets the end of a shutdown. From now on, requests that are not expected to
   /// be complete by then are not sent to targets.
   void SetShutdownEnd(time_point aEnd) { mShutdownEnd = aEnd; }
@@ -175,6 +183,13 @@
     uint32_t mConnectFailures = 0;
     bool mMayHaveRun = false;
     bool mHedgeConsidered = false;
+    /// Attempts whose connections the targets ended.
+    uint32_t mLostAttempts = 0;
+    /// The content may crash targets, so the request is sent to one target at a
+    /// time and is not retried.
+    bool mSentAlone = false;
+    /// Set for the trial of a content that is refused otherwise.
+    std::optional<content_fingerprint> mTrial;
     /// The response is discarded, and no further attempt is made.
     bool mCallerGone = false;
     /// A target's failed response, returned if no attempt succeeds.
@@ -198,6 +213,9 @@
   /// Refuses a request for a key whose owner is overloaded, if it is one of
   /// those that the owner can't serve. Returns whether it is admitted.
   bool AdmitKey(open_request& aRequest, time_point aNow);
+  /// Refuses a request whose content crashes targets. Returns whether it is
+  /// admitted.
+  bool AdmitContent(open_request& aRequest, time_point aNow);
   void Dispatch(open_request& aRequest, time_point aNow);
   const known_target* ChooseTarget(const open_request& aRequest,
                                    time_point aNow);
@@ -233,6 +251,16 @@
                         const open_attempt& aAttempt,
                         const http_result& aResult,
                         time_point aNow);
+  /// Notes a connection that a target ended, as the target may have crashed.
+  void HandleLostConnection(open_request& aRequest,
+                            const open_attempt& aAttempt,
+                            time_point aNow);
+  void HandleCrash(const discovered_target& aTarget,
+                   const std::vector<content_fingerprint>& aContents,
+                   time_point aNow);
+  /// Returns whether a request that may have run at a target may be sent to
+  /// another one, as far as the content is concerned.
+  [[nodiscard]] static bool MayRetryContent(const open_request& aRequest);
   void RetryOrFinish(open_request& aRequest,
                      const std::string& aReason,
                      time_point aNow);
@@ -266,6 +294,10 @@
   [[nodiscard]] bool FitsIntoShutdown(const open_request& aRequest,
                                       time_point aNow) const;
   void Probe(const target_name& aTarget, time_point aNow);
+  /// Sends a health check to a target that may have crashed; tells whether the
+  /// target reacted.
+  void CheckLostTarget(const discovered_target& aTarget,
+                       std::function<void(bool)> aCallback);
 
   event_loop& mLoop;
   forwarder_settings mSettings;
@@ -278,6 +310,8 @@
   target_connections mConnections;
   weighted_choice mServiceChoice;
   key_admission mAdmission;
+  crash_guard mCrashGuard;
+  lost_targets mLostTargets;
   std::mt19937_64 mRandom;
   bool mRefusesNew = false;
   time_point mShutdownEnd = time_point::max();
--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -29,6 +29,9 @@
 constexpr duration kFullOwnerRetryDelay = 100ms;
 /// Limit on attempts at owners of a key that did not run the request.
 constexpr uint32_t kMaxOwnerAttempts = 3;
+/// Limit on attempts of one request whose connections targets ended. If they
+/// crashed, other routers learn of the content only after its last attempt.
+constexpr uint32_t kMaxLostAttempts = kCrashesToRefuse;
 
 /// Statuses by which callers understand that a request has not run.
 bool MeansNotRun(uint32_t aStatus)
@@ -158,6 +161,8 @@
   if (terms.mKeepAlive) {
     mConnections.SetKeepAlive(aAttempt.mTarget, *terms.mKeepAlive);
   }
+  mLostTargets.HandleResponse(
+    aAttempt.mTarget, aAttempt.mStartedMs, aAttempt.mSentAt);
   if (mProtocol.IsLeaving(aAnswer, aAttempt.mTarget)) {
     mTargetObserver.HandleLeavingTarget(aAttempt.mTarget, aAttempt.mStartedMs);
   }
@@ -174,6 +179,7 @@
     HandleNoResponse(aRequest, aAttempt, unusable, aNow);
     return;
   }
+  mCrashGuard.HandleAnswered(aRequest.mRequest);
   const bool failed = aAnswer.mStatus >= kFirstServerErrorStatus;
   mBalancer.HandleOutcome(aAttempt.mTarget,
                           aAttempt.mSend,
@@ -281,6 +287,11 @@
   aRequest.mMayHaveRun = true;
   mBalancer.HandleOutcome(
     aAttempt.mTarget, aAttempt.mSend, attempt_outcome::kNoResponse, 0, aNow);
+  const bool isLost = aResult.mFailure == http_failure::kClosed ||
+                      aResult.mFailure == http_failure::kCut;
+  if (isLost) {
+    HandleLostConnection(aRequest, aAttempt, aNow);
+  }
   if (!aRequest.mRoute->mIdempotent) {
     FinishWithFailure(aRequest, FailureText(aResult), aNow);
     return;
@@ -288,6 +299,44 @@
   RetryOrFinish(aRequest, FailureText(aResult), aNow);
 }
 
+void forwarder::HandleLostConnection(open_request& aRequest,
+                                     const open_attempt& aAttempt,
+                                     time_point aNow)
+{
+  ++aRequest.mLostAttempts;
+  discovered_target target;
+  target.mName = aAttempt.mTarget;
+  target.mService = aRequest.mService;
+  target.mHost = aAttempt.mHost;
+  target.mPort = aAttempt.mPort;
+  target.mStartedMs = aAttempt.mStartedMs;
+  mLostTargets.HandleLostConnection(
+    target, ContentFingerprintOf(aRequest.mRequest), aNow);
+}
+
+void forwarder::HandleCrash(const discovered_target& aTarget,
+                            const std::vector<content_fingerprint>& aContents,
+                            time_point aNow)
+{
+  const known_target* known = mView.mDirectory.Find(aTarget.mName);
+  const bool isRestarted =
+    known != nullptr && known->mTarget.mStartedMs != aTarget.mStartedMs;
+  if (!isRestarted) {
+    mBalancer.HandleCrash(aTarget.mName, aNow);
+  }
+  const incarnation_hash hash =
+    IncarnationHashOf(aTarget.mName, aTarget.mStartedMs);
+  for (const content_fingerprint& content : aContents) {
+    mCrashGuard.HandleCrash(content, hash, aNow);
+  }
+}
+
+bool forwarder::MayRetryContent(const open_request& aRequest)
+{
+  return !(aRequest.mSentAlone && aRequest.mMayHaveRun) &&
+         aRequest.mLostAttempts < kMaxLostAttempts;
+}
+
 bool forwarder::TakeRetry(open_request& aRequest)
 {
   if (RetryBudgetOf(aRequest.mService).TryTake()) {
@@ -315,7 +364,7 @@
     mBalancer.MeanLatency(aRequest.mService) / kMinRetryTimeDivisor;
   const bool mayRetry =
     aRequest.mAttemptCount < aRequest.mRoute->mMaxAttempts &&
-    aNow + minRetryTime < aRequest.mDeadline;
+    aNow + minRetryTime < aRequest.mDeadline && MayRetryContent(aRequest);
   if (!mayRetry || !TakeRetry(aRequest)) {
     FinishWithFailure(aRequest, aReason, aNow);
     return;
@@ -345,6 +394,9 @@
                   return mConnections.HasSent(aAttempt.first);
                 });
   if (!mayHaveRun) {
+    if (aRequest.mTrial) {
+      mCrashGuard.HandleTrialNotRun(*aRequest.mTrial);
+    }
     Refuse(aRequest, refusal_kind::kNotRun, aReason, aNow);
     return;
   }
@@ -372,7 +424,8 @@
   const bool mayRetry =
     aRequest.mOpenAttempts.size() == 1 &&
     aRequest.mAttemptCount < aRequest.mRoute->mMaxAttempts &&
-    FitsIntoShutdown(aRequest, aNow);
+    FitsIntoShutdown(aRequest, aNow) && !aRequest.mSentAlone &&
+    MayRetryContent(aRequest);
   if (!mayRetry) {
     return;
   }
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -195,6 +195,7 @@
 void forwarder::Tick(time_point aNow)
 {
   mStatistics.LogIfDue(aNow);
+  mLostTargets.Tick(aNow);
   mConnections.Sweep(mView.mDirectory, aNow);
   mBalancer.RemoveUnknownTargets(mView.mDirectory);
   for (const target_name& target : mBalancer.TakeDueHealthChecks(aNow)) {
@@ -238,4 +239,31 @@
     { connection_choice::kNew });
 }
 
+void forwarder::CheckLostTarget(const discovered_target& aTarget,
+                                std::function<void(bool)> aCallback)
+{
+  const routed_service* service =
+    mView.mRoutes == nullptr ? nullptr
+                             : mView.mRoutes->FindService(aTarget.mService);
+  if (service == nullptr) {
+    aCallback(true);
+    return;
+  }
+  // A loaded target may let a health check wait for a free slot.
+  constexpr duration kCheckTimeout = 1s;
+  mConnections.Call(
+    aTarget,
+    mProtocol.HealthCheck(service->mHealthPath),
+    kCheckTimeout,
+    MonotonicNow(),
+    [callback = std::move(aCallback)](const http_result& aResult) {
+      // A process that ends a connection of its own accord lives as well.
+      const bool isSilent =
+        aResult.mFailure == http_failure::kConnect || aResult.mTimedOut;
+      callback(!isSilent);
+    },
+    nullptr,
+    { connection_choice::kNew });
+}
+
 } // namespace parsleystair
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -55,6 +55,8 @@
 /// restored before, in which a router takes a newer configuration from another
 /// one. The operator writes lost configurations again within seconds.
 constexpr duration kConfigurationComparisonTime = 30s;
+/// Crash records of a leader, at about 400 bytes each.
+constexpr size_t kMaxCrashRecords = 2048;
 
 http_server_settings CallerSettings(const request_limits& aLimits)
 {
@@ -69,6 +71,7 @@
 forwarder_settings ForwarderSettings(const gateway_settings& aSettings)
 {
   forwarder_settings settings;
+  settings.mHost = aSettings.mPeers.mHost;
   settings.mLocation.mFailureDomain = aSettings.mFailureDomain;
   settings.mLocation.mRegions = aSettings.mRegions;
   settings.mRetryBudget = { aSettings.mRetryRatio, aSettings.mRetrySlack };
@@ -259,6 +262,7 @@
         }
       },
       aSeed + 5)
+  , mCrashRegistry(kMaxCrashRecords)
 {
   aLoop.Bytes().SetLimit(aSettings.mMemoryBytes / kConnectionMemoryDivisor);
   mCallerServer.OnClose(
@@ -578,7 +582,9 @@
     HandleTargetsChanged();
   }
   mForwarder.Tick(now);
-  if (now >= mNextReport) {
+  const bool hasNews = mForwarder.CrashGuard().HasNews() &&
+                       (!mReportConnection || !mReportConnection->IsBusy());
+  if (now >= mNextReport || hasNews) {
     mNextReport = now + kReportInterval;
     SendReport();
     ChooseOwnerSource();
@@ -598,7 +604,7 @@
   }
 }
 
-http_response gateway_task::OperatorResponse(const http_request& aRequest) const
+http_response gateway_task::OperatorResponse(const http_request& aRequest)
 {
   const http_header text{ "Content-Type", "text/plain; charset=utf-8" };
   if (aRequest.mPath == "/metrics") {
@@ -607,6 +613,9 @@
   if (aRequest.mPath == "/dump") {
     return { kOk, { { "Content-Type", "application/json" } }, DumpText() };
   }
+  if (aRequest.mPath == "/crashes/clear" && aRequest.mMethod == "POST") {
+    return ClearContent(aRequest);
+  }
   if (aRequest.mPath == "/readyz") {
     return { IsReady() ? kOk : kUnavailable, { text }, "" };
   }
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -12,6 +12,7 @@
 #include "Parsleystair/Gateway/RelayedStore.h"
 #include "Parsleystair/Http/HttpConnection.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
+#include "Parsleystair/Limits/CrashRegistry.h"
 
 #include <functional>
 #include <memory>
@@ -106,8 +107,9 @@
                    const versioned_record& aRecord);
   [[nodiscard]] owner_revisions KnownOwnerRevisions() const;
   void HandleTargetsChanged();
-  [[nodiscard]] http_response OperatorResponse(
-    const http_request& aRequest) const;
+  [[nodiscard]] http_response OperatorResponse(const http_request& aRequest);
+  /// Clears the content that an operator names in the query.
+  http_response ClearContent(const http_request& aRequest);
   void HandlePeerRequest(exchange_id aExchange, const http_request& aRequest);
   void HandleReport(exchange_id aExchange, const http_request& aRequest);
   void Tick();
@@ -118,7 +120,23 @@
   void HandleKnownChanges(const std::string& aText);
   /// Number of changes that waiting watches didn't report.
   [[nodiscard]] uint64_t LateChanges() const;
-  void HandleReportResponse(const http_result& aResult);
+  /// `aCrashes`: the part of the report that must not get lost.
+  void HandleReportResponse(const http_result& aResult,
+                            const crash_report& aCrashes);
+  /// Takes over the crash records of this router as the new leader.
+  void StartCrashRegistry(time_point aNow);
+  /// Applies what a router reports of crashes, as the leader.
+  void HandleCrashReport(const std::string& aRouter,
+                         const crash_report& aReport,
+                         time_point aNow);
+  /// Makes the leader's records the ones that are told to all routers.
+  void PublishCrashRecords(time_point aNow);
+  /// Writes the refused contents to the store if they have changed.
+  void StoreCrashRecords(time_point aNow);
+  /// `aText`: refused contents as a leader wrote them to the store.
+  void ApplyStoredCrashes(const std::string& aText, store_revision aRevision);
+  /// Applies the records of the leader.
+  void ApplyCrashRecords(const crash_records& aRecords, time_point aNow);
   void ApplyRouterList(const router_list& aRouters);
   void ApplyLimits(service_limits aLimits, time_point aNow);
   /// Replaces the list of routers by those that live, as the leader. Routers
@@ -173,6 +191,16 @@
   std::string mReportBody;
   /// Digest of the limits for keys in use.
   uint64_t mLimitsDigest = 0;
+  crash_registry mCrashRegistry;
+  /// The leader's crash records as told to all routers, the registry's version
+  /// that they show, and their digest.
+  crash_records mPublishedCrashes;
+  uint64_t mPublishedCrashVersion = 0;
+  time_point mCrashesPublishedAt = time_point::min();
+  uint64_t mCrashesDigest = 0;
+  /// Digest of the refused contents in the store; 0 if there are none.
+  uint64_t mStoredCrashesDigest = 0;
+  time_point mNextCrashesWrite = time_point::min();
   bool mFollowersStarted = false;
   timer mFollowersTimer;
   time_point mStartedAt;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -50,6 +50,8 @@
 /// expired, in reports and their responses. A router that started after a
 /// restore learns by it how long others have known of the restore.
 constexpr const char* kLostGrantsHeader = "Lost-Grants";
+/// Says that the responder is the leader and has taken the crashes in a report.
+constexpr const char* kCrashesTakenHeader = "Crashes-Taken";
 /// Says that the reporting router has the leader's present limits for keys.
 constexpr const char* kLimitsCurrentHeader = "Limits-Current";
 
@@ -59,6 +61,8 @@
 {
   if (aItem.mKey == kRoutersKey && aItem.mValue) {
     ApplyStoredRouters(*aItem.mValue);
+  } else if (aItem.mKey == kCrashesKey && aItem.mValue) {
+    ApplyStoredCrashes(*aItem.mValue, aItem.mRevision);
   } else if (aItem.mKey == mElection.LeaderKey()) {
     ApplyLeader(aItem.mValue ? std::optional(stored_item{
                                  aItem.mKey, *aItem.mValue, aItem.mRevision })
@@ -128,6 +132,7 @@
     return;
   }
   mLeadingSince = MonotonicNow();
+  StartCrashRegistry(mLeadingSince);
   // A new leader starts from the current records in the store.
   mOwnerFeedClient.SetSource(std::nullopt);
   ReadOwners();
@@ -293,16 +298,24 @@
       mRangeDriver.HandleLoad(service, load, now);
     }
     ApplyLimits(mRangeDriver.KeyLimits(now), now);
+    HandleCrashReport(
+      mSettings.mPeers.mHost, mForwarder.CrashGuard().TakeReport(now), now);
+    mCrashRegistry.Expire(now);
+    PublishCrashRecords(now);
+    StoreCrashRecords(now);
     return;
   }
   if (mReportLeader != leader) {
     mReportLeader = leader;
+    mForwarder.CrashGuard().HandleNewLeader();
     mReportConnection =
       std::make_unique<http_connection>(mLoop, leader->mHost, leader->mPort);
   }
   if (mReportConnection->IsBusy()) {
     return;
   }
+  const crash_report crashes =
+    mForwarder.CrashGuard().TakeReport(MonotonicNow());
   http_request request;
   request.mMethod = "POST";
   request.mPath = "/load";
@@ -310,21 +323,30 @@
                                      mRoutersDigest,
                                      ConfigurationVersion(),
                                      mLimitsDigest,
-                                     report });
+                                     mCrashesDigest,
+                                     report,
+                                     crashes });
   request.mHeaders = { { kKnownChangesHeader, KnownChangesText() } };
   if (const auto lostGrants = mElection.LostGrantsText(MonotonicNow())) {
     request.mHeaders.push_back({ kLostGrantsHeader, *lostGrants });
   }
-  // A lost report isn't retried: it only makes the load appear lower for a
+  // The load in a lost report isn't sent again: it only appears lower for a
   // second.
   mReportConnection->Call(
-    request, kReportTimeout, [this](const http_result& aResult) {
-      HandleReportResponse(aResult);
+    request, kReportTimeout, [this, crashes](const http_result& aResult) {
+      HandleReportResponse(aResult, crashes);
     });
 }
 
-void gateway_task::HandleReportResponse(const http_result& aResult)
+void gateway_task::HandleReportResponse(const http_result& aResult,
+                                        const crash_report& aCrashes)
 {
+  const bool isTaken =
+    aResult.mStatus == http_status::kResponded &&
+    FindHeader(aResult.mResponse.mHeaders, kCrashesTakenHeader);
+  if (!isTaken) {
+    mForwarder.CrashGuard().HandleReportLost(aCrashes);
+  }
   if (aResult.mStatus != http_status::kResponded) {
     return;
   }
@@ -374,6 +396,9 @@
     } else if (hasHeader(kLimitsCurrentHeader)) {
       mForwarder.Admission().Confirm(now);
     }
+    if (response.mCrashes) {
+      ApplyCrashRecords(*response.mCrashes, now);
+    }
   } catch (const parse_error& exception) {
     log_line(log_severity::kWarning, "routers_unreadable")
       .Add("error", exception.what());
@@ -541,6 +566,11 @@
       } else {
         content.mLimits = mForwarder.Admission().Limits();
       }
+      HandleCrashReport(report.mRouter.mHost, report.mCrashes, now);
+      response.mHeaders.push_back({ kCrashesTakenHeader, "1" });
+      if (report.mKnownCrashes != mCrashesDigest) {
+        content.mCrashes = mPublishedCrashes;
+      }
     }
     // Most routers get the same.
     if (content != mReportContent) {
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -98,6 +98,19 @@
   AppendLabelledMetric(text, "repeats_total", "kind", "hedge", counts.mHedges);
   AppendLabelledMetric(
     text, "repeats_total", "kind", "no-budget", counts.mRetriesOverBudget);
+  const crash_guard& guard = mForwarder.CrashGuard();
+  AppendMetric(text,
+               "content_crashes_total",
+               "counter",
+               static_cast<double>(guard.Crashes()));
+  AppendMetric(text,
+               "content_refusals_total",
+               "counter",
+               static_cast<double>(guard.Refusals()));
+  AppendMetric(text,
+               "content_records",
+               "gauge",
+               static_cast<double>(guard.Records(MonotonicNow()).size()));
   const target_connections& connections = mForwarder.Connections();
   text += "# TYPE parsleystair_connections_total counter\n";
   AppendLabelledMetric(
@@ -187,6 +200,15 @@
   for (const auto& [service, record] : mView.mRanges) {
     ranges[service.Value()] = nlohmann::json::parse(EncodeRangeRecord(record));
   }
+  nlohmann::json contents = nlohmann::json::object();
+  for (const crash_record& record : mForwarder.CrashGuard().Records(now)) {
+    contents[FormatFingerprint(record.mContent)] = {
+      { "crashes", record.mIncarnations.size() },
+      { "refused", record.mIncarnations.size() >= kCrashesToRefuse },
+      { "latestCrashSecondsAgo", ToSeconds(record.mAge) },
+      { "trials", record.mTrials },
+    };
+  }
   const auto& leader = mElection.Leader();
   const nlohmann::json dump = {
     { "vm", mSettings.mVm.Value() },
@@ -203,6 +225,7 @@
     { "openMoves", mRangeDriver.PendingMoves() },
     { "targets", std::move(targets) },
     { "ranges", std::move(ranges) },
+    { "crashingContents", std::move(contents) },
   };
   return dump.dump(2) + "\n";
 }
--- a/Parsleystair/Gateway/PeerReport.cpp
+++ b/Parsleystair/Gateway/PeerReport.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Core/Compression.h"
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Hash.h"
+#include "Parsleystair/Gateway/CrashMessages.h"
 #include "Parsleystair/Gateway/PeerMessage.h"
 
 #include <algorithm>
@@ -12,15 +13,23 @@
 
 std::string EncodePeerReport(const peer_report& aReport)
 {
-  return nlohmann::json{
-    { "host", aReport.mRouter.mHost },
-    { "failureDomain", aReport.mRouter.mFailureDomain.Value() },
-    { "large", aReport.mRouter.mIsLarge },
-    { "knownRouters", aReport.mKnownRouters },
-    { "configuration", aReport.mConfigurationVersion },
-    { "knownLimits", aReport.mKnownLimits },
-    { "load", EncodeLoadReport(aReport.mLoad) }
-  }.dump();
+  nlohmann::json json{ { "host", aReport.mRouter.mHost },
+                       { "failureDomain",
+                         aReport.mRouter.mFailureDomain.Value() },
+                       { "large", aReport.mRouter.mIsLarge },
+                       { "knownRouters", aReport.mKnownRouters },
+                       { "configuration", aReport.mConfigurationVersion },
+                       { "knownLimits", aReport.mKnownLimits },
+                       { "load", EncodeLoadReport(aReport.mLoad) } };
+  // Both are rare, and reports are sent often.
+  if (aReport.mKnownCrashes != 0) {
+    json["knownCrashes"] = aReport.mKnownCrashes;
+  }
+  const std::string crashes = EncodeCrashReport(aReport.mCrashes);
+  if (!crashes.empty()) {
+    json["crashes"] = crashes;
+  }
+  return json.dump();
 }
 
 peer_report DecodePeerReport(const std::string& aText)
@@ -35,6 +44,8 @@
     report.mKnownRouters = json.at("knownRouters").get<uint64_t>();
     report.mConfigurationVersion = json.value("configuration", uint64_t{ 0 });
     report.mKnownLimits = json.value("knownLimits", uint64_t{ 0 });
+    report.mKnownCrashes = json.value("knownCrashes", uint64_t{ 0 });
+    report.mCrashes = DecodeCrashReport(json.value("crashes", std::string()));
     report.mLoad = DecodeLoadReport(json.at("load").get<std::string>());
     return report;
   } catch (const nlohmann::json::exception& exception) {
@@ -132,6 +143,9 @@
   if (aResponse.mLimits) {
     json["limits"] = EncodeServiceLimits(*aResponse.mLimits);
   }
+  if (aResponse.mCrashes) {
+    json["crashes"] = EncodeCrashRecords(*aResponse.mCrashes);
+  }
   return json.empty() ? "" : Compress(json.dump());
 }
 
@@ -152,6 +166,10 @@
       response.mLimits =
         DecodeServiceLimits(json.at("limits").get<std::string>());
     }
+    if (json.contains("crashes")) {
+      response.mCrashes =
+        DecodeCrashRecords(json.at("crashes").get<std::string>());
+    }
     return response;
   } catch (const nlohmann::json::exception& exception) {
     throw parse_error(std::string("malformed response to a report: ") +
--- a/Parsleystair/Gateway/PeerReport.h
+++ b/Parsleystair/Gateway/PeerReport.h
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Gateway/RelayChoice.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
+#include "Parsleystair/Limits/CrashRecord.h"
 #include "Parsleystair/Limits/KeyAdmission.h"
 
 #include <optional>
@@ -19,7 +20,10 @@
   uint64_t mConfigurationVersion = 0;
   /// Digest of the limits for keys that the sender has.
   uint64_t mKnownLimits = 0;
+  /// Digest of the leader's crash records that the sender has.
+  uint64_t mKnownCrashes = 0;
   load_report mLoad;
+  crash_report mCrashes;
 
   bool operator==(const peer_report&) const = default;
 };
@@ -55,6 +59,8 @@
   std::optional<router_list> mRouters;
   /// Nothing if the sender has the present limits.
   std::optional<service_limits> mLimits;
+  /// Nothing if the sender has the present crash records.
+  std::optional<crash_records> mCrashes;
 
   bool operator==(const report_response&) const = default;
 };
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -22,6 +22,9 @@
 /// Routers by which a starting router finds its relay. The prefix is that of
 /// the leader key, so that one read gets both.
 inline constexpr const char* kRoutersKey = "parsleystair/leader/routers";
+/// Records of contents that are refused because they crash targets, for routers
+/// that start or can't reach the leader.
+inline constexpr const char* kCrashesKey = "parsleystair/leader/crashes";
 /// Prefix of the keys of ownership records in all eras.
 inline constexpr const char* kRecordKeyPrefix = "parsleystair/ranges";
 
--- a/PerformanceTest/gateway_soak/SoakFaults.cpp
+++ b/PerformanceTest/gateway_soak/SoakFaults.cpp
@@ -23,7 +23,7 @@
 void soak_world::Inject()
 {
   CheckProcesses();
-  switch (Random(9)) {
+  switch (Random(10)) {
     case 0:
     case 1:
       HarmProcess();
@@ -34,24 +34,22 @@
       break;
     }
     case 3:
-    case 4: {
-      const auto each = std::next(
-        mTargets.begin(), static_cast<std::ptrdiff_t>(Random(mTargets.size())));
-      HarmLink(*each->second.mProxy, "target-link");
+    case 4:
+      HarmLink(*RandomProxiedTarget().mProxy, "target-link");
       break;
-    }
     case 5:
       HarmStore();
       break;
     case 6:
       HarmTarget();
       break;
-    case 7: {
-      const auto each = std::next(
-        mTargets.begin(), static_cast<std::ptrdiff_t>(Random(mTargets.size())));
-      HarmAnswers(each->second);
+    case 7:
+      HarmAnswers(RandomProxiedTarget());
+      break;
+    case 8:
+      ++mFaults["crashing-request"];
+      StartCrashingRequest(RandomTime(kLongestFault));
       break;
-    }
     default:
       PutConfiguration();
       break;
@@ -183,16 +181,26 @@
   }
 }
 
+soak_world::target& soak_world::RandomProxiedTarget()
+{
+  std::vector<target*> proxied;
+  for (auto& [name, each] : mTargets) {
+    if (each.mProxy != nullptr) {
+      proxied.push_back(&each);
+    }
+  }
+  return *proxied[Random(proxied.size())];
+}
+
 void soak_world::HarmTarget()
 {
-  const auto each = std::next(
-    mTargets.begin(), static_cast<std::ptrdiff_t>(Random(mTargets.size())));
-  const std::string name = each->first;
-  keyed_target& harmed = *each->second.mTarget;
+  target& each = RandomProxiedTarget();
+  keyed_target& harmed = *each.mTarget;
+  const std::string name = harmed.Name();
   switch (Random(4)) {
     case 0:
       ++mFaults["target-restart"];
-      each->second.mProxy->ResetAll();
+      each.mProxy->ResetAll();
       StartTarget(name);
       break;
     case 1:
--- a/PerformanceTest/gateway_soak/SoakWorld.cpp
+++ b/PerformanceTest/gateway_soak/SoakWorld.cpp
@@ -8,7 +8,8 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
-// The deployment, its traffic, and the checks. Faults are in SoakFaults.cpp.
+// The deployment, its traffic, and the checks. Faults are in SoakFaults.cpp,
+// requests that crash targets in SoakCrashes.cpp.
 
 namespace parsleystair {
 
@@ -31,6 +32,7 @@
 /// owner's keys wait for the longest renewal without proof and the hold.
 constexpr duration kHealTime = 12s;
 constexpr duration kFinalTime = 3s;
+constexpr duration kCrashingTime = 9s;
 constexpr double kFinalShare = 0.98;
 /// Memory of the users' smallest machines, and what a router may take of it.
 constexpr uint64_t kMachineMegabytes = 160;
@@ -53,6 +55,7 @@
   AddTargets("plain", 3);
   AddTargets("orders", 3);
   AddTargets("keyed", 4);
+  AddTargets("fragile", 5);
   mGateways.resize(kGateways);
   for (size_t index = 0; index < kGateways; ++index) {
     AddGateway(index);
@@ -65,15 +68,19 @@
 {
   constexpr duration kTimeout = 2s;
   constexpr uint32_t kMaxAttempts = 3;
-  mStore.Put(
-    kConfigurationKey,
-    EncodeOperatorConfiguration(
-      ++mVersion,
-      { { "read", true, "plain", kTimeout, kMaxAttempts },
-        { "order", false, "orders", kTimeout, kMaxAttempts },
-        { "history", true, "keyed", kTimeout, kMaxAttempts },
-        { "endless", false, "endless", kTimeout, kMaxAttempts } },
-      { { "plain" }, { "orders" }, { "keyed", true }, { "endless" } }));
+  mStore.Put(kConfigurationKey,
+             EncodeOperatorConfiguration(
+               ++mVersion,
+               { { "read", true, "plain", kTimeout, kMaxAttempts },
+                 { "order", false, "orders", kTimeout, kMaxAttempts },
+                 { "history", true, "keyed", kTimeout, kMaxAttempts },
+                 { "fragile", true, "fragile", kTimeout, kMaxAttempts },
+                 { "endless", false, "endless", kTimeout, kMaxAttempts } },
+               { { "plain" },
+                 { "orders" },
+                 { "keyed", true },
+                 { "fragile" },
+                 { "endless" } }));
 }
 
 void soak_world::AddTargets(const std::string& aService, size_t aCount)
@@ -94,6 +101,18 @@
   each.mTarget->SetWork(10ms);
   each.mTarget->SetStarted(++each.mStartedMs);
   each.mTarget->OnRun([this](const std::string& aId) { CountRun(aId); });
+  if (each.mService == "fragile") {
+    each.mTarget->OnRun([this, aName](const std::string& aId) {
+      CountRun(aId);
+      if (mRequests.contains(aId) &&
+          mRequests.at(aId).mPath.starts_with("/fragile/crash")) {
+        HandleCrashingRun(aId);
+        Heal(duration::zero(), [this, aName] { CrashTarget(aName); });
+      }
+    });
+    Register(aName, "ready");
+    return;
+  }
   if (each.mProxy == nullptr) {
     each.mProxy = std::make_unique<fault_proxy>(mLoop, each.mTarget->Port());
   }
@@ -159,11 +178,16 @@
   RunFor(kHealTime);
   mPhase = play_phase::kHealed;
   RunFor(kFinalTime);
+  mPhase = play_phase::kCrashing;
+  StartCrashingRequest(kCrashingTime);
+  RunFor(kCrashingTime);
   SendEndlessAnswers();
   mTraffic.Cancel();
   RunFor(kFinalTime);
   CheckServed(play_phase::kHealed, kFinalShare);
+  CheckServed(play_phase::kCrashing, kFinalShare);
   CheckServed(play_phase::kEndless, 1);
+  CheckCrashes();
   CheckMemory();
   CheckConfiguration();
   CheckLedger();
@@ -191,16 +215,22 @@
 }
 
 void soak_world::Send(const std::string& aKind, gateway& aGateway)
+{
+  const std::string path = "/" + aKind + "/" + std::to_string(Random(1000));
+  SendPath(path, aKind == "order" || aKind == "endless", aGateway);
+}
+
+void soak_world::SendPath(const std::string& aPath,
+                          bool aUnsafe,
+                          gateway& aGateway)
 {
   std::string id = "r-";
   id += std::to_string(mNextRequest++);
   constexpr duration kTimeLeft = 3s;
-  const std::string path = "/" + aKind + "/" + std::to_string(Random(1000));
   const auto key = static_cast<uint32_t>(Random(kKeys)) * kKeyStep;
-  const bool isUnsafe = aKind == "order" || aKind == "endless";
   const http_request request =
-    CallerRequest(isUnsafe ? "POST" : "GET", path, id, kTimeLeft, key);
-  mRequests[id] = { isUnsafe, mPhase, false, request.mPath, 0 };
+    CallerRequest(aUnsafe ? "POST" : "GET", aPath, id, kTimeLeft, key);
+  mRequests[id] = { aUnsafe, mPhase, false, request.mPath, 0 };
   constexpr duration kCallerTimeout = 4s;
   ConnectionTo(aGateway).Call(
     request, kCallerTimeout, [this, id](const http_result& aResult) {
@@ -270,10 +300,12 @@
   const size_t sent = std::max<size_t>(mSent[aPhase], 1);
   if (static_cast<double>(served) < aShare * static_cast<double>(sent)) {
     const bool isEndless = aPhase == play_phase::kEndless;
-    Violation(
-      std::string(isEndless ? "beside endless answers " : "after all faults ") +
-      std::to_string(served) + " of " + std::to_string(sent) +
-      " requests were served");
+    const bool isCrashing = aPhase == play_phase::kCrashing;
+    Violation(std::string(isEndless    ? "beside endless answers "
+                          : isCrashing ? "beside a crashing request "
+                                       : "after all faults ") +
+              std::to_string(served) + " of " + std::to_string(sent) +
+              " requests were served");
   }
 }
 
--- a/PerformanceTest/gateway_soak/SoakWorld.h
+++ b/PerformanceTest/gateway_soak/SoakWorld.h
@@ -58,7 +58,9 @@
   struct target
   {
     std::string mService;
+    /// Null while the target is down after a crash.
     std::unique_ptr<keyed_target> mTarget;
+    /// Null for targets that crash: the proxy would accept connections.
     std::unique_ptr<fault_proxy> mProxy;
     uint64_t mStartedMs = 1000;
   };
@@ -67,6 +69,8 @@
   {
     kFaults,
     kHealed,
+    /// A request that crashes targets is sent again and again.
+    kCrashing,
     /// Answers without end use up the memory of the routers.
     kEndless,
   };
@@ -90,10 +94,12 @@
   // Traffic.
   void SendRequest();
   void Send(const std::string& aKind, gateway& aGateway);
+  void SendPath(const std::string& aPath, bool aUnsafe, gateway& aGateway);
   void HandleResult(const std::string& aId, const http_result& aResult);
   void CountRun(const std::string& aId);
   http_connection& ConnectionTo(gateway& aGateway);
   void CheckOwners();
+  target& RandomProxiedTarget();
   void CheckServed(play_phase aPhase, double aShare);
   void CheckMemory();
   void CheckConfiguration();
@@ -108,6 +114,13 @@
   void HarmTarget();
   void HarmAnswers(target& aTarget);
   void SendEndlessAnswers();
+  /// Sends a request that crashes each target which begins to run it, for
+  /// `aTime`.
+  void StartCrashingRequest(duration aTime);
+  void SendCrashingRequest(const std::string& aPath, time_point aEnd);
+  void HandleCrashingRun(const std::string& aId);
+  void CrashTarget(const std::string& aName);
+  void CheckCrashes();
   void Heal(duration aAfter, std::function<void()> aAction);
   void EndGateway(gateway& aGateway, int aSignal);
   void CheckProcesses();
@@ -128,6 +141,8 @@
   std::vector<std::string> mViolations;
   std::set<std::string> mSeen;
   std::vector<std::unique_ptr<timer>> mHeals;
+  /// Runs of the crashing request in `kCrashing`, by request.
+  std::vector<std::pair<std::string, time_point>> mCrashingRuns;
   uint32_t mVersion = 0;
   uint64_t mNextRequest = 1;
   play_phase mPhase = play_phase::kFaults;
