Keep the crashes of a report that a new leader has cut short

A report in flight when the leader changed lost what it said of cleared and refused contents, as its connection was replaced without a callback; a cleared content stayed refused until its next trial. The response to a report without crashes doesn't confirm them any more, which saves its bytes between regions. Found by reading; no test plays the race.

--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -120,9 +120,10 @@
   void HandleKnownChanges(const std::string& aText);
   /// Number of changes that waiting watches didn't report.
   [[nodiscard]] uint64_t LateChanges() const;
-  /// `aCrashes`: the part of the report that must not get lost.
-  void HandleReportResponse(const http_result& aResult,
-                            const crash_report& aCrashes);
+  void HandleReportResponse(const http_result& aResult);
+  /// Gives the crashes of a report that the leader has not taken back to the
+  /// next one.
+  void HandleReportLost();
   /// Takes over the crash records of this router as the new leader.
   void StartCrashRegistry(time_point aNow);
   /// Applies what a router reports of crashes, as the leader.
@@ -221,6 +222,8 @@
   std::string mReportedSilences;
   timer mRestoreTimer;
   std::unique_ptr<http_connection> mReportConnection;
+  /// Crashes in the report that has no response yet.
+  crash_report mReportedCrashes;
   std::optional<leader_entry> mReportLeader;
   time_point mNextReport = time_point::min();
   std::optional<time_point> mShutdownStartedAt;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -307,6 +307,7 @@
   }
   if (mReportLeader != leader) {
     mReportLeader = leader;
+    HandleReportLost();
     mForwarder.CrashGuard().HandleNewLeader();
     mReportConnection =
       std::make_unique<http_connection>(mLoop, leader->mHost, leader->mPort);
@@ -314,8 +315,7 @@
   if (mReportConnection->IsBusy()) {
     return;
   }
-  const crash_report crashes =
-    mForwarder.CrashGuard().TakeReport(MonotonicNow());
+  mReportedCrashes = mForwarder.CrashGuard().TakeReport(MonotonicNow());
   http_request request;
   request.mMethod = "POST";
   request.mPath = "/load";
@@ -325,7 +325,7 @@
                                      mLimitsDigest,
                                      mCrashesDigest,
                                      report,
-                                     crashes });
+                                     mReportedCrashes });
   request.mHeaders = { { kKnownChangesHeader, KnownChangesText() } };
   if (const auto lostGrants = mElection.LostGrantsText(MonotonicNow())) {
     request.mHeaders.push_back({ kLostGrantsHeader, *lostGrants });
@@ -333,19 +333,25 @@
   // The load in a lost report isn't sent again: it only appears lower for a
   // second.
   mReportConnection->Call(
-    request, kReportTimeout, [this, crashes](const http_result& aResult) {
-      HandleReportResponse(aResult, crashes);
+    request, kReportTimeout, [this](const http_result& aResult) {
+      HandleReportResponse(aResult);
     });
 }
 
-void gateway_task::HandleReportResponse(const http_result& aResult,
-                                        const crash_report& aCrashes)
+void gateway_task::HandleReportLost()
+{
+  mForwarder.CrashGuard().HandleReportLost(std::exchange(mReportedCrashes, {}));
+}
+
+void gateway_task::HandleReportResponse(const http_result& aResult)
 {
   const bool isTaken =
     aResult.mStatus == http_status::kResponded &&
     FindHeader(aResult.mResponse.mHeaders, kCrashesTakenHeader);
-  if (!isTaken) {
-    mForwarder.CrashGuard().HandleReportLost(aCrashes);
+  if (isTaken) {
+    mReportedCrashes = {};
+  } else {
+    HandleReportLost();
   }
   if (aResult.mStatus != http_status::kResponded) {
     return;
@@ -567,7 +573,9 @@
         content.mLimits = mForwarder.Admission().Limits();
       }
       HandleCrashReport(report.mRouter.mHost, report.mCrashes, now);
-      response.mHeaders.push_back({ kCrashesTakenHeader, "1" });
+      if (report.mCrashes != crash_report()) {
+        response.mHeaders.push_back({ kCrashesTakenHeader, "1" });
+      }
       if (report.mKnownCrashes != mCrashesDigest) {
         content.mCrashes = mPublishedCrashes;
       }
