--- a/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -2,6 +2,7 @@
 #include "UnitTests/Support/ScriptedTarget.h"
 
 #include <list>
+#include <nlohmann/json.hpp>
 
 namespace parsleystair {
 
@@ -269,6 +270,64 @@
   ExpectRefused();
 }
 
+// Guards against crashes that are forgotten with the leader, which alone knew
+// those of all routers.
+TEST_F(crashing_request_test, CountsCrashesBeforeAndAfterALossOfTheLeader)
+{
+  for (const std::string name : { "a", "b", "c" }) {
+    StartGateway(name);
+  }
+  KeepSending({ "POST", "/order/crash", "" }, 2 * kAgainInterval);
+  EXPECT_EQ(mArrivals.size(), 2U);
+  RunFor(700ms);
+  for (const std::string name : { "a", "b", "c" }) {
+    const std::string metrics = mGateways.at(name).mTask->MetricsText();
+    if (metrics.find("parsleystair_leading 1") != std::string::npos) {
+      StopGateway(name);
+      break;
+    }
+  }
+  ASSERT_EQ(mGateways.size(), 2U);
+  KeepSending({ "POST", "/order/crash", "" }, 6s);
+  ExpectRefused();
+}
+
+// Guards against a refusal that an operator can't lift, or that is lifted at
+// one router only.
+TEST_F(crashing_request_test, OperatorClearsAContentForAllRouters)
+{
+  const gateway_instance& first = StartGateway("a", "127.0.0.2");
+  const gateway_instance& second = StartGateway("b", "127.0.0.3");
+  KeepSending({}, 2s);
+  ExpectRefused();
+  const auto dump = nlohmann::json::parse(first.mTask->DumpText());
+  ASSERT_EQ(dump.at("crashingContents").size(), 1U);
+  const std::string content = dump.at("crashingContents").begin().key();
+  const auto clear = [&](const std::string& aContent) {
+    http_connection operators(mLoop,
+                              first.mSettings.mOperators.mHost,
+                              first.mSettings.mOperators.mPort);
+    http_request request;
+    request.mMethod = "POST";
+    request.mPath = "/crashes/clear";
+    request.mQuery = "content=" + aContent;
+    std::optional<uint32_t> status;
+    operators.Call(request, kTimeout, [&](const http_result& aResult) {
+      status = aResult.mResponse.mStatus;
+    });
+    RunUntil([&] { return status.has_value(); });
+    return status.value_or(0);
+  };
+  EXPECT_EQ(clear("x"), 400U);
+  EXPECT_EQ(clear(content), 200U);
+  EXPECT_EQ(clear(content), 404U);
+  RunFor(1s);
+  for (const gateway_instance* gateway : { &first, &second }) {
+    const auto after = nlohmann::json::parse(gateway->mTask->DumpText());
+    EXPECT_EQ(after.at("crashingContents").size(), 0U);
+  }
+}
+
 // Guards against sound requests that are refused because targets crash while
 // they run, when the same few requests are sent again and again.
 TEST_F(crashing_request_test, SoundRequestsAreServedWhileTargetsCrash)
