--- a/Parsleystair/Gateway/RequestProtocol.h
+++ b/Parsleystair/Gateway/RequestProtocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Parsleystair/Balancing/TargetLoad.h"
 #include "Parsleystair/Core/Ids.h"
 #include "Parsleystair/Core/Time.h"
 #include "Parsleystair/Http/HttpMessage.h"
@@ -39,6 +40,10 @@
   bool mEncoded = false;
   /// Time for which the target keeps the idle connection open.
   std::optional<duration> mKeepAlive;
+  /// Load of the target; nothing if it states none or an invalid one.
+  std::optional<target_load> mLoad;
+  /// Rest of the target's slow start; nothing if it states none.
+  std::optional<duration> mSlowStart;
 };
 
 /// Why a caller's request is refused instead of getting a target's response.
--- a/Parsleystair/Routing/RouteConfiguration.h
+++ b/Parsleystair/Routing/RouteConfiguration.h
@@ -4,6 +4,7 @@
 #include "Parsleystair/Core/Time.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
   /// 0 is the highest.
   uint32_t mPriority = 0;
   std::vector<weighted_service> mServices;
+  /// Regions whose targets may run the requests; empty if all may.
+  std::set<region_name> mAllowedRegions;
 
   bool operator==(const route&) const = default;
 };
@@ -54,6 +57,11 @@
   bool mKeyed = false;
   /// Time for which keys that arrive without a handover are slow.
   duration mWarmUp{};
+  /// Duration of a target's slow start.
+  duration mSlowStart{};
+  /// Requests per second that a target bears during its slow start; 0 if there
+  /// is no limit.
+  double mSlowStartRate = 0;
 
   bool operator==(const routed_service&) const = default;
 };
