Begin endless answers in the test only when enough requests are there

Cause: the test server accepts one connection in each turn and sends to all others meanwhile. On a loaded machine the first answers exceeded the byte limit and were dropped before the 26th request arrived. The server now begins no answer before 26 requests have arrived, so the check is as strict as before.

--- a/UnitTests/Gateway/EndlessAnswersTest.cpp
+++ b/UnitTests/Gateway/EndlessAnswersTest.cpp
@@ -107,6 +107,10 @@
 {
   endless_options options;
   options.mWaitsForRequest = !GetParam().mIsEarly;
+  // Otherwise, on a slow machine, the first answers exceed the limit and are
+  // dropped before the others begin.
+  constexpr size_t kMinAnswers = kCallers / 4;
+  options.mMinRequests = GetParam().mGrows ? kMinAnswers + 1 : 0;
   endless_server server(GetParam().mBeginning, GetParam().mRepeated, options);
   for (const std::string name : { "orders-1", "orders-2" }) {
     mTargets.at(name)->SetPublicPort(server.Port());
@@ -145,7 +149,7 @@
               200u)
       << id;
   }
-  EXPECT_GT(server.MostAnswers(), GetParam().mGrows ? kCallers / 4 : 0);
+  EXPECT_GT(server.MostAnswers(), GetParam().mGrows ? kMinAnswers : 0);
   EXPECT_LT(most - before, kMachineBytes / 2);
   RecordProperty("mostMegabytes", std::to_string((most - before) >> 20));
 }
--- a/UnitTests/Support/EndlessServer.h
+++ b/UnitTests/Support/EndlessServer.h
@@ -21,6 +21,8 @@
   bool mWaitsForRequest = true;
   /// Time between the beginning and the first of the repeated bytes.
   std::chrono::milliseconds mPause{ 0 };
+  /// Requests that must have arrived before any answer is begun.
+  size_t mMinRequests = 0;
 };
 
 /// Server that answers each request with a beginning and then with the same
@@ -90,7 +92,8 @@
       size_t answers = 0;
       for (const peer& each : mPeers) {
         answers += each.mHasRequest ? 1 : 0;
-        const int events = each.Sends() ? POLLIN | POLLOUT : POLLIN;
+        const bool sends = mRequests >= mOptions.mMinRequests && each.Sends();
+        const int events = sends ? POLLIN | POLLOUT : POLLIN;
         waits.push_back({ each.mDescriptor, static_cast<int16_t>(events), 0 });
       }
       mMostAnswers = std::max<size_t>(mMostAnswers, answers);
@@ -109,6 +112,7 @@
         accept4(mListener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (accepted >= 0) {
         mPeers.push_back({ accepted, !mOptions.mWaitsForRequest });
+        mRequests += mOptions.mWaitsForRequest ? 0 : 1;
       }
     }
   }
@@ -119,6 +123,7 @@
       char input[4096]; // NOLINT: filled by recv
       const ssize_t count = recv(aPeer.mDescriptor, input, sizeof(input), 0);
       aPeer.mIsClosed = count == 0 || (count < 0 && errno != EAGAIN);
+      mRequests += aPeer.mHasRequest || aPeer.mIsClosed ? 0 : 1;
       aPeer.mHasRequest = true;
     }
     if ((aEvents & (POLLERR | POLLHUP)) != 0) {
@@ -154,6 +159,7 @@
   int mListener;
   uint16_t mPort = 0;
   std::vector<peer> mPeers;
+  size_t mRequests = 0;
   std::atomic<bool> mStops = false;
   std::atomic<uint64_t> mSentBytes = 0;
   std::atomic<size_t> mMostAnswers = 0;
