Serve routes with allowed regions only there

Cause: `allowed_regions` of a route was read and not used. The balancer sent requests to any target, and keys were served by whichever target owned them.

Change: Routing/AllowedRegions turns the regions of a route into the failure domains whose targets may get its requests. The choice of a target applies it to each attempt: first attempts, retries, hedges, the choice among ejected targets, and owners of keys. If nothing is left, the request is refused at once, as not run unless an attempt was sent; it doesn't wait for an owner. Refusals are counted by reason, and routes without a target in their regions are logged (`route_unservable`, `route_servable`) and shown in the metrics and the dump. Routes without regions take the same path as before.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -197,6 +197,10 @@
     Send(aRequest, *target, aNow);
     return;
   }
+  if (const char* reason = UnservableReason(aRequest)) {
+    FinishWithFailure(aRequest, reason, aNow);
+    return;
+  }
   if (aRequest.mKeyed) {
     WaitForOwner(aRequest, "no owner of the key", aNow);
     return;
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -12,6 +12,7 @@
 #include "Parsleystair/Limits/CrashGuard.h"
 #include "Parsleystair/Limits/KeyAdmission.h"
 #include "Parsleystair/Limits/SharedRetryBudget.h"
+#include "Parsleystair/Routing/AllowedRegions.h"
 #include "Parsleystair/Routing/RouteTable.h"
 #include "Parsleystair/Routing/WeightedChoice.h"
 
@@ -221,7 +222,21 @@
                                    time_point aNow);
   [[nodiscard]] const owned_range* FindOwnedRange(
     const open_request& aRequest) const;
-  const known_target* FindOwner(const open_request& aRequest) const;
+  /// Owner of the key if it may get the request; null if there is none.
+  [[nodiscard]] const known_target* FindOwner(
+    const open_request& aRequest) const;
+  /// The same without regard to the regions of the route.
+  [[nodiscard]] const known_target* FindOwnerInService(
+    const open_request& aRequest) const;
+  [[nodiscard]] allowed_domains AllowedDomains(
+    const open_request& aRequest) const;
+  /// Targets in service that may get the request.
+  [[nodiscard]] std::vector<const known_target*> AllowedTargets(
+    const open_request& aRequest) const;
+  /// Reason for which the request has no target and is refused without waiting
+  /// for one; null if there is none.
+  [[nodiscard]] const char* UnservableReason(
+    const open_request& aRequest) const;
   void Send(open_request& aRequest,
             const known_target& aTarget,
             time_point aNow);
--- a/Parsleystair/Gateway/ForwarderTargets.cpp
+++ b/Parsleystair/Gateway/ForwarderTargets.cpp
@@ -29,8 +29,7 @@
   choice.mLatencyTarget = aRequest.mRoute->mLatencyTarget;
   choice.mIdempotent = aRequest.mRoute->mIdempotent;
   choice.mAttemptedTargets = aRequest.mAttemptedTargets;
-  std::vector<const known_target*> usable =
-    mView.mDirectory.UsableOf(aRequest.mService);
+  const std::vector<const known_target*> usable = AllowedTargets(aRequest);
   const size_t limit = ConnectionLimit(aRequest.mService);
   std::vector<const known_target*> withCapacity;
   std::copy_if(usable.begin(),
@@ -43,6 +42,40 @@
     choice, withCapacity.empty() ? usable : withCapacity, aNow);
 }
 
+allowed_domains forwarder::AllowedDomains(const open_request& aRequest) const
+{
+  return { aRequest.mRoute->mAllowedRegions, mSettings.mLocation.mRegions };
+}
+
+std::vector<const known_target*> forwarder::AllowedTargets(
+  const open_request& aRequest) const
+{
+  std::vector<const known_target*> targets =
+    mView.mDirectory.UsableOf(aRequest.mService);
+  const allowed_domains allowed = AllowedDomains(aRequest);
+  if (!allowed.AllowsAll()) {
+    std::erase_if(targets, [&](const known_target* aTarget) {
+      return !allowed.Allows(aTarget->mTarget.mFailureDomain);
+    });
+  }
+  return targets;
+}
+
+const char* forwarder::UnservableReason(const open_request& aRequest) const
+{
+  if (aRequest.mRoute->mAllowedRegions.empty()) {
+    return nullptr;
+  }
+  if (AllowedTargets(aRequest).empty()) {
+    return "no target in an allowed region";
+  }
+  const bool isOwnerOutside = aRequest.mKeyed &&
+                              FindOwnerInService(aRequest) != nullptr &&
+                              FindOwner(aRequest) == nullptr;
+  return isOwnerOutside ? "the owner of the key is in no allowed region"
+                        : nullptr;
+}
+
 size_t forwarder::ConnectionLimit(const service_name& aService) const
 {
   const routed_service* service = mView.mRoutes->FindService(aService);
@@ -64,6 +97,15 @@
 }
 
 const known_target* forwarder::FindOwner(const open_request& aRequest) const
+{
+  const known_target* owner = FindOwnerInService(aRequest);
+  const bool isAllowed = owner != nullptr && AllowedDomains(aRequest).Allows(
+                                               owner->mTarget.mFailureDomain);
+  return isAllowed ? owner : nullptr;
+}
+
+const known_target* forwarder::FindOwnerInService(
+  const open_request& aRequest) const
 {
   const owned_range* range = FindOwnedRange(aRequest);
   if (range == nullptr) {
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -581,6 +581,7 @@
   if (mView.mDirectory.Expire(now)) {
     HandleTargetsChanged();
   }
+  CheckRouteRegions(now);
   mForwarder.Tick(now);
   const bool hasNews = mForwarder.CrashGuard().HasNews() &&
                        (!mReportConnection || !mReportConnection->IsBusy());
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -107,6 +107,9 @@
                    const versioned_record& aRecord);
   [[nodiscard]] owner_revisions KnownOwnerRevisions() const;
   void HandleTargetsChanged();
+  /// Logs the routes whose allowed regions have lost all targets or have got
+  /// the first one.
+  void CheckRouteRegions(time_point aNow);
   [[nodiscard]] http_response OperatorResponse(const http_request& aRequest);
   /// Clears the content that an operator names in the query.
   http_response ClearContent(const http_request& aRequest);
@@ -212,6 +215,9 @@
   time_point mNextOwnersRead = time_point::min();
   /// Text of the configuration in use, for routers that have an older one.
   std::string mConfigurationText;
+  /// Routes with allowed regions that have no target there.
+  std::set<route_name> mUnservableRoutes;
+  time_point mNextRouteCheck = time_point::min();
   time_point mComparesConfigurationUntil = time_point::min();
   std::unique_ptr<http_connection> mConfigurationConnection;
   /// Restores of the store since this process has read the targets first.
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -176,6 +176,10 @@
                "targets",
                "gauge",
                static_cast<double>(mView.mDirectory.All().size()));
+  AppendMetric(text,
+               "unservable_routes",
+               "gauge",
+               static_cast<double>(mUnservableRoutes.size()));
   AppendHistogram(text, "request_seconds", mForwarder.Latency().Buckets());
   return text;
 }
@@ -209,6 +213,10 @@
       { "trials", record.mTrials },
     };
   }
+  nlohmann::json unservable = nlohmann::json::array();
+  for (const route_name& route : mUnservableRoutes) {
+    unservable.push_back(route.Value());
+  }
   const auto& leader = mElection.Leader();
   const nlohmann::json dump = {
     { "vm", mSettings.mVm.Value() },
@@ -223,6 +231,7 @@
     { "routers", mRouters.size() },
     { "openRequests", mForwarder.Open() },
     { "openMoves", mRangeDriver.PendingMoves() },
+    { "unservableRoutes", std::move(unservable) },
     { "targets", std::move(targets) },
     { "ranges", std::move(ranges) },
     { "crashingContents", std::move(contents) },
--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -51,7 +51,7 @@
   return json{
     { "service", aService },
     { "address", "127.0.0.1:" + std::to_string(mPublicPort.value_or(Port())) },
-    { "zone", "asti-a" },
+    { "zone", mZone },
     { "version", "v1" },
     { "slots", 4 },
     { "state", aState },
--- a/StandIns/standin_users_platform/KeyedTarget.h
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -33,6 +33,8 @@
   /// Port in its entry, where it differs: of a proxy before it.
   void SetPublicPort(uint16_t aPort) { mPublicPort = aPort; }
   [[nodiscard]] const std::string& Name() const { return mName; }
+  /// Zone in its entry.
+  void SetZone(std::string aZone) { mZone = std::move(aZone); }
 
   /// Entry of this target in the platform's store.
   [[nodiscard]] std::string Entry(const std::string& aService,
@@ -104,6 +106,7 @@
   bool mKeyed;
   http_server mServer;
   std::optional<uint16_t> mPublicPort;
+  std::string mZone = "asti-a";
   duration mWork{};
   bool mFull = false;
   bool mLeaving = false;
--- a/StandIns/standin_users_platform/OperatorConfiguration.cpp
+++ b/StandIns/standin_users_platform/OperatorConfiguration.cpp
@@ -15,15 +15,18 @@
 
 json EncodeRoute(const operator_route& aRoute)
 {
+  json action = { { "service", aRoute.mService },
+                  { "timeout_s", ToSeconds(aRoute.mTimeout) },
+                  { "max_attempts", aRoute.mMaxAttempts } };
+  if (!aRoute.mAllowedRegions.empty()) {
+    action["allowed_regions"] = aRoute.mAllowedRegions;
+  }
   return { { "name", aRoute.mName },
            { "kind", aRoute.mIdempotent ? "safe" : "unsafe" },
            { "target_latency_s", 1.0 },
            { "priority", 1 },
            { "match", { { "prefix", "/" + aRoute.mName + "/" } } },
-           { "action",
-             { { "service", aRoute.mService },
-               { "timeout_s", ToSeconds(aRoute.mTimeout) },
-               { "max_attempts", aRoute.mMaxAttempts } } } };
+           { "action", std::move(action) } };
 }
 
 json EncodeService(const operator_service& aService)
--- a/StandIns/standin_users_platform/OperatorConfiguration.h
+++ b/StandIns/standin_users_platform/OperatorConfiguration.h
@@ -21,6 +21,8 @@
   std::string mService;
   duration mTimeout = 5s;
   uint32_t mMaxAttempts = 2;
+  /// Empty if all regions are allowed.
+  std::vector<std::string> mAllowedRegions;
 
   bool operator==(const operator_route&) const = default;
 };
--- a/UnitTests/Gateway/GatewayFixture.h
+++ b/UnitTests/Gateway/GatewayFixture.h
@@ -114,9 +114,11 @@
 
   void AddTarget(const std::string& aName,
                  const std::string& aService,
-                 bool aKeyed)
+                 bool aKeyed,
+                 const std::string& aZone = "asti-a")
   {
     auto target = std::make_unique<keyed_target>(mLoop, aName, aKeyed);
+    target->SetZone(aZone);
     target->Listen("127.0.0.1", 0);
     mKv.Put(TargetKey(aName), target->Entry(aService, "ready"));
     mTargets[aName] = std::move(target);
@@ -148,8 +150,11 @@
     gateway_settings& settings = gateway.mSettings;
     settings.mVm = vm_name(aName);
     settings.mFailureDomain = failure_domain_name("asti-a");
-    settings.mRegions = { { settings.mFailureDomain,
-                            region_name("piemonte") } };
+    settings.mRegions = {
+      { settings.mFailureDomain, region_name("piemonte") },
+      { failure_domain_name("verona-b"), region_name("veneto") },
+      { failure_domain_name("verona-c"), region_name("veneto") }
+    };
     settings.mCallers = { aHost, FreePort() };
     settings.mReadiness = { aHost, FreePort() };
     settings.mOperators = { aHost, FreePort() };
