Process idempotent requests of one connection concurrently

Change: a server asks a concurrency policy, which the forwarder implements (route in the present routes and idempotent), and hands over up to 16 requests of a connection; others run alone. Responses keep the order of the requests. The closing response is the last that is owed: a shutdown, a malformed or a slow request first delivers the responses in progress, and nothing is handed over after it. Beyond 16 owed responses, 256 KiB of a connection or half of the byte budget, no further request is read. Reading, handing over and writing are one loop instead of a recursion, with at most 16 requests of a connection and 64 of continued connections in one iteration of the event loop. A server without a policy hands over one request at a time as before. Streams tell their handler when output that had to wait is sent. Metrics: pipelined_requests_total, pipeline_stops_total; log event: connection_paused.

The whole unit_tests program was not built.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -147,6 +147,22 @@
   return false;
 }
 
+std::shared_ptr<const route> forwarder::FindRoute(
+  const http_request& aRequest) const
+{
+  if (mView.mRoutes == nullptr) {
+    return nullptr;
+  }
+  const auto host = FindHeader(aRequest.mHeaders, "host");
+  return mView.mRoutes->Find(host.value_or(""), aRequest.mPath);
+}
+
+bool forwarder::IsConcurrent(const http_request& aRequest) const
+{
+  const std::shared_ptr<const route> found = FindRoute(aRequest);
+  return found != nullptr && found->mIdempotent;
+}
+
 bool forwarder::ResolveRoute(open_request& aRequest, time_point aNow)
 {
   if (mRefusesNew) {
@@ -157,9 +173,7 @@
     Refuse(aRequest, refusal_kind::kNotRun, "no configuration yet", aNow);
     return false;
   }
-  const auto host = FindHeader(aRequest.mRequest.mHeaders, "host");
-  aRequest.mRoute =
-    mView.mRoutes->Find(host.value_or(""), aRequest.mRequest.mPath);
+  aRequest.mRoute = FindRoute(aRequest.mRequest);
   if (aRequest.mRoute == nullptr) {
     HandleUnknownRoute(aRequest, aNow);
     return false;
@@ -359,6 +373,13 @@
   for (const forward_id id : waiting) {
     FinishWithFailure(mRequests.at(id), "shutting down", aNow);
   }
+  // The end of the process would also lose the responses behind them.
+  for (const exchange_id exchange : mServer.BlockingRequests()) {
+    const auto found = mRequestsByExchange.find(exchange);
+    if (found != mRequestsByExchange.end()) {
+      FinishWithFailure(mRequests.at(found->second), "shutting down", aNow);
+    }
+  }
 }
 
 bool forwarder::FitsIntoShutdown(const open_request& aRequest,
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -80,7 +80,7 @@
 /// Forwards requests of callers to targets and returns the responses. A request
 /// ends with one response: a target's, or a refusal that tells if it may have
 /// run.
-class forwarder
+class forwarder : public concurrency_policy
 {
 public:
   forwarder(event_loop& aLoop,
@@ -97,6 +97,11 @@
   /// Handles a completely received request of a caller.
   void Accept(exchange_id aExchange, http_request aRequest);
 
+  /// Requests of one connection may be processed together if they are
+  /// idempotent by the present routes. That of an unknown route may turn out
+  /// otherwise.
+  [[nodiscard]] bool IsConcurrent(const http_request& aRequest) const override;
+
   /// Handles that the caller of a request closed its connection.
   void HandleCallerGone(exchange_id aExchange);
 
@@ -127,7 +132,8 @@
   /// Refuses new requests from now on; open requests continue.
   void RefuseNewRequests();
 
-  /// Refuses the open requests that no target has.
+  /// Refuses the open requests that no target has, and ends those that keep
+  /// responses to later requests of their connections from being sent.
   void RefuseWaitingRequests(time_point aNow);
 
   /// Periodic work: health checks, idle connections, and logged statistics.
@@ -210,6 +216,9 @@
   // Steps of a request, in order.
   void Process(open_request& aRequest, time_point aNow);
   bool ResolveRoute(open_request& aRequest, time_point aNow);
+  /// Returns null if no present route matches.
+  [[nodiscard]] std::shared_ptr<const route> FindRoute(
+    const http_request& aRequest) const;
   /// Refuses a request for a key whose owner is overloaded, if it is one of
   /// those that the owner can't serve. Returns whether it is admitted.
   bool AdmitKey(open_request& aRequest, time_point aNow);
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -265,6 +265,7 @@
   , mCrashRegistry(kMaxCrashRecords)
 {
   aLoop.Bytes().SetLimit(aSettings.mMemoryBytes / kConnectionMemoryDivisor);
+  mCallerServer.SetConcurrency(mForwarder);
   mCallerServer.OnClose(
     [this](exchange_id aExchange) { mForwarder.HandleCallerGone(aExchange); });
   mPeerServer.OnClose([this](exchange_id aExchange) {
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -83,6 +83,16 @@
                "connections_dropped_total",
                "counter",
                static_cast<double>(mLoop.Bytes().Drops()));
+  const http_server_counters& callers = mCallerServer.Counters();
+  AppendMetric(text,
+               "pipelined_requests_total",
+               "counter",
+               static_cast<double>(callers.mPipelined));
+  text += "# TYPE parsleystair_pipeline_stops_total counter\n";
+  const std::string stops = "pipeline_stops_total";
+  AppendLabelledMetric(
+    text, stops, "reason", "requests", callers.mRequestStops);
+  AppendLabelledMetric(text, stops, "reason", "bytes", callers.mByteStops);
   text += "# TYPE parsleystair_tries_total counter\n";
   const std::string tries = "tries_total";
   AppendLabelledMetric(text, tries, "result", "sent", counts.mAttempts);
--- a/Parsleystair/Http/HttpServer.cpp
+++ b/Parsleystair/Http/HttpServer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <netinet/in.h>
@@ -17,6 +18,9 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
+/// Connections that go on with waiting requests in one iteration of the event
+/// loop; together with the limit of each connection it bounds the time of one.
+constexpr size_t kMaxContinuedConnections = 4;
 
 /// IP address and port of a socket address.
 std::pair<std::string, uint16_t> ToHostAndPort(const sockaddr_storage& aAddress)
@@ -56,10 +60,14 @@
   uint64_t mNextConnection = 1;
   uint64_t mNextExchange = 1;
   bool mCloseAfterAnswers = false;
+  const concurrency_policy* mPolicy = nullptr;
+  http_server_counters mCounters;
   std::unordered_map<connection_id, std::unique_ptr<server_connection>>
     mConnections;
   std::unordered_map<exchange_id, connection_id> mOpen;
-  std::unordered_map<connection_id, exchange_id> mByConnection;
+  /// Connections with requests that have arrived and wait for their turn.
+  std::deque<connection_id> mContinuing;
+  timer mContinueTimer;
 
   state(event_loop& aLoop,
         const http_server_settings& aSettings,
@@ -71,8 +79,12 @@
   }
 
   void Accept(int aDescriptor, const sockaddr_storage& aPeer);
-  void HandleRequest(connection_id aConnection, http_request aRequest) override;
+  exchange_id OpenExchange(connection_id aConnection) override;
+  void HandleRequest(exchange_id aExchange, http_request aRequest) override;
   void HandleGone(connection_id aConnection) override;
+  void ContinueLater(connection_id aConnection) override;
+  http_server_counters& ConnectionCounters() override { return mCounters; }
+  void ContinueConnections();
   server_connection* Find(exchange_id aExchange);
   server_connection* Take(exchange_id aExchange);
 };
@@ -81,33 +93,71 @@
 {
   const connection_id id(mNextConnection++);
   auto connection = std::make_unique<server_connection>(
-    id, mLoop, aDescriptor, mSettings, *this);
+    id, mLoop, aDescriptor, mSettings, mPolicy, *this);
   auto [host, port] = ToHostAndPort(aPeer);
   connection->SetPeer(std::move(host), port);
+  if (mCloseAfterAnswers) {
+    connection->CloseAfterResponses();
+  }
   mConnections[id] = std::move(connection);
 }
 
-void http_server::state::HandleRequest(connection_id aConnection,
-                                       http_request aRequest)
+exchange_id http_server::state::OpenExchange(connection_id aConnection)
 {
   const exchange_id exchange(mNextExchange++);
   mOpen[exchange] = aConnection;
-  mByConnection[aConnection] = exchange;
-  mHandler(exchange, std::move(aRequest));
+  return exchange;
+}
+
+void http_server::state::HandleRequest(exchange_id aExchange,
+                                       http_request aRequest)
+{
+  mHandler(aExchange, std::move(aRequest));
 }
 
 void http_server::state::HandleGone(connection_id aConnection)
 {
-  mConnections.erase(aConnection);
-  const auto found = mByConnection.find(aConnection);
-  if (found == mByConnection.end()) {
+  const auto found = mConnections.find(aConnection);
+  if (found == mConnections.end()) {
     return;
   }
-  const exchange_id exchange = found->second;
-  mByConnection.erase(found);
-  mOpen.erase(exchange);
-  if (mCloseHandler) {
-    mCloseHandler(exchange);
+  std::vector<exchange_id> open = found->second->OwedExchanges();
+  mConnections.erase(found);
+  // Exchanges that have their response are not open any more.
+  std::erase_if(open, [this](exchange_id aExchange) {
+    return mOpen.erase(aExchange) == 0;
+  });
+  for (const exchange_id exchange : open) {
+    if (mCloseHandler) {
+      mCloseHandler(exchange);
+    }
+  }
+}
+
+void http_server::state::ContinueLater(connection_id aConnection)
+{
+  mContinuing.push_back(aConnection);
+  if (mContinuing.size() == 1) {
+    mContinueTimer.StartOnce(
+      mLoop, duration::zero(), [this] { ContinueConnections(); });
+  }
+}
+
+void http_server::state::ContinueConnections()
+{
+  const size_t count = std::min(mContinuing.size(), kMaxContinuedConnections);
+  for (size_t each = 0; each < count; ++each) {
+    const auto found = mConnections.find(mContinuing.front());
+    // The connection comes last if it has to continue once more. It stays in
+    // the list until then, so that its request doesn't start the timer.
+    if (found != mConnections.end()) {
+      found->second->Continue();
+    }
+    mContinuing.pop_front();
+  }
+  if (!mContinuing.empty()) {
+    mContinueTimer.StartOnce(
+      mLoop, duration::zero(), [this] { ContinueConnections(); });
   }
 }
 
@@ -119,14 +169,9 @@
 
 server_connection* http_server::state::Take(exchange_id aExchange)
 {
-  const auto found = mOpen.find(aExchange);
-  if (found == mOpen.end()) {
-    return nullptr;
-  }
-  const connection_id connection = found->second;
-  mOpen.erase(found);
-  mByConnection.erase(connection);
-  return mConnections.at(connection).get();
+  server_connection* connection = Find(aExchange);
+  mOpen.erase(aExchange);
+  return connection;
 }
 
 http_server::http_server(event_loop& aLoop,
@@ -146,6 +191,11 @@
   mState->mCloseHandler = std::move(aHandler);
 }
 
+void http_server::SetConcurrency(const concurrency_policy& aPolicy)
+{
+  mState->mPolicy = &aPolicy;
+}
+
 void http_server::Listen(const std::string& aHost, uint16_t aPort)
 {
   system_address address = ParseSystemAddress(aHost, aPort);
@@ -195,7 +245,7 @@
 void http_server::Respond(exchange_id aExchange, const http_response& aAnswer)
 {
   if (server_connection* connection = mState->Take(aExchange)) {
-    connection->Respond(aAnswer, mState->mCloseAfterAnswers);
+    connection->Respond(aExchange, aAnswer);
   }
 }
 
@@ -207,28 +257,27 @@
   }
   const connection_id connection = found->second;
   mState->mOpen.erase(found);
-  mState->mByConnection.erase(connection);
-  mState->mConnections.erase(connection);
+  mState->HandleGone(connection);
 }
 
 void http_server::StartStream(exchange_id aExchange, const http_response& aHead)
 {
   if (server_connection* connection = mState->Find(aExchange)) {
-    connection->StartStream(aHead);
+    connection->StartStream(aExchange, aHead);
   }
 }
 
 void http_server::SendChunk(exchange_id aExchange, const std::string& aChunk)
 {
   if (server_connection* connection = mState->Find(aExchange)) {
-    connection->SendChunk(aChunk);
+    connection->SendChunk(aExchange, aChunk);
   }
 }
 
 void http_server::EndStream(exchange_id aExchange)
 {
   if (server_connection* connection = mState->Take(aExchange)) {
-    connection->EndStream();
+    connection->EndStream(aExchange);
   }
 }
 
@@ -237,6 +286,21 @@
   return mState->mOpen.size();
 }
 
+std::vector<exchange_id> http_server::BlockingRequests() const
+{
+  std::vector<exchange_id> blocking;
+  for (const auto& [id, connection] : mState->mConnections) {
+    const std::vector<exchange_id> each = connection->BlockingExchanges();
+    blocking.insert(blocking.end(), each.begin(), each.end());
+  }
+  return blocking;
+}
+
+const http_server_counters& http_server::Counters() const
+{
+  return mState->mCounters;
+}
+
 void http_server::SetLimits(const http_server_settings& aSettings)
 {
   mState->mSettings = aSettings;
@@ -245,6 +309,9 @@
 void http_server::CloseAfterResponses()
 {
   mState->mCloseAfterAnswers = true;
+  for (const auto& [id, connection] : mState->mConnections) {
+    connection->CloseAfterResponses();
+  }
 }
 
 void http_server::CloseIdle()
--- a/Parsleystair/Http/HttpServer.h
+++ b/Parsleystair/Http/HttpServer.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace parsleystair {
 
@@ -27,8 +28,35 @@
   bool mReusePort = false;
 };
 
-/// HTTP/1.1 server on one event loop. Serves one request a connection at a
-/// time, in order; requests that RFC 9112 leaves ambiguous are refused and
+/// Tells which requests of one connection may be processed at the same time.
+class concurrency_policy
+{
+public:
+  virtual ~concurrency_policy() = default;
+
+  /// Returns whether a request may be processed together with others of its
+  /// connection. Asked right before the request is handed over.
+  [[nodiscard]] virtual bool IsConcurrent(
+    const http_request& aRequest) const = 0;
+};
+
+/// Counts of a server since its start.
+struct http_server_counters
+{
+  /// Requests handed over while another one of their connection was in
+  /// progress.
+  uint64_t mPipelined = 0;
+  /// Times at which a connection read no further request, because too many
+  /// responses were owed, or too many bytes were held.
+  uint64_t mRequestStops = 0;
+  uint64_t mByteStops = 0;
+
+  bool operator==(const http_server_counters&) const = default;
+};
+
+/// HTTP/1.1 server on one event loop. Responds to the requests of a connection
+/// in their order. Serves one request of a connection at a time, unless a
+/// policy allows more. Requests that RFC 9112 leaves ambiguous are refused and
 /// their connection is closed.
 class http_server
 {
@@ -48,6 +76,10 @@
 
   void OnClose(close_handler aHandler);
 
+  /// Lets the requests that the policy allows be processed at the same time,
+  /// for connections accepted from now on. The policy must outlive them.
+  void SetConcurrency(const concurrency_policy& aPolicy);
+
   /// Listens on an IP address; port 0 takes a free one. Throws `system_error`.
   void Listen(const std::string& aHost, uint16_t aPort);
 
@@ -60,7 +92,8 @@
   /// Answers a request. Does nothing when its connection has gone.
   void Respond(exchange_id aExchange, const http_response& aAnswer);
 
-  /// Closes the connection of a request without an answer.
+  /// Closes the connection of a request without an answer. Other requests of
+  /// the connection end as if the client had closed it.
   void Drop(exchange_id aExchange);
 
   /// Starts a chunked answer, whose request stays open until `EndStream`.
@@ -72,10 +105,17 @@
   /// Requests that have no answer yet.
   [[nodiscard]] size_t OpenRequests() const;
 
+  /// Requests in progress for which complete responses to later requests of
+  /// their connections wait.
+  [[nodiscard]] std::vector<exchange_id> BlockingRequests() const;
+
+  [[nodiscard]] const http_server_counters& Counters() const;
+
   /// Replaces the limits and timeouts for requests that start from now on.
   void SetLimits(const http_server_settings& aSettings);
 
-  /// From now on each answer asks the sender to close its connection.
+  /// From now on each answer asks the sender to close its connection, once no
+  /// other one is owed on it, and no request is handed over before that.
   void CloseAfterResponses();
 
   /// Closes the connections that wait for a request.
--- a/Parsleystair/Http/ServerConnection.cpp
+++ b/Parsleystair/Http/ServerConnection.cpp
@@ -4,6 +4,14 @@
 #include "Parsleystair/Core/Log.h"
 #include "Parsleystair/Http/MessageText.h"
 
+#include <algorithm>
+#include <utility>
+
+// Reading, handing over and writing are one loop (`Process`). A response that
+// comes while the loop runs, such as that of a handler that responds within its
+// call, doesn't start a second one: the depth of the stack must not depend on
+// the number of requests that a client sends.
+
 namespace parsleystair {
 
 namespace {
@@ -11,21 +19,48 @@
 constexpr uint32_t kRequestTimeout = 408;
 /// Bytes of following requests that are kept while one is answered.
 constexpr size_t kMaxPipelinedBytes = 64 * 1024;
+/// Responses that one connection may owe at a time. Those that wait for an
+/// earlier one count.
+constexpr size_t kMaxOwedResponses = 16;
+/// Bytes of one connection beyond which no further request is started: bodies
+/// of requests in progress, responses that wait for an earlier one, and output
+/// that the client has not read.
+constexpr size_t kMaxOutstandingBytes = 256 * 1024;
+/// Divisor of the byte budget of the process that gives the same limit for all
+/// connections together. Beyond the whole budget connections are closed.
+constexpr size_t kBudgetDivisor = 2;
+/// Requests that one connection hands over in an iteration of the event loop.
+constexpr size_t kMaxRequestsPerTurn = 16;
 /// Longest pause of a client in reading a last answer before its connection is
 /// reset.
 constexpr duration kLingerTime = 2s;
+/// Rough memory of a header field.
+constexpr size_t kFieldBytes = 128;
+
+size_t HeldBytesOf(const http_response& aAnswer)
+{
+  return HeapBytes(aAnswer.mBody) + aAnswer.mHeaders.size() * kFieldBytes;
+}
 
 } // namespace
 
+size_t server_connection::owed_response::HeldBytes() const
+{
+  return (mAnswer ? HeldBytesOf(*mAnswer) : 0) +
+         (mStreamHead ? HeldBytesOf(*mStreamHead) : 0) + HeapBytes(mChunks);
+}
+
 server_connection::server_connection(connection_id aId,
                                      event_loop& aLoop,
                                      int aDescriptor,
                                      const http_server_settings& aSettings,
+                                     const concurrency_policy* aPolicy,
                                      server_connection_owner& aOwner)
   : byte_holder(aLoop.Bytes())
   , mId(aId)
   , mLoop(aLoop)
   , mSettings(aSettings)
+  , mPolicy(aPolicy)
   , mOwner(aOwner)
   , mStream(aLoop, aDescriptor, {}, *this)
   , mParser(aSettings.mMaxHeaderBytes, aSettings.mMaxBodyBytes)
@@ -41,22 +76,53 @@
 
 bool server_connection::IsIdle() const
 {
-  return !mAwaitsAnswer && !mRequestStarted && mInput.empty() && !mClosing &&
-         !HasUnsentOutput();
+  return mOwed.empty() && !mRequestStarted && !mNext && !mRefusal &&
+         UnreadInput() == 0 && !mClosing && !HasUnsentOutput();
+}
+
+std::vector<exchange_id> server_connection::OwedExchanges() const
+{
+  std::vector<exchange_id> exchanges;
+  for (const owed_response& each : mOwed) {
+    exchanges.push_back(each.mExchange);
+  }
+  return exchanges;
+}
+
+std::vector<exchange_id> server_connection::BlockingExchanges() const
+{
+  std::vector<exchange_id> blocking;
+  std::vector<exchange_id> incomplete;
+  for (const owed_response& each : mOwed) {
+    if (!each.IsWhole()) {
+      incomplete.push_back(each.mExchange);
+    } else {
+      blocking.insert(blocking.end(), incomplete.begin(), incomplete.end());
+      incomplete.clear();
+    }
+  }
+  return blocking;
 }
 
 void server_connection::HandleBytes(std::string_view aBytes)
 {
-  if (mClosing) {
+  if (mClosing || mReadsNoMore) {
     return;
   }
   mInput += aBytes;
   CountBytes();
-  if (!mAwaitsAnswer) {
-    ReadNext();
-  } else if (mInput.size() > kMaxPipelinedBytes) {
-    mStream.SetReading(false);
-  }
+  Process();
+}
+
+void server_connection::HandleAllSent()
+{
+  Process();
+}
+
+void server_connection::Continue()
+{
+  mContinuesLater = false;
+  Process();
 }
 
 void server_connection::CountBytes()
@@ -69,7 +135,24 @@
 
 size_t server_connection::HeldBytes() const
 {
-  return HeapBytes(mInput) + mParser.HeldBytes() + mStream.HeldBytes();
+  size_t bytes = HeapBytes(mInput) + mParser.HeldBytes() + mStream.HeldBytes();
+  if (mNext) {
+    bytes += HeapBytes(mNext->mRequest.mBody) +
+             mNext->mRequest.mHeaders.size() * kFieldBytes;
+  }
+  for (const owed_response& each : mOwed) {
+    bytes += each.HeldBytes();
+  }
+  return bytes;
+}
+
+size_t server_connection::OutstandingBytes() const
+{
+  size_t bytes = mStream.Unsent();
+  for (const owed_response& each : mOwed) {
+    bytes += each.mRequestBytes + each.HeldBytes();
+  }
+  return bytes;
 }
 
 void server_connection::DropBytes()
@@ -81,22 +164,99 @@
   mOwner.HandleGone(mId);
 }
 
-void server_connection::ReadNext()
+/// Sends what can be sent and hands over requests that have arrived.
+void server_connection::Process()
 {
-  if (mInput.empty()) {
+  if (mIsProcessing || mClosing) {
     return;
   }
-  const size_t used = mParser.Feed(mInput);
-  mInput.erase(0, used);
+  mIsProcessing = true;
+  const std::weak_ptr<bool> alive = mAlive;
+  size_t allowed = mContinuesLater ? 0 : kMaxRequestsPerTurn;
+  WriteResponses();
+  while (allowed > 0 && TakeRequest()) {
+    --allowed;
+    HandOver();
+    if (alive.expired()) {
+      return;
+    }
+    WriteResponses();
+  }
+  mIsProcessing = false;
+  if (mRefusal && mOwed.empty() && !mClosing) {
+    const http_response refusal{ mRefusal->mStatus,
+                                 { { "Content-Type", "text/plain" } },
+                                 mRefusal->mReason + "\n" };
+    mStream.Write(AnswerText(refusal, true, false));
+    CloseWhenFlushed();
+  }
+  if (!mClosing) {
+    // A stop by the bound on requests per turn; all others end with an event of
+    // this connection.
+    if (allowed == 0 && !mContinuesLater && UnreadInput() > 0) {
+      mContinuesLater = true;
+      mOwner.ContinueLater(mId);
+    }
+    FinishTurn();
+  }
+}
+
+void server_connection::FinishTurn()
+{
+  // Moving the rest of the input for each short request would take time in
+  // proportion to the square of their number.
+  if (mInputStart * 2 >= mInput.size()) {
+    mInput.erase(0, mInputStart);
+    mInputStart = 0;
+  }
+  const bool startsIdleTime = std::exchange(mStartsIdleTime, false);
+  if (startsIdleTime && mOwed.empty() && !mRequestStarted) {
+    StartSendTimer(mSettings.mIdleTimeout);
+  }
+  UpdateReading();
+  UpdateHeldBytes();
+}
+
+void server_connection::UpdateReading()
+{
+  const bool reads =
+    mReadsNoMore || mRequestStarted || UnreadInput() <= kMaxPipelinedBytes;
+  if (reads != mIsReading) {
+    mIsReading = reads;
+    mStream.SetReading(reads);
+  }
+}
+
+/// Reads the next request as far as it has arrived. Returns whether it is
+/// complete and may be handed over now.
+bool server_connection::TakeRequest()
+{
+  if (mClosing || mReadsNoMore) {
+    return false;
+  }
+  if (!mNext) {
+    ReadRequest();
+  }
+  return mNext &&
+         (mOwed.empty() || (mNext->mIsConcurrent && !mClosesAfterResponses));
+}
+
+void server_connection::ReadRequest()
+{
   if (!mRequestStarted) {
+    if (UnreadInput() == 0 || !MayStartRequest()) {
+      return;
+    }
     mRequestStarted = true;
     mStream.StartTimer(mSettings.mRequestTimeout);
   }
+  FeedParser();
   if (mParser.State() == parse_state::kFailed) {
     Refuse(mParser.FailureStatus(), mParser.FailureReason());
     return;
   }
-  if (mParser.ExpectsContinue() && !mSaidContinue) {
+  // Before the earlier responses it would look like a part of the first one.
+  if (mOwed.empty() && !mSaidContinue && mParser.ExpectsContinue()) {
     mSaidContinue = true;
     mStream.Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -107,30 +267,114 @@
   // A process that stood still reads requests whose clients have left.
   // `HandleEnd` follows.
   if (mStream.HasEnded()) {
+    mReadsNoMore = true;
+    DropInput();
     return;
   }
 
-  // The whole request is here; the next one is read after its answer.
   mStream.CancelTimer();
-  mEndsAfterAnswer = mParser.EndsConnection();
-  http_request request = mParser.Take();
+  const bool ends = mParser.EndsConnection();
+  mNext = read_request{ mParser.Take(), ends, false };
+  mNext->mIsConcurrent =
+    mPolicy != nullptr && mPolicy->IsConcurrent(mNext->mRequest);
   mParser = request_parser(mSettings.mMaxHeaderBytes, mSettings.mMaxBodyBytes);
-  mAwaitsAnswer = true;
   mSaidContinue = false;
   mRequestStarted = false;
-  mHeadOnly = request.mMethod == "HEAD";
+}
+
+void server_connection::FeedParser()
+{
+  mInputStart += mParser.Feed(std::string_view(mInput).substr(mInputStart));
+}
+
+/// Tells if a further request may be read. Without a policy, it is read after
+/// the answer to the one before it.
+bool server_connection::MayStartRequest()
+{
+  if (mOwed.empty() && (mPolicy == nullptr || !HasUnsentOutput())) {
+    mIsStopped = false;
+    return true;
+  }
+  if (mPolicy == nullptr) {
+    return false;
+  }
+  if (!mOwed.empty() && (!mIsConcurrent || mClosesAfterResponses)) {
+    return false;
+  }
+  http_server_counters& counters = mOwner.ConnectionCounters();
+  if (mOwed.size() >= kMaxOwedResponses) {
+    NoteStop(counters.mRequestStops);
+    return false;
+  }
+  if (IsOverByteLimit()) {
+    NoteStop(counters.mByteStops);
+    return false;
+  }
+  mIsStopped = false;
+  return true;
+}
+
+bool server_connection::IsOverByteLimit() const
+{
+  const byte_budget& budget = mLoop.Bytes();
+  return budget.Total() > budget.Limit() / kBudgetDivisor ||
+         OutstandingBytes() > kMaxOutstandingBytes;
+}
+
+void server_connection::NoteStop(uint64_t& aCounter)
+{
+  if (std::exchange(mIsStopped, true)) {
+    return;
+  }
+  ++aCounter;
+  log_line(log_severity::kInfo, "connection_paused")
+    .Add("peer", mPeerHost)
+    .Add("owed", uint64_t{ mOwed.size() })
+    .Add("bytes", uint64_t{ OutstandingBytes() })
+    .Add("unsent", uint64_t{ mStream.Unsent() });
+}
+
+void server_connection::HandOver()
+{
+  read_request next = std::move(*mNext);
+  mNext.reset();
+  http_request& request = next.mRequest;
   request.mRemoteHost = mPeerHost;
   request.mRemotePort = mPeerPort;
-  mOwner.HandleRequest(mId, std::move(request));
+  mIsConcurrent = next.mIsConcurrent;
+  if (!mOwed.empty()) {
+    ++mOwner.ConnectionCounters().mPipelined;
+  }
+  owed_response& owed = mOwed.emplace_back();
+  owed.mExchange = mOwner.OpenExchange(mId);
+  owed.mRequestBytes = request.mBody.size();
+  owed.mHeadOnly = request.mMethod == "HEAD";
+  owed.mEndsConnection = next.mEndsConnection;
+  if (next.mEndsConnection) {
+    mReadsNoMore = true;
+    DropInput();
+  }
+  mOwner.HandleRequest(owed.mExchange, std::move(request));
+}
+
+void server_connection::DropInput()
+{
+  // An assignment of an empty string would keep the memory.
+  std::string().swap(mInput);
+  mInputStart = 0;
 }
 
+/// Refuses what can't be read as a request, after all owed responses.
 void server_connection::Refuse(uint32_t aStatus, const std::string& aReason)
 {
-  const http_response answer{ aStatus,
-                              { { "Content-Type", "text/plain" } },
-                              aReason + "\n" };
-  mStream.Write(AnswerText(answer, true, false));
-  CloseWhenFlushed();
+  mRequestStarted = false;
+  mReadsNoMore = true;
+  mStream.CancelTimer();
+  DropInput();
+  // The last owed response closes the connection.
+  if (!mClosesAfterResponses || mOwed.empty()) {
+    mRefusal = refusal_text{ aStatus, aReason };
+  }
 }
 
 void server_connection::CloseWhenFlushed()
@@ -138,7 +382,11 @@
   // Reading goes on until the client closes: a close with unread bytes would
   // reset the connection and could take the answer with it.
   mClosing = true;
-  std::string().swap(mInput);
+  DropInput();
+  mNext.reset();
+  mRefusal.reset();
+  mRequestStarted = false;
+  UpdateReading();
   mStream.FinishWriting();
   StartSendTimer(kLingerTime);
 }
@@ -150,45 +398,108 @@
   mStream.StartTimer(aDelay);
 }
 
-void server_connection::Respond(const http_response& aAnswer, bool aClose)
+server_connection::owed_response& server_connection::Find(exchange_id aExchange)
 {
-  PARSLEYSTAIR_INVARIANT(mAwaitsAnswer);
-  const bool close = aClose || mEndsAfterAnswer;
-  mStream.Write(AnswerText(aAnswer, close, mHeadOnly));
-  CountBytes();
-  FinishAnswer(close);
+  const auto found =
+    std::find_if(mOwed.begin(), mOwed.end(), [&](const owed_response& aOwed) {
+      return aOwed.mExchange == aExchange;
+    });
+  PARSLEYSTAIR_INVARIANT(found != mOwed.end());
+  return *found;
+}
+
+void server_connection::Respond(exchange_id aExchange,
+                                const http_response& aAnswer)
+{
+  owed_response& owed = Find(aExchange);
+  if (&owed == &mOwed.front()) {
+    WriteAnswer(aAnswer);
+  } else {
+    owed.mAnswer = aAnswer;
+    CountBytes();
+  }
+  Process();
 }
 
-void server_connection::StartStream(const http_response& aHead)
+void server_connection::StartStream(exchange_id aExchange,
+                                    const http_response& aHead)
 {
-  mStream.Write(StreamHeadText(aHead, mEndsAfterAnswer));
+  owed_response& owed = Find(aExchange);
+  owed.mIsStream = true;
+  owed.mStreamHead = aHead;
+  Process();
 }
 
-void server_connection::SendChunk(const std::string& aChunk)
+void server_connection::SendChunk(exchange_id aExchange,
+                                  const std::string& aChunk)
 {
   // A chunk of length 0 would end the stream.
   if (!aChunk.empty()) {
-    mStream.Write(ChunkText(aChunk));
+    Find(aExchange).mChunks += ChunkText(aChunk);
     CountBytes();
+    Process();
+  }
+}
+
+void server_connection::EndStream(exchange_id aExchange)
+{
+  Find(aExchange).mIsStreamEnded = true;
+  Process();
+}
+
+/// Writes what the first owed responses have.
+void server_connection::WriteResponses()
+{
+  while (!mOwed.empty() && !mClosing) {
+    owed_response& first = mOwed.front();
+    if (first.mAnswer) {
+      const http_response answer = std::move(*first.mAnswer);
+      WriteAnswer(answer);
+    } else if (first.mIsStream) {
+      WriteStream(first);
+      if (!first.mIsStreamEnded) {
+        return;
+      }
+      FinishFirst(first.mEndsConnection);
+    } else {
+      return;
+    }
   }
 }
 
-void server_connection::EndStream()
+void server_connection::WriteAnswer(const http_response& aAnswer)
+{
+  const owed_response& first = mOwed.front();
+  const bool isLast = mOwed.size() == 1 && !mRefusal;
+  const bool close = first.mEndsConnection || (mClosesAfterResponses && isLast);
+  mStream.Write(AnswerText(aAnswer, close, first.mHeadOnly));
+  FinishFirst(close);
+  CountBytes();
+}
+
+void server_connection::WriteStream(owed_response& aStream)
 {
-  mStream.Write("0\r\n\r\n");
-  FinishAnswer(mEndsAfterAnswer);
+  if (aStream.mStreamHead) {
+    mStream.Write(
+      StreamHeadText(*aStream.mStreamHead, aStream.mEndsConnection));
+    aStream.mStreamHead.reset();
+  }
+  if (!aStream.mChunks.empty()) {
+    mStream.Write(aStream.mChunks);
+    std::string().swap(aStream.mChunks);
+  }
+  if (aStream.mIsStreamEnded) {
+    mStream.Write("0\r\n\r\n");
+  }
 }
 
-void server_connection::FinishAnswer(bool aClose)
+void server_connection::FinishFirst(bool aClose)
 {
-  mAwaitsAnswer = false;
+  mOwed.pop_front();
+  mStartsIdleTime = true;
   if (aClose) {
     CloseWhenFlushed();
-    return;
   }
-  mStream.SetReading(true);
-  StartSendTimer(mSettings.mIdleTimeout);
-  ReadNext();
 }
 
 void server_connection::HandleEnd(stream_end /*aEnd*/)
@@ -209,6 +520,7 @@
     return;
   }
   Refuse(kRequestTimeout, "the request took too long to arrive");
+  Process();
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Http/ServerConnection.h
+++ b/Parsleystair/Http/ServerConnection.h
@@ -4,45 +4,72 @@
 #include "Parsleystair/Http/MessageParser.h"
 #include "Parsleystair/Http/SocketStream.h"
 
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
 namespace parsleystair {
 
 /// Names one connection of a server.
 using connection_id = strong_id<struct connection_tag, uint64_t>;
 
-/// What a connection tells its server. Each function may remove the
-/// connection.
+/// What a connection asks of its server and tells it.
 class server_connection_owner
 {
 public:
   virtual ~server_connection_owner() = default;
 
-  virtual void HandleRequest(connection_id aConnection,
-                             http_request aRequest) = 0;
+  /// Opens an exchange for the next request of a connection.
+  virtual exchange_id OpenExchange(connection_id aConnection) = 0;
+  /// May respond to the request, and may remove the connection.
+  virtual void HandleRequest(exchange_id aExchange, http_request aRequest) = 0;
   /// The connection has ended and must be removed.
   virtual void HandleGone(connection_id aConnection) = 0;
+  /// Asks for a call of `Continue` in another iteration of the event loop.
+  virtual void ContinueLater(connection_id aConnection) = 0;
+
+  virtual http_server_counters& ConnectionCounters() = 0;
 };
 
-/// One connection of a client to an `http_server`: reads a request, waits for
-/// its answer, reads the next.
+/// One connection of a client to an `http_server`: hands over its requests and
+/// sends the responses in the order of the requests. A request that the policy
+/// doesn't allow beside others, or any request if there is no policy, is in
+/// progress alone.
 class server_connection
   : public stream_handler
   , public byte_holder
 {
 public:
+  /// `aPolicy`: null for one request at a time.
   server_connection(connection_id aId,
                     event_loop& aLoop,
                     int aDescriptor,
                     const http_server_settings& aSettings,
+                    const concurrency_policy* aPolicy,
                     server_connection_owner& aOwner);
 
-  /// Sends a whole answer to the open request. `aClose` closes the connection
-  /// afterwards.
-  void Respond(const http_response& aAnswer, bool aClose);
+  /// Sends a whole answer to a request in progress, once all earlier ones are
+  /// sent.
+  void Respond(exchange_id aExchange, const http_response& aAnswer);
 
   /// Sends the head of a chunked answer, then its chunks and its end.
-  void StartStream(const http_response& aHead);
-  void SendChunk(const std::string& aChunk);
-  void EndStream();
+  void StartStream(exchange_id aExchange, const http_response& aHead);
+  void SendChunk(exchange_id aExchange, const std::string& aChunk);
+  void EndStream(exchange_id aExchange);
+
+  /// From now on the last owed answer closes the connection, and no request is
+  /// handed over while an answer is owed.
+  void CloseAfterResponses() { mClosesAfterResponses = true; }
+
+  /// Goes on with requests that have arrived.
+  void Continue();
+
+  /// Exchanges whose responses are not sent yet, in order.
+  [[nodiscard]] std::vector<exchange_id> OwedExchanges() const;
+
+  /// Exchanges without a response that complete responses wait for.
+  [[nodiscard]] std::vector<exchange_id> BlockingExchanges() const;
 
   /// Tells if no request is open, none has started to arrive, and all answers
   /// have been sent.
@@ -56,16 +83,73 @@
   void HandleBytes(std::string_view aBytes) override;
   void HandleEnd(stream_end aEnd) override;
   void HandleTimeout() override;
+  void HandleAllSent() override;
 
   // byte_holder
   [[nodiscard]] size_t HeldBytes() const override;
   void DropBytes() override;
 
 private:
+  /// The response to a request that was handed over.
+  struct owed_response
+  {
+    exchange_id mExchange;
+    size_t mRequestBytes = 0;
+    bool mHeadOnly = false;
+    /// The client closes the connection after this request.
+    bool mEndsConnection = false;
+    /// Set when the whole answer waits for earlier ones.
+    std::optional<http_response> mAnswer;
+    /// Head of a chunked answer until it is written, chunks that wait for
+    /// earlier answers, and whether all have come.
+    std::optional<http_response> mStreamHead;
+    std::string mChunks;
+    bool mIsStream = false;
+    bool mIsStreamEnded = false;
+
+    [[nodiscard]] bool IsWhole() const { return mAnswer || mIsStreamEnded; }
+    /// Memory of the parts that wait.
+    [[nodiscard]] size_t HeldBytes() const;
+  };
+
+  /// A request that was read and may have to wait for others.
+  struct read_request
+  {
+    http_request mRequest;
+    bool mEndsConnection = false;
+    bool mIsConcurrent = false;
+  };
+
+  struct refusal_text
+  {
+    uint32_t mStatus = 0;
+    std::string mReason;
+  };
+
   void CountBytes();
-  void ReadNext();
+  void Process();
+  void FinishTurn();
+  bool TakeRequest();
+  void ReadRequest();
+  void FeedParser();
+  void HandOver();
+  [[nodiscard]] bool MayStartRequest();
+  [[nodiscard]] bool IsOverByteLimit() const;
+  [[nodiscard]] size_t OutstandingBytes() const;
+  void NoteStop(uint64_t& aCounter);
+  [[nodiscard]] size_t UnreadInput() const
+  {
+    return mInput.size() - mInputStart;
+  }
+  void DropInput();
+  void UpdateReading();
+
+  owed_response& Find(exchange_id aExchange);
+  void WriteResponses();
+  void WriteAnswer(const http_response& aAnswer);
+  void WriteStream(owed_response& aStream);
+  void FinishFirst(bool aClose);
   void Refuse(uint32_t aStatus, const std::string& aReason);
-  void FinishAnswer(bool aClose);
   void CloseWhenFlushed();
   /// Starts the timer that ends the connection unless the client has read
   /// output by then.
@@ -74,19 +158,38 @@
   connection_id mId;
   event_loop& mLoop;
   http_server_settings mSettings;
+  const concurrency_policy* mPolicy;
   server_connection_owner& mOwner;
   socket_stream mStream;
   request_parser mParser;
+  /// Bytes received; those before `mInputStart` are consumed.
   std::string mInput;
+  size_t mInputStart = 0;
   std::string mPeerHost;
   uint16_t mPeerPort = 0;
   size_t mUnacknowledgedAtTimerStart = 0;
-  bool mAwaitsAnswer = false;
-  bool mEndsAfterAnswer = false;
+  std::deque<owed_response> mOwed;
+  /// Complete request that is not handed over yet.
+  std::optional<read_request> mNext;
+  /// Sent after all owed responses.
+  std::optional<refusal_text> mRefusal;
+  /// The requests in progress allow others beside them.
+  bool mIsConcurrent = false;
+  bool mClosesAfterResponses = false;
+  /// No further request is read.
+  bool mReadsNoMore = false;
   bool mSaidContinue = false;
   bool mRequestStarted = false;
   bool mClosing = false;
-  bool mHeadOnly = false;
+  bool mIsReading = true;
+  /// A bound has stopped the connection and is counted.
+  bool mIsStopped = false;
+  bool mIsProcessing = false;
+  bool mContinuesLater = false;
+  /// An answer was sent, after which the idle time starts.
+  bool mStartsIdleTime = false;
+  /// Expires with the connection.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
 } // namespace parsleystair
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -253,6 +253,9 @@
     return;
   }
   Flush();
+  if (mOutput.empty() && !mBroken) {
+    mHandler.HandleAllSent();
+  }
 }
 
 void socket_stream::state::Flush()
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -33,6 +33,8 @@
   virtual void HandleTimeout() = 0;
   /// A connection that was started is accepted; must not destroy the stream.
   virtual void HandleConnected() {}
+  /// Output that had to wait has been handed to the system completely.
+  virtual void HandleAllSent() {}
 };
 
 struct stream_settings
