Take statuses outside 100 to 599 for malformed responses

Cause: the parser of answers took any status below 200 for an interim answer and any other for a final one. A target that sent 000, 001 or 099 made the call wait until its deadline (504 after 4 s), and 600 or 999 reached the caller.

Change: such a status makes the answer malformed as soon as its head is read. The call ends without a response: the attempt counts as a failure of the target, an idempotent request is retried, and another one gets 502. HttpConnection and Forwarder treat a malformed answer in this way already.

--- a/Parsleystair/Http/AnswerParser.cpp
+++ b/Parsleystair/Http/AnswerParser.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
+constexpr uint32_t kFirstStatus = 100;
 constexpr uint32_t kSwitchingProtocols = 101;
 constexpr uint32_t kFirstFinalStatus = 200;
+constexpr uint32_t kLastStatus = 599;
 /// Longest head of an answer, in bytes, together with interim answers, chunk
 /// extensions and trailers; above what servers send in practice.
 constexpr uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
@@ -50,11 +52,14 @@
     return mConsumed + aWaiting > allowed;
   }
 
-  /// Tells if a head means something that can't be read here.
+  /// Tells if a head means something that can't be read here. Statuses outside
+  /// of the classes of RFC 9110 section 15 come from servers in trouble.
   [[nodiscard]] bool IsUnreadable() const
   {
     const auto& headers = mParser->mContent.mHeaders;
-    return mParser->mStatus == kSwitchingProtocols ||
+    const uint32_t status = mParser->mStatus;
+    return status < kFirstStatus || status > kLastStatus ||
+           status == kSwitchingProtocols ||
            std::any_of(
              headers.begin(), headers.end(), [](const http_header& aHeader) {
                return SameHeaderName(aHeader.mName, "transfer-encoding") &&
--- a/UnitTests/Gateway/FaultyTargetTest.cpp
+++ b/UnitTests/Gateway/FaultyTargetTest.cpp
@@ -181,6 +181,57 @@
   }
 }
 
+// Guards against a response with a status out of range that reaches a caller,
+// makes its request wait until the deadline as an interim response would, or is
+// not counted as a failure of the target, so that the target gets more
+// requests.
+TEST_F(faulty_target_test, StatusOutOfRangeIsAFailureOfTheTarget)
+{
+  const std::vector<std::string> rests = {
+    "Content-Length: 0\r\n\r\n",
+    "Content-Length: 4\r\n\r\nbody",
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "Server: s\r\n\r\nbody",
+  };
+  std::string answer;
+  size_t reads = 0;
+  const auto fail = [&](scripted_target::connection& aConnection,
+                        const http_request& aRequest) {
+    reads += aRequest.mPath.starts_with("/read") ? 1 : 0;
+    aConnection.Send(answer);
+  };
+  Script("plain-1", "plain", fail);
+  Script("orders-1", "orders", fail);
+  mKv.Remove(TargetKey("orders-2"));
+  const gateway_instance& gateway = StartGateway("a");
+  for (const std::string status : { "000", "001", "099", "600", "999" }) {
+    for (const std::string& rest : rests) {
+      answer = "HTTP/1.1 " + status +
+               " Text\r\nX-Request-Id: r\r\n"
+               "X-Response-Signature: s\r\n" +
+               rest;
+      const time_point start = MonotonicNow();
+      EXPECT_EQ(
+        Call(gateway, Request("POST", "/order/7", "r")).mResponse.mStatus, 502u)
+        << answer;
+      EXPECT_EQ(Call(gateway, Request("GET", "/read/7", "r")).mResponse.mStatus,
+                200u)
+        << answer;
+      EXPECT_LT(MonotonicNow() - start, 2s) << answer;
+    }
+  }
+  EXPECT_GT(reads, 0u);
+  const size_t attempts = 5 * rests.size() + reads;
+  EXPECT_NE(
+    gateway.mTask->MetricsText().find("tries_total{result=\"no-answer\"} " +
+                                      std::to_string(attempts) + "\n"),
+    std::string::npos)
+    << attempts << "\n"
+    << gateway.mTask->MetricsText();
+  EXPECT_NE(gateway.mTask->DumpText().find("\"setAside\": true"),
+            std::string::npos);
+}
+
 // Guards against a target that sends bytes without end and ties up a
 // connection, memory and its request until the deadline, and against other
 // requests that wait for it.
--- a/UnitTests/Gateway/PipelinedRequestsTest.cpp
+++ b/UnitTests/Gateway/PipelinedRequestsTest.cpp
@@ -78,9 +78,8 @@
   for (const std::string id : { "r-1", "r-2", "o-1", "r-3", "r-4", "r-5" }) {
     EXPECT_EQ(RunCount(id), 1U) << id;
   }
-  EXPECT_EQ(gateway.mTask->MetricsText().find("pipelined_requests_total 2.0") !=
-              std::string::npos,
-            true)
+  EXPECT_NE(gateway.mTask->MetricsText().find("pipelined_requests_total 2.0"),
+            std::string::npos)
     << gateway.mTask->MetricsText();
 }
 
--- a/UnitTests/Http/MessageParserTest.cpp
+++ b/UnitTests/Http/MessageParserTest.cpp
@@ -172,6 +172,83 @@
   EXPECT_EQ(parser.State(), parse_state::kFailed);
 }
 
+namespace {
+
+/// Rest of an answer after its status line.
+struct answer_rest
+{
+  const char* mName;
+  std::string mText;
+  bool mToHead = false;
+};
+
+std::vector<answer_rest> AnswerRests()
+{
+  return {
+    { "head only", "Content-Length: 4\r\n\r\n" },
+    { "to HEAD", "Content-Length: 4\r\n\r\n", true },
+    { "empty", "Content-Length: 0\r\n\r\n" },
+    { "length", "Content-Length: 4\r\n\r\nbody" },
+    { "chunked", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+    { "no length", "Server: s\r\n\r\nbody" },
+  };
+}
+
+} // namespace
+
+// Guards against statuses outside 100 to 599 that are taken for interim
+// answers, so that a call waits until its deadline, or are passed on as an
+// answer. The head is enough to tell.
+TEST(AnswerParser, RefusesStatusesOutOfRange)
+{
+  for (const std::string status : { "000",
+                                    "001",
+                                    "020",
+                                    "099",
+                                    "600",
+                                    "999",
+                                    "0",
+                                    "20",
+                                    "2000",
+                                    "-20",
+                                    "+20",
+                                    "2x0" }) {
+    for (const answer_rest& rest : AnswerRests()) {
+      answer_parser parser(kMaxBody, rest.mToHead);
+      parser.Feed("HTTP/1.1 " + status + " Text\r\n" + rest.mText);
+      EXPECT_EQ(parser.State(), parse_state::kFailed)
+        << status << ", " << rest.mName;
+      parser.FeedEnd();
+      EXPECT_EQ(parser.State(), parse_state::kFailed)
+        << status << ", " << rest.mName << ", ended";
+    }
+  }
+}
+
+// Guards against a range that leaves out its ends, and against a status out of
+// range after an interim answer.
+TEST(AnswerParser, TakesStatusesInRange)
+{
+  const std::string length = "Content-Length: 4\r\n\r\nbody";
+  for (const uint32_t status : { 200U, 299U, 300U, 404U, 500U, 599U }) {
+    answer_parser parser(kMaxBody, false);
+    parser.Feed("HTTP/1.1 " + std::to_string(status) + " Text\r\n" + length);
+    ASSERT_EQ(parser.State(), parse_state::kComplete) << status;
+    EXPECT_EQ(parser.Take().mStatus, status);
+  }
+  for (const std::string interim : { "100", "102", "199" }) {
+    const std::string head = "HTTP/1.1 " + interim + " Text\r\n\r\n";
+    answer_parser parser(kMaxBody, false);
+    parser.Feed(head);
+    EXPECT_EQ(parser.State(), parse_state::kIncomplete) << interim;
+    parser.Feed("HTTP/1.1 200 OK\r\n" + length);
+    EXPECT_EQ(parser.State(), parse_state::kComplete) << interim;
+    answer_parser wrong(kMaxBody, false);
+    wrong.Feed(head + "HTTP/1.1 000 Text\r\n" + length);
+    EXPECT_EQ(wrong.State(), parse_state::kFailed) << interim;
+  }
+}
+
 // Guards against bodies in a coding that this parser does not undo: they would
 // be passed on as if they were whole and plain.
 TEST(AnswerParser, RefusesUnknownTransferCodings)
