Limit requests to targets in slow start

Cause: a target in slow start bears a few requests a second and crashes well above, while up to 58 routers choose it independently. Its slow start only raised its cost in the balancer, and the directory took it from the first entry of an incarnation alone.

The leader states the age of the store's confirmation in a header that is absent in other deployments. - The directory extends a slow start by later entries of an incarnation and by responses to health checks, and limits implausible ones. - Each attempt passes the limit in forwarder::Send. Requests that only targets in slow start could get are refused as not run, with a Retry-After of at most the rest. - The leader gives no keys to targets in slow start and moves those of an owner that enters it, unless more than half of the usable targets are in slow start.

--- a/Parsleystair/Discovery/TargetDirectory.cpp
+++ b/Parsleystair/Discovery/TargetDirectory.cpp
@@ -1,6 +1,10 @@
 #include "Parsleystair/Discovery/TargetDirectory.h"
 
+#include "Parsleystair/Core/Log.h"
+
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace parsleystair {
 
@@ -12,6 +16,10 @@
 /// The same for a target that has said that it leaves. Its entry may come back
 /// after a long outage of the store.
 constexpr duration kLeavingTargetRetention = 1h;
+/// Multiple of the service's slow start above which what a target states isn't
+/// believed, and the longest slow start in services that declare none.
+constexpr int kMaxSlowStartFactor = 2;
+constexpr duration kMaxUndeclaredSlowStart = 1min;
 
 } // namespace
 
@@ -47,6 +55,9 @@
   }
   const bool restarted =
     isNew || known.mTarget.mStartedMs != aTarget.mStartedMs;
+  // An entry may state the same slow start for the whole life of the target.
+  const bool hasNewSlowStart =
+    restarted || known.mTarget.mSlowStart != aTarget.mSlowStart;
   // An unchanged entry may be read again and shows nothing new.
   if (known.mTarget != aTarget) {
     known.mReplacedUntil.reset();
@@ -55,9 +66,71 @@
   known.mDropAt.reset();
   if (restarted) {
     known.mSlowUntil = aNow + aTarget.mSlowStart;
+    known.mLimitedUntil = time_point::min();
+  }
+  if (hasNewSlowStart) {
+    ExtendSlowStart(known, aTarget.mSlowStart, aNow);
   }
 }
 
+void target_directory::SetSlowStartTimes(slow_start_times aTimes,
+                                         time_point aNow)
+{
+  const slow_start_times former =
+    std::exchange(mSlowStartTimes, std::move(aTimes));
+  for (auto& [name, known] : mTargets) {
+    const service_name& service = known.mTarget.mService;
+    if (!mSlowStartTimes.contains(service)) {
+      known.mLimitedUntil = time_point::min();
+    } else if (!former.contains(service) && known.mSlowUntil > aNow) {
+      ExtendSlowStart(known, known.mSlowUntil - aNow, aNow);
+    }
+  }
+}
+
+bool target_directory::HandleSlowStart(const target_name& aName,
+                                       uint64_t aStartedMs,
+                                       duration aRest,
+                                       time_point aNow)
+{
+  const auto found = mTargets.find(aName);
+  return found != mTargets.end() &&
+         found->second.mTarget.mStartedMs == aStartedMs &&
+         ExtendSlowStart(found->second, aRest, aNow);
+}
+
+bool target_directory::ExtendSlowStart(known_target& aKnown,
+                                       duration aRest,
+                                       time_point aNow)
+{
+  const auto time = mSlowStartTimes.find(aKnown.mTarget.mService);
+  if (time == mSlowStartTimes.end() || aRest <= duration::zero()) {
+    return false;
+  }
+  const duration longest = time->second > duration::zero()
+                             ? kMaxSlowStartFactor * time->second
+                             : kMaxUndeclaredSlowStart;
+  if (aRest > longest) {
+    ++mImplausibleSlowStarts;
+    log_line(log_severity::kWarning, "slow_start_implausible")
+      .Add("target", aKnown.mTarget.mName.Value())
+      .Add("stated_us", int64_t{ aRest.count() })
+      .Add("taken_us", int64_t{ longest.count() });
+  }
+  const time_point end = aNow + std::min(aRest, longest);
+  if (end <= aKnown.mLimitedUntil) {
+    return false;
+  }
+  if (!aKnown.IsLimited(aNow)) {
+    log_line(log_severity::kInfo, "slow_start_began")
+      .Add("target", aKnown.mTarget.mName.Value())
+      .Add("service", aKnown.mTarget.mService.Value())
+      .Add("left_us", int64_t{ (end - aNow).count() });
+  }
+  aKnown.mLimitedUntil = end;
+  return true;
+}
+
 void target_directory::Remove(const target_name& aName, time_point aNow)
 {
   const auto found = mTargets.find(aName);
--- a/Parsleystair/Discovery/TargetDirectory.h
+++ b/Parsleystair/Discovery/TargetDirectory.h
@@ -41,6 +41,9 @@
   discovered_target mTarget;
   /// End of the target's slow start.
   time_point mSlowUntil = time_point::min();
+  /// End of the latest slow start in which the target's requests are limited;
+  /// `time_point::min()` in a service without such a limit.
+  time_point mLimitedUntil = time_point::min();
   /// Time at which a target whose entry is missing is dropped; empty while the
   /// entry exists.
   std::optional<time_point> mDropAt;
@@ -56,6 +59,12 @@
     return mTarget.mDraining || mLeavingStartedMs == mTarget.mStartedMs;
   }
 
+  /// Returns true if only few requests may be sent to the target now.
+  [[nodiscard]] bool IsLimited(time_point aNow) const
+  {
+    return aNow < mLimitedUntil;
+  }
+
   /// Returns true if the target may get new requests.
   [[nodiscard]] bool IsUsable() const
   {
@@ -103,6 +112,25 @@
   /// that is known.
   bool HandleLeaving(const target_name& aName, uint64_t aStartedMs);
 
+  /// Services that limit the requests to targets in slow start, with the time
+  /// for which targets are in slow start; zero if that is unknown.
+  using slow_start_times = std::map<service_name, duration>;
+  void SetSlowStartTimes(slow_start_times aTimes, time_point aNow);
+
+  /// Handles that the process of a target that was started at `aStartedMs`
+  /// remains in slow start for `aRest`. Returns whether this extends the known
+  /// slow start.
+  bool HandleSlowStart(const target_name& aName,
+                       uint64_t aStartedMs,
+                       duration aRest,
+                       time_point aNow);
+
+  /// Slow starts that were longer than a target of the service can be slow.
+  [[nodiscard]] uint64_t ImplausibleSlowStarts() const
+  {
+    return mImplausibleSlowStarts;
+  }
+
   /// Handle the start and the end of an outage of the store.
   void HandleStoreOutage(time_point aNow);
   void HandleStoreRecovery(time_point aNow);
@@ -137,6 +165,8 @@
     std::optional<uint64_t> mLeavingStartedMs;
   };
 
+  /// Extends the time in which requests to a target are limited.
+  bool ExtendSlowStart(known_target& aKnown, duration aRest, time_point aNow);
   [[nodiscard]] bool IsInGracePeriod(time_point aNow) const;
   [[nodiscard]] bool IsOutdated(const discovered_target& aTarget) const;
   [[nodiscard]] bool IsRemoved(const discovered_target& aTarget) const;
@@ -144,6 +174,8 @@
 
   std::map<target_name, known_target> mTargets;
   std::map<target_name, removed_target> mRemoved;
+  slow_start_times mSlowStartTimes;
+  uint64_t mImplausibleSlowStarts = 0;
   bool mStoreLost = false;
   time_point mGracePeriodEnd = time_point::min();
   /// Time until which entries may be those of a copy.
--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -76,6 +76,7 @@
   , mTargetObserver(aTargetObserver)
   , mServer(aServer)
   , mBalancer(aSettings.mLocation, aSeed)
+  , mSlowStart(aSettings.mHost)
   , mConnections(aLoop, TargetConnectionSettings(), kDefaultKeepAlive)
   , mCrashGuard(aSettings.mHost)
   , mLostTargets(
@@ -187,6 +188,12 @@
     return;
   }
   const known_target* target = ChooseTarget(aRequest, aNow);
+  if (target == nullptr) {
+    if (const auto left = SlowStartLeft(aRequest, aNow)) {
+      FinishInSlowStart(aRequest, *left, aNow);
+      return;
+    }
+  }
   if (target != nullptr && aRequest.mKeyed &&
       mConnections.IsAtLimit(target->mTarget.mName,
                              ConnectionLimit(aRequest.mService))) {
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Parsleystair/Balancing/SlowStartAdmission.h"
 #include "Parsleystair/Balancing/TargetBalancer.h"
 #include "Parsleystair/Dump/LatencyHistogram.h"
 #include "Parsleystair/Gateway/ForwarderCounters.h"
@@ -75,6 +76,12 @@
   /// leaves.
   virtual void HandleLeavingTarget(const target_name& aTarget,
                                    uint64_t aStartedMs) = 0;
+
+  /// The process of `aTarget` that was started at `aStartedMs` has said that it
+  /// remains in slow start for `aRest`.
+  virtual void HandleSlowStart(const target_name& aTarget,
+                               uint64_t aStartedMs,
+                               duration aRest) = 0;
 };
 
 /// Forwards requests of callers to targets and returns the responses. A request
@@ -116,6 +123,9 @@
   /// Limits for the keys of overloaded owners.
   [[nodiscard]] key_admission& Admission() { return mAdmission; }
 
+  /// Requests to targets in slow start.
+  [[nodiscard]] slow_start_admission& SlowStart() { return mSlowStart; }
+
   /// Contents that crash targets.
   [[nodiscard]] crash_guard& CrashGuard() { return mCrashGuard; }
   [[nodiscard]] const crash_guard& CrashGuard() const { return mCrashGuard; }
@@ -222,6 +232,19 @@
   [[nodiscard]] const owned_range* FindOwnedRange(
     const open_request& aRequest) const;
   const known_target* FindOwner(const open_request& aRequest) const;
+  /// Requests per second that a target of the service bears in slow start; 0 if
+  /// there is no limit.
+  [[nodiscard]] double SlowStartRate(const service_name& aService) const;
+  /// Shortest rest of a slow start, if only targets in slow start may get the
+  /// request.
+  [[nodiscard]] std::optional<duration> SlowStartLeft(
+    const open_request& aRequest,
+    time_point aNow) const;
+  /// Ends a request whose targets get no more requests during their slow start,
+  /// which lasts for `aLeft`.
+  void FinishInSlowStart(open_request& aRequest,
+                         duration aLeft,
+                         time_point aNow);
   void Send(open_request& aRequest,
             const known_target& aTarget,
             time_point aNow);
@@ -294,6 +317,10 @@
   [[nodiscard]] bool FitsIntoShutdown(const open_request& aRequest,
                                       time_point aNow) const;
   void Probe(const target_name& aTarget, time_point aNow);
+  /// Reports the slow start that the response to a health check states.
+  void ReportSlowStart(const target_name& aTarget,
+                       uint64_t aStartedMs,
+                       const http_result& aResult);
   /// Sends a health check to a target that may have crashed; tells whether the
   /// target reacted.
   void CheckLostTarget(const discovered_target& aTarget,
@@ -307,6 +334,7 @@
   target_observer& mTargetObserver;
   http_server& mServer;
   target_balancer mBalancer;
+  slow_start_admission mSlowStart;
   target_connections mConnections;
   weighted_choice mServiceChoice;
   key_admission mAdmission;
--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -85,6 +85,13 @@
     FinishWithFailure(aRequest, "shutting down", aNow);
     return;
   }
+  if (aTarget.IsLimited(aNow)) {
+    if (!mSlowStart.TryTake(aTarget, SlowStartRate(aRequest.mService), aNow)) {
+      FinishInSlowStart(aRequest, aTarget.mLimitedUntil - aNow, aNow);
+      return;
+    }
+    ++mCounters.mSlowStartSent;
+  }
   ++mCounters.mAttempts;
   ++aRequest.mAttemptCount;
   const discovered_target& target = aTarget.mTarget;
--- a/Parsleystair/Gateway/ForwarderCounters.h
+++ b/Parsleystair/Gateway/ForwarderCounters.h
@@ -18,6 +18,10 @@
   uint64_t mRetries = 0;
   uint64_t mHedges = 0;
   uint64_t mRetriesOverBudget = 0;
+  /// Requests sent to targets in slow start, and requests that ended because
+  /// such a target gets no more.
+  uint64_t mSlowStartSent = 0;
+  uint64_t mSlowStartRefused = 0;
 
   bool operator==(const forwarder_counters&) const = default;
 };
--- a/Parsleystair/Gateway/ForwarderTargets.cpp
+++ b/Parsleystair/Gateway/ForwarderTargets.cpp
@@ -21,8 +21,12 @@
 const known_target* forwarder::ChooseTarget(const open_request& aRequest,
                                             time_point aNow)
 {
+  const double slowStartRate = SlowStartRate(aRequest.mService);
   if (aRequest.mKeyed) {
-    return FindOwner(aRequest);
+    const known_target* owner = FindOwner(aRequest);
+    return owner != nullptr && mSlowStart.MaySend(*owner, slowStartRate, aNow)
+             ? owner
+             : nullptr;
   }
   choice_request choice;
   choice.mService = aRequest.mService;
@@ -31,6 +35,9 @@
   choice.mAttemptedTargets = aRequest.mAttemptedTargets;
   std::vector<const known_target*> usable =
     mView.mDirectory.UsableOf(aRequest.mService);
+  if (slowStartRate > 0) {
+    usable = mSlowStart.SendableOf(usable, slowStartRate, aNow);
+  }
   const size_t limit = ConnectionLimit(aRequest.mService);
   std::vector<const known_target*> withCapacity;
   std::copy_if(usable.begin(),
@@ -39,10 +46,59 @@
                [&](const known_target* aTarget) {
                  return !mConnections.IsAtLimit(aTarget->mTarget.mName, limit);
                });
+  if (slowStartRate > 0 && aRequest.mAttemptedTargets.empty()) {
+    const auto due =
+      std::find_if(withCapacity.begin(),
+                   withCapacity.end(),
+                   [&](const known_target* aTarget) {
+                     return mSlowStart.IsDue(*aTarget, aNow) &&
+                            !mBalancer.IsEjected(aTarget->mTarget.mName);
+                   });
+    if (due != withCapacity.end()) {
+      return *due;
+    }
+  }
   return mBalancer.Choose(
     choice, withCapacity.empty() ? usable : withCapacity, aNow);
 }
 
+double forwarder::SlowStartRate(const service_name& aService) const
+{
+  const routed_service* service = mView.mRoutes->FindService(aService);
+  return service == nullptr ? 0 : service->mSlowStartRate;
+}
+
+std::optional<duration> forwarder::SlowStartLeft(const open_request& aRequest,
+                                                 time_point aNow) const
+{
+  std::vector<const known_target*> targets;
+  if (!aRequest.mKeyed) {
+    targets = mView.mDirectory.UsableOf(aRequest.mService);
+  } else if (const known_target* owner = FindOwner(aRequest)) {
+    targets = { owner };
+  }
+  std::optional<duration> shortest;
+  for (const known_target* target : targets) {
+    if (!target->IsLimited(aNow)) {
+      return std::nullopt;
+    }
+    const duration left = target->mLimitedUntil - aNow;
+    shortest = std::min(left, shortest.value_or(left));
+  }
+  return shortest;
+}
+
+void forwarder::FinishInSlowStart(open_request& aRequest,
+                                  duration aLeft,
+                                  time_point aNow)
+{
+  ++mCounters.mSlowStartRefused;
+  // Callers that all come back at the end would find the target without room.
+  std::uniform_int_distribution<int64_t> wait(aLeft.count() / 2, aLeft.count());
+  aRequest.mRetryAfter = duration(wait(mRandom));
+  FinishWithFailure(aRequest, "the target is in slow start", aNow);
+}
+
 size_t forwarder::ConnectionLimit(const service_name& aService) const
 {
   const routed_service* service = mView.mRoutes->FindService(aService);
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -198,6 +198,7 @@
   mLostTargets.Tick(aNow);
   mConnections.Sweep(mView.mDirectory, aNow);
   mBalancer.RemoveUnknownTargets(mView.mDirectory);
+  mSlowStart.Expire(aNow);
   for (const target_name& target : mBalancer.TakeDueHealthChecks(aNow)) {
     Probe(target, aNow);
   }
@@ -226,6 +227,7 @@
           mProtocol.IsLeaving(aResult.mResponse, aTarget)) {
         mTargetObserver.HandleLeavingTarget(aTarget, startedMs);
       }
+      ReportSlowStart(aTarget, startedMs, aResult);
       const bool healthy = aResult.mStatus == http_status::kResponded &&
                            mProtocol.IsHealthy(aResult.mResponse, aTarget);
       log_line(log_severity::kInfo, "target_probed")
@@ -239,6 +241,22 @@
     { connection_choice::kNew });
 }
 
+void forwarder::ReportSlowStart(const target_name& aTarget,
+                                uint64_t aStartedMs,
+                                const http_result& aResult)
+{
+  // Another target may have responded at the address.
+  if (aResult.mStatus != http_status::kResponded ||
+      !mProtocol.IsHealthy(aResult.mResponse, aTarget)) {
+    return;
+  }
+  const auto rest =
+    mProtocol.ReadResponse(aResult.mResponse, aTarget).mSlowStart;
+  if (rest && *rest > duration::zero()) {
+    mTargetObserver.HandleSlowStart(aTarget, aStartedMs, *rest);
+  }
+}
+
 void forwarder::CheckLostTarget(const discovered_target& aTarget,
                                 std::function<void(bool)> aCallback)
 {
@@ -256,7 +274,9 @@
     mProtocol.HealthCheck(service->mHealthPath),
     kCheckTimeout,
     MonotonicNow(),
-    [callback = std::move(aCallback)](const http_result& aResult) {
+    [this, aTarget, callback = std::move(aCallback)](
+      const http_result& aResult) {
+      ReportSlowStart(aTarget.mName, aTarget.mStartedMs, aResult);
       // A process that ends a connection of its own accord lives as well.
       const bool isSilent =
         aResult.mFailure == http_failure::kConnect || aResult.mTimedOut;
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -466,7 +466,11 @@
   mConfigurationText = aValue;
   mCallerServer.SetLimits(CallerSettings(configuration->mLimits));
   std::set<service_name> keyed;
+  target_directory::slow_start_times slowStarts;
   for (const auto& [name, service] : configuration->mServices) {
+    if (service.mSlowStartRate > 0) {
+      slowStarts[name] = service.mSlowStart;
+    }
     if (service.mKeyed) {
       keyed.insert(name);
     }
@@ -474,6 +478,7 @@
   mView.mRoutes =
     std::make_shared<const route_table>(std::move(*configuration));
   mRangeDriver.SetServices(keyed);
+  mView.mDirectory.SetSlowStartTimes(std::move(slowStarts), MonotonicNow());
   HandleTargetsChanged();
 }
 
@@ -569,6 +574,16 @@
   HandleTargetsChanged();
 }
 
+void gateway_task::HandleSlowStart(const target_name& aTarget,
+                                   uint64_t aStartedMs,
+                                   duration aRest)
+{
+  if (mView.mDirectory.HandleSlowStart(
+        aTarget, aStartedMs, aRest, MonotonicNow())) {
+    HandleTargetsChanged();
+  }
+}
+
 void gateway_task::HandleTargetsChanged()
 {
   mRangeDriver.HandleTargets(mView.mDirectory, MonotonicNow());
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -73,6 +73,9 @@
                             time_point aNow) override;
   void HandleLeavingTarget(const target_name& aTarget,
                            uint64_t aStartedMs) override;
+  void HandleSlowStart(const target_name& aTarget,
+                       uint64_t aStartedMs,
+                       duration aRest) override;
   void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
   void ApplyTargets(const std::vector<stored_item>& aItems);
   void ApplyTarget(const item_change& aChange);
@@ -140,6 +143,10 @@
   void ApplyCrashRecords(const crash_records& aRecords, time_point aNow);
   void ApplyRouterList(const router_list& aRouters);
   void ApplyLimits(service_limits aLimits, time_point aNow);
+  /// Passes the leader's present list of routers, which the store confirmed at
+  /// `aConfirmedAt`, to the decisions on targets in slow start.
+  void ConfirmSendingRouters(time_point aConfirmedAt, time_point aNow);
+  [[nodiscard]] bool LimitsSlowStarts() const;
   /// Replaces the list of routers by those that live, as the leader. Routers
   /// that are gone are removed together after a while.
   void UpdateRouterList(time_point aNow);
@@ -225,6 +232,7 @@
   /// Crashes in the report that has no response yet.
   crash_report mReportedCrashes;
   std::optional<leader_entry> mReportLeader;
+  time_point mReportSentAt = time_point::min();
   time_point mNextReport = time_point::min();
   std::optional<time_point> mShutdownStartedAt;
   timer mTickTimer;
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -4,6 +4,7 @@
 #include "Parsleystair/Gateway/GatewayTask.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 // Leadership, ownership of keys, and the messages between routers about both.
@@ -54,6 +55,25 @@
 constexpr const char* kCrashesTakenHeader = "Crashes-Taken";
 /// Says that the reporting router has the leader's present limits for keys.
 constexpr const char* kLimitsCurrentHeader = "Limits-Current";
+/// Milliseconds since the store last confirmed the leader, if a service limits
+/// requests to targets in slow start. The list of routers was right then.
+constexpr const char* kRoutersConfirmedHeader = "Routers-Confirmed-Ms";
+
+/// Returns nothing if the text is absent or no number of milliseconds.
+std::optional<duration> ParseConfirmationAge(
+  const std::optional<std::string>& aText)
+{
+  uint32_t milliseconds = 0;
+  if (!aText) {
+    return std::nullopt;
+  }
+  const char* end = aText->data() + aText->size();
+  const auto parsed = std::from_chars(aText->data(), end, milliseconds);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
 
 } // namespace
 
@@ -293,6 +313,9 @@
       UpdateRouterList(now);
       mElection.HandleRouters(mRouters);
       StoreRouterList(now);
+      if (mElection.Leadership().mConfirmedAt != time_point::min()) {
+        ConfirmSendingRouters(mElection.Leadership().mConfirmedAt, now);
+      }
     }
     for (const auto& [service, load] : report) {
       mRangeDriver.HandleLoad(service, load, now);
@@ -330,6 +353,7 @@
   if (const auto lostGrants = mElection.LostGrantsText(MonotonicNow())) {
     request.mHeaders.push_back({ kLostGrantsHeader, *lostGrants });
   }
+  mReportSentAt = MonotonicNow();
   // The load in a lost report isn't sent again: it only appears lower for a
   // second.
   mReportConnection->Call(
@@ -396,6 +420,11 @@
     }
     if (response.mRouters || hasHeader(kRoutersCurrentHeader)) {
       mElection.HandleRouters(mRouters);
+      const auto age = ParseConfirmationAge(
+        FindHeader(aResult.mResponse.mHeaders, kRoutersConfirmedHeader));
+      if (age) {
+        ConfirmSendingRouters(mReportSentAt - *age, now);
+      }
     }
     if (response.mLimits) {
       ApplyLimits(*response.mLimits, now);
@@ -411,6 +440,28 @@
   }
 }
 
+bool gateway_task::LimitsSlowStarts() const
+{
+  if (mView.mRoutes == nullptr) {
+    return false;
+  }
+  const auto& services = mView.mRoutes->Configuration().mServices;
+  return std::any_of(
+    services.begin(), services.end(), [](const auto& aService) {
+      return aService.second.mSlowStartRate > 0;
+    });
+}
+
+void gateway_task::ConfirmSendingRouters(time_point aConfirmedAt,
+                                         time_point aNow)
+{
+  std::vector<sending_router> routers;
+  for (const router_entry& router : mRouters) {
+    routers.push_back({ router.mHost, router.mFailureDomain });
+  }
+  mForwarder.SlowStart().HandleRouters(routers, aConfirmedAt, aNow);
+}
+
 void gateway_task::ApplyLimits(service_limits aLimits, time_point aNow)
 {
   const uint64_t digest = ServiceLimitsDigest(aLimits);
@@ -561,6 +612,13 @@
       } else {
         content.mRouters = mRouters;
       }
+      const time_point confirmedAt = mElection.Leadership().mConfirmedAt;
+      if (LimitsSlowStarts() && confirmedAt != time_point::min()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+          now - confirmedAt);
+        response.mHeaders.push_back(
+          { kRoutersConfirmedHeader, std::to_string(age.count()) });
+      }
     }
     if (mElection.IsLeading()) {
       response.mHeaders.push_back(
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Gateway/GatewayTask.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 // Metrics and the state dump of a gateway, for operators.
@@ -98,6 +99,18 @@
   AppendLabelledMetric(text, "repeats_total", "kind", "hedge", counts.mHedges);
   AppendLabelledMetric(
     text, "repeats_total", "kind", "no-budget", counts.mRetriesOverBudget);
+  text += "# TYPE parsleystair_slow_start_requests_total counter\n";
+  AppendLabelledMetric(
+    text, "slow_start_requests_total", "result", "sent", counts.mSlowStartSent);
+  AppendLabelledMetric(text,
+                       "slow_start_requests_total",
+                       "result",
+                       "refused",
+                       counts.mSlowStartRefused);
+  AppendMetric(text,
+               "slow_starts_implausible_total",
+               "counter",
+               static_cast<double>(mView.mDirectory.ImplausibleSlowStarts()));
   const crash_guard& guard = mForwarder.CrashGuard();
   AppendMetric(text,
                "content_crashes_total",
@@ -176,6 +189,15 @@
                "targets",
                "gauge",
                static_cast<double>(mView.mDirectory.All().size()));
+  const time_point now = MonotonicNow();
+  const auto& known = mView.mDirectory.All();
+  AppendMetric(text,
+               "targets_in_slow_start",
+               "gauge",
+               static_cast<double>(std::count_if(
+                 known.begin(), known.end(), [now](const auto& aTarget) {
+                   return aTarget.second.IsLimited(now);
+                 })));
   AppendHistogram(text, "request_seconds", mForwarder.Latency().Buckets());
   return text;
 }
@@ -194,6 +216,8 @@
       { "inFlight", mForwarder.Balancer().InFlight(name) },
       { "setAside", mForwarder.Balancer().IsEjected(name) },
       { "silent", mForwarder.Balancer().IsSilent(name, now) },
+      { "slowStartSecondsLeft",
+        known.IsLimited(now) ? ToSeconds(known.mLimitedUntil - now) : 0 },
     };
   }
   nlohmann::json ranges = nlohmann::json::object();
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -59,6 +59,9 @@
 /// router itself is taken to be at fault, and no target loses its keys for
 /// failing.
 constexpr size_t kRouterFaultDivisor = 2;
+/// If more than 1 / `kMaxSlowStartDivisor` of the usable targets are in slow
+/// start, the others couldn't take their load, and all keep their keys.
+constexpr size_t kMaxSlowStartDivisor = 2;
 
 } // namespace
 
@@ -241,6 +244,7 @@
     state.mTarget.mDraining = each->IsLeaving();
     state.mRegistered = true;
     state.mUsable = each->IsUsable() && !each->mDropAt;
+    state.mLimitedUntil = each->mLimitedUntil;
     if (restarted) {
       state.mFailingSince.reset();
     }
@@ -465,6 +469,22 @@
   return static_cast<size_t>(failing) * kRouterFaultDivisor <= mOwners.size();
 }
 
+bool range_controller::IsSparedInSlowStart(const owner_state& aState,
+                                           time_point aNow) const
+{
+  if (aNow >= aState.mLimitedUntil) {
+    return false;
+  }
+  size_t warm = 0;
+  size_t limited = 0;
+  for (const auto& [name, owner] : mOwners) {
+    if (owner.mUsable && !owner.mFailingSince) {
+      ++(aNow < owner.mLimitedUntil ? limited : warm);
+    }
+  }
+  return warm > 0 && limited * kMaxSlowStartDivisor <= warm + limited;
+}
+
 bool range_controller::NeedsNewFence(const owned_range& aRange) const
 {
   const auto owner = mOwners.find(aRange.mOwner.mName);
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -176,6 +176,8 @@
     /// keys.
     bool mRegistered = false;
     bool mUsable = false;
+    /// End of the slow start in which the target gets only few requests.
+    time_point mLimitedUntil = time_point::min();
     /// Time at which the last grant call that may have reached the target
     /// ended.
     time_point mLastGrantTime = time_point::min();
@@ -275,6 +277,10 @@
   /// Whether the recorded fence must not be granted to the owner any more.
   [[nodiscard]] bool NeedsNewFence(const owned_range& aRange) const;
   [[nodiscard]] bool MustMove(const owned_range& aRange, time_point aNow) const;
+  /// Whether a target gets no keys, and loses its own, as it is in slow start
+  /// and others can serve them.
+  [[nodiscard]] bool IsSparedInSlowStart(const owner_state& aState,
+                                         time_point aNow) const;
   [[nodiscard]] bool IsFailing(const owner_state& aState,
                                time_point aNow) const;
   [[nodiscard]] bool HasOwnerRestarted(const target_incarnation& aOwner) const;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -209,7 +209,10 @@
 
   // Move the keys of owners that can't keep them.
   for (const owned_range& range : mRecord.mRanges) {
-    if (!MustMove(range, aNow)) {
+    const auto owner = mOwners.find(range.mOwner.mName);
+    const bool isSpared =
+      owner != mOwners.end() && IsSparedInSlowStart(owner->second, aNow);
+    if (!isSpared && !MustMove(range, aNow)) {
       continue;
     }
     for (const key_interval& piece : SubtractMoves(range.mKeys)) {
@@ -363,7 +366,8 @@
 {
   std::vector<owner_candidate> candidates;
   for (const auto& [name, owner] : mOwners) {
-    if (!owner.mUsable || owner.mFailingSince) {
+    if (!owner.mUsable || owner.mFailingSince ||
+        IsSparedInSlowStart(owner, aNow)) {
       continue;
     }
     owner_candidate candidate{ name, CapacityOf(owner), 0 };
--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -55,7 +55,7 @@
     { "version", "v1" },
     { "slots", 4 },
     { "state", aState },
-    { "slow_start_s_time", 0 },
+    { "slow_start_s_time", ToSeconds(mSlowStart) },
     { "seq", ++mReports },
     { "born", mStartedMs }
   }.dump();
@@ -77,7 +77,15 @@
   }
   ++mArrivals;
   if (aRequest.mPath == "/health") {
-    Respond(aExchange, { kOk, { { "X-Instance-Id", mName } }, "" });
+    http_response healthy{ kOk, { { "X-Instance-Id", mName } }, "" };
+    if (mSlowStart > duration::zero()) {
+      healthy.mHeaders.push_back(
+        { "X-Slow-Start-Ms",
+          std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(mSlowStart)
+              .count()) });
+    }
+    Respond(aExchange, healthy);
   } else {
     Run(aExchange, aRequest);
   }
--- a/StandIns/standin_users_platform/KeyedTarget.h
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -49,6 +49,8 @@
   void SetWork(duration aWork) { mWork = aWork; }
   /// Refuses all requests without running them.
   void SetFull(bool aFull) { mFull = aFull; }
+  /// Slow start that its next entries and its responses to health checks state.
+  void SetSlowStart(duration aRest) { mSlowStart = aRest; }
   /// Says in all answers that it leaves.
   void SetLeaving(bool aLeaving) { mLeaving = aLeaving; }
   /// Requests of callers and health checks that arrived.
@@ -107,6 +109,7 @@
   duration mWork{};
   bool mFull = false;
   bool mLeaving = false;
+  duration mSlowStart{};
   size_t mArrivals = 0;
   bool mDropsResponses = false;
   bool mAnswersOthers = false;
--- a/StandIns/standin_users_platform/OperatorConfiguration.cpp
+++ b/StandIns/standin_users_platform/OperatorConfiguration.cpp
@@ -35,6 +35,10 @@
     service["sharded"] = true;
     service["warm_s"] = 1;
   }
+  if (aService.mSlowStartRate > 0) {
+    service["slow_start_s"] = ToSeconds(aService.mSlowStart);
+    service["warmup_per_s"] = aService.mSlowStartRate;
+  }
   return service;
 }
 
--- a/StandIns/standin_users_platform/OperatorConfiguration.h
+++ b/StandIns/standin_users_platform/OperatorConfiguration.h
@@ -29,6 +29,9 @@
 {
   std::string mName;
   bool mKeyed = false;
+  /// Requests per second that a target bears in slow start; 0 for no limit.
+  double mSlowStartRate = 0;
+  duration mSlowStart{};
 
   bool operator==(const operator_service&) const = default;
 };
--- a/UnitTests/Discovery/TargetDirectoryTest.cpp
+++ b/UnitTests/Discovery/TargetDirectoryTest.cpp
@@ -93,6 +93,72 @@
   EXPECT_EQ(mDirectory.Find(target_name("c"))->mSlowUntil, mNow + 12s);
 }
 
+// Guards against a limit for targets whose service declares none, and against a
+// change of the slow start that the balancer counts.
+TEST_F(target_directory_test, LimitsRequestsOnlyWhereDeclared)
+{
+  discovered_target target = Target("c");
+  target.mSlowStart = 3s;
+  mDirectory.Update(target, mNow);
+  target.mSlowStart = 6s;
+  mDirectory.Update(target, mNow + 1s);
+  EXPECT_FALSE(mDirectory.HandleSlowStart(target_name("c"), 1, 9s, mNow + 1s));
+  EXPECT_FALSE(mDirectory.Find(target_name("c"))->IsLimited(mNow + 1s));
+  EXPECT_EQ(mDirectory.Find(target_name("c"))->mSlowUntil, mNow + 3s);
+  mDirectory.SetSlowStartTimes({ { service_name("s"), 3s } }, mNow + 1s);
+  EXPECT_EQ(mDirectory.Find(target_name("c"))->mLimitedUntil, mNow + 3s);
+  mDirectory.SetSlowStartTimes({}, mNow + 1s);
+  EXPECT_FALSE(mDirectory.Find(target_name("c"))->IsLimited(mNow + 1s));
+}
+
+// Guards against a target that enters slow start again unnoticed, and against
+// one that never leaves it because all its entries state the same.
+TEST_F(target_directory_test, LaterStatementsStartSlowStartAgain)
+{
+  mDirectory.SetSlowStartTimes({ { service_name("s"), 3s } }, mNow);
+  const auto limitedUntil = [this] {
+    return mDirectory.Find(target_name("a"))->mLimitedUntil;
+  };
+  discovered_target target = Target("a");
+  target.mSlowStart = 3s;
+  mDirectory.Update(target, mNow);
+  EXPECT_EQ(limitedUntil(), mNow + 3s);
+  target.mReportNumber = 2;
+  mDirectory.Update(target, mNow + 2s);
+  EXPECT_EQ(limitedUntil(), mNow + 3s);
+  target.mSlowStart = 0s;
+  mDirectory.Update(target, mNow + 2s);
+  EXPECT_EQ(limitedUntil(), mNow + 3s);
+
+  target.mSlowStart = 2500ms;
+  mDirectory.Update(target, mNow + 20s);
+  EXPECT_EQ(limitedUntil(), mNow + 22500ms);
+  EXPECT_FALSE(mDirectory.HandleSlowStart(target_name("a"), 1, 1s, mNow + 21s));
+  EXPECT_TRUE(mDirectory.HandleSlowStart(target_name("a"), 1, 3s, mNow + 21s));
+  EXPECT_EQ(limitedUntil(), mNow + 24s);
+  EXPECT_FALSE(mDirectory.HandleSlowStart(target_name("a"), 2, 3s, mNow + 30s));
+  target.mStartedMs = 2;
+  target.mSlowStart = 0s;
+  mDirectory.Update(target, mNow + 22s);
+  EXPECT_FALSE(mDirectory.Find(target_name("a"))->IsLimited(mNow + 22s));
+}
+
+// Guards against a target that gets nearly no requests for a day because of one
+// false statement.
+TEST_F(target_directory_test, ImplausibleSlowStartIsShortened)
+{
+  mDirectory.SetSlowStartTimes(
+    { { service_name("s"), 3s }, { service_name("u"), 0s } }, mNow);
+  EXPECT_TRUE(mDirectory.HandleSlowStart(target_name("a"), 1, 24h, mNow));
+  EXPECT_EQ(mDirectory.Find(target_name("a"))->mLimitedUntil, mNow + 6s);
+  discovered_target target = Target("c");
+  target.mService = service_name("u");
+  target.mSlowStart = 24h;
+  mDirectory.Update(target, mNow);
+  EXPECT_EQ(mDirectory.Find(target_name("c"))->mLimitedUntil, mNow + 1min);
+  EXPECT_EQ(mDirectory.ImplausibleSlowStarts(), 2u);
+}
+
 // Guards against requests to a draining target, because a restored store shows
 // its entry from the time before.
 TEST_F(target_directory_test, OlderReportDoesNotReplaceANewerOne)
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -97,6 +97,22 @@
     ASSERT_EQ(mController.Record().mRanges.size(), 2u);
   }
 
+  /// Runs some steps in which targets accept all orders.
+  void AcceptOrders()
+  {
+    for (size_t step = 0; step < 4; ++step) {
+      for (const range_action& action : Step()) {
+        if (const auto* grant = std::get_if<grant_order>(&action)) {
+          mController.HandleGrantResult(
+            grant->mId, order_result::kAccepted, mNow);
+        } else if (const auto* release = std::get_if<release_order>(&action)) {
+          mController.HandleReleaseResult(
+            release->mId, order_result::kAccepted, "", mNow);
+        }
+      }
+    }
+  }
+
   time_point mNow{ 1h };
   uint64_t mRevision = 10;
   std::vector<known_target> mTargets = { MakeTarget("a", 1),
@@ -245,6 +261,63 @@
   }
 }
 
+// Guards against an owner that enters slow start and crashes under the load of
+// its keys, and against one that gets no keys any more after its slow start.
+TEST_F(range_controller_test, OwnerInSlowStartLosesItsKeysUntilItIsWarm)
+{
+  AssignKeysToBothTargets();
+  const auto expectOwner = [this](const char* aOwner) {
+    UpdateTargets();
+    AcceptOrders();
+    for (const owned_range& range : mController.Record().mRanges) {
+      EXPECT_EQ(range.mOwner.mName, target_name(aOwner));
+    }
+  };
+  mTargets[0].mLimitedUntil = mNow + 3s;
+  expectOwner("b");
+  // Neither has keys to spare while the other one is in slow start as well.
+  mTargets[1].mLimitedUntil = mNow + 6s;
+  expectOwner("b");
+  mNow += 3s;
+  expectOwner("a");
+}
+
+// Guards against keys that are moved to few warm targets, which can't serve
+// them, and against an interruption of keys that nobody else can take.
+TEST_F(range_controller_test, KeysStayIfMostOwnersAreInSlowStart)
+{
+  AssignKeysToBothTargets();
+  const range_record before = mController.Record();
+  for (known_target& each : mTargets) {
+    each.mLimitedUntil = mNow + 3s;
+  }
+  UpdateTargets();
+  EXPECT_TRUE(Orders<release_order>().empty());
+  // The only warm target is leaving.
+  mTargets[1].mLimitedUntil = time_point::min();
+  mTargets[1].mReplacedUntil = mNow + 10s;
+  UpdateTargets();
+  EXPECT_TRUE(Orders<release_order>().empty());
+  EXPECT_EQ(mController.Record(), before);
+}
+
+// Guards against a wave of releases that stops because there is no leader for
+// it: an owner in slow start keeps the grants that can't be moved.
+TEST_F(range_controller_test, UnconfirmedLeaderRenewsGrantsInSlowStart)
+{
+  AssignKeysToBothTargets();
+  mTargets[0].mLimitedUntil = mNow + 30s;
+  mNow += range_settings().mMaxConfirmationAgeToMove + 1ms;
+  UpdateTargets();
+  size_t renewed = 0;
+  for (const range_action& action : mController.Step(mNow)) {
+    const auto* grant = std::get_if<grant_order>(&action);
+    renewed +=
+      grant != nullptr && grant->mAddress.mTarget == target_name("a") ? 1 : 0;
+  }
+  EXPECT_EQ(renewed, 1u);
+}
+
 // Guards against taking the late result of an earlier write for the result of
 // the last one, which led to two owners of key 52229 in
 // RangeState.ServesAllKeysAfterFaults (seed 20261204, case 81).
