Take no broken connection for an orderly end

Cause: the system reports a socket's error once.

Change: socket_stream remembers that a call has taken the error, also a look at unread input. A response without a length is whole only if the peer has received the whole request. Connections to targets have no user timeout; loss_detector finds lost targets by what their system acknowledges, 1 to 1.5 s after bytes were sent, and spares full ones.

Measured: ConnectionEnd and LossDetector (4 tests), kept_connection_test and target_connections_test pass.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -39,7 +39,9 @@
   // A lost network path is detected within seconds. Probes on idle connections
   // are billed by the byte.
   settings.mStream.mKeepAlive = 2s;
-  settings.mStream.mUserTimeout = 1s;
+  // Not the user timeout of the system, which also ends the connection of a
+  // target that doesn't read for a while.
+  settings.mStream.mLossTimeout = 1s;
   return settings;
 }
 
--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -256,9 +256,11 @@
     Fail(http_failure::kConnect, false);
     return;
   }
-  const bool unframed = mParser->EndsWithStream() &&
-                        aEnd == stream_end::kClosed &&
-                        mSettings.mAcceptsUnframedResponses;
+  // A peer that leaves a part of the request unread has not closed its side
+  // because its answer was whole.
+  const bool unframed =
+    mParser->EndsWithStream() && aEnd == stream_end::kClosed &&
+    IsRequestAcknowledged() && mSettings.mAcceptsUnframedResponses;
   if (unframed) {
     mParser->FeedEnd();
   }
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -67,7 +67,8 @@
   /// Longest time for a new connection to be accepted.
   duration mConnectTimeout = 5s;
   /// Takes an answer without a length as whole when its connection ends in
-  /// order. Otherwise such an answer counts as cut.
+  /// order and the peer has received the whole request. Otherwise such an
+  /// answer counts as cut.
   bool mAcceptsUnframedResponses = false;
   /// When set, an answer that has begun may take longer than the call's time,
   /// as long as bytes arrive at least this often.
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/SystemAddress.h"
+#include "Parsleystair/Http/LossDetector.h"
 
 #include <algorithm>
 #include <array>
@@ -21,8 +22,8 @@
 
 namespace {
 
-/// Probes without an answer after which the system gives a peer up.
-constexpr int kKeepAliveProbes = 2;
+/// Probes of an idle peer without an answer after which the system gives it up.
+constexpr int kKeepAliveProbes = 1;
 
 /// Memory that a stream keeps for its next output.
 constexpr size_t kKeptOutputBytes = 16 * 1024;
@@ -75,6 +76,19 @@
   return static_cast<size_t>(queued);
 }
 
+/// What the system knows of the peer; nothing if the system can't tell.
+std::optional<peer_signs> ReadPeerSigns(int aDescriptor)
+{
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  if (getsockopt(aDescriptor, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+    return std::nullopt;
+  }
+  return peer_signs{ info.tcpi_unacked,
+                     info.tcpi_probes,
+                     std::chrono::milliseconds(info.tcpi_last_ack_recv) };
+}
+
 /// Opens a socket and starts to connect it; -1 when that fails at once.
 int StartConnect(const std::string& aHost, uint16_t aPort)
 {
@@ -105,6 +119,9 @@
   int mDescriptor = -1;
   bool mConnecting = false;
   bool mBroken = false;
+  /// A call has taken the socket's error, which the system reports only once.
+  /// Reads return what arrived before, and then an end that looks orderly.
+  bool mHasFailed = false;
   bool mFinishing = false;
   /// The last read returned all that was allowed.
   bool mIsFullReader = false;
@@ -114,6 +131,9 @@
   event* mReadEvent = nullptr;
   event* mWriteEvent = nullptr;
   event* mTimer = nullptr;
+  /// Checks if the peer is lost, while bytes are not acknowledged.
+  event* mLossTimer = nullptr;
+  std::optional<loss_detector> mLossDetector;
 
   state(event_loop& aLoop, stream_handler& aHandler)
     : mReads(aLoop.Reads())
@@ -122,7 +142,7 @@
   }
   ~state();
 
-  void Start(event_loop& aLoop);
+  void Start(event_loop& aLoop, const stream_settings& aSettings);
   void Read();
   void SetFullReader(bool aIsFull);
   void HandleWritable();
@@ -130,11 +150,13 @@
   void FailLater();
   void BreakLater();
   [[nodiscard]] bool IsWriteLimitOver() const;
-  [[nodiscard]] input_state PeekInput() const;
+  [[nodiscard]] input_state PeekInput();
   bool FinishConnect();
+  void WatchForLoss();
+  void CheckForLoss();
 };
 
-input_state socket_stream::state::PeekInput() const
+input_state socket_stream::state::PeekInput()
 {
   if (mConnecting || mDescriptor < 0) {
     return input_state::kNone;
@@ -146,13 +168,14 @@
     return input_state::kBytes;
   }
   const bool isOpen = count < 0 && (errno == EAGAIN || errno == EINTR);
+  mHasFailed = mHasFailed || (count < 0 && !isOpen);
   return isOpen ? input_state::kNone : input_state::kEnd;
 }
 
 socket_stream::state::~state()
 {
   SetFullReader(false);
-  for (event* each : { mReadEvent, mWriteEvent, mTimer }) {
+  for (event* each : { mReadEvent, mWriteEvent, mTimer, mLossTimer }) {
     if (each != nullptr) {
       event_free(each);
     }
@@ -162,7 +185,8 @@
   }
 }
 
-void socket_stream::state::Start(event_loop& aLoop)
+void socket_stream::state::Start(event_loop& aLoop,
+                                 const stream_settings& aSettings)
 {
   mReadEvent = event_new(
     aLoop.Base(),
@@ -188,9 +212,21 @@
       static_cast<state*>(aArgument)->mHandler.HandleTimeout();
     },
     this);
-  if (mReadEvent == nullptr || mWriteEvent == nullptr || mTimer == nullptr) {
+  mLossTimer = event_new(
+    aLoop.Base(),
+    -1,
+    0,
+    [](evutil_socket_t, short, void* aArgument) {
+      static_cast<state*>(aArgument)->CheckForLoss();
+    },
+    this);
+  if (mReadEvent == nullptr || mWriteEvent == nullptr || mTimer == nullptr ||
+      mLossTimer == nullptr) {
     throw system_error("libevent could not create an event");
   }
+  if (aSettings.mLossTimeout > duration::zero()) {
+    mLossDetector.emplace(aSettings.mLossTimeout);
+  }
   if (mDescriptor < 0) {
     FailLater();
     return;
@@ -217,7 +253,8 @@
     return;
   }
   event_del(mReadEvent);
-  mHandler.HandleEnd(count == 0 ? stream_end::kClosed : stream_end::kBroken);
+  const bool isOrderly = count == 0 && !mHasFailed;
+  mHandler.HandleEnd(isOrderly ? stream_end::kClosed : stream_end::kBroken);
 }
 
 void socket_stream::state::SetFullReader(bool aIsFull)
@@ -266,6 +303,7 @@
       send(mDescriptor, mOutput.data(), mOutput.size(), MSG_NOSIGNAL);
     if (count >= 0) {
       mOutput.erase(0, static_cast<size_t>(count));
+      WatchForLoss();
       continue;
     }
     if (errno == EINTR) {
@@ -293,6 +331,7 @@
   // peer sent before the break can still be read first.
   const bool readable = !mConnecting && mDescriptor >= 0;
   mBroken = !readable;
+  mHasFailed = true;
   mOutput.clear();
   event_active(mReadEvent, EV_READ, 0);
 }
@@ -304,6 +343,29 @@
   event_active(mReadEvent, EV_READ, 0);
 }
 
+void socket_stream::state::WatchForLoss()
+{
+  if (mLossDetector && event_pending(mLossTimer, EV_TIMEOUT, nullptr) == 0) {
+    const timeval delay = ToTimeval(mLossDetector->CheckInterval());
+    event_add(mLossTimer, &delay);
+  }
+}
+
+void socket_stream::state::CheckForLoss()
+{
+  const auto signs = ReadPeerSigns(mDescriptor);
+  if (mBroken || mHasFailed || !signs) {
+    return;
+  }
+  if (mLossDetector->Check(*signs, MonotonicNow())) {
+    BreakLater();
+    return;
+  }
+  if (!mOutput.empty() || QueuedBytes(mDescriptor).value_or(0) > 0) {
+    WatchForLoss();
+  }
+}
+
 bool socket_stream::state::IsWriteLimitOver() const
 {
   return mWriteUntil != time_point::max() && MonotonicNow() >= mWriteUntil;
@@ -317,7 +379,7 @@
 {
   mState->mDescriptor = aDescriptor;
   ApplySettings(aDescriptor, aSettings);
-  mState->Start(aLoop);
+  mState->Start(aLoop, aSettings);
 }
 
 socket_stream::socket_stream(event_loop& aLoop,
@@ -332,7 +394,7 @@
   if (mState->mDescriptor >= 0) {
     ApplySettings(mState->mDescriptor, aSettings);
   }
-  mState->Start(aLoop);
+  mState->Start(aLoop, aSettings);
 }
 
 socket_stream::~socket_stream() = default;
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -39,9 +39,14 @@
 {
   /// Idle time before the system probes a silent peer; 0 for no probes.
   duration mKeepAlive{};
-  /// Longest time that sent bytes may stay unacknowledged; 0 for the system's
-  /// default.
+  /// Longest time that sent bytes may stay unacknowledged, also by a peer that
+  /// is there and doesn't read; 0 for the system's default. The system sends
+  /// none of them later, even if this process stands still.
   duration mUserTimeout{};
+  /// Time after which a peer counts as lost that leaves what is sent to it
+  /// unacknowledged, unless it is only full (`loss_detector`); 0 for the
+  /// system's default.
+  duration mLossTimeout{};
 };
 
 /// One TCP connection on an event loop.
