Let Retry-After follow the refusals of a service

Cause: a refusal for lack of capacity told every caller to come back after 200 ms, whatever was refused, so that most were refused again.

Change: each router estimates, per service and owner of keys, the time that the requests refused in the last seconds need at the rate of the responses, and draws Retry-After from 200 ms to that time, at most a third of the time that the caller has left. For a key that the leader limits, the limit gives the ratio at all routers. 200 ms remain where nothing is overloaded. New metrics overload_refusals_total and overloads, new event overload_changed.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// Time after which a caller may retry a request that was refused without
-/// having run.
-constexpr duration kRetryAfter = 200ms;
 /// Time after a route's timeout in which a target's own answer to the passed
 /// deadline may still arrive.
 constexpr duration kResponseGrace = 60ms;
@@ -104,7 +101,7 @@
   request.mRequest = std::move(aRequest);
   request.mTerms = mProtocol.ReadRequest(request.mRequest);
   request.mReceivedAt = now;
-  request.mRetryAfter = kRetryAfter;
+  request.mRetryAfter = kMinRetryAfter;
   mRequestsByExchange[aExchange] = id;
   Process(request, now);
 }
@@ -127,19 +124,15 @@
 
 bool forwarder::AdmitKey(open_request& aRequest, time_point aNow)
 {
+  const uint32_t key = *aRequest.mTerms.mKey;
   std::uniform_real_distribution<double> draw(0, 1);
-  if (mAdmission.Admits(
-        aRequest.mService, *aRequest.mTerms.mKey, draw(mRandom), aNow)) {
+  if (mAdmission.Admits(aRequest.mService, key, draw(mRandom), aNow)) {
     return true;
   }
-  // The load lasts for seconds. Callers that come back are spread over the time
-  // in which a response would still be in time.
-  const auto longest = std::max(
-    kRetryAfter,
-    std::chrono::duration_cast<duration>(aRequest.mRoute->mLatencyTarget));
-  std::uniform_int_distribution<int64_t> wait(longest.count() / 2,
-                                              longest.count());
-  aRequest.mRetryAfter = duration(wait(mRandom));
+  HandleOverloadRefusal(
+    aRequest,
+    BacklogTimeOfShare(mAdmission.ShareFor(aRequest.mService, key, aNow)),
+    aNow);
   Refuse(aRequest,
          refusal_kind::kNotRun,
          "the owner of the key is overloaded",
@@ -262,6 +255,9 @@
   LogRefusal(aRequest, outcome, aReason, elapsed);
   refusal why{ aKind, aReason, {} };
   if (aKind == refusal_kind::kNotRun) {
+    if (aRequest.mRejected) {
+      HandleOverloadRefusal(aRequest, duration::zero(), aNow);
+    }
     why.mRetryAfter = aRequest.mRetryAfter;
   }
   mServer.Respond(aRequest.mExchange,
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -11,6 +11,7 @@
 #include "Parsleystair/KeyRanges/LoadReport.h"
 #include "Parsleystair/Limits/CrashGuard.h"
 #include "Parsleystair/Limits/KeyAdmission.h"
+#include "Parsleystair/Limits/OverloadEstimate.h"
 #include "Parsleystair/Limits/SharedRetryBudget.h"
 #include "Parsleystair/Routing/RouteTable.h"
 #include "Parsleystair/Routing/WeightedChoice.h"
@@ -148,6 +149,8 @@
     return mConnections;
   }
   [[nodiscard]] size_t Open() const { return mRequests.size(); }
+  /// Services and owners of keys that refuse more than they can run.
+  [[nodiscard]] const overload_table& Overloads() const { return mOverloads; }
 
 private:
   /// One attempt: a request sent to a target.
@@ -203,6 +206,8 @@
     /// Time after which the caller may come back, if the request is refused
     /// without having run.
     duration mRetryAfter{};
+    /// A target, or the way to it, had no capacity for the request.
+    bool mRejected = false;
     /// Expiry of the request's timer.
     time_point mTimerExpiry;
   };
@@ -231,6 +236,19 @@
               refusal_kind aKind,
               const std::string& aReason,
               time_point aNow);
+  /// Counts a request that is refused for lack of capacity, and sets the time
+  /// after which its caller may come back. `aBacklogTime`: time that the
+  /// backlog needs at least.
+  void HandleOverloadRefusal(open_request& aRequest,
+                             duration aBacklogTime,
+                             time_point aNow);
+  /// Owner of the request's key; empty if the service isn't keyed or the key
+  /// has no owner.
+  [[nodiscard]] target_name OwnerOf(const open_request& aRequest) const;
+  /// Time that the caller still waits, as far as it is known.
+  [[nodiscard]] static duration CallerTimeLeft(const open_request& aRequest,
+                                               time_point aNow);
+  void LogOverloadChanges(time_point aNow);
   void LogRefusal(const open_request& aRequest,
                   request_outcome aOutcome,
                   const std::string& aReason,
@@ -310,6 +328,7 @@
   target_connections mConnections;
   weighted_choice mServiceChoice;
   key_admission mAdmission;
+  overload_table mOverloads;
   crash_guard mCrashGuard;
   lost_targets mLostTargets;
   std::mt19937_64 mRandom;
--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -180,6 +180,9 @@
     return;
   }
   mCrashGuard.HandleAnswered(aRequest.mRequest);
+  mOverloads.AddResponse(aRequest.mService,
+                         aRequest.mKeyed ? aAttempt.mTarget : target_name(),
+                         aNow);
   const bool failed = aAnswer.mStatus >= kFirstServerErrorStatus;
   mBalancer.HandleOutcome(aAttempt.mTarget,
                           aAttempt.mSend,
@@ -218,6 +221,9 @@
     mTargetObserver.HandleReplacedTarget(
       aAttempt.mTarget, aAttempt.mHost, aAttempt.mPort, aNow);
   }
+  if (!aTerms.mMisdirected && !aTerms.mWrongTarget) {
+    aRequest.mRejected = true;
+  }
   if (!aRequest.mKeyed) {
     mBalancer.HandleOutcome(aAttempt.mTarget,
                             aAttempt.mSend,
--- a/Parsleystair/Gateway/ForwarderCounters.h
+++ b/Parsleystair/Gateway/ForwarderCounters.h
@@ -18,6 +18,8 @@
   uint64_t mRetries = 0;
   uint64_t mHedges = 0;
   uint64_t mRetriesOverBudget = 0;
+  /// Requests refused for lack of capacity.
+  uint64_t mOverloadRefusals = 0;
 
   bool operator==(const forwarder_counters&) const = default;
 };
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -88,6 +88,7 @@
 void forwarder::WaitForOwnerConnection(open_request& aRequest, time_point aNow)
 {
   if (aNow >= OwnerWaitDeadline(aRequest)) {
+    aRequest.mRejected = true;
     FinishWithFailure(aRequest, "the owner's connections are in use", aNow);
     return;
   }
@@ -195,6 +196,7 @@
 void forwarder::Tick(time_point aNow)
 {
   mStatistics.LogIfDue(aNow);
+  LogOverloadChanges(aNow);
   mLostTargets.Tick(aNow);
   mConnections.Sweep(mView.mDirectory, aNow);
   mBalancer.RemoveUnknownTargets(mView.mDirectory);
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -98,6 +98,14 @@
   AppendLabelledMetric(text, "repeats_total", "kind", "hedge", counts.mHedges);
   AppendLabelledMetric(
     text, "repeats_total", "kind", "no-budget", counts.mRetriesOverBudget);
+  AppendMetric(text,
+               "overload_refusals_total",
+               "counter",
+               static_cast<double>(counts.mOverloadRefusals));
+  AppendMetric(text,
+               "overloads",
+               "gauge",
+               static_cast<double>(mForwarder.Overloads().Overloaded()));
   const crash_guard& guard = mForwarder.CrashGuard();
   AppendMetric(text,
                "content_crashes_total",
--- a/Parsleystair/Limits/KeyAdmission.cpp
+++ b/Parsleystair/Limits/KeyAdmission.cpp
@@ -22,12 +22,19 @@
                            uint32_t aKey,
                            double aDraw,
                            time_point aNow) const
+{
+  return aDraw < ShareFor(aService, aKey, aNow);
+}
+
+double key_admission::ShareFor(const service_name& aService,
+                               uint32_t aKey,
+                               time_point aNow) const
 {
   const auto found = mLimits.find(aService);
   if (found == mLimits.end() || aNow - mConfirmedAt > kMaxAge) {
-    return true;
+    return 1;
   }
-  return aDraw < ShareOf(found->second, aKey);
+  return ShareOf(found->second, aKey);
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Limits/KeyAdmission.h
+++ b/Parsleystair/Limits/KeyAdmission.h
@@ -28,6 +28,11 @@
                             double aDraw,
                             time_point aNow) const;
 
+  /// Share of the requests for a key that are admitted; 1 if no limit applies.
+  [[nodiscard]] double ShareFor(const service_name& aService,
+                                uint32_t aKey,
+                                time_point aNow) const;
+
   [[nodiscard]] const service_limits& Limits() const { return mLimits; }
 
 private:
--- /dev/null
+++ b/UnitTests/Gateway/OverloadTest.cpp
@@ -0,0 +1,49 @@
+#include "GatewayFixture.h"
+
+namespace parsleystair {
+
+namespace {
+
+class overload_test : public gateway_test
+{
+protected:
+  /// Sends a request that is refused as not run; returns its Retry-After.
+  duration RetryAfterOf(const gateway_instance& aGateway,
+                        const http_request& aRequest)
+  {
+    const http_result result = Call(aGateway, aRequest);
+    EXPECT_EQ(result.mResponse.mStatus, 503u);
+    return FromSeconds(std::stod(
+      FindHeader(result.mResponse.mHeaders, "Retry-After").value_or("0")));
+  }
+};
+
+} // namespace
+
+// Guards against a Retry-After that ignores how much was refused, that callers
+// don't honour, or that says more than the shortest time after one refusal.
+TEST_F(overload_test, RetryAfterFollowsTheRefusals)
+{
+  const gateway_instance& gateway = StartGateway("a");
+  mTargets.at("orders-1")->SetFull(true);
+  mTargets.at("orders-2")->SetFull(true);
+  EXPECT_EQ(RetryAfterOf(gateway, Request("POST", "/order/7", "order-0")),
+            200ms);
+  duration longest{};
+  for (int i = 1; i < 8; ++i) {
+    const duration time = RetryAfterOf(
+      gateway, Request("POST", "/order/7", "order-" + std::to_string(i)));
+    EXPECT_GE(time, 200ms);
+    // The callers have 4 s.
+    EXPECT_LE(time, 1334ms);
+    longest = std::max(longest, time);
+  }
+  EXPECT_GT(longest, 400ms);
+  EXPECT_NE(gateway.mTask->MetricsText().find("overload_refusals_total 8"),
+            std::string::npos);
+  RunFor(300ms);
+  EXPECT_NE(gateway.mTask->MetricsText().find("overloads 1"),
+            std::string::npos);
+}
+
+} // namespace parsleystair
