--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -187,6 +187,9 @@
     return;
   }
   mCrashGuard.HandleAnswered(aRequest.mRequest);
+  mOverloads.AddResponse(aRequest.mService,
+                         aRequest.mKeyed ? aAttempt.mTarget : target_name(),
+                         aNow);
   const bool failed = aAnswer.mStatus >= kFirstServerErrorStatus;
   mBalancer.HandleOutcome(aAttempt.mTarget,
                           aAttempt.mSend,
@@ -225,6 +228,9 @@
     mTargetObserver.HandleReplacedTarget(
       aAttempt.mTarget, aAttempt.mHost, aAttempt.mPort, aNow);
   }
+  if (!aTerms.mMisdirected && !aTerms.mWrongTarget) {
+    aRequest.mRejected = true;
+  }
   if (!aRequest.mKeyed) {
     mBalancer.HandleOutcome(aAttempt.mTarget,
                             aAttempt.mSend,
@@ -235,6 +241,9 @@
     RetryOrFinish(aRequest, "the target has no room", aNow);
     return;
   }
+  if (!aTerms.mMisdirected && !aTerms.mWrongTarget) {
+    ++mLoad[aRequest.mService].mRejections[aAttempt.mTarget];
+  }
   mBalancer.HandleOutcome(
     aAttempt.mTarget, aAttempt.mSend, attempt_outcome::kCancelled, 0, aNow);
   if (!aRequest.mOpenAttempts.empty()) {
--- a/Parsleystair/Gateway/ForwarderCounters.h
+++ b/Parsleystair/Gateway/ForwarderCounters.h
@@ -22,6 +22,8 @@
   /// such a target gets no more.
   uint64_t mSlowStartSent = 0;
   uint64_t mSlowStartRefused = 0;
+  /// Requests refused for lack of capacity.
+  uint64_t mOverloadRefusals = 0;
 
   bool operator==(const forwarder_counters&) const = default;
 };
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -121,6 +121,14 @@
                "slow_starts_implausible_total",
                "counter",
                static_cast<double>(mView.mDirectory.ImplausibleSlowStarts()));
+  AppendMetric(text,
+               "overload_refusals_total",
+               "counter",
+               static_cast<double>(counts.mOverloadRefusals));
+  AppendMetric(text,
+               "overloads",
+               "gauge",
+               static_cast<double>(mForwarder.Overloads().Overloaded()));
   const crash_guard& guard = mForwarder.CrashGuard();
   AppendMetric(text,
                "content_crashes_total",
--- a/Parsleystair/Limits/KeyAdmission.cpp
+++ b/Parsleystair/Limits/KeyAdmission.cpp
@@ -22,12 +22,34 @@
                            uint32_t aKey,
                            double aDraw,
                            time_point aNow) const
+{
+  return aDraw < ShareFor(aService, aKey, aNow);
+}
+
+bool key_admission::AdmitsByPriority(const service_name& aService,
+                                     uint32_t aKey,
+                                     uint32_t aPriority,
+                                     double aDraw,
+                                     time_point aNow)
+{
+  const double share = ShareFor(aService, aKey, aNow);
+  if (share >= 1) {
+    return true;
+  }
+  priority_shares& priorities = mPriorities[aService];
+  priorities.Add(aPriority);
+  return aDraw < priorities.ShareOf(share, aPriority);
+}
+
+double key_admission::ShareFor(const service_name& aService,
+                               uint32_t aKey,
+                               time_point aNow) const
 {
   const auto found = mLimits.find(aService);
   if (found == mLimits.end() || aNow - mConfirmedAt > kMaxAge) {
-    return true;
+    return 1;
   }
-  return aDraw < ShareOf(found->second, aKey);
+  return ShareOf(found->second, aKey);
 }
 
 } // namespace parsleystair
