Send nothing to evacuated zones and move their keys

Cause: an operator had no way to take a zone out of service. Its targets got requests and keys as long as they were registered.

Change: the configuration's watch now has the prefix `op/`, so that `op/evacuate/ZONE` is followed with it at no further store call. The directory marks the targets of these zones as not usable: routers send them nothing and close their idle connections, and requests that wait choose again. The leader moves the keys of evacuated owners as those of draining ones and chooses none of them. In contrast to draining, owners keep their keys while no other target can take them, and their grants while the leader may not move keys. A service without a target outside the zones is refused at once. Unknown zones are logged and counted.

--- a/Parsleystair/Discovery/TargetDirectory.cpp
+++ b/Parsleystair/Discovery/TargetDirectory.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/Discovery/TargetDirectory.h"
 
 #include <set>
+#include <utility>
 
 namespace parsleystair {
 
@@ -52,6 +53,7 @@
     known.mReplacedUntil.reset();
   }
   known.mTarget = aTarget;
+  known.mEvacuated = mEvacuated.contains(aTarget.mFailureDomain);
   known.mDropAt.reset();
   if (restarted) {
     known.mSlowUntil = aNow + aTarget.mSlowStart;
@@ -154,6 +156,18 @@
   return true;
 }
 
+bool target_directory::SetEvacuated(std::set<failure_domain_name> aDomains)
+{
+  if (aDomains == mEvacuated) {
+    return false;
+  }
+  mEvacuated = std::move(aDomains);
+  for (auto& [name, known] : mTargets) {
+    known.mEvacuated = mEvacuated.contains(known.mTarget.mFailureDomain);
+  }
+  return true;
+}
+
 void target_directory::HandleStoreOutage(time_point /*aNow*/)
 {
   mStoreLost = true;
--- a/Parsleystair/Discovery/TargetDirectory.h
+++ b/Parsleystair/Discovery/TargetDirectory.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
   std::optional<time_point> mReplacedUntil;
   /// Start time of the process that has said in an answer that it leaves.
   std::optional<uint64_t> mLeavingStartedMs;
+  /// An operator has asked that the target's failure domain gets no requests.
+  bool mEvacuated = false;
 
   /// Returns true if the target leaves, according to its entry or an answer.
   [[nodiscard]] bool IsLeaving() const
@@ -59,7 +62,7 @@
   /// Returns true if the target may get new requests.
   [[nodiscard]] bool IsUsable() const
   {
-    return !IsLeaving() && !mReplacedUntil;
+    return !IsLeaving() && !mReplacedUntil && !mEvacuated;
   }
 };
 
@@ -103,6 +106,14 @@
   /// that is known.
   bool HandleLeaving(const target_name& aName, uint64_t aStartedMs);
 
+  /// Replaces the failure domains whose targets get no new requests, also those
+  /// that register later. Returns whether this changes the set.
+  bool SetEvacuated(std::set<failure_domain_name> aDomains);
+  [[nodiscard]] const std::set<failure_domain_name>& Evacuated() const
+  {
+    return mEvacuated;
+  }
+
   /// Handle the start and the end of an outage of the store.
   void HandleStoreOutage(time_point aNow);
   void HandleStoreRecovery(time_point aNow);
@@ -144,6 +155,7 @@
 
   std::map<target_name, known_target> mTargets;
   std::map<target_name, removed_target> mRemoved;
+  std::set<failure_domain_name> mEvacuated;
   bool mStoreLost = false;
   time_point mGracePeriodEnd = time_point::min();
   /// Time until which entries may be those of a copy.
--- a/Parsleystair/Gateway/ForwarderTargets.cpp
+++ b/Parsleystair/Gateway/ForwarderTargets.cpp
@@ -63,11 +63,13 @@
 
 const char* forwarder::UnservableReason(const open_request& aRequest) const
 {
-  if (aRequest.mRoute->mAllowedRegions.empty()) {
+  const bool isRestricted = !aRequest.mRoute->mAllowedRegions.empty();
+  if (!isRestricted && mView.mDirectory.Evacuated().empty()) {
     return nullptr;
   }
   if (AllowedTargets(aRequest).empty()) {
-    return "no target in an allowed region";
+    return isRestricted ? "no target in an allowed region"
+                        : "no target outside the evacuated zones";
   }
   const bool isOwnerOutside = aRequest.mKeyed &&
                               FindOwnerInService(aRequest) != nullptr &&
--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -297,17 +297,11 @@
   });
   mConfigurationFollower = std::make_unique<follower>(
     *this,
-    aPlatform.mCatalog.ConfigurationPrefix(),
+    aPlatform.mCatalog.OperatorPrefix(),
     [this](const std::vector<stored_item>& aItems) {
-      for (const stored_item& item : aItems) {
-        ApplyConfiguration(item.mKey, item.mValue);
-      }
-    },
-    [this](const item_change& aChange) {
-      if (aChange.mValue) {
-        ApplyConfiguration(aChange.mKey, *aChange.mValue);
-      }
+      ApplyOperatorItems(aItems);
     },
+    [this](const item_change& aChange) { ApplyOperatorChange(aChange); },
     kMaxConfigurationWatchWait,
     aSeed + 2,
     [this] { mForwarder.HandleRoutesConfirmed(); });
--- a/Parsleystair/Gateway/GatewayTask.h
+++ b/Parsleystair/Gateway/GatewayTask.h
@@ -74,6 +74,11 @@
   void HandleLeavingTarget(const target_name& aTarget,
                            uint64_t aStartedMs) override;
   void ApplyConfiguration(const std::string& aKey, const std::string& aValue);
+  /// `aItems`: all keys of operators, the configuration and the evacuated
+  /// failure domains.
+  void ApplyOperatorItems(const std::vector<stored_item>& aItems);
+  void ApplyOperatorChange(const item_change& aChange);
+  void ApplyEvacuated(const std::set<failure_domain_name>& aDomains);
   void ApplyTargets(const std::vector<stored_item>& aItems);
   void ApplyTarget(const item_change& aChange);
   /// `aItem`: the leader key or the list of routers.
@@ -215,6 +220,8 @@
   time_point mNextOwnersRead = time_point::min();
   /// Text of the configuration in use, for routers that have an older one.
   std::string mConfigurationText;
+  /// Evacuations of failure domains that the settings don't list.
+  uint64_t mUnknownEvacuations = 0;
   /// Routes with allowed regions that have no target there.
   std::set<route_name> mUnservableRoutes;
   time_point mNextRouteCheck = time_point::min();
--- a/Parsleystair/Gateway/GatewayTaskOwners.cpp
+++ b/Parsleystair/Gateway/GatewayTaskOwners.cpp
@@ -244,7 +244,7 @@
     request, kConfigurationTimeout, [this](const http_result& aResult) {
       if (aResult.mStatus == http_status::kResponded &&
           aResult.mResponse.mStatus == kOk) {
-        ApplyConfiguration(mPlatform.mCatalog.ConfigurationPrefix(),
+        ApplyConfiguration(mPlatform.mCatalog.ConfigurationKey(),
                            aResult.mResponse.mBody);
       }
     });
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -1,6 +1,7 @@
 #include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Gateway/GatewayTask.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 // Metrics and the state dump of a gateway, for operators.
@@ -176,6 +177,20 @@
                "targets",
                "gauge",
                static_cast<double>(mView.mDirectory.All().size()));
+  const auto evacuatedTargets = std::count_if(
+    mView.mDirectory.All().begin(),
+    mView.mDirectory.All().end(),
+    [](const auto& aTarget) { return aTarget.second.mEvacuated; });
+  AppendMetric(text,
+               "evacuated_zones",
+               "gauge",
+               static_cast<double>(mView.mDirectory.Evacuated().size()));
+  AppendMetric(
+    text, "evacuated_targets", "gauge", static_cast<double>(evacuatedTargets));
+  AppendMetric(text,
+               "unknown_evacuations_total",
+               "counter",
+               static_cast<double>(mUnknownEvacuations));
   AppendMetric(text,
                "unservable_routes",
                "gauge",
@@ -194,6 +209,7 @@
       { "host", known.mTarget.mHost },
       { "port", known.mTarget.mPort },
       { "draining", known.mTarget.mDraining },
+      { "evacuated", known.mEvacuated },
       { "entryMissing", known.mDropAt.has_value() },
       { "inFlight", mForwarder.Balancer().InFlight(name) },
       { "setAside", mForwarder.Balancer().IsEjected(name) },
@@ -213,6 +229,10 @@
       { "trials", record.mTrials },
     };
   }
+  nlohmann::json evacuated = nlohmann::json::array();
+  for (const failure_domain_name& domain : mView.mDirectory.Evacuated()) {
+    evacuated.push_back(domain.Value());
+  }
   nlohmann::json unservable = nlohmann::json::array();
   for (const route_name& route : mUnservableRoutes) {
     unservable.push_back(route.Value());
@@ -231,6 +251,7 @@
     { "routers", mRouters.size() },
     { "openRequests", mForwarder.Open() },
     { "openMoves", mRangeDriver.PendingMoves() },
+    { "evacuatedZones", std::move(evacuated) },
     { "unservableRoutes", std::move(unservable) },
     { "targets", std::move(targets) },
     { "ranges", std::move(ranges) },
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -233,6 +233,7 @@
   for (auto& [name, state] : mOwners) {
     state.mRegistered = false;
     state.mUsable = false;
+    state.mEvacuated = false;
   }
   for (const known_target* each : aTargets) {
     owner_state& state = mOwners[each->mTarget.mName];
@@ -241,6 +242,7 @@
     state.mTarget.mDraining = each->IsLeaving();
     state.mRegistered = true;
     state.mUsable = each->IsUsable() && !each->mDropAt;
+    state.mEvacuated = each->mEvacuated;
     if (restarted) {
       state.mFailingSince.reset();
     }
@@ -476,15 +478,37 @@
 
 bool range_controller::MustMove(const owned_range& aRange,
                                 time_point aNow) const
+{
+  if (!MayKeep(aRange, aNow)) {
+    return true;
+  }
+  // An evacuated owner stays while nobody else can take the keys: it is not
+  // leaving, and serves them at once when its failure domain is taken back.
+  return mOwners.at(aRange.mOwner.mName).mEvacuated && HasCandidate();
+}
+
+bool range_controller::MayKeep(const owned_range& aRange, time_point aNow) const
 {
   const auto found = mOwners.find(aRange.mOwner.mName);
   if (found == mOwners.end() || !found->second.mRegistered) {
-    return true;
+    return false;
   }
   const owner_state& owner = found->second;
   // `mUsable` is not checked: a target whose directory entry is late after an
   // outage of the store keeps its keys.
-  return owner.mTarget.mDraining || IsFailing(owner, aNow);
+  return !owner.mTarget.mDraining && !IsFailing(owner, aNow);
+}
+
+bool range_controller::IsCandidate(const owner_state& aState)
+{
+  return aState.mUsable && !aState.mFailingSince;
+}
+
+bool range_controller::HasCandidate() const
+{
+  return std::any_of(mOwners.begin(), mOwners.end(), [](const auto& aOwner) {
+    return IsCandidate(aOwner.second);
+  });
 }
 
 time_point range_controller::GrantExpiry(const owner_state& aOwner) const
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -176,6 +176,9 @@
     /// keys.
     bool mRegistered = false;
     bool mUsable = false;
+    /// The target's failure domain is evacuated: its keys move to others, as
+    /// far as there are any.
+    bool mEvacuated = false;
     /// Time at which the last grant call that may have reached the target
     /// ended.
     time_point mLastGrantTime = time_point::min();
@@ -275,6 +278,11 @@
   /// Whether the recorded fence must not be granted to the owner any more.
   [[nodiscard]] bool NeedsNewFence(const owned_range& aRange) const;
   [[nodiscard]] bool MustMove(const owned_range& aRange, time_point aNow) const;
+  /// Whether the owner goes on getting grants of the keys until they move.
+  [[nodiscard]] bool MayKeep(const owned_range& aRange, time_point aNow) const;
+  /// Whether a target may be chosen as the new owner of keys.
+  [[nodiscard]] static bool IsCandidate(const owner_state& aState);
+  [[nodiscard]] bool HasCandidate() const;
   [[nodiscard]] bool IsFailing(const owner_state& aState,
                                time_point aNow) const;
   [[nodiscard]] bool HasOwnerRestarted(const target_incarnation& aOwner) const;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -363,7 +363,7 @@
 {
   std::vector<owner_candidate> candidates;
   for (const auto& [name, owner] : mOwners) {
-    if (!owner.mUsable || owner.mFailingSince) {
+    if (!IsCandidate(owner)) {
       continue;
     }
     owner_candidate candidate{ name, CapacityOf(owner), 0 };
@@ -457,7 +457,9 @@
 {
   for (const owned_range& range : mRecord.mRanges) {
     const auto owner = mOwners.find(range.mOwner.mName);
-    if (owner == mOwners.end() || MustMove(range, aNow) ||
+    // Keys that must move are subtracted below, once their move has started.
+    // While this router may move none, an evacuated owner keeps its grants.
+    if (owner == mOwners.end() || !MayKeep(range, aNow) ||
         NeedsNewFence(range)) {
       continue;
     }
--- a/UnitTests/Discovery/TargetDirectoryTest.cpp
+++ b/UnitTests/Discovery/TargetDirectoryTest.cpp
@@ -93,6 +93,28 @@
   EXPECT_EQ(mDirectory.Find(target_name("c"))->mSlowUntil, mNow + 12s);
 }
 
+// Guards against requests to a target of an evacuated failure domain, also one
+// that registers or restarts meanwhile, and against one that stays out of use.
+TEST_F(target_directory_test, TargetsOfEvacuatedDomainsAreNotUsable)
+{
+  discovered_target target = Target("c");
+  target.mFailureDomain = failure_domain_name("z");
+  mDirectory.Update(target, mNow);
+  EXPECT_TRUE(mDirectory.SetEvacuated({ failure_domain_name("z") }));
+  EXPECT_FALSE(mDirectory.SetEvacuated({ failure_domain_name("z") }));
+  EXPECT_EQ(UsableCount(), 2u);
+  target.mStartedMs = 2;
+  mDirectory.Update(target, mNow);
+  target.mName = target_name("d");
+  mDirectory.Update(target, mNow);
+  EXPECT_EQ(UsableCount(), 2u);
+  target.mFailureDomain = failure_domain_name("y");
+  mDirectory.Update(target, mNow);
+  EXPECT_EQ(UsableCount(), 3u);
+  EXPECT_TRUE(mDirectory.SetEvacuated({}));
+  EXPECT_EQ(UsableCount(), 4u);
+}
+
 // Guards against requests to a draining target, because a restored store shows
 // its entry from the time before.
 TEST_F(target_directory_test, OlderReportDoesNotReplaceANewerOne)
--- a/UnitTests/Gateway/RelayTest.cpp
+++ b/UnitTests/Gateway/RelayTest.cpp
@@ -214,6 +214,27 @@
   EXPECT_LT(mKv.Calls() - before, kChanges * kGateways / 2);
 }
 
+// Guards against routers behind a relay that don't learn in time which zones
+// are evacuated, also those that start meanwhile.
+TEST_F(relay_test, EvacuatedZonesArriveThroughTheRelay)
+{
+  ASSERT_FALSE(RelayName().empty());
+  EXPECT_TRUE(RunUntil([&] { return !mKv.Get(kRoutersKey).empty(); }));
+  const std::string zone = "\"verona-b\"";
+  const auto waitFor = [&](size_t aCount) {
+    const time_point start = MonotonicNow();
+    EXPECT_TRUE(RunUntil([&] { return CountGatewaysWith(zone) == aCount; }));
+    EXPECT_LT(MonotonicNow() - start, 2s);
+  };
+  mKv.Put("op/evacuate/verona-b", "{}");
+  waitFor(kGateways);
+  const uint16_t port = mGateways.at("g1").mSettings.mPeers.mPort;
+  StartGateway("new", "127.0.0.90", port);
+  EXPECT_EQ(CountGatewaysWith(zone), kGateways + 1);
+  mKv.Remove("op/evacuate/verona-b");
+  waitFor(0);
+}
+
 // Guards against a store, and a link to it, that all routers load with the
 // whole configuration and all targets when they start together.
 TEST_F(relay_test, StartingRoutersReadFromTheirRelay)
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -13,6 +13,7 @@
   { "partition target", 2, &range_simulation::PartitionTarget },
   { "lose entry", 2, &range_simulation::LoseEntry },
   { "drain target", 1, &range_simulation::DrainTarget },
+  { "evacuate target", 1, &range_simulation::EvacuateTarget },
   { "partition router from store",
     2,
     &range_simulation::PartitionRouterFromStore },
--- a/UnitTests/KeyRanges/RangeSimulation.h
+++ b/UnitTests/KeyRanges/RangeSimulation.h
@@ -76,6 +76,12 @@
     each.mDraining = !each.mDraining;
   }
 
+  void EvacuateTarget(uint32_t aTarget, uint32_t /*aMilliseconds*/)
+  {
+    target& each = mTargets[aTarget % kTargets];
+    each.mEvacuated = !each.mEvacuated;
+  }
+
   /// The router's calls to the store fail for a time. If it leads, its lease
   /// may expire.
   void PartitionRouterFromStore(uint32_t aRouter, uint32_t aMilliseconds)
@@ -139,6 +145,7 @@
       each.mEntryMissingUntil = mNow;
       each.mRestartAt = std::min(each.mRestartAt, mNow);
       each.mDraining = false;
+      each.mEvacuated = false;
     }
     for (router& each : mRouters) {
       each.mPausedUntil = mNow;
@@ -162,6 +169,7 @@
   {
     bool mUp = true;
     bool mDraining = false;
+    bool mEvacuated = false;
     uint64_t mStartedMs = 0;
     time_point mRestartAt = time_point::min();
     time_point mPartitionedUntil = time_point::min();
@@ -354,6 +362,7 @@
       entry.mTarget.mConcurrency = 4;
       entry.mTarget.mDraining = each.mDraining;
       entry.mTarget.mStartedMs = each.mStartedMs;
+      entry.mEvacuated = each.mEvacuated;
       known.push_back(entry);
     }
     std::vector<const known_target*> pointers;
--- a/UnitTests/UsersPlatform/RoutingTermsTest.cpp
+++ b/UnitTests/UsersPlatform/RoutingTermsTest.cpp
@@ -55,6 +55,18 @@
   EXPECT_FALSE(isIdempotent("some kind to come"));
 }
 
+TEST(RoutingTerms, KeysThatEvacuateAZone)
+{
+  const platform::catalog catalog;
+  EXPECT_EQ(catalog.EvacuatedDomainOf("op/evacuate/asti-a"),
+            failure_domain_name("asti-a"));
+  for (const std::string key :
+       { "op/config", "op/evacuate", "op/evacuated/a", "servers/a" }) {
+    EXPECT_FALSE(catalog.EvacuatedDomainOf(key)) << key;
+  }
+  EXPECT_FALSE(catalog.ReadConfiguration("op/evacuate/asti-a", "{}"));
+}
+
 TEST(RoutingTerms, AllowedRegionsOfRoutes)
 {
   const auto regions = [](const std::string& aAction) {
