--- a/Parsleystair/Discovery/TargetDirectory.cpp
+++ b/Parsleystair/Discovery/TargetDirectory.cpp
@@ -63,6 +63,7 @@
     known.mReplacedUntil.reset();
   }
   known.mTarget = aTarget;
+  known.mEvacuated = mEvacuated.contains(aTarget.mFailureDomain);
   known.mDropAt.reset();
   if (restarted) {
     known.mSlowUntil = aNow + aTarget.mSlowStart;
@@ -227,6 +228,18 @@
   return true;
 }
 
+bool target_directory::SetEvacuated(std::set<failure_domain_name> aDomains)
+{
+  if (aDomains == mEvacuated) {
+    return false;
+  }
+  mEvacuated = std::move(aDomains);
+  for (auto& [name, known] : mTargets) {
+    known.mEvacuated = mEvacuated.contains(known.mTarget.mFailureDomain);
+  }
+  return true;
+}
+
 void target_directory::HandleStoreOutage(time_point /*aNow*/)
 {
   mStoreLost = true;
--- a/Parsleystair/Discovery/TargetDirectory.h
+++ b/Parsleystair/Discovery/TargetDirectory.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
   std::optional<time_point> mReplacedUntil;
   /// Start time of the process that has said in an answer that it leaves.
   std::optional<uint64_t> mLeavingStartedMs;
+  /// An operator has asked that the target's failure domain gets no requests.
+  bool mEvacuated = false;
 
   /// Returns true if the target leaves, according to its entry or an answer.
   [[nodiscard]] bool IsLeaving() const
@@ -68,7 +71,7 @@
   /// Returns true if the target may get new requests.
   [[nodiscard]] bool IsUsable() const
   {
-    return !IsLeaving() && !mReplacedUntil;
+    return !IsLeaving() && !mReplacedUntil && !mEvacuated;
   }
 };
 
@@ -131,6 +134,14 @@
     return mImplausibleSlowStarts;
   }
 
+  /// Replaces the failure domains whose targets get no new requests, also those
+  /// that register later. Returns whether this changes the set.
+  bool SetEvacuated(std::set<failure_domain_name> aDomains);
+  [[nodiscard]] const std::set<failure_domain_name>& Evacuated() const
+  {
+    return mEvacuated;
+  }
+
   /// Handle the start and the end of an outage of the store.
   void HandleStoreOutage(time_point aNow);
   void HandleStoreRecovery(time_point aNow);
@@ -176,6 +187,7 @@
   std::map<target_name, removed_target> mRemoved;
   slow_start_times mSlowStartTimes;
   uint64_t mImplausibleSlowStarts = 0;
+  std::set<failure_domain_name> mEvacuated;
   bool mStoreLost = false;
   time_point mGracePeriodEnd = time_point::min();
   /// Time until which entries may be those of a copy.
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -179,6 +179,9 @@
     bool mUsable = false;
     /// End of the slow start in which the target gets only few requests.
     time_point mLimitedUntil = time_point::min();
+    /// The target's failure domain is evacuated: its keys move to others, as
+    /// far as there are any.
+    bool mEvacuated = false;
     /// Time at which the last grant call that may have reached the target
     /// ended.
     time_point mLastGrantTime = time_point::min();
@@ -283,6 +286,11 @@
   /// and others can serve them.
   [[nodiscard]] bool IsSparedInSlowStart(const owner_state& aState,
                                          time_point aNow) const;
+  /// Whether the owner goes on getting grants of the keys until they move.
+  [[nodiscard]] bool MayKeep(const owned_range& aRange, time_point aNow) const;
+  /// Whether a target may be chosen as the new owner of keys.
+  [[nodiscard]] static bool IsCandidate(const owner_state& aState);
+  [[nodiscard]] bool HasCandidate() const;
   [[nodiscard]] bool IsFailing(const owner_state& aState,
                                time_point aNow) const;
   [[nodiscard]] bool HasOwnerRestarted(const target_incarnation& aOwner) const;
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -372,8 +372,7 @@
 {
   std::vector<owner_candidate> candidates;
   for (const auto& [name, owner] : mOwners) {
-    if (!owner.mUsable || owner.mFailingSince ||
-        IsSparedInSlowStart(owner, aNow)) {
+    if (!IsCandidate(owner) || IsSparedInSlowStart(owner, aNow)) {
       continue;
     }
     owner_candidate candidate{ name, CapacityOf(owner), 0 };
@@ -467,7 +466,9 @@
 {
   for (const owned_range& range : mRecord.mRanges) {
     const auto owner = mOwners.find(range.mOwner.mName);
-    if (owner == mOwners.end() || MustMove(range, aNow) ||
+    // Keys that must move are subtracted below, once their move has started.
+    // While this router may move none, an evacuated owner keeps its grants.
+    if (owner == mOwners.end() || !MayKeep(range, aNow) ||
         NeedsNewFence(range)) {
       continue;
     }
