Hold back connections to targets that have just refused one

Cause: a target with a long queue refuses or resets new connections. Each request opened a further one, and a request for a key was refused at once although own connections to the owner were about to become free. After a burst all idle connections but two were closed and opened again with the next one.

Change: for 250 ms after a connection was refused, or ended before its first response, no further one is opened to the target while own ones are in use: requests take another target, or wait for a connection of the owner as with the limit of connections. Idle connections are kept up to that limit, at most 1,000 to all targets together and at least two to each. New event connections_held_back and metric connections_total{use="refused"}.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -185,8 +185,8 @@
   }
   const known_target* target = ChooseTarget(aRequest, aNow);
   if (target != nullptr && aRequest.mKeyed &&
-      mConnections.IsAtLimit(target->mTarget.mName,
-                             ConnectionLimit(aRequest.mService))) {
+      IsAtConnectionLimit(
+        target->mTarget.mName, ConnectionLimit(aRequest.mService), aNow)) {
     WaitForOwnerConnection(aRequest, aNow);
     return;
   }
--- a/Parsleystair/Gateway/Forwarder.h
+++ b/Parsleystair/Gateway/Forwarder.h
@@ -9,6 +9,7 @@
 #include "Parsleystair/Gateway/TargetConnections.h"
 #include "Parsleystair/Http/HttpServer.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
+#include "Parsleystair/Limits/ConnectionPolicy.h"
 #include "Parsleystair/Limits/CrashGuard.h"
 #include "Parsleystair/Limits/KeyAdmission.h"
 #include "Parsleystair/Limits/OverloadEstimate.h"
@@ -305,6 +306,15 @@
   [[nodiscard]] duration HedgeDelay(const open_request& aRequest) const;
 
   [[nodiscard]] size_t ConnectionLimit(const service_name& aService) const;
+  /// Whether a request to a target must wait for one of the own connections
+  /// that are in use.
+  [[nodiscard]] bool IsAtConnectionLimit(const target_name& aTarget,
+                                         size_t aLimit,
+                                         time_point aNow) const;
+  /// Notes whether a target takes new connections.
+  void HandleConnectionResult(const target_name& aTarget,
+                              const http_result& aResult,
+                              time_point aNow);
   shared_retry_budget& RetryBudgetOf(const service_name& aService);
   bool TakeRetry(open_request& aRequest);
   /// Returns whether an attempt that starts now is expected to be complete
@@ -329,6 +339,7 @@
   weighted_choice mServiceChoice;
   key_admission mAdmission;
   overload_table mOverloads;
+  connection_backoff mBackoff;
   crash_guard mCrashGuard;
   lost_targets mLostTargets;
   std::mt19937_64 mRandom;
--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -131,6 +131,7 @@
   open_request& request = mRequests.at(aId);
   const open_attempt attempt = request.mOpenAttempts.at(aCall);
   request.mOpenAttempts.erase(aCall);
+  HandleConnectionResult(attempt.mTarget, aResult, now);
   if (aResult.mStatus == http_status::kResponded) {
     HandleResponse(request, attempt, std::move(aResult.mResponse), now);
     return;
@@ -280,7 +281,12 @@
     FinishWithFailure(aRequest, "no target could be reached", aNow);
     return;
   }
-  if (aRequest.mKeyed) {
+  const known_target* owner = aRequest.mKeyed ? FindOwner(aRequest) : nullptr;
+  const bool canWait =
+    owner != nullptr && IsAtConnectionLimit(owner->mTarget.mName,
+                                            ConnectionLimit(aRequest.mService),
+                                            aNow);
+  if (aRequest.mKeyed && !canWait) {
     FinishWithFailure(aRequest, "the owner of the key can't be reached", aNow);
     return;
   }
--- a/Parsleystair/Gateway/ForwarderCounters.h
+++ b/Parsleystair/Gateway/ForwarderCounters.h
@@ -20,6 +20,8 @@
   uint64_t mRetriesOverBudget = 0;
   /// Requests refused for lack of capacity.
   uint64_t mOverloadRefusals = 0;
+  /// New connections that targets did not take, or ended before a response.
+  uint64_t mConnectionsRefused = 0;
 
   bool operator==(const forwarder_counters&) const = default;
 };
--- a/Parsleystair/Gateway/ForwarderOverload.cpp
+++ b/Parsleystair/Gateway/ForwarderOverload.cpp
@@ -40,6 +40,29 @@
   return fromStart - (aNow - aRequest.mReceivedAt);
 }
 
+void forwarder::HandleConnectionResult(const target_name& aTarget,
+                                       const http_result& aResult,
+                                       time_point aNow)
+{
+  if (aResult.mReused) {
+    return;
+  }
+  if (aResult.mStatus == http_status::kResponded) {
+    mBackoff.HandleSuccess(aTarget);
+    return;
+  }
+  const bool isRefused = aResult.mFailure == http_failure::kConnect ||
+                         aResult.mFailure == http_failure::kClosed;
+  if (isRefused && !mBackoff.IsActive(aTarget, aNow)) {
+    log_line(log_severity::kInfo, "connections_held_back")
+      .Add("target", aTarget.Value());
+  }
+  if (isRefused) {
+    ++mCounters.mConnectionsRefused;
+    mBackoff.HandleFailure(aTarget, aNow);
+  }
+}
+
 void forwarder::LogOverloadChanges(time_point aNow)
 {
   for (const overload_change& change : mOverloads.Update(aNow)) {
--- a/Parsleystair/Gateway/ForwarderTargets.cpp
+++ b/Parsleystair/Gateway/ForwarderTargets.cpp
@@ -37,7 +37,8 @@
                usable.end(),
                std::back_inserter(withCapacity),
                [&](const known_target* aTarget) {
-                 return !mConnections.IsAtLimit(aTarget->mTarget.mName, limit);
+                 return !IsAtConnectionLimit(
+                   aTarget->mTarget.mName, limit, aNow);
                });
   return mBalancer.Choose(
     choice, withCapacity.empty() ? usable : withCapacity, aNow);
@@ -54,6 +55,14 @@
   return std::max(kMinConnectionLimit, static_cast<size_t>(share));
 }
 
+bool forwarder::IsAtConnectionLimit(const target_name& aTarget,
+                                    size_t aLimit,
+                                    time_point aNow) const
+{
+  const size_t limit = mBackoff.IsActive(aTarget, aNow) ? 1 : aLimit;
+  return mConnections.IsAtLimit(aTarget, limit);
+}
+
 const owned_range* forwarder::FindOwnedRange(const open_request& aRequest) const
 {
   const auto record = mView.mRanges.find(aRequest.mService);
--- a/Parsleystair/Gateway/ForwarderWaiting.cpp
+++ b/Parsleystair/Gateway/ForwarderWaiting.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Gateway/Forwarder.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 // Requests that wait for an owner of their key, request timers, and periodic
@@ -198,7 +199,17 @@
   mStatistics.LogIfDue(aNow);
   LogOverloadChanges(aNow);
   mLostTargets.Tick(aNow);
-  mConnections.Sweep(mView.mDirectory, aNow);
+  mBackoff.Expire(aNow);
+  const size_t targets = mView.mDirectory.All().size();
+  mConnections.Sweep(
+    mView.mDirectory,
+    [&](const known_target& aTarget) {
+      return MaxIdleConnections(mView.mRoutes == nullptr
+                                  ? std::numeric_limits<size_t>::max()
+                                  : ConnectionLimit(aTarget.mTarget.mService),
+                                targets);
+    },
+    aNow);
   mBalancer.RemoveUnknownTargets(mView.mDirectory);
   for (const target_name& target : mBalancer.TakeDueHealthChecks(aNow)) {
     Probe(target, aNow);
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -125,6 +125,8 @@
     text, "connections_total", "use", "opened", connections.Opened());
   AppendLabelledMetric(
     text, "connections_total", "use", "reused", connections.Reused());
+  AppendLabelledMetric(
+    text, "connections_total", "use", "refused", counts.mConnectionsRefused);
   const coordination_counters& store = mPlatform.mStore.Counters();
   text += "# TYPE parsleystair_store_calls_total counter\n";
   AppendLabelledMetric(
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -8,10 +8,8 @@
 
 namespace {
 
-/// Idle connections to one target that are kept for longer than
-/// `kExcessIdleTime`. A target accepts a limited number of connections from all
-/// routers together.
-constexpr size_t kMaxIdleConnections = 2;
+/// Time for which idle connections beyond the limit are kept. A target accepts
+/// a limited number of connections from all routers together.
 constexpr duration kExcessIdleTime = 1s;
 /// Connections are not reused this shortly before the target closes them. A
 /// request that is sent while the target closes the connection has an unknown
@@ -167,6 +165,7 @@
 }
 
 void target_connections::Sweep(const target_directory& aDirectory,
+                               const idle_limit& aIdleLimit,
                                time_point aNow)
 {
   for (auto& [name, found] : mPools) {
@@ -179,7 +178,8 @@
                targetPool.mKeepAlive - kKeepAliveMargin;
     });
     // The connections are ordered by idle time, the longest first.
-    while (targetPool.mIdle.size() > kMaxIdleConnections &&
+    const size_t kept = isUnusable ? 0 : aIdleLimit(*known);
+    while (targetPool.mIdle.size() > kept &&
            aNow - targetPool.mIdle.front().mIdleSince >= kExcessIdleTime) {
       targetPool.mIdle.erase(targetPool.mIdle.begin());
     }
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -4,6 +4,7 @@
 #include "Parsleystair/Discovery/TargetDirectory.h"
 #include "Parsleystair/Http/HttpConnection.h"
 
+#include <functional>
 #include <map>
 #include <unordered_map>
 
@@ -73,10 +74,15 @@
   /// target's responses. Ignored if the target has no pool.
   void SetKeepAlive(const target_name& aTarget, duration aTime);
 
+  /// Idle connections to a target that are kept.
+  using idle_limit = std::function<size_t(const known_target&)>;
+
   /// Closes idle connections that are broken, expired or in excess, and those
   /// to targets that are unknown or draining. Then calls
   /// `RemoveUnknownTargets`.
-  void Sweep(const target_directory& aDirectory, time_point aNow);
+  void Sweep(const target_directory& aDirectory,
+             const idle_limit& aIdleLimit,
+             time_point aNow);
 
   /// Returns whether a call to a target would exceed a limit of connections: no
   /// connection is idle and at least `aLimit` calls are active.
--- a/UnitTests/Gateway/OverloadTest.cpp
+++ b/UnitTests/Gateway/OverloadTest.cpp
@@ -68,4 +68,40 @@
   EXPECT_TRUE(limited);
 }
 
+// Guards against an immediate refusal, and against one refused connection after
+// another, while own connections to the owner of a key are in use and one of
+// them may become free in time.
+TEST_F(overload_test, WaitsForAnOwnConnectionAfterARefusedOne)
+{
+  const gateway_instance& gateway = StartGateway("a");
+  WaitForKeyOwner(gateway);
+  const std::string name =
+    mTargets.at("keyed-1")->Holds(100) ? "keyed-1" : "keyed-2";
+  keyed_target& owner = *mTargets.at(name);
+  owner.SetWork(4s);
+  http_connection pending(mLoop, "127.0.0.1", gateway.mSettings.mCallers.mPort);
+  http_request first = Request("GET", "/history/x", "h-1");
+  first.mHeaders.push_back({ "X-Shard-Key", "100" });
+  pending.Call(first, kTimeout, [](const http_result&) {});
+  ASSERT_TRUE(RunUntil([&] { return RunCount("h-1") == 1; }));
+  const uint16_t closed = FreePort();
+  owner.SetPublicPort(closed);
+  mKv.Put(TargetKey(name), owner.Entry("keyed", "ready"));
+  ASSERT_TRUE(RunUntil([&] {
+    return gateway.mTask->DumpText().find(
+             "\"port\": " + std::to_string(closed)) != std::string::npos;
+  }));
+  http_request second = Request("GET", "/history/x", "h-2");
+  second.mHeaders.push_back({ "X-Shard-Key", "100" });
+  const time_point start = MonotonicNow();
+  EXPECT_GE(RetryAfterOf(gateway, second), 200ms);
+  // A quarter of the latency target of 1 s.
+  EXPECT_GE(MonotonicNow() - start, 240ms);
+  EXPECT_EQ(RunCount("h-2"), 0u);
+  const std::string text = gateway.mTask->MetricsText();
+  EXPECT_NE(text.find("the owner's connections are in use"), std::string::npos);
+  EXPECT_NE(text.find("connections_total{use=\"refused\"} "),
+            std::string::npos);
+}
+
 } // namespace parsleystair
