Grant no fence over a connection newer than its first grant

Cause: a leader noticed a restart by the entry, by a broken connection or by a failed grant.

Change: fence_connections allows a fence on connections that were set up before its first grant only; without one the keys get a higher fence. Grants wait for a busy connection; a release of some keys leaves one for the others.

--- a/Parsleystair/Gateway/GrantQueue.cpp
+++ b/Parsleystair/Gateway/GrantQueue.cpp
@@ -27,6 +27,16 @@
   return false;
 }
 
+bool grant_queue::PutBack(const queued_grant& aGrant)
+{
+  if (mInFlight <= 1) {
+    return false;
+  }
+  --mInFlight;
+  mQueue.push_front(aGrant);
+  return true;
+}
+
 grant_queue::dequeued_grants grant_queue::HandleOutcome(order_result aOutcome,
                                                         time_point aNow)
 {
--- a/Parsleystair/Gateway/GrantQueue.h
+++ b/Parsleystair/Gateway/GrantQueue.h
@@ -33,6 +33,11 @@
            const grant_order& aOrder,
            time_point aNow);
 
+  /// Queues a grant that is in flight and was not sent, as the connections that
+  /// may carry it are busy, until another one in flight has ended. Returns
+  /// false if no other one is in flight.
+  bool PutBack(const queued_grant& aGrant);
+
   /// `aOutcome`: of a grant that was in flight.
   dequeued_grants HandleOutcome(order_result aOutcome, time_point aNow);
 
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -263,6 +263,7 @@
     mStartTimes[name] = target.mTarget.mStartedMs;
   }
   mConnections.RemoveUnknownTargets(aDirectory);
+  RemoveUnusedFences(aNow);
   std::erase_if(mTargetsWithoutRequestIds, [&](const target_name& aName) {
     return aDirectory.Find(aName) == nullptr;
   });
@@ -374,6 +375,32 @@
   return target;
 }
 
+void range_driver::RemoveUnusedFences(time_point aNow)
+{
+  std::set<fence> recorded;
+  for (const auto& [service, controller] : mControllers) {
+    for (const owned_range& range : controller.Record().mRanges) {
+      recorded.insert(range.mFence);
+    }
+  }
+  mFenceConnections.RemoveUnused(recorded, aNow);
+}
+
+bool range_driver::KeepsKeys(const service_name& aService,
+                             const release_order& aOrder) const
+{
+  const auto controller = mControllers.find(aService);
+  if (controller == mControllers.end()) {
+    return false;
+  }
+  const auto& ranges = controller->second.Record().mRanges;
+  return std::any_of(
+    ranges.begin(), ranges.end(), [&](const owned_range& aRange) {
+      return aRange.mOwner.mName == aOrder.mAddress.mTarget &&
+             !Subtract(aRange.mKeys, aOrder.mKeys).empty();
+    });
+}
+
 std::string range_driver::NextRequestId()
 {
   // No two leaderships have the same term.
@@ -407,16 +434,16 @@
   return outcome;
 }
 
-void range_driver::CallTarget(const order_address& aAddress,
-                              const http_request& aRequest,
-                              const std::string& aRequestId,
-                              duration aTimeout,
-                              const call_options& aOptions,
-                              order_callback aCallback)
+call_id range_driver::CallTarget(const order_address& aAddress,
+                                 const http_request& aRequest,
+                                 const std::string& aRequestId,
+                                 duration aTimeout,
+                                 const call_options& aOptions,
+                                 order_callback aCallback)
 {
   const auto start = mStartTimes.find(aAddress.mTarget);
   const uint64_t startedMs = start == mStartTimes.end() ? 0 : start->second;
-  mConnections.Call(
+  return mConnections.Call(
     ToDiscoveredTarget(aAddress),
     aRequest,
     aTimeout,
@@ -449,57 +476,69 @@
                            const grant_order& aOrder)
 {
   ++mCounters.mGrants;
-  if (mGrantQueues[aOrder.mAddress.mTarget].Add(
-        aService, aOrder, MonotonicNow())) {
-    SendGrant(aService, aOrder);
+  const time_point now = MonotonicNow();
+  if (mGrantQueues[aOrder.mAddress.mTarget].Add(aService, aOrder, now)) {
+    SendGrant({ aService, aOrder, now });
   }
 }
 
-void range_driver::SendGrant(const service_name& aService,
-                             const grant_order& aOrder)
+void range_driver::SendGrant(const grant_queue::queued_grant& aGrant)
 {
+  const service_name& service = aGrant.mService;
+  const grant_order& order = aGrant.mOrder;
   // A broken connection indicates that the target restarted. The new process
   // must not accept the fence that the old one had. This applies to all orders
   // that were decided before.
-  const target_name& target = aOrder.mAddress.mTarget;
+  const target_name& target = order.mAddress.mTarget;
   const time_point now = MonotonicNow();
   if (mConnections.CloseBroken(target, now)) {
     mBrokenTargets.insert(target);
   }
   if (mBrokenTargets.contains(target)) {
-    HandleGrantOutcome(aService, aOrder, order_result::kNotSent);
+    HandleGrantOutcome(service, order, order_result::kNotSent);
     SendQueuedGrants(target, order_result::kNotSent);
     return;
   }
-  const bool isConnected =
-    mConnections.HasOpenConnection(ToDiscoveredTarget(aOrder.mAddress), now);
+  const auto bound = mFenceConnections.BoundOf(target, order.mFence);
+  const bool isConnected = mConnections.HasOpenConnection(
+    ToDiscoveredTarget(order.mAddress), now, bound);
+  if (bound && !isConnected && mGrantQueues.at(target).PutBack(aGrant)) {
+    return;
+  }
+  const time_point connectUntil =
+    bound ? time_point::min() : order.mConnectUntil;
   const time_point sendUntil =
-    isConnected ? aOrder.mSendUntil
-                : std::min(aOrder.mSendUntil, aOrder.mConnectUntil);
+    isConnected ? order.mSendUntil : std::min(order.mSendUntil, connectUntil);
   if (sendUntil <= now) {
-    ++mCounters.mGrantsTooLate;
-    const order_result dropped = now < aOrder.mSendUntil
+    mCounters.mGrantsTooLate += bound ? 0 : 1;
+    const order_result dropped = now < order.mSendUntil
                                    ? order_result::kNoConnection
                                    : order_result::kNotAttempted;
-    HandleGrantOutcome(aService, aOrder, dropped);
+    HandleGrantOutcome(service, order, dropped);
     SendQueuedGrants(target, dropped);
     return;
   }
   const std::string requestId = NextRequestId();
-  CallTarget(
-    aOrder.mAddress,
-    mProtocol.GrantRequest(aOrder, requestId),
+  const call_id call = CallTarget(
+    order.mAddress,
+    mProtocol.GrantRequest(order, requestId),
     requestId,
     std::min(kGrantTimeout, sendUntil - now),
-    { connection_choice::kAny, aOrder.mSendUntil, aOrder.mConnectUntil },
-    [this, aService, aOrder](const order_response& aOutcome,
-                             const http_result& aResult) {
+    { connection_choice::kAny, order.mSendUntil, connectUntil, bound },
+    [this, service, order](const order_response& aOutcome,
+                           const http_result& aResult) {
+      const target_name& calledTarget = order.mAddress.mTarget;
       if (HasConnectionEnded(aResult)) {
-        mBrokenTargets.insert(aOrder.mAddress.mTarget);
+        mBrokenTargets.insert(calledTarget);
+      }
+      if (aResult.mStatus == http_status::kNotSent) {
+        mFenceConnections.HandleNotSent(calledTarget, order.mFence);
       }
-      HandleGrantOutcome(aService, aOrder, aOutcome.mResult, &aResult);
-      SendQueuedGrants(aOrder.mAddress.mTarget, aOutcome.mResult);
+      HandleGrantOutcome(service, order, aOutcome.mResult, &aResult);
+      SendQueuedGrants(calledTarget, aOutcome.mResult);
     });
+  mFenceConnections.HandleSend(
+    target, order.mFence, mConnections.ConnectionOf(call), now);
 }
 
 void range_driver::SendQueuedGrants(const target_name& aTarget,
@@ -511,7 +550,7 @@
     mGrantQueues.erase(queue);
   }
   for (const auto& grant : next.mToSend) {
-    SendGrant(grant.mService, grant.mOrder);
+    SendGrant(grant);
   }
   for (const auto& grant : next.mDropped) {
     HandleGrantOutcome(
@@ -554,6 +593,10 @@
   options.mSendUntil = aOrder.mSendUntil;
   if (mTargetsWithoutRequestIds.contains(aOrder.mAddress.mTarget)) {
     options.mConnection = connection_choice::kNew;
+  } else if (KeepsKeys(aService, aOrder)) {
+    // A release occupies its connection for up to seconds. The grants of the
+    // other keys may need the last one that is idle.
+    options.mConnection = connection_choice::kSpare;
   }
   CallTarget(aOrder.mAddress,
              mProtocol.ReleaseRequest(aOrder, requestId),
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -133,7 +133,7 @@
   void Execute(const service_name& aService, const grant_order& aOrder);
   void Execute(const service_name& aService, const release_order& aOrder);
   void Execute(const service_name& aService, const write_record& aWrite);
-  void SendGrant(const service_name& aService, const grant_order& aOrder);
+  void SendGrant(const grant_queue::queued_grant& aGrant);
   void SendQueuedGrants(const target_name& aTarget, order_result aLastOutcome);
   void HandleGrantOutcome(const service_name& aService,
                           const grant_order& aOrder,
@@ -144,12 +144,17 @@
     std::function<void(const order_response&, const http_result&)>;
 
   /// Sends an order. `aRequestId`: identifier in `aRequest`.
-  void CallTarget(const order_address& aAddress,
-                  const http_request& aRequest,
-                  const std::string& aRequestId,
-                  duration aTimeout,
-                  const call_options& aOptions,
-                  order_callback aCallback);
+  call_id CallTarget(const order_address& aAddress,
+                     const http_request& aRequest,
+                     const std::string& aRequestId,
+                     duration aTimeout,
+                     const call_options& aOptions,
+                     order_callback aCallback);
+  /// Removes the fences that are not granted any more.
+  void RemoveUnusedFences(time_point aNow);
+  /// Whether the target owns keys beside those that it is asked to release.
+  [[nodiscard]] bool KeepsKeys(const service_name& aService,
+                               const release_order& aOrder) const;
   [[nodiscard]] order_response ReadOutcome(const http_result& aResult) const;
   /// Returns an identifier that no other order of any router has.
   std::string NextRequestId();
@@ -163,6 +168,7 @@
   leader_election& mElection;
   target_connections mConnections;
   std::map<target_name, grant_queue> mGrantQueues;
+  fence_connections mFenceConnections;
   std::map<service_name, range_controller> mControllers;
   range_driver_counters mCounters;
   uint64_t mNextRequestNumber = 1;
--- a/Parsleystair/Gateway/TargetConnections.cpp
+++ b/Parsleystair/Gateway/TargetConnections.cpp
@@ -30,10 +30,10 @@
 {
 }
 
-std::unique_ptr<http_connection> target_connections::TakeConnection(
-  const discovered_target& aTarget,
-  time_point aNow,
-  connection_choice aChoice)
+void target_connections::TakeConnection(active_call& aCall,
+                                        const discovered_target& aTarget,
+                                        time_point aNow,
+                                        const call_options& aOptions)
 {
   const auto [position, isNew] = mPools.try_emplace(aTarget.mName);
   pool& targetPool = position->second;
@@ -45,20 +45,39 @@
     targetPool.mPort = aTarget.mPort;
     targetPool.mIdle.clear();
   }
-  if (aChoice == connection_choice::kNew && !targetPool.mIdle.empty()) {
-    targetPool.mIdle.erase(targetPool.mIdle.begin());
+  std::vector<idle_connection>& idle = targetPool.mIdle;
+  if (aOptions.mConnection == connection_choice::kNew && !idle.empty()) {
+    idle.erase(idle.begin());
   }
-  while (aChoice == connection_choice::kAny && !targetPool.mIdle.empty()) {
-    idle_connection candidate = std::move(targetPool.mIdle.back());
-    targetPool.mIdle.pop_back();
+  const bool takesIdle =
+    aOptions.mConnection == connection_choice::kAny ||
+    (aOptions.mConnection == connection_choice::kSpare && idle.size() > 1);
+  for (size_t left = takesIdle ? idle.size() : 0; left > 0; --left) {
+    const auto each = idle.begin() + static_cast<ptrdiff_t>(left - 1);
+    if (!IsAllowed(*each, aOptions)) {
+      continue;
+    }
+    idle_connection candidate = std::move(*each);
+    idle.erase(each);
     if (IsReusable(targetPool, candidate, aNow)) {
       ++mReused;
-      return std::move(candidate.mConnection);
+      aCall.mConnection = std::move(candidate.mConnection);
+      aCall.mId = candidate.mId;
+      aCall.mFirstResponse = candidate.mFirstResponse;
+      return;
     }
   }
   ++mOpened;
-  return std::make_unique<http_connection>(
+  aCall.mConnection = std::make_unique<http_connection>(
     mLoop, aTarget.mHost, aTarget.mPort, mSettings);
+  aCall.mId = target_connection_id(mOpened);
+}
+
+bool target_connections::IsAllowed(const idle_connection& aIdle,
+                                   const call_options& aOptions)
+{
+  return !aOptions.mBound ||
+         aOptions.mBound->Allows(aIdle.mId, aIdle.mFirstResponse);
 }
 
 bool target_connections::IsReusable(const pool& aPool,
@@ -69,9 +88,18 @@
          aIdle.mConnection->IsOpen();
 }
 
-bool target_connections::HasOpenConnection(const discovered_target& aTarget,
-                                           time_point aNow) const
+target_connection_id target_connections::ConnectionOf(call_id aCall) const
+{
+  return mCalls.at(aCall).mId;
+}
+
+bool target_connections::HasOpenConnection(
+  const discovered_target& aTarget,
+  time_point aNow,
+  const std::optional<connection_bound>& aBound) const
 {
+  call_options options;
+  options.mBound = aBound;
   const auto found = mPools.find(aTarget.mName);
   if (found == mPools.end()) {
     return false;
@@ -82,7 +110,8 @@
          std::any_of(targetPool.mIdle.begin(),
                      targetPool.mIdle.end(),
                      [&](const idle_connection& aIdle) {
-                       return IsReusable(targetPool, aIdle, aNow);
+                       return IsAllowed(aIdle, options) &&
+                              IsReusable(targetPool, aIdle, aNow);
                      });
 }
 
@@ -99,7 +128,7 @@
   call.mTarget = aTarget.mName;
   call.mHost = aTarget.mHost;
   call.mPort = aTarget.mPort;
-  call.mConnection = TakeConnection(aTarget, aNow, aOptions.mConnection);
+  TakeConnection(call, aTarget, aNow, aOptions);
   ++mPools[aTarget.mName].mActiveCalls;
   call.mCallback = std::move(aCallback);
   call.mConnection->Call(
@@ -120,7 +149,11 @@
   --targetPool.mActiveCalls;
   if (call.mConnection->IsOpen() && targetPool.mHost == call.mHost &&
       targetPool.mPort == call.mPort) {
-    targetPool.mIdle.push_back({ std::move(call.mConnection), MonotonicNow() });
+    const time_point now = MonotonicNow();
+    targetPool.mIdle.push_back({ std::move(call.mConnection),
+                                 now,
+                                 call.mId,
+                                 call.mFirstResponse.value_or(now) });
   }
   call.mCallback(std::move(aResult));
 }
--- a/Parsleystair/Gateway/TargetConnections.h
+++ b/Parsleystair/Gateway/TargetConnections.h
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/Ids.h"
 #include "Parsleystair/Discovery/TargetDirectory.h"
+#include "Parsleystair/Gateway/FenceConnections.h"
 #include "Parsleystair/Http/HttpConnection.h"
 
 #include <map>
@@ -17,6 +18,8 @@
 {
   /// An idle connection, or a new one if no idle connection is usable.
   kAny,
+  /// The same, but leaves at least one connection idle.
+  kSpare,
   /// A new connection, on which no earlier response can be repeated. It takes
   /// the place of an idle one.
   kNew,
@@ -29,6 +32,8 @@
   time_point mSendUntil = time_point::max();
   /// The same for a call that opens a connection.
   time_point mConnectUntil = time_point::max();
+  /// Idle connections that the call may use; nothing for all.
+  std::optional<connection_bound> mBound;
 
   bool operator==(const call_options&) const = default;
 };
@@ -61,9 +66,13 @@
   void Cancel(call_id aCall);
   /// Whether anything of a call's request may have been sent.
   [[nodiscard]] bool HasSent(call_id aCall) const;
-  /// Whether the next call to the target reuses a connection.
-  [[nodiscard]] bool HasOpenConnection(const discovered_target& aTarget,
-                                       time_point aNow) const;
+  /// The connection that carries a call.
+  [[nodiscard]] target_connection_id ConnectionOf(call_id aCall) const;
+  /// Whether the next call to the target with `aBound` reuses a connection.
+  [[nodiscard]] bool HasOpenConnection(
+    const discovered_target& aTarget,
+    time_point aNow,
+    const std::optional<connection_bound>& aBound = std::nullopt) const;
 
   /// Cancels all calls. Nothing of their requests is sent any more. Returns the
   /// number of calls.
@@ -99,6 +108,9 @@
   {
     std::unique_ptr<http_connection> mConnection;
     time_point mIdleSince;
+    target_connection_id mId;
+    /// Time of the first response on the connection.
+    time_point mFirstResponse;
   };
 
   struct pool
@@ -117,17 +129,22 @@
     std::string mHost;
     uint16_t mPort = 0;
     std::unique_ptr<http_connection> mConnection;
+    target_connection_id mId;
+    std::optional<time_point> mFirstResponse;
     callback mCallback;
   };
 
-  std::unique_ptr<http_connection> TakeConnection(
-    const discovered_target& aTarget,
-    time_point aNow,
-    connection_choice aChoice);
+  /// Gives a call an idle connection or a new one.
+  void TakeConnection(active_call& aCall,
+                      const discovered_target& aTarget,
+                      time_point aNow,
+                      const call_options& aOptions);
   void HandleResult(call_id aCall, http_result aResult);
   [[nodiscard]] static bool IsReusable(const pool& aPool,
                                        const idle_connection& aIdle,
                                        time_point aNow);
+  [[nodiscard]] static bool IsAllowed(const idle_connection& aIdle,
+                                      const call_options& aOptions);
 
   event_loop& mLoop;
   http_connection_settings mSettings;
--- a/Parsleystair/KeyRanges/RangeActions.h
+++ b/Parsleystair/KeyRanges/RangeActions.h
@@ -32,9 +32,9 @@
   /// Time after which nothing of the order may leave this router, as the next
   /// leader takes the grant to be expired `mGrantDuration` later.
   time_point mSendUntil = time_point::max();
-  /// Time until which a connection may be opened for the order. Later, only a
-  /// connection that is open already leads to the process that accepted the
-  /// grant before.
+  /// Time until which a connection may be opened for the order, if it is the
+  /// first one with its fence. Another one, or a later one, needs a connection
+  /// that leads to the process which accepted the fence before.
   time_point mConnectUntil = time_point::max();
 
   bool operator==(const grant_order&) const = default;
@@ -88,8 +88,8 @@
   /// This router dropped the order before anything left it, for a reason of its
   /// own. This says nothing about the state of the target.
   kNotAttempted,
-  /// This router dropped the order because no connection to the process that
-  /// accepted the grant before was open, and none may be opened.
+  /// This router dropped the order because no connection was open that leads to
+  /// the process which accepted the fence before, or to none.
   kNoConnection,
   /// No answer arrived. The order has reached the target's system. Its process
   /// may have accepted it, or may take it later.
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -298,7 +298,8 @@
   owner_state& owner = mOwners[grant.mTarget];
   if (aResult == order_result::kNoConnection) {
     // The target may have restarted since it closed its last connection.
-    owner.mRetiredFence = std::max(owner.mRetiredFence, owner.mGrantedFence);
+    owner.mRetiredFence =
+      std::max({ owner.mRetiredFence, owner.mGrantedFence, grant.mFence });
     mNextGrantTimes[grant.mKeys.mFirst] = aNow + kRetryDelay;
     return;
   }
--- a/UnitTests/Gateway/GrantQueueTest.cpp
+++ b/UnitTests/Gateway/GrantQueueTest.cpp
@@ -86,4 +86,23 @@
   EXPECT_TRUE(next.mToSend.empty() && next.mDropped.empty());
 }
 
+// Guards against grants that are lost, or sent out of turn, because the
+// connections that may carry them are busy.
+TEST(GrantQueue, GrantsPutBackAreSentWhenAnotherOneHasEnded)
+{
+  grant_queue queue;
+  AddGrants(queue, 3);
+  EXPECT_TRUE(queue.PutBack({ kService, Order(1), kStart }));
+  const auto next = queue.HandleOutcome(order_result::kAccepted, kStart);
+  ASSERT_EQ(next.mToSend.size(), 2U);
+  EXPECT_EQ(next.mToSend[0].mOrder.mKeys.mFirst, 1U);
+  EXPECT_EQ(next.mToSend[1].mOrder.mKeys.mFirst, 2U);
+  EXPECT_TRUE(queue.PutBack(next.mToSend[1]));
+  EXPECT_FALSE(queue.PutBack(next.mToSend[0]));
+  const auto last = queue.HandleOutcome(order_result::kAccepted, kStart);
+  ASSERT_EQ(last.mToSend.size(), 1U);
+  queue.HandleOutcome(order_result::kAccepted, kStart);
+  EXPECT_TRUE(queue.IsIdle());
+}
+
 } // namespace parsleystair
--- a/UnitTests/Gateway/LeadershipSimulation.h
+++ b/UnitTests/Gateway/LeadershipSimulation.h
@@ -301,6 +301,20 @@
       [this, target, entryDelay] { mTargets[target]->Restart(entryDelay); });
   }
 
+  /// A target that closes its connections with its responses is replaced within
+  /// a renewal, and the entry of the new process is late.
+  void RestartUnseen(uint32_t aTarget, uint32_t aMilliseconds)
+  {
+    const size_t target = aTarget % mTargets.size();
+    mTargets[target]->CloseAfterResponses(2s);
+    const time_point end = Now() + mRandom.Between(900ms, 2s);
+    const duration entryDelay = mRandom.Between(0ms, 6s);
+    mEvents.Schedule(end, [this, target] { EndTarget(target); });
+    mEvents.Schedule(
+      end + duration(1ms) * (aMilliseconds % 700),
+      [this, target, entryDelay] { mTargets[target]->Restart(entryDelay); });
+  }
+
   void LoseEntry(uint32_t aTarget, uint32_t aMilliseconds)
   {
     RandomTarget(aTarget).LoseEntry(duration(1ms) * (aMilliseconds % 9000));
--- a/UnitTests/Gateway/LeadershipStateTest.cpp
+++ b/UnitTests/Gateway/LeadershipStateTest.cpp
@@ -35,6 +35,7 @@
   { "slow network", 4, &world::SlowNetwork },
   { "overload link", 4, &world::OverloadLink },
   { "crash target", 2, &world::CrashTarget },
+  { "restart target unseen", 3, &world::RestartUnseen },
   { "lose entry", 2, &world::LoseEntry },
   { "drain target", 1, &world::DrainTarget },
   { "refuse connections", 1, &world::RefuseConnections },
--- a/UnitTests/Gateway/OrderTarget.h
+++ b/UnitTests/Gateway/OrderTarget.h
@@ -88,6 +88,9 @@
   /// accepted, as by a process that has replaced it. Not for use in a handler.
   void CloseConnections() { mConnections.clear(); }
 
+  /// The same for one connection.
+  void CloseConnection(size_t aConnection) { mConnections.erase(aConnection); }
+
   /// Reads nothing more from the open connections, like a target behind an
   /// overloaded link.
   void StopReading()
--- a/UnitTests/Gateway/SimulatedConnections.h
+++ b/UnitTests/Gateway/SimulatedConnections.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Parsleystair/Gateway/FenceConnections.h"
 #include "Parsleystair/Http/HttpConnection.h"
 #include "UnitTests/Gateway/SimulatedNetwork.h"
 #include "UnitTests/Gateway/SimulatedTarget.h"
@@ -19,6 +20,8 @@
   using order_call =
     std::function<std::optional<target_response>(simulated_target&)>;
   using callback = std::function<void(const http_result&)>;
+  /// Connections that a call may use; nothing for all.
+  using bound = std::optional<connection_bound>;
 
   simulated_connections(simulated_network& aNetwork, const router_run& aRun)
     : mNetwork(aNetwork)
@@ -26,10 +29,12 @@
   {
   }
 
-  void Call(size_t aTarget,
-            order_call aOrder,
-            duration aTimeout,
-            callback aCallback)
+  /// Returns the connection that carries the call.
+  target_connection_id Call(size_t aTarget,
+                            order_call aOrder,
+                            duration aTimeout,
+                            callback aCallback,
+                            const bound& aBound = std::nullopt)
   {
     const auto made = std::make_shared<call>();
     made->mTarget = aTarget;
@@ -39,11 +44,14 @@
     made->mGeneration = mGeneration;
     mNetwork.RunAt(
       mRun, made->mDeadline, [this, made] { Fail(made, made->mConnected); });
-    if (const auto idle = TakeConnection(aTarget)) {
-      made->mProcess = *idle;
+    if (const auto idle = TakeConnection(aTarget, aBound)) {
+      made->mProcess = idle->mProcess;
+      made->mConnection = idle->mId;
+      made->mFirstResponse = idle->mFirstResponse;
       Send(made);
-      return;
+      return made->mConnection;
     }
+    made->mConnection = target_connection_id(++mOpened);
     mNetwork.RunAt(mRun, mNetwork.Now() + kConnectTimeout, [this, made] {
       if (!made->mConnected) {
         Fail(made, false);
@@ -53,6 +61,7 @@
                               aTarget,
                               kConnectTimeout,
                               [this, made] { AcceptConnection(made); });
+    return made->mConnection;
   }
 
   /// Cancels all calls. Bytes that were sent are delivered.
@@ -67,15 +76,16 @@
            }) > 0;
   }
 
-  /// Whether the next call reuses a connection.
-  [[nodiscard]] bool HasOpenConnection(size_t aTarget) const
+  /// Whether the next call with `aBound` reuses a connection.
+  [[nodiscard]] bool HasOpenConnection(size_t aTarget,
+                                       const bound& aBound) const
   {
     const auto found = mIdle.find(aTarget);
     return found != mIdle.end() &&
            std::any_of(found->second.begin(),
                        found->second.end(),
                        [&](const idle_connection& aIdle) {
-                         return IsReusable(aTarget, aIdle);
+                         return IsReusable(aTarget, aIdle, aBound);
                        });
   }
 
@@ -92,6 +102,8 @@
     /// Start time of the process to which the connection leads.
     uint64_t mProcess = 0;
     time_point mIdleSince;
+    target_connection_id mId;
+    time_point mFirstResponse;
   };
 
   struct call
@@ -102,6 +114,8 @@
     time_point mDeadline;
     uint64_t mGeneration = 0;
     uint64_t mProcess = 0;
+    target_connection_id mConnection;
+    std::optional<time_point> mFirstResponse;
     bool mConnected = false;
     /// The order has reached the target's system.
     bool mArrived = false;
@@ -123,23 +137,31 @@
   }
 
   [[nodiscard]] bool IsReusable(size_t aTarget,
-                                const idle_connection& aIdle) const
+                                const idle_connection& aIdle,
+                                const bound& aBound) const
   {
-    return mNetwork.Now() - aIdle.mIdleSince < kIdleTimeout &&
+    return (!aBound || aBound->Allows(aIdle.mId, aIdle.mFirstResponse)) &&
+           mNetwork.Now() - aIdle.mIdleSince < kIdleTimeout &&
            !IsKnownBroken(aTarget, aIdle);
   }
 
-  std::optional<uint64_t> TakeConnection(size_t aTarget)
+  std::optional<idle_connection> TakeConnection(size_t aTarget,
+                                                const bound& aBound)
   {
     std::vector<idle_connection>& idle = mIdle[aTarget];
-    while (!idle.empty()) {
-      const idle_connection candidate = idle.back();
-      idle.pop_back();
-      if (IsReusable(aTarget, candidate)) {
-        return candidate.mProcess;
-      }
+    std::erase_if(idle, [&](const idle_connection& aIdle) {
+      return !IsReusable(aTarget, aIdle, std::nullopt);
+    });
+    const auto found =
+      std::find_if(idle.rbegin(), idle.rend(), [&](const auto& aIdle) {
+        return IsReusable(aTarget, aIdle, aBound);
+      });
+    if (found == idle.rend()) {
+      return std::nullopt;
     }
-    return std::nullopt;
+    const idle_connection taken = *found;
+    idle.erase(std::next(found).base());
+    return taken;
   }
 
   /// The request for a connection has reached the target's address.
@@ -216,27 +238,33 @@
     if ((aReached && !aResponse) || mNetwork.IsResponseLost()) {
       return;
     }
-    mNetwork.SendOnTargetPath(
-      mRun.mRouter,
-      aCall->mTarget,
-      kMaxDelivery,
-      [this, aCall, aResponse, isAlive] {
-        RunNow([this, aCall, aResponse, isAlive] {
-          if (!IsActive(aCall)) {
-            return;
-          }
-          if (!aResponse || !isAlive) {
-            Fail(aCall, true);
-            return;
-          }
-          aCall->mEnded = true;
-          mIdle[aCall->mTarget].push_back({ aCall->mProcess, mNetwork.Now() });
-          http_result result;
-          result.mStatus = http_status::kResponded;
-          result.mResponse.mStatus = aResponse->mStatus;
-          aCall->mCallback(result);
-        });
-      });
+    mNetwork.SendOnTargetPath(mRun.mRouter,
+                              aCall->mTarget,
+                              kMaxDelivery,
+                              [this, aCall, aResponse, isAlive] {
+                                RunNow([this, aCall, aResponse, isAlive] {
+                                  if (!IsActive(aCall)) {
+                                    return;
+                                  }
+                                  if (!aResponse || !isAlive) {
+                                    Fail(aCall, true);
+                                    return;
+                                  }
+                                  aCall->mEnded = true;
+                                  if (!aResponse->mCloses) {
+                                    const time_point now = mNetwork.Now();
+                                    mIdle[aCall->mTarget].push_back(
+                                      { aCall->mProcess,
+                                        now,
+                                        aCall->mConnection,
+                                        aCall->mFirstResponse.value_or(now) });
+                                  }
+                                  http_result result;
+                                  result.mStatus = http_status::kResponded;
+                                  result.mResponse.mStatus = aResponse->mStatus;
+                                  aCall->mCallback(result);
+                                });
+                              });
   }
 
   void Fail(const call_pointer& aCall, bool aSent)
@@ -255,6 +283,7 @@
   router_run mRun;
   /// Increases with each cancellation of all calls.
   uint64_t mGeneration = 0;
+  uint64_t mOpened = 0;
   std::map<size_t, std::vector<idle_connection>> mIdle;
 };
 
--- a/UnitTests/Gateway/SimulatedRouter.h
+++ b/UnitTests/Gateway/SimulatedRouter.h
@@ -683,12 +683,14 @@
   {
     if (mGrantQueues[TargetOf(aOrder.mAddress)].Add(
           mService, aOrder, mNetwork.Now())) {
-      SendGrant(aOrder);
+      SendGrant({ mService, aOrder, mNetwork.Now() });
     }
   }
 
-  void SendGrant(const grant_order& aOrder)
+  void SendGrant(const grant_queue::queued_grant& aGrant)
   {
+    const grant_order& aOrder = aGrant.mOrder;
+    const target_name& name = aOrder.mAddress.mTarget;
     const size_t target = TargetOf(aOrder.mAddress);
     if (mConnections.CloseBroken(target)) {
       mBrokenTargets.insert(target);
@@ -697,10 +699,16 @@
       EndGrant(aOrder, order_result::kNotSent);
       return;
     }
-    const time_point sendUntil =
-      mConnections.HasOpenConnection(target)
-        ? aOrder.mSendUntil
-        : std::min(aOrder.mSendUntil, aOrder.mConnectUntil);
+    const auto bound = mFenceConnections.BoundOf(name, aOrder.mFence);
+    const bool isConnected = mConnections.HasOpenConnection(target, bound);
+    if (bound && !isConnected && mGrantQueues.at(target).PutBack(aGrant)) {
+      return;
+    }
+    const time_point connectUntil =
+      bound ? time_point::min() : aOrder.mConnectUntil;
+    const time_point sendUntil = isConnected
+                                   ? aOrder.mSendUntil
+                                   : std::min(aOrder.mSendUntil, connectUntil);
     if (sendUntil <= mNetwork.Now()) {
       EndGrant(aOrder,
                mNetwork.Now() < aOrder.mSendUntil
@@ -708,7 +716,7 @@
                  : order_result::kNotAttempted);
       return;
     }
-    mConnections.Call(
+    const target_connection_id connection = mConnections.Call(
       target,
       [&network = mNetwork, &oracle = mOracle, run = mRun, aOrder, target](
         simulated_target& aTarget) {
@@ -717,8 +725,15 @@
       },
       std::min(kGrantTimeout, sendUntil - mNetwork.Now()),
       [this, aOrder](const http_result& aResult) {
+        if (aResult.mStatus == http_status::kNotSent) {
+          mFenceConnections.HandleNotSent(aOrder.mAddress.mTarget,
+                                          aOrder.mFence);
+        }
         EndGrant(aOrder, OutcomeOf(aResult));
-      });
+      },
+      bound);
+    mFenceConnections.HandleSend(
+      name, aOrder.mFence, connection, mNetwork.Now());
   }
 
   void EndGrant(const grant_order& aOrder, order_result aOutcome)
@@ -731,7 +746,7 @@
       mGrantQueues.erase(queue);
     }
     for (const auto& grant : next.mToSend) {
-      SendGrant(grant.mOrder);
+      SendGrant(grant);
     }
     for (const auto& grant : next.mDropped) {
       mRanges.HandleGrantResult(
@@ -805,6 +820,7 @@
   target_directory mDirectory;
   simulated_connections mConnections;
   std::map<size_t, grant_queue> mGrantQueues;
+  fence_connections mFenceConnections;
   std::set<size_t> mBrokenTargets;
   bool mLeaderKeyRead = false;
   store_revision mLeaderKeyRevision;
--- a/UnitTests/Gateway/SimulatedTarget.h
+++ b/UnitTests/Gateway/SimulatedTarget.h
@@ -14,6 +14,8 @@
   uint32_t mStatus = 0;
   /// Time at which the target responds.
   time_point mAt;
+  /// The target closes the connection with the response.
+  bool mCloses = false;
 };
 
 /// A target: its process, which restarts under the same name, its entry in the
@@ -105,8 +107,14 @@
   void RejectOrders(duration aTime) { mRejectsUntil = mEvents.Now() + aTime; }
   /// The target doesn't respond to some grants and applies them later.
   void ApplyGrantsLate(duration aTime) { mLateUntil = mEvents.Now() + aTime; }
+  /// The target closes the connections of orders with its responses.
+  void CloseAfterResponses(duration aTime)
+  {
+    mClosesUntil = mEvents.Now() + aTime;
+  }
   void EndFaults()
   {
+    mClosesUntil = time_point::min();
     mEntryMissingUntil = mRefusesUntil = mRejectsUntil = mLateUntil =
       time_point::min();
     mDraining = false;
@@ -133,7 +141,9 @@
       return std::nullopt;
     }
     const bool accepted = ApplyGrant(aOrder, now, aExcused, aOracle);
-    return target_response{ accepted ? kOk : kConflict, now };
+    return target_response{ accepted ? kOk : kConflict,
+                            now,
+                            now < mClosesUntil };
   }
 
   target_response HandleRelease(const release_order& aOrder,
@@ -199,6 +209,7 @@
   time_point mRefusesUntil = time_point::min();
   time_point mRejectsUntil = time_point::min();
   time_point mLateUntil = time_point::min();
+  time_point mClosesUntil = time_point::min();
   range_target mKeys;
   std::array<time_point, kSampleCount> mWorkEnds{};
 };
