Remove the limits for owners that reject

Suspected, by reading and not by a trace: targets that reject a part of their requests for another reason than a full queue lower the measured rate, and the limit falls with it. docs/design/overload.md says what is missing.

--- a/Parsleystair/Gateway/Forwarder.cpp
+++ b/Parsleystair/Gateway/Forwarder.cpp
@@ -129,11 +129,7 @@
 {
   const uint32_t key = *aRequest.mTerms.mKey;
   std::uniform_real_distribution<double> draw(0, 1);
-  if (mAdmission.AdmitsByPriority(aRequest.mService,
-                                  key,
-                                  aRequest.mRoute->mPriority,
-                                  draw(mRandom),
-                                  aNow)) {
+  if (mAdmission.Admits(aRequest.mService, key, draw(mRandom), aNow)) {
     return true;
   }
   HandleOverloadRefusal(
--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -242,9 +242,6 @@
     RetryOrFinish(aRequest, "the target has no room", aNow);
     return;
   }
-  if (!aTerms.mMisdirected && !aTerms.mWrongTarget) {
-    ++mLoad[aRequest.mService].mRejections[aAttempt.mTarget];
-  }
   mBalancer.HandleOutcome(
     aAttempt.mTarget, aAttempt.mSend, attempt_outcome::kCancelled, 0, aNow);
   if (!aRequest.mOpenAttempts.empty()) {
--- a/Parsleystair/KeyRanges/KeyLimits.cpp
+++ b/Parsleystair/KeyRanges/KeyLimits.cpp
@@ -15,17 +15,11 @@
 constexpr double kOverloadDeviations = 2;
 /// Shares above this are no limit.
 constexpr double kMaxShare = 0.9;
-constexpr double kMaxRejectingShare = 0.95;
-/// Requests in a second from which a bucket of an owner that rejects has a
-/// limit of its own: ten within the time constant of the counts.
-constexpr double kBusyRate = 3.3;
 /// Smallest share, so that an owner whose load has ended is found.
 constexpr double kMinShare = 0.01;
 /// Steps of shares for each factor of two. Limits are sent to all routers when
-/// they change. Those of an owner that rejects are finer: with the coarse
-/// steps, they could let through a fifth more than it serves.
+/// they change.
 constexpr double kStepsPerOctave = 2;
-constexpr double kFineStepsPerOctave = 4;
 
 /// Buckets, or parts of them, that one owner has.
 struct owned_bucket
@@ -67,68 +61,17 @@
   return rates.empty() ? 0 : rates.back();
 }
 
-double RoundShare(double aShare, double aStepsPerOctave)
+double RoundShare(double aShare)
 {
-  const double steps = std::round(std::log2(aShare) * aStepsPerOctave);
-  return std::clamp(std::exp2(steps / aStepsPerOctave), kMinShare, 1.0);
-}
-
-/// Limits of an owner whose busy buckets alone exceed its capacity.
-key_limits LimitsOf(const std::vector<owned_bucket>& aBuckets, double aCapacity)
-{
-  key_limits limits;
-  const double fair = FairRate(aBuckets, aCapacity);
-  for (const owned_bucket& each : aBuckets) {
-    const double share = each.mRate > fair ? fair / each.mRate : 1;
-    if (share < kMaxShare) {
-      limits.push_back({ each.mKeys, RoundShare(share, kStepsPerOctave) });
-    }
-  }
-  return limits;
-}
-
-/// Limits of an owner that rejects requests. The counts of most buckets are too
-/// low to limit them one by one, so what the busy ones don't save is saved by
-/// one share for all others.
-key_limits LimitsOfRejecting(const std::vector<owned_bucket>& aBuckets,
-                             double aCapacity)
-{
-  const double fair = FairRate(aBuckets, aCapacity);
-  double otherRate = 0;
-  double otherExcess = 0;
-  for (const owned_bucket& each : aBuckets) {
-    if (each.mRate < kBusyRate) {
-      otherRate += each.mRate;
-      otherExcess += std::max(0.0, each.mRate - fair);
-    }
-  }
-  const double otherShare = otherRate > 0 ? 1 - otherExcess / otherRate : 1;
-  key_limits limits;
-  for (const owned_bucket& each : aBuckets) {
-    const bool isBusy = each.mRate >= kBusyRate;
-    const double share = isBusy ? std::min(1.0, fair / each.mRate) : otherShare;
-    if (share >= kMaxRejectingShare) {
-      continue;
-    }
-    const double rounded = RoundShare(share, kFineStepsPerOctave);
-    const bool continues = !limits.empty() && !isBusy &&
-                           limits.back().mShare == rounded &&
-                           limits.back().mKeys.mLast + 1 == each.mKeys.mFirst;
-    if (continues) {
-      limits.back().mKeys.mLast = each.mKeys.mLast;
-    } else {
-      limits.push_back({ each.mKeys, rounded });
-    }
-  }
-  return limits;
+  const double steps = std::round(std::log2(aShare) * kStepsPerOctave);
+  return std::clamp(std::exp2(steps / kStepsPerOctave), kMinShare, 1.0);
 }
 
 } // namespace
 
 key_limits PlanKeyLimits(const range_record& aRecord,
                          const key_load& aLoad,
-                         const owner_capacities& aCapacities,
-                         const std::set<target_name>& aRejecting)
+                         const owner_capacities& aCapacities)
 {
   std::map<target_name, std::vector<owned_bucket>> byOwner;
   for (const owned_range& range : aRecord.mRanges) {
@@ -146,17 +89,18 @@
     for (const owned_bucket& each : buckets) {
       rate += each.mRate;
     }
-    const bool isRejecting = aRejecting.contains(owner);
     const double certainRate =
-      isRejecting ? rate
-                  : rate - kOverloadDeviations * aLoad.RateDeviation(rate);
+      rate - kOverloadDeviations * aLoad.RateDeviation(rate);
     if (certainRate <= capacity->second) {
       continue;
     }
-    const double share = capacity->second * kMaxUtilization;
-    const key_limits added = isRejecting ? LimitsOfRejecting(buckets, share)
-                                         : LimitsOf(buckets, share);
-    limits.insert(limits.end(), added.begin(), added.end());
+    const double fair = FairRate(buckets, capacity->second * kMaxUtilization);
+    for (const owned_bucket& each : buckets) {
+      const double share = each.mRate > fair ? fair / each.mRate : 1;
+      if (share < kMaxShare) {
+        limits.push_back({ each.mKeys, RoundShare(share) });
+      }
+    }
   }
   std::sort(
     limits.begin(), limits.end(), [](const auto& aLeft, const auto& aRight) {
--- a/Parsleystair/KeyRanges/KeyLimits.h
+++ b/Parsleystair/KeyRanges/KeyLimits.h
@@ -3,7 +3,6 @@
 #include "Parsleystair/KeyRanges/KeyLoad.h"
 
 #include <map>
-#include <set>
 #include <vector>
 
 namespace parsleystair {
@@ -31,12 +30,10 @@
 ///
 /// Divides the capacity of each overloaded owner among its buckets of keys so
 /// that those with few requests get all they ask for. Owners without a capacity
-/// get no limits. `aRejecting`: owners that have rejected requests, so that
-/// their capacity is known and a load above it is no chance.
+/// get no limits.
 key_limits PlanKeyLimits(const range_record& aRecord,
                          const key_load& aLoad,
-                         const owner_capacities& aCapacities,
-                         const std::set<target_name>& aRejecting = {});
+                         const owner_capacities& aCapacities);
 
 /// Share that applies to a key; 1 if it has no limit.
 double ShareOf(const key_limits& aLimits, uint32_t aKey);
--- a/Parsleystair/KeyRanges/LoadReport.cpp
+++ b/Parsleystair/KeyRanges/LoadReport.cpp
@@ -20,10 +20,6 @@
     }
     json[service.Value()] = { { "counts", std::move(counts) },
                               { "latencies", std::move(latencies) } };
-    // Rejections are rare, and leaders of earlier versions don't read them.
-    for (const auto& [target, count] : load.mRejections) {
-      json[service.Value()]["rejections"][target.Value()] = count;
-    }
   }
   return json.dump();
 }
@@ -42,11 +38,6 @@
       for (const auto& [target, samples] : value.at("latencies").items()) {
         load.mLatencies[target_name(target)] = samples.get<latency_samples>();
       }
-      const nlohmann::json rejections =
-        value.value("rejections", nlohmann::json::object());
-      for (const auto& [target, count] : rejections.items()) {
-        load.mRejections[target_name(target)] = count.get<uint32_t>();
-      }
     }
     return report;
   } catch (const nlohmann::json::exception& exception) {
--- a/Parsleystair/KeyRanges/LoadReport.h
+++ b/Parsleystair/KeyRanges/LoadReport.h
@@ -17,8 +17,6 @@
   /// Number of requests from callers.
   key_counts mCounts;
   std::map<target_name, latency_samples> mLatencies;
-  /// Number of requests that owners of keys have rejected for lack of room.
-  std::map<target_name, uint32_t> mRejections;
 
   bool operator==(const service_load&) const = default;
 };
--- a/Parsleystair/KeyRanges/RangeController.cpp
+++ b/Parsleystair/KeyRanges/RangeController.cpp
@@ -274,19 +274,12 @@
       continue;
     }
     CountResponses(owner->second, samples.size(), aNow);
-    owner->second.mRejections.Add(samples.size(), 0, aNow);
     std::deque<uint32_t>& latencies = owner->second.mLatencies;
     latencies.insert(latencies.end(), samples.begin(), samples.end());
     while (latencies.size() > kMaxLatencySamples) {
       latencies.pop_front();
     }
   }
-  for (const auto& [name, count] : aLoad.mRejections) {
-    const auto owner = mOwners.find(name);
-    if (owner != mOwners.end()) {
-      owner->second.mRejections.Add(0, count, aNow);
-    }
-  }
 }
 
 void range_controller::HandleGrantResult(order_id aOrder,
--- a/Parsleystair/KeyRanges/RangeController.h
+++ b/Parsleystair/KeyRanges/RangeController.h
@@ -4,7 +4,6 @@
 #include "Parsleystair/KeyRanges/DecayingCount.h"
 #include "Parsleystair/KeyRanges/KeyLimits.h"
 #include "Parsleystair/KeyRanges/LoadReport.h"
-#include "Parsleystair/KeyRanges/OwnerRejections.h"
 #include "Parsleystair/KeyRanges/RangeActions.h"
 #include "Parsleystair/KeyRanges/RangePlanner.h"
 #include "Parsleystair/KeyRanges/ReadyMove.h"
@@ -199,7 +198,6 @@
     decaying_count mResponses;
     double mMaxResponseRate = 0;
     time_point mMaxResponseRateAt = time_point::min();
-    owner_rejections mRejections;
     /// Time of the first failed grant since the last accepted one.
     std::optional<time_point> mFailingSince;
   };
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
-#include <set>
 
 // Planning of the leader's actions: which keys move, which targets get them,
 // and which grants are due. Events are handled in RangeController.cpp.
@@ -100,17 +99,12 @@
   }
   mLoad.Decay(aNow);
   owner_capacities capacities;
-  std::set<target_name> rejecting;
   for (const auto& [name, owner] : mOwners) {
     if (owner.mLatencies.size() >= kMinLatencySamples) {
       capacities[name] = AdmittedRate(owner);
     }
-    if (const auto measured = owner.mRejections.Capacity(aNow)) {
-      capacities[name] = *measured;
-      rejecting.insert(name);
-    }
   }
-  return PlanKeyLimits(mRecord, mLoad, capacities, rejecting);
+  return PlanKeyLimits(mRecord, mLoad, capacities);
 }
 
 void range_controller::AddFenceChanges(const target_name& aOwner)
--- a/Parsleystair/Limits/KeyAdmission.cpp
+++ b/Parsleystair/Limits/KeyAdmission.cpp
@@ -26,21 +26,6 @@
   return aDraw < ShareFor(aService, aKey, aNow);
 }
 
-bool key_admission::AdmitsByPriority(const service_name& aService,
-                                     uint32_t aKey,
-                                     uint32_t aPriority,
-                                     double aDraw,
-                                     time_point aNow)
-{
-  const double share = ShareFor(aService, aKey, aNow);
-  if (share >= 1) {
-    return true;
-  }
-  priority_shares& priorities = mPriorities[aService];
-  priorities.Add(aPriority);
-  return aDraw < priorities.ShareOf(share, aPriority);
-}
-
 double key_admission::ShareFor(const service_name& aService,
                                uint32_t aKey,
                                time_point aNow) const
--- a/Parsleystair/Limits/KeyAdmission.h
+++ b/Parsleystair/Limits/KeyAdmission.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "Parsleystair/KeyRanges/KeyLimits.h"
-#include "Parsleystair/Limits/PriorityShares.h"
 
 #include <map>
 
@@ -29,14 +28,6 @@
                             double aDraw,
                             time_point aNow) const;
 
-  /// The same for a request that has been received, with the priority of its
-  /// route: the limits refuse the least urgent requests of a service first.
-  bool AdmitsByPriority(const service_name& aService,
-                        uint32_t aKey,
-                        uint32_t aPriority,
-                        double aDraw,
-                        time_point aNow);
-
   /// Share of the requests for a key that are admitted; 1 if no limit applies.
   [[nodiscard]] double ShareFor(const service_name& aService,
                                 uint32_t aKey,
@@ -46,8 +37,6 @@
 
 private:
   service_limits mLimits;
-  /// Priorities of the requests for limited keys.
-  std::map<service_name, priority_shares> mPriorities;
   time_point mConfirmedAt = time_point::min();
 };
 
