Check handovers of targets where they are read

Cause: the value of X-Handover in the response to a release was kept as it came. The JSON library throws for text that is not UTF-8, and did so 20 ms after the response, in the step that encodes the record of the move (handover_test.BytesThatAreNotTextMoveKeysWithoutHandover: type_error.316, "invalid UTF-8 byte at index 4: 0xFF"). No handler is there, and the released keys still had to be moved, so the next leader met the next wrong answer.

Change: platform/ takes a handover only if it is visible ASCII, at most 256 bytes and stated once. The release itself is proven by the status and the request's identifier, so the keys move at once, without a handover (handover_unusable, unusable_handovers_total). A response with two different identifiers belongs to no order and no request. The bytes of handovers in a record are limited, as the store refuses a record that is too long and would do so for each next leader. A record in the store with an unusable handover is read without it, also if the bytes make its JSON invalid.

--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -180,6 +180,10 @@
     text, "orders_total", "kind", "record", orders.mRecordWrites);
   AppendLabelledMetric(
     text, "orders_total", "kind", "grant-too-late", orders.mGrantsTooLate);
+  AppendMetric(text,
+               "unusable_handovers_total",
+               "counter",
+               static_cast<double>(orders.mUnusableHandovers));
   text += "# TYPE parsleystair_moves_total counter\n";
   for (const ready_reason why : { ready_reason::kReleased,
                                   ready_reason::kGrantExpired,
--- a/Parsleystair/Gateway/RangeDriver.cpp
+++ b/Parsleystair/Gateway/RangeDriver.cpp
@@ -616,6 +616,14 @@
                  .Add("end", OrderOutcomeName(aOutcome.mResult))
                  .Add("status", ResponseStatus(aResult))
                  .Add("reused", aResult.mReused);
+               if (aOutcome.mHasUnusableHandover) {
+                 ++mCounters.mUnusableHandovers;
+                 log_line(log_severity::kWarning, "handover_unusable")
+                   .Add("service", aService.Value())
+                   .Add("target", aOrder.mAddress.mTarget.Value())
+                   .Add("from", uint64_t{ aOrder.mKeys.mFirst })
+                   .Add("to", uint64_t{ aOrder.mKeys.mLast });
+               }
                if (range_controller* controller = FindController(aService)) {
                  controller->HandleReleaseResult(aOrder.mId,
                                                  aOutcome.mResult,
--- a/Parsleystair/Gateway/RangeDriver.h
+++ b/Parsleystair/Gateway/RangeDriver.h
@@ -50,6 +50,8 @@
   uint64_t mGrantsTooLate = 0;
   uint64_t mReleases = 0;
   uint64_t mReleasesFailed = 0;
+  /// Responses to releases whose handover can't be used.
+  uint64_t mUnusableHandovers = 0;
   uint64_t mRecordWrites = 0;
   std::map<ready_reason, uint64_t> mMoves;
 
--- a/Parsleystair/Gateway/RequestProtocol.h
+++ b/Parsleystair/Gateway/RequestProtocol.h
@@ -111,8 +111,10 @@
   /// Identifier of the order that the response belongs to; empty if absent.
   std::string mRequestId;
   /// State that the target hands over when it releases a range; empty if there
-  /// is none.
+  /// is none that can be used.
   std::string mHandover;
+  /// The response states a handover that can't be used.
+  bool mHasUnusableHandover = false;
 };
 
 /// Encoding of the orders by which targets are granted key ranges and release
--- a/Parsleystair/Http/HttpMessage.cpp
+++ b/Parsleystair/Http/HttpMessage.cpp
@@ -53,6 +53,26 @@
   return std::nullopt;
 }
 
+std::optional<std::string> FindSingleHeader(
+  const std::vector<http_header>& aHeaders,
+  std::string_view aName)
+{
+  const std::string* first = nullptr;
+  std::optional<std::string> joined;
+  for (const http_header& header : aHeaders) {
+    if (!SameHeaderName(header.mName, aName)) {
+      continue;
+    }
+    if (first == nullptr) {
+      first = &header.mValue;
+      joined = header.mValue;
+    } else if (header.mValue != *first) {
+      *joined += ", " + header.mValue;
+    }
+  }
+  return joined;
+}
+
 std::optional<std::string> FindQueryValue(const std::string& aQuery,
                                           const std::string& aName)
 {
--- a/Parsleystair/Http/HttpMessage.h
+++ b/Parsleystair/Http/HttpMessage.h
@@ -54,6 +54,13 @@
 std::optional<std::string> FindHeader(const std::vector<http_header>& aHeaders,
                                       std::string_view aName);
 
+/// Value of a header that has one value. Differing values of a repeated header
+/// are joined as RFC 9110 section 5.2 says, which equals none of them; none if
+/// absent.
+std::optional<std::string> FindSingleHeader(
+  const std::vector<http_header>& aHeaders,
+  std::string_view aName);
+
 /// First value of a query parameter, decoded; none if absent.
 std::optional<std::string> FindQueryValue(const std::string& aQuery,
                                           const std::string& aName);
--- a/Parsleystair/KeyRanges/RangeControllerSteps.cpp
+++ b/Parsleystair/KeyRanges/RangeControllerSteps.cpp
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/Invariant.h"
 #include "Parsleystair/Core/StoreEra.h"
+#include "Parsleystair/KeyRanges/Handover.h"
 
 #include <algorithm>
 #include <cmath>
@@ -448,6 +449,7 @@
   if (changed.mRanges == mRecord.mRanges && !isOutdated) {
     return;
   }
+  LimitHandovers(changed, kMaxRecordHandoverBytes);
   ValidateRecord(changed);
   mPendingRecord = changed;
   mPendingWrite = order_id(mNextOrderId++);
--- a/Parsleystair/KeyRanges/RangeRecord.cpp
+++ b/Parsleystair/KeyRanges/RangeRecord.cpp
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/Error.h"
 #include "Parsleystair/Core/Invariant.h"
+#include "Parsleystair/KeyRanges/Handover.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -30,6 +31,29 @@
   aRanges = std::move(merged);
 }
 
+/// Replaces the bytes that strings of JSON may not hold, and all escapes, by
+/// spaces, which no usable handover and no target's name has.
+std::string WithoutUnreadableBytes(std::string aText)
+{
+  for (size_t index = 0; index < aText.size(); ++index) {
+    if (aText[index] == '\\' && index + 1 < aText.size()) {
+      aText[index++] = ' ';
+      aText[index] = ' ';
+    } else if (aText[index] < ' ' || aText[index] > '~') {
+      aText[index] = ' ';
+    }
+  }
+  return aText;
+}
+
+nlohmann::json ParseRecord(const std::string& aText)
+{
+  nlohmann::json json = nlohmann::json::parse(aText, nullptr, false);
+  return json.is_discarded()
+           ? nlohmann::json::parse(WithoutUnreadableBytes(aText))
+           : json;
+}
+
 } // namespace
 
 std::vector<key_interval> Subtract(const key_interval& aKeys,
@@ -117,7 +141,7 @@
 range_record DecodeRangeRecord(const std::string& aText)
 {
   try {
-    const nlohmann::json json = nlohmann::json::parse(aText);
+    const nlohmann::json json = ParseRecord(aText);
     range_record record;
     record.mNextFence = json.at("nextFence").get<uint64_t>();
     record.mTerm = term_number(json.value("term", uint64_t{ 0 }));
@@ -128,7 +152,11 @@
       range.mOwner.mName = target_name(each.at(2).get<std::string>());
       range.mOwner.mStartedMs = each.at(3).get<uint64_t>();
       range.mFence = fence(each.at(4).get<uint64_t>());
-      range.mHandover = each.at(5).get<std::string>();
+      // A handover only saves time, so a wrong one doesn't void the record.
+      const auto handover = each.at(5).get<std::string>();
+      if (IsUsableHandover(handover)) {
+        range.mHandover = handover;
+      }
       record.mRanges.push_back(std::move(range));
     }
     ValidateRecord(record);
--- a/Parsleystair/KeyRanges/RangeRecord.h
+++ b/Parsleystair/KeyRanges/RangeRecord.h
@@ -95,7 +95,8 @@
 
 std::string EncodeRangeRecord(const range_record& aRecord);
 
-/// Throws `parse_error` if the text is not a valid range record.
+/// Throws `parse_error` if the text is not a valid range record. Handovers that
+/// can't be used are left out.
 range_record DecodeRangeRecord(const std::string& aText);
 
 } // namespace parsleystair
--- a/StandIns/standin_users_platform/KeyedTarget.cpp
+++ b/StandIns/standin_users_platform/KeyedTarget.cpp
@@ -134,6 +134,7 @@
 {
   ++mGrants;
   const json body = json::parse(aRequest.mBody);
+  mReceivedHandover = body.value("handover", mReceivedHandover);
   held_keys keys{ body.at("from").get<uint32_t>(),
                   body.at("to").get<uint32_t>(),
                   body.at("fence").get<uint64_t>(),
@@ -178,11 +179,13 @@
   }
   rest.push_back({ from, to, body.at("fence").get<uint64_t>(), {} });
   mHeld = std::move(rest);
-  Respond(aExchange,
-          { kOk,
-            { { "X-Request-Id", Header(aRequest, "X-Request-Id") },
-              { "X-Handover", "state" } },
-            "" });
+  http_response answer{
+    kOk, { { "X-Request-Id", Header(aRequest, "X-Request-Id") } }, ""
+  };
+  for (const std::string& handover : mHandovers) {
+    answer.mHeaders.push_back({ "X-Handover", handover });
+  }
+  Respond(aExchange, answer);
 }
 
 void keyed_target::Respond(exchange_id aExchange, http_response aAnswer)
--- a/StandIns/standin_users_platform/KeyedTarget.h
+++ b/StandIns/standin_users_platform/KeyedTarget.h
@@ -72,6 +72,17 @@
   {
     mOrderHandler = std::move(aHandler);
   }
+  /// Values of the handover header in its answers to releases; more than one
+  /// repeats the header.
+  void SetHandovers(std::vector<std::string> aValues)
+  {
+    mHandovers = std::move(aValues);
+  }
+  /// Handover in the latest grant that had one; empty before.
+  [[nodiscard]] const std::string& ReceivedHandover() const
+  {
+    return mReceivedHandover;
+  }
   /// Answers with the id of another request.
   void SetAnswersOthers(bool aOthers) { mAnswersOthers = aOthers; }
 
@@ -124,6 +135,8 @@
   std::function<void(const std::string&)> mRunHandler;
   std::function<void(const std::string&, const http_request&)> mOrderHandler;
   std::set<std::string> mIgnoredSenders;
+  std::vector<std::string> mHandovers{ "state" };
+  std::string mReceivedHandover;
   bool mOrdersHeld = false;
   std::vector<std::pair<exchange_id, http_request>> mHeldOrders;
   std::vector<std::string> mRan;
--- a/UnitTests/KeyRanges/RangeControllerTest.cpp
+++ b/UnitTests/KeyRanges/RangeControllerTest.cpp
@@ -1,4 +1,5 @@
 #include "Parsleystair/Core/StoreEra.h"
+#include "Parsleystair/KeyRanges/Handover.h"
 #include "RangeSimulation.h"
 #include "UnitTests/Support/RandomActions.h"
 
@@ -262,6 +263,33 @@
   }
 }
 
+// Guards against a record that the store refuses for its length because of the
+// handovers of many ranges: no key of the service could move any more.
+TEST_F(range_controller_test, HandoversOfManyRangesFitIntoTheRecord)
+{
+  AssignKeysToBothTargets();
+  range_record record = mController.Record();
+  const target_incarnation owner = record.mRanges[0].mOwner;
+  record.mRanges.clear();
+  constexpr uint32_t kRanges = 2'000;
+  for (uint32_t index = 0; index < kRanges; ++index) {
+    record.mRanges.push_back({ { index, index },
+                               owner,
+                               fence(record.mNextFence++),
+                               std::string(kMaxHandoverBytes, 'a') });
+  }
+  mController.HandleRecord(record, store_revision(++mRevision));
+  mTargets.erase(mTargets.begin());
+  UpdateTargets();
+  AcceptOrders();
+  size_t bytes = 0;
+  for (const owned_range& range : mController.Record().mRanges) {
+    bytes += range.mHandover.size();
+  }
+  EXPECT_NE(mController.Record(), record);
+  EXPECT_LE(bytes, kMaxRecordHandoverBytes);
+}
+
 // Guards against an owner that enters slow start and crashes under the load of
 // its keys, and against one that gets no keys any more after its slow start.
 TEST_F(range_controller_test, OwnerInSlowStartLosesItsKeysUntilItIsWarm)
