Report values that are not UTF-8 without an exception

A question for the owner of a key whose bytes are not UTF-8 (GET /owner?key=%ff) ended parsleystaird: the report holds the key, and the JSON library throws.

Change: all reports for people and tools use one function that replaces such bytes by U+FFFD. Values that are read again still don't.

RouterReport.OwnerOfAKeyThatIsNotUtf8IsTold and RouterReport.StateWithNamesThatAreNotUtf8IsTold failed before by the exception, and pass now.

--- a/Parsleystair/Dump/RouterReport.cpp
+++ b/Parsleystair/Dump/RouterReport.cpp
@@ -1,5 +1,6 @@
 #include "Parsleystair/Dump/RouterReport.h"
 
+#include "Parsleystair/Core/JsonText.h"
 #include "Parsleystair/Request/Problem.h"
 #include "Parsleystair/Settings/ConfigurationCodec.h"
 
@@ -247,7 +248,7 @@
 
 std::string StatusJson(const router_report& aReport)
 {
-  return StatusValue(aReport).dump();
+  return ReportText(StatusValue(aReport));
 }
 
 std::string DumpJson(const router_report& aReport)
@@ -279,7 +280,7 @@
     value["configuration"] =
       json::parse(EncodeConfiguration(*aReport.mConfiguration));
   }
-  return value.dump(2);
+  return ReportText(value, 2);
 }
 
 std::string MetricsText(const router_report& aReport)
@@ -349,7 +350,7 @@
       value["authority"] = known.mHasAuthority;
     }
   }
-  return value.dump();
+  return ReportText(value);
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -1,4 +1,5 @@
 #include "Parsleystair/Core/Clock.h"
+#include "Parsleystair/Core/JsonText.h"
 #include "Parsleystair/Gateway/GatewayTask.h"
 
 #include <algorithm>
@@ -304,7 +305,7 @@
     { "ranges", std::move(ranges) },
     { "crashingContents", std::move(contents) },
   };
-  return dump.dump(2) + "\n";
+  return ReportText(dump, 2) + "\n";
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Request/Problem.cpp
+++ b/Parsleystair/Request/Problem.cpp
@@ -1,5 +1,7 @@
 #include "Parsleystair/Request/Problem.h"
 
+#include "Parsleystair/Core/JsonText.h"
+
 #include <nlohmann/json.hpp>
 
 namespace parsleystair {
@@ -75,8 +77,7 @@
   answer.mStatus = form.mStatus;
   answer.mHeaders = { { "Content-Type", "application/problem+json" } };
   // A caller's text may hold bytes that are not UTF-8.
-  answer.mBody =
-    body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  answer.mBody = ReportText(body);
   return answer;
 }
 
