Escape names of services in labels of metrics

A service whose name has a quote or a backslash made all metrics of a router unreadable: the value of the label was written as it is.

gateway_test.NamesOfServicesAreEscapedInMetrics covers it; it was not run without the change.

--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -20,6 +20,23 @@
   aText += "parsleystair_" + aName + " " + nlohmann::json(aValue).dump() + "\n";
 }
 
+/// Escapes the value of a label as the Prometheus text format says.
+std::string EscapeLabel(const std::string& aValue)
+{
+  std::string escaped;
+  for (const char character : aValue) {
+    if (character == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (character == '"' || character == '\\') {
+      escaped += '\\';
+    }
+    escaped += character;
+  }
+  return escaped;
+}
+
 void AppendLabelledMetric(std::string& aText,
                           const std::string& aName,
                           const char* aLabel,
@@ -54,7 +71,7 @@
   for (const auto& [service, counts] : aStatistics.Totals()) {
     for (const request_outcome outcome : kRequestOutcomes) {
       aText += "parsleystair_requests_ended_total{service=\"" +
-               service.Value() + "\",outcome=\"" +
+               EscapeLabel(service.Value()) + "\",outcome=\"" +
                std::string(RequestOutcomeName(outcome)) + "\"} " +
                std::to_string(counts.Of(outcome)) + "\n";
     }
--- a/UnitTests/Gateway/GatewayTest.cpp
+++ b/UnitTests/Gateway/GatewayTest.cpp
@@ -355,4 +355,19 @@
   EXPECT_LT(MonotonicNow() - start, 8s);
 }
 
+// Guards against names of services that break the text format of the metrics:
+// one such name would make all metrics of the router unreadable.
+TEST_F(gateway_test, NamesOfServicesAreEscapedInMetrics)
+{
+  mKv.Put(kConfigurationKey,
+          EncodeOperatorConfiguration(
+            2, { { "odd", true, R"(a"b\c)" } }, { { R"(a"b\c)" } }));
+  const gateway_instance& gateway = StartGateway("a");
+  EXPECT_NE(Call(gateway, Request("GET", "/odd/x", "r-1")).mResponse.mStatus,
+            404U);
+  EXPECT_NE(gateway.mTask->MetricsText().find(R"({service="a\"b\\c",)"),
+            std::string::npos)
+    << gateway.mTask->MetricsText();
+}
+
 } // namespace parsleystair
