Write printable text to logs, and read logs that have other bytes

Identifiers of requests may have any bytes above 0x7f. They went into log lines as they came, and `parsleystair explain` and `report` ended by an exception when they met them, as their JSON holds the fields.

Change: log lines hold control characters and bytes that are not UTF-8 as \xNN. The operators' command replaces such bytes in its output, as logs of earlier releases have them, and arguments may.

--- a/Parsleystair/Core/Log.cpp
+++ b/Parsleystair/Core/Log.cpp
@@ -2,6 +2,7 @@
 
 #include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Core/Error.h"
+#include "Parsleystair/Core/Text.h"
 
 #include <atomic>
 #include <boost/log/core.hpp>
@@ -103,26 +104,32 @@
 bool NeedsQuotes(std::string_view aValue)
 {
   return aValue.empty() ||
-         aValue.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+         aValue.find_first_of(" \"=\\") != std::string_view::npos ||
+         !IsPrintable(aValue);
 }
 
-void AppendQuoted(std::string& aText, std::string_view aValue)
+void AppendEscaped(std::string& aText, std::string_view aLine)
 {
-  aText += '"';
-  for (const char character : aValue) {
-    if (character == '\n') {
-      aText += "\\n";
-      continue;
-    }
-    if (character == '\r') {
-      aText += "\\r";
-      continue;
-    }
+  std::string printable;
+  AppendPrintable(printable, aLine);
+  for (const char character : printable) {
     if (character == '"' || character == '\\') {
       aText += '\\';
     }
     aText += character;
   }
+}
+
+void AppendQuoted(std::string& aText, std::string_view aValue)
+{
+  aText += '"';
+  for (size_t end = aValue.find_first_of("\n\r"); end != std::string_view::npos;
+       end = aValue.find_first_of("\n\r")) {
+    AppendEscaped(aText, aValue.substr(0, end));
+    aText += aValue[end] == '\n' ? "\\n" : "\\r";
+    aValue.remove_prefix(end + 1);
+  }
+  AppendEscaped(aText, aValue);
   aText += '"';
 }
 
--- a/Parsleystair/Core/Log.h
+++ b/Parsleystair/Core/Log.h
@@ -35,7 +35,8 @@
   log_line(const log_line&) = delete;
   log_line& operator=(const log_line&) = delete;
 
-  /// Adds a text; it is quoted when it holds spaces, quotes or '='.
+  /// Adds a text; it is quoted when it holds spaces, quotes or '='. Bytes that
+  /// are not printable text are written as `\xNN`.
   log_line& Add(std::string_view aKey, std::string_view aValue);
   log_line& Add(std::string_view aKey, const char* aValue);
   log_line& Add(std::string_view aKey, const std::string& aValue);
--- a/Parsleystair/Operator/LogCommands.cpp
+++ b/Parsleystair/Operator/LogCommands.cpp
@@ -1,5 +1,6 @@
 #include "Parsleystair/Operator/LogCommands.h"
 
+#include "Parsleystair/Core/JsonText.h"
 #include "Parsleystair/LogReading/DaySummary.h"
 #include "Parsleystair/LogReading/RequestChain.h"
 
@@ -146,7 +147,7 @@
     lines.push_back(std::move(entry));
   }
   result.mJson =
-    json{ { "request", aRequest }, { "lines", std::move(lines) } }.dump();
+    ReportText({ { "request", aRequest }, { "lines", std::move(lines) } });
   if (chain.empty()) {
     result.mCode = exit_code::kRefused;
     result.mText = "no line names the request " + aRequest + "\n";
@@ -162,7 +163,7 @@
   const day_summary summary = SummarizeDay(ReadLogs(aPaths), aArguments.mLimit);
   command_result result;
   result.mText = SummaryText(summary);
-  result.mJson = SummaryJson(summary).dump();
+  result.mJson = ReportText(SummaryJson(summary));
   return result;
 }
 
--- a/Parsleystair/Operator/OperatorCommand.cpp
+++ b/Parsleystair/Operator/OperatorCommand.cpp
@@ -1,5 +1,6 @@
 #include "Parsleystair/Operator/OperatorCommand.h"
 
+#include "Parsleystair/Core/JsonText.h"
 #include "Parsleystair/Operator/FileCommands.h"
 #include "Parsleystair/Operator/LogCommands.h"
 #include "Parsleystair/Operator/OperatorArguments.h"
@@ -93,7 +94,7 @@
                       const std::string& aNext)
 {
   return {
-    aCode, aMessage + "\n", json{ { "error", aMessage } }.dump(), aNext, true
+    aCode, aMessage + "\n", ReportText({ { "error", aMessage } }), aNext, true
   };
 }
 
@@ -126,8 +127,7 @@
     json document = json::parse(aResult.mJson);
     document["exitCode"] = static_cast<int>(aResult.mCode);
     document["next"] = aResult.mNext;
-    aOut << document.dump(-1, ' ', false, json::error_handler_t::replace)
-         << "\n";
+    aOut << ReportText(document) << "\n";
     return;
   }
   if (aResult.mIsError) {
--- a/Parsleystair/Operator/Reports.cpp
+++ b/Parsleystair/Operator/Reports.cpp
@@ -1,5 +1,7 @@
 #include "Parsleystair/Operator/Reports.h"
 
+#include "Parsleystair/Core/JsonText.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -179,7 +181,7 @@
   report.mText = aSubject + " has " + std::to_string(aProblems.size()) +
                  " problem(s):\n" + ProblemLines(aProblems);
   report.mJson =
-    json{ { "valid", false }, { "problems", ProblemsJson(aProblems) } }.dump();
+    ReportText({ { "valid", false }, { "problems", ProblemsJson(aProblems) } });
   report.mNext = "correct the file and check it again";
   return report;
 }
@@ -188,7 +190,7 @@
                                 const submission_result& aResult)
 {
   command_result report;
-  report.mJson = SubmissionJson(aId, aResult).dump();
+  report.mJson = ReportText(SubmissionJson(aId, aResult));
   report.mText = "note " + aId.Value();
   switch (aResult.mOutcome) {
     case submission_outcome::kAccepted:
--- a/UnitTests/Operator/OperatorCommandTest.cpp
+++ b/UnitTests/Operator/OperatorCommandTest.cpp
@@ -222,6 +222,21 @@
   EXPECT_EQ(RunCommand({ "explain", "r-1", log + ".none" }).mCode, 2);
 }
 
+// Guards against bytes in a log or in an argument that are not UTF-8: the
+// exception of the JSON library ended the command.
+TEST(OperatorCommand, ReadsLogsWithBytesThatAreNotUtf8)
+{
+  const std::string log = WriteFile(
+    "vm-2.log",
+    "time=2026-12-04T07:00:00.1 level=info event=request_refused "
+    "request=r-\xff service=menus\xc3 outcome=no-answer reason=a\x80\n");
+  const json found = RunJson({ "explain", "r-\xff", log });
+  EXPECT_EQ(found["exitCode"], 0) << found;
+  EXPECT_EQ(found["lines"].size(), 1U);
+  EXPECT_EQ(RunJson({ "report", log })["exitCode"], 0);
+  EXPECT_EQ(RunJson({ "explain", "r-1", log + "\xff" })["exitCode"], 2);
+}
+
 // Guards against a report that leaves out outcomes or the worst seconds.
 TEST(OperatorCommand, ReportsADayFromLogs)
 {
