Refuse names that are not UTF-8 in messages between parsleystaird

Names of VMs, services and targets that a peer states go into records of the store and into reports, whose JSON encoder throws for bytes that are not UTF-8. Cap'n Proto doesn't check texts.

Change: such a name fails the call. Keys and headers of callers may still have any bytes.

peer_rpc.RefusesNamesThatAreNotUtf8 failed before and passes now.

--- a/Parsleystair/Peers/GroupRecordCodec.cpp
+++ b/Parsleystair/Peers/GroupRecordCodec.cpp
@@ -99,13 +99,13 @@
   value.mRevision = store_revision(aWire.getRevision());
   value.mRecordsLostUntilMs = aWire.getRecordsLostUntilMs();
   for (const auto holder : aWire.getHolders()) {
-    value.mHolders.push_back({ vm_name(ToString(holder.getVm())),
+    value.mHolders.push_back({ vm_name(ToName(holder.getVm())),
                                incarnation(holder.getIncarnation()),
                                holder.getJoining() });
   }
   std::vector<std::string> names;
   for (const auto name : aWire.getNames()) {
-    names.push_back(ToString(name));
+    names.push_back(ToName(name));
   }
   try {
     for (const auto slot : aWire.getSlots()) {
--- a/Parsleystair/Peers/PeerCodec.cpp
+++ b/Parsleystair/Peers/PeerCodec.cpp
@@ -22,12 +22,11 @@
 member_notice Decode(wire::Member::Reader aWire)
 {
   member_notice value;
-  value.mVm.mName = vm_name(ToString(aWire.getName()));
+  value.mVm.mName = vm_name(ToName(aWire.getName()));
   value.mVm.mIncarnation = incarnation(aWire.getIncarnation());
-  value.mHost = ToString(aWire.getHost());
+  value.mHost = ToName(aWire.getHost());
   value.mPeerPort = aWire.getPeerPort();
-  value.mFailureDomain =
-    failure_domain_name(ToString(aWire.getFailureDomain()));
+  value.mFailureDomain = failure_domain_name(ToName(aWire.getFailureDomain()));
   value.mLeaving = aWire.getLeaving();
   value.mAgeMs = aWire.getAgeMs();
   value.mConfiguration = configuration_revision(aWire.getConfiguration());
@@ -44,8 +43,8 @@
 
 request_key Decode(wire::RequestKey::Reader aWire)
 {
-  return { service_name(ToString(aWire.getService())),
-           rule_name(ToString(aWire.getRule())),
+  return { service_name(ToName(aWire.getService())),
+           rule_name(ToName(aWire.getRule())),
            ToString(aWire.getKey()) };
 }
 
--- a/Parsleystair/Peers/WireValues.h
+++ b/Parsleystair/Peers/WireValues.h
@@ -2,6 +2,8 @@
 
 #include "Parsleystair/Core/Error.h"
 
+#include "Parsleystair/Core/Text.h"
+
 #include <capnp/blob.h>
 #include <cstdint>
 #include <string>
@@ -16,6 +18,17 @@
   return { aText.begin(), aText.size() };
 }
 
+/// Converts the name of a thing, which other parts write as JSON. Throws
+/// `parse_error` if it is not UTF-8.
+inline std::string ToName(capnp::Text::Reader aText)
+{
+  std::string name = ToString(aText);
+  if (!IsUtf8(name)) {
+    throw parse_error("a name is not UTF-8");
+  }
+  return name;
+}
+
 /// Converts an enumerator whose values are the same on both sides.
 template<typename Result, typename Value>
 Result ConvertEnum(Value aValue, Result aLast, const char* aName)
--- a/UnitTests/Peers/PeerRpcTest.cpp
+++ b/UnitTests/Peers/PeerRpcTest.cpp
@@ -297,6 +297,25 @@
   EXPECT_EQ(fetched.mReply, mHandler.HandleFetchConfigurationRequest());
 }
 
+// Guards against a name that is not UTF-8 and would end this router when it
+// writes the name as JSON: the call fails in its place.
+TEST_F(peer_rpc, RefusesNamesThatAreNotUtf8)
+{
+  heartbeat_message message = MakeHeartbeat();
+  message.mMembers[0].mVm.mName = vm_name("vm\xff");
+  const auto heartbeat = Wait<heartbeat_message>(
+    [&](auto aCallback) { mClient->Heartbeat(mAddress, message, aCallback); });
+  EXPECT_NE(heartbeat.mStatus, peer_status::kReplied);
+
+  group_record record = MakeRecord(2);
+  record.mSlots.begin()->second.mOwner = target_name("target\xc3");
+  Wait<acknowledgement>([&](auto aCallback) {
+    mClient->Announce(mAddress, { record }, aCallback);
+  });
+  EXPECT_EQ(mHandler.mRecord, group_record());
+  EXPECT_EQ(Confirm().mReply, confirm_result::kNewer);
+}
+
 // Guards against a limit that is too small for all records of a deployment
 // with 65,536 slots.
 TEST_F(peer_rpc, FetchesLargeRecords)
