Log the error that ends a program

Exceptions of the JSON library passed by the handler of main, which only knew the project's own, so that a process ended by a signal and no log line said why. All exceptions end the program now with one line (program_failed) and exit code 1. Tasks still catch none that they don't expect: an event's handler may have changed a part of its state when it throws.

--- a/Daemons/Program.h
+++ b/Daemons/Program.h
@@ -107,8 +107,12 @@
   } catch (const value_error& exception) {
     std::cerr << aProgram.mName << ": " << exception.what() << "\n";
     return kUsageExitCode;
-  } catch (const error& exception) {
+  } catch (const std::exception& exception) {
+    // The state of the tasks may be wrong after an exception that none of them
+    // expects, so the program ends.
     std::cerr << aProgram.mName << ": " << exception.what() << "\n";
+    log_line(log_severity::kError, "program_failed")
+      .Add("error", exception.what());
     return 1;
   }
 }
