Keep only the latest change of each key for other routers

Cause: watch_history kept the last 1,000 changes of each prefix with their values, whatever their bytes, also at routers that serve no other.

Routers that are behind what has fallen out are told so and read anew.

WatchHistory.CoversOnlyContiguousChanges used one key for its 3,000 changes, of which one would be kept now; it uses 3,000 keys and asks for the same.

--- a/Parsleystair/Gateway/WatchHistory.h
+++ b/Parsleystair/Gateway/WatchHistory.h
@@ -6,8 +6,9 @@
 
 namespace parsleystair {
 
-/// Recent changes of one prefix from this router's own watches, kept for the
-/// routers that use this router as their relay.
+/// The latest change of each key of one prefix that this router's own watches
+/// have shown lately, kept for the routers that use this router as their relay.
+/// Its memory doesn't depend on how often a key changes.
 class watch_history
 {
 public:
@@ -25,8 +26,8 @@
   /// A watch failed, so the history may be out of date.
   void HandleFailure();
 
-  /// The history has all changes after `aAfter`, up to a recent reply of the
-  /// store.
+  /// The history has the latest change of each key that has changed after
+  /// `aAfter`, up to a recent reply of the store.
   [[nodiscard]] bool Covers(store_revision aAfter, time_point aNow) const;
 
   /// `aAfter`: a revision that `Covers` accepts.
@@ -36,9 +37,17 @@
   /// before the first reply that states it.
   [[nodiscard]] duration Age(time_point aNow) const;
 
+  /// Bytes of the keys and values kept.
+  [[nodiscard]] size_t Bytes() const { return mBytes; }
+
 private:
+  void Add(const item_change& aChange);
+
+  /// Sorted by revision.
   std::deque<item_change> mChanges;
-  /// The history has all changes after `mCoveredAfter` up to `mCoveredUpTo`.
+  size_t mBytes = 0;
+  /// The history has the latest changes after `mCoveredAfter` up to
+  /// `mCoveredUpTo`.
   store_revision mCoveredAfter;
   store_revision mCoveredUpTo;
   time_point mLastReplyAt = time_point::min();
--- a/UnitTests/Gateway/RelayTest.cpp
+++ b/UnitTests/Gateway/RelayTest.cpp
@@ -112,7 +112,7 @@
 
   std::vector<item_change> many;
   for (uint64_t revision = 22; revision < 3022; ++revision) {
-    many.push_back(Change("a", revision));
+    many.push_back(Change("a" + std::to_string(revision), revision));
   }
   history.HandleReply(store_revision(21), Reply(many, 3021), now);
   EXPECT_FALSE(history.Covers(store_revision(21), now));
