Read the keys when the answer to a watch is too long

Cause: an answer to a watch holds each change with its value. A call that failed because its answer exceeded 8 MiB, or the bytes that the process may hold, looked like one without an answer, and the same watch was made again, whose answer can only be longer.

Change: the HTTP client tells such failures from others, and the follower of a prefix reads its keys instead (watch_too_long) and goes on from the revision of that read.

--- a/Parsleystair/Gateway/ForwarderAttempts.cpp
+++ b/Parsleystair/Gateway/ForwarderAttempts.cpp
@@ -66,6 +66,8 @@
       return "answer cut short";
     case http_failure::kMalformed:
       return "malformed answer";
+    case http_failure::kTooLong:
+      return "answer too long";
   }
   return "unknown";
 }
--- a/Parsleystair/Gateway/PrefixFollower.cpp
+++ b/Parsleystair/Gateway/PrefixFollower.cpp
@@ -50,6 +50,8 @@
       return "conflict";
     case call_outcome::kGone:
       return "gone";
+    case call_outcome::kTooLong:
+      return "too-long";
     case call_outcome::kRefused:
       return "refused";
     case call_outcome::kUnknown:
@@ -116,7 +118,8 @@
       }
       const bool isLatest = number == mLatestWatch;
       if (aReply.mOutcome == call_outcome::kDone ||
-          aReply.mOutcome == call_outcome::kGone) {
+          aReply.mOutcome == call_outcome::kGone ||
+          aReply.mOutcome == call_outcome::kTooLong) {
         HandleWatch(aReply, isLatest);
       } else {
         HandleWatchFailure(aReply.mOutcome, isLatest);
@@ -252,6 +255,14 @@
     Read();
     return;
   }
+  if (aReply.mOutcome == call_outcome::kTooLong) {
+    log_line(log_severity::kInfo, "watch_too_long")
+      .Add("prefix", mPrefix)
+      .Add("revision", mRevision.Value());
+    RecordReply(time_point::min());
+    Read();
+    return;
+  }
   if (EraOf(aReply.mRevision) != EraOf(mRevision)) {
     // The changes up to the restore are missing from the reply.
     ScheduleRetry(call_outcome::kRefused, true);
--- a/Parsleystair/Gateway/PrefixFollower.h
+++ b/Parsleystair/Gateway/PrefixFollower.h
@@ -28,8 +28,10 @@
 };
 
 /// Keeps a listener up to date with all keys of one prefix through long-polling
-/// watches. A watch without a reply at the end of its wait is repeated before
-/// it fails, so that a store that was silent is found again within a second.
+/// watches. Reads the whole prefix instead when the store no longer has the
+/// changes, or when they are longer than one reply may be. A watch without a
+/// reply at the end of its wait is repeated before it fails, so that a store
+/// that was silent is found again within a second.
 class prefix_follower
 {
 public:
--- a/Parsleystair/Http/AnswerParser.cpp
+++ b/Parsleystair/Http/AnswerParser.cpp
@@ -27,6 +27,7 @@
   uint32_t mMaxBodyBytes = 0;
   bool mToHead = false;
   bool mFailed = false;
+  bool mTooLong = false;
   bool mStarted = false;
   bool mHeadChecked = false;
   /// Bytes consumed, with those of interim answers.
@@ -103,6 +104,7 @@
     // What is left when nothing more is consumed is part of a head, a chunk
     // header or the trailers.
     mState->mFailed = static_cast<bool>(failure);
+    mState->mTooLong = failure == boost::beast::http::error::body_limit;
     mState->Check(used == 0 ? aBytes.size() - consumed : 0);
     if (mState->mFailed) {
       break;
@@ -149,6 +151,11 @@
   return mState->mStarted;
 }
 
+bool answer_parser::IsTooLong() const
+{
+  return mState->mTooLong;
+}
+
 bool answer_parser::EndsWithStream() const
 {
   return mState->mParser->is_header_done() && mState->mParser->need_eof();
--- a/Parsleystair/Http/HttpConnection.cpp
+++ b/Parsleystair/Http/HttpConnection.cpp
@@ -173,7 +173,7 @@
     .Add("port", uint64_t{ mPort })
     .Add("bytes", uint64_t{ HeldBytes() });
   const std::shared_ptr<state> kept = shared_from_this();
-  kept->Fail(http_failure::kMalformed, false);
+  kept->Fail(http_failure::kTooLong, false);
 }
 
 void http_connection::state::ExtendDeadline(time_point aNow)
@@ -219,7 +219,9 @@
       return;
     }
     if (mParser->State() == parse_state::kFailed) {
-      Fail(http_failure::kMalformed, false);
+      Fail(mParser->IsTooLong() ? http_failure::kTooLong
+                                : http_failure::kMalformed,
+           false);
       return;
     }
     answer_parser done = std::move(*mParser);
--- a/Parsleystair/Http/MessageParser.h
+++ b/Parsleystair/Http/MessageParser.h
@@ -82,6 +82,9 @@
   [[nodiscard]] parse_state State() const;
   [[nodiscard]] bool HasStarted() const;
 
+  /// The parser has failed because the body is longer than allowed.
+  [[nodiscard]] bool IsTooLong() const;
+
   /// The answer has no length of its own and ends with its connection.
   [[nodiscard]] bool EndsWithStream() const;
 
--- a/Parsleystair/Platform/CoordinationStore.h
+++ b/Parsleystair/Platform/CoordinationStore.h
@@ -22,6 +22,9 @@
   kConflict,
   /// The lease or the history that the call needs no longer exists.
   kGone,
+  /// The store replied with more than this router takes. The same watch can
+  /// only get a longer reply; a read gets the present values.
+  kTooLong,
   /// The store said that it did nothing.
   kRefused,
   /// No whole answer came; the call may have taken effect, or may do so later.
