Cover no revision before a change that fell out of the history

The changes that a read has shown are in the order of their keys. When a later one of them fell out of the history before an earlier one, the history claimed to cover revisions between the two, and a router behind the relay would have missed the later change.

WatchHistoryBytes.CoverNoRevisionBeforeALaterChangeThatFellOut failed before and passes now.

--- a/Parsleystair/Gateway/WatchHistory.cpp
+++ b/Parsleystair/Gateway/WatchHistory.cpp
@@ -39,7 +39,8 @@
   }
   mCoveredUpTo = std::max(mCoveredUpTo, aReply.mRevision);
   while (mChanges.size() > kMaxChanges || mBytes > kMaxBytes) {
-    mCoveredAfter = mChanges.front().mRevision;
+    // The changes that a read has shown are not in the order of revisions.
+    mCoveredAfter = std::max(mCoveredAfter, mChanges.front().mRevision);
     mBytes -= BytesOf(mChanges.front());
     mChanges.pop_front();
   }
--- a/Parsleystair/Gateway/WatchHistory.h
+++ b/Parsleystair/Gateway/WatchHistory.h
@@ -43,7 +43,7 @@
 private:
   void Add(const item_change& aChange);
 
-  /// Sorted by revision.
+  /// In the order of their arrival.
   std::deque<item_change> mChanges;
   size_t mBytes = 0;
   /// The history has the latest changes after `mCoveredAfter` up to
--- a/Parsleystair/Http/HttpConnection.h
+++ b/Parsleystair/Http/HttpConnection.h
@@ -36,7 +36,8 @@
   kCut,
   /// The bytes are no answer, or an answer to another request.
   kMalformed,
-  /// The body is longer than `http_connection_settings::mMaxBodyBytes`.
+  /// The answer is longer than `http_connection_settings::mMaxBodyBytes`, or
+  /// than the process may hold beside others.
   kTooLong,
 };
 
--- a/UnitTests/Gateway/WatchHistoryTest.cpp
+++ b/UnitTests/Gateway/WatchHistoryTest.cpp
@@ -103,4 +103,22 @@
             all.mChanges);
 }
 
+// Guards against a change that is left out silently: a read shows changes in
+// the order of their keys, and one that falls out may be later than those kept.
+TEST(WatchHistoryBytes, CoverNoRevisionBeforeALaterChangeThatFellOut)
+{
+  watch_history history;
+  const time_point now{ 100s };
+  constexpr size_t kBytes = 3'000'000;
+  history.HandleReply(
+    store_revision(4),
+    Reply({ Change("a", 9, kBytes), Change("b", 6, kBytes) }, 9),
+    now);
+  EXPECT_FALSE(history.Covers(store_revision(8), now));
+  history.HandleReply(
+    store_revision(9), Reply({ Change("c", 10, kBytes) }, 10), now);
+  EXPECT_FALSE(history.Covers(store_revision(8), now));
+  EXPECT_TRUE(history.Covers(store_revision(9), now));
+}
+
 } // namespace parsleystair
