--- a/UnitTests/Gateway/PeerMessageTest.cpp
+++ b/UnitTests/Gateway/PeerMessageTest.cpp
@@ -24,7 +24,7 @@
   return { aBytes.begin(), aBytes.end() };
 }
 
-/// A message of one level in a CBOR array that is nested this often.
+/// A message of CBOR arrays that are nested `aLevels` deep.
 std::string Nested(size_t aLevels)
 {
   return Compress(std::string(aLevels, '\x81') + '\x00');
