--- a/UnitTests/Gateway/HandoverTest.cpp
+++ b/UnitTests/Gateway/HandoverTest.cpp
@@ -1,5 +1,4 @@
 #include "GatewayFixture.h"
-#include "UnitTests/Support/LogCapture.h"
 
 // A target that releases keys states a handover, which the leader stores with
 // the move and sends to the next owner. A faulty target may state anything
@@ -13,8 +12,8 @@
 class handover_test : public gateway_test
 {
 protected:
-  /// Lets `keyed-1` leave, with these values in its answers to releases, and
-  /// waits until its keys are at `keyed-2` and at work there.
+  /// Lets the owner of key 100 leave, with these values in its answers to
+  /// releases, and waits until the other target serves the key.
   void MoveKeys(const std::vector<std::string>& aHandovers)
   {
     const gateway_instance& gateway = StartGateway("a");
