Take back that a relay keeps waiting routers until it has read

The routers behind a relay are refused again when the relay has to read, and find the gap themselves.

22 tests of followers, relays, histories and large configurations pass.

--- a/Parsleystair/Gateway/RelayedStore.cpp
+++ b/Parsleystair/Gateway/RelayedStore.cpp
@@ -415,13 +415,6 @@
   } else {
     history.HandleFailure();
   }
-  const bool isReadNext = aReply.mOutcome == call_outcome::kGone ||
-                          aReply.mOutcome == call_outcome::kTooLong;
-  if (isReadNext && mSnapshots[aPrefix].IsComplete()) {
-    // The read shows what the routers that wait here have missed. Without a
-    // response they don't read the store themselves.
-    return;
-  }
   RespondToPendingWatches(aPrefix);
   RespondToPendingReads(aPrefix, false);
 }
