--- a/review/support-3/World.cpp
+++ b/review/support-3/World.cpp
@@ -1004,7 +1004,8 @@
   std::atomic<int> mSucceeded = 0;
   std::atomic<int> mFailed = 0;
   /// Requests from kept connections that a sound upstream began to run, and
-  /// whose connection the gateway closed without a byte of an answer.
+  /// whose connection ended without an answer; in review/11, without a whole
+  /// one.
   std::atomic<int> mLost = 0;
 
   void Count(int aStatus) { ++(aStatus == 200 ? mSucceeded : mFailed); }
