A stop waits for clients that still read their responses

Cause: a response counted as delivered once the system had taken its bytes. A socket that no process has any more is reset by the next bytes of the client, and what the client's system has not received is lost. The same cause: idle connections closed when a stop begins, the idle timeout of a kept connection, the linger time after a closing response, a refusal while a body arrives.

Change: client_progress judges from samples of the bytes that the client's system has not acknowledged (SIOCOUTQ) whether a client may still need its connection. A stop waits for such clients until 0.1 s before its grace period ends, reads and drops what they send, and gives up those whose system doesn't respond. responses_abandoned (log and metric) tells who was given up and with how many bytes.

--- a/Parsleystair/Gateway/GatewayTask.cpp
+++ b/Parsleystair/Gateway/GatewayTask.cpp
@@ -48,8 +48,10 @@
 /// no new connections to this machine as long as other machines are ready.
 constexpr duration kReadinessDrainTime = 2500ms;
 /// Time reserved for sending the last responses before the platform kills the
-/// process.
+/// process. Requests without a response are refused at its start.
 constexpr duration kShutdownMargin = 300ms;
+/// Time before the platform kills the process at which it ends by itself.
+constexpr duration kShutdownEndMargin = 100ms;
 constexpr duration kShutdownPollInterval = 50ms;
 /// Time after a restore of the store, or after the start in a store that was
 /// restored before, in which a router takes a newer configuration from another
@@ -642,6 +644,7 @@
   log_line(log_severity::kInfo, "shutdown_started")
     .Add("open_requests", uint64_t{ mForwarder.Open() });
   mCallerServer.CloseAfterResponses();
+  mCallerServer.CheckDelivery(*mShutdownStartedAt);
   mForwarder.SetShutdownEnd(*mShutdownStartedAt + mSettings.mShutdownGrace -
                             kShutdownMargin);
   mElection.Resign();
@@ -654,6 +657,7 @@
   const time_point now = MonotonicNow();
   const duration elapsed = now - *mShutdownStartedAt;
   const duration limit = mSettings.mShutdownGrace - kShutdownMargin;
+  mCallerServer.CheckDelivery(now);
   if (elapsed < std::min(kReadinessDrainTime, limit)) {
     return;
   }
@@ -665,14 +669,17 @@
   if (elapsed >= limit) {
     mForwarder.RefuseWaitingRequests(now);
   }
+  // A connection that the process leaves behind is reset by the next bytes of
+  // the client, and what the client has not received by then is lost.
   const bool isDone =
-    mForwarder.Open() == 0 && !mCallerServer.HasUnsentOutput();
-  if (!isDone && elapsed < limit) {
+    mForwarder.Open() == 0 && !mCallerServer.IsDelivering(now);
+  if (!isDone && elapsed < mSettings.mShutdownGrace - kShutdownEndMargin) {
     return;
   }
   log_line(log_severity::kInfo, "stopped")
     .Add("open_requests", uint64_t{ mForwarder.Open() })
     .Add("after_us", int64_t{ elapsed.count() });
+  mCallerServer.Abandon();
   mLoop.Stop();
 }
 
--- a/Parsleystair/Gateway/GatewayTaskReport.cpp
+++ b/Parsleystair/Gateway/GatewayTaskReport.cpp
@@ -107,6 +107,10 @@
                "pipelined_requests_total",
                "counter",
                static_cast<double>(callers.mPipelined));
+  AppendMetric(text,
+               "responses_abandoned_total",
+               "counter",
+               static_cast<double>(callers.mAbandoned));
   text += "# TYPE parsleystair_pipeline_stops_total counter\n";
   const std::string stops = "pipeline_stops_total";
   AppendLabelledMetric(
--- a/Parsleystair/Http/HttpServer.cpp
+++ b/Parsleystair/Http/HttpServer.cpp
@@ -314,20 +314,36 @@
   }
 }
 
+void http_server::CheckDelivery(time_point aNow)
+{
+  for (const auto& [id, connection] : mState->mConnections) {
+    connection->CheckDelivery(aNow);
+  }
+}
+
 void http_server::CloseIdle()
 {
   std::erase_if(mState->mConnections, [](const auto& aConnection) {
-    return aConnection.second->IsIdle();
+    return aConnection.second->CloseIdle();
   });
 }
 
-bool http_server::HasUnsentOutput() const
+bool http_server::IsDelivering(time_point aNow) const
 {
   return std::any_of(mState->mConnections.begin(),
                      mState->mConnections.end(),
-                     [](const auto& aConnection) {
-                       return aConnection.second->HasUnsentOutput();
+                     [aNow](const auto& aConnection) {
+                       return aConnection.second->IsDelivering(aNow);
                      });
 }
 
+void http_server::Abandon()
+{
+  for (const auto& [id, connection] : mState->mConnections) {
+    connection->Abandon();
+  }
+  mState->mOpen.clear();
+  mState->mConnections.clear();
+}
+
 } // namespace parsleystair
--- a/Parsleystair/Http/HttpServer.h
+++ b/Parsleystair/Http/HttpServer.h
@@ -50,6 +50,9 @@
   /// responses were owed, or too many bytes were held.
   uint64_t mRequestStops = 0;
   uint64_t mByteStops = 0;
+  /// Connections that ended before the client's system had acknowledged all
+  /// responses: the client was lost or did not read, or the process ended.
+  uint64_t mAbandoned = 0;
 
   bool operator==(const http_server_counters&) const = default;
 };
@@ -118,11 +121,22 @@
   /// other one is owed on it, and no request is handed over before that.
   void CloseAfterResponses();
 
-  /// Closes the connections that wait for a request.
+  /// Checks how far clients have taken their responses. Called again and again
+  /// from the start of a shutdown.
+  void CheckDelivery(time_point aNow);
+
+  /// Closes the connections that wait for a request, except those of clients
+  /// that still take a response, as of the last `CheckDelivery`.
   void CloseIdle();
 
-  /// Tells if a part of an answer has not been handed to the system yet.
-  [[nodiscard]] bool HasUnsentOutput() const;
+  /// Tells if a client may still need its connection to get responses that were
+  /// written, as of the last `CheckDelivery`.
+  [[nodiscard]] bool IsDelivering(time_point aNow) const;
+
+  /// Ends all connections right before the end of the process, and logs which
+  /// clients have not got their responses. Open requests end without a call of
+  /// the close handler.
+  void Abandon();
 
 private:
   struct state;
--- a/Parsleystair/Http/ServerConnection.cpp
+++ b/Parsleystair/Http/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "Parsleystair/Http/ServerConnection.h"
 
+#include "Parsleystair/Core/Clock.h"
 #include "Parsleystair/Core/Invariant.h"
 #include "Parsleystair/Core/Log.h"
 #include "Parsleystair/Http/MessageText.h"
@@ -31,9 +32,21 @@
 constexpr size_t kBudgetDivisor = 2;
 /// Requests that one connection hands over in an iteration of the event loop.
 constexpr size_t kMaxRequestsPerTurn = 16;
-/// Longest pause of a client in reading a last answer before its connection is
-/// reset.
+/// Time for which a connection stays after its last answer has been
+/// acknowledged, unless the client closes it first or sends on.
 constexpr duration kLingerTime = 2s;
+/// The same while a shutdown waits, for a client that has not been slow.
+constexpr duration kShutdownLingerTime = 500ms;
+/// Parts of the idle timeout after which a client is checked. One that goes on
+/// using a connection for all parts but one, as soon as it has the answer, is
+/// never taken for idle.
+constexpr int kIdleChecks = 5;
+/// Shortest time without any progress of a client that doesn't have all
+/// responses, after which its connection ends. The system of a client that
+/// reads slowly acknowledges large parts, seconds apart.
+constexpr duration kMinStallTime = 5s;
+/// Time without a due acknowledgement after which a client is lost.
+constexpr duration kClientLossTime = 2s;
 /// Rough memory of a header field.
 constexpr size_t kFieldBytes = 128;
 
@@ -64,8 +77,9 @@
   , mOwner(aOwner)
   , mStream(aLoop, aDescriptor, {}, *this)
   , mParser(aSettings.mMaxHeaderBytes, aSettings.mMaxBodyBytes)
+  , mLossDetector(kClientLossTime)
 {
-  mStream.StartTimer(mSettings.mIdleTimeout);
+  StartProgressTimer();
 }
 
 void server_connection::SetPeer(std::string aHost, uint16_t aPort)
@@ -106,7 +120,11 @@
 
 void server_connection::HandleBytes(std::string_view aBytes)
 {
-  if (mClosing || mReadsNoMore) {
+  if (mClosing) {
+    mLastInputAt = MonotonicNow();
+    return;
+  }
+  if (mReadsNoMore) {
     return;
   }
   mInput += aBytes;
@@ -187,7 +205,7 @@
     const http_response refusal{ mRefusal->mStatus,
                                  { { "Content-Type", "text/plain" } },
                                  mRefusal->mReason + "\n" };
-    mStream.Write(AnswerText(refusal, true, false));
+    Write(AnswerText(refusal, true, false));
     CloseWhenFlushed();
   }
   if (!mClosing) {
@@ -211,7 +229,7 @@
   }
   const bool startsIdleTime = std::exchange(mStartsIdleTime, false);
   if (startsIdleTime && mOwed.empty() && !mRequestStarted) {
-    StartSendTimer(mSettings.mIdleTimeout);
+    StartProgressTimer();
   }
   UpdateReading();
   UpdateHeldBytes();
@@ -258,7 +276,7 @@
   // Before the earlier responses it would look like a part of the first one.
   if (mOwed.empty() && !mSaidContinue && mParser.ExpectsContinue()) {
     mSaidContinue = true;
-    mStream.Write("HTTP/1.1 100 Continue\r\n\r\n");
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
   if (mParser.State() != parse_state::kComplete) {
     return;
@@ -388,14 +406,108 @@
   mRequestStarted = false;
   UpdateReading();
   mStream.FinishWriting();
-  StartSendTimer(kLingerTime);
+  mProgress.HandleOutput();
+  mClosingSince = MonotonicNow();
+  StartProgressTimer();
+}
+
+void server_connection::Write(std::string_view aBytes)
+{
+  mStream.Write(aBytes);
+  mProgress.HandleOutput();
+}
+
+void server_connection::SampleProgress(time_point aNow)
+{
+  mProgress.Sample(mStream.Unacknowledged(), aNow);
+}
+
+void server_connection::StartProgressTimer()
+{
+  const duration idle = mSettings.mIdleTimeout / kIdleChecks;
+  mStream.StartTimer(mClosing ? std::min(idle, kLingerTime) : idle);
+}
+
+duration server_connection::Lingering(time_point aNow) const
+{
+  // A client that sends on has not read the end of the stream. It is waited for
+  // as long as a whole request may take to arrive, such as one that was refused
+  // before its body had arrived.
+  const bool sendsOn = mLastInputAt < mClosingSince + mSettings.mRequestTimeout;
+  const duration sinceInput = aNow - std::max(mClosingSince, mLastInputAt);
+  const duration unchanged = mProgress.Unchanged(aNow);
+  return sendsOn ? std::min(unchanged, sinceInput) : unchanged;
+}
+
+duration server_connection::NextCheck(time_point aNow) const
+{
+  const duration interval = mSettings.mIdleTimeout / kIdleChecks;
+  if (!mProgress.IsTaken()) {
+    const duration limit = std::max(mSettings.mIdleTimeout, kMinStallTime);
+    return std::min(limit - mProgress.Unchanged(aNow), interval);
+  }
+  // What the system of a slow client holds takes the client some time to read.
+  const duration extra =
+    mProgress.IsSlow() ? mSettings.mIdleTimeout : duration::zero();
+  return mClosing ? kLingerTime + extra - Lingering(aNow)
+                  : mSettings.mIdleTimeout - interval + extra -
+                      mProgress.Unchanged(aNow);
+}
+
+void server_connection::CheckDelivery(time_point aNow)
+{
+  if (mProgress.IsTaken() || mIsLost) {
+    return;
+  }
+  SampleProgress(aNow);
+  if (!mProgress.IsTaken() && mStream.IsLost(mLossDetector, aNow)) {
+    mIsLost = true;
+    NoteAbandoned("client_lost");
+  }
+}
+
+bool server_connection::IsDelivering(time_point aNow) const
+{
+  if (mIsLost) {
+    return false;
+  }
+  if (!mProgress.IsTaken()) {
+    return true;
+  }
+  return mClosing &&
+         (mProgress.IsSlow() || Lingering(aNow) < kShutdownLingerTime);
+}
+
+bool server_connection::CloseIdle()
+{
+  if (!IsIdle() || !mProgress.IsTaken()) {
+    return false;
+  }
+  if (!mProgress.IsSlow()) {
+    return true;
+  }
+  CloseWhenFlushed();
+  return false;
 }
 
-void server_connection::StartSendTimer(duration aDelay)
+void server_connection::Abandon()
 {
-  mUnacknowledgedAtTimerStart =
-    HasUnsentOutput() ? mStream.Unacknowledged() : 0;
-  mStream.StartTimer(aDelay);
+  if (!mIsLost && !mProgress.IsTaken()) {
+    NoteAbandoned("shutdown");
+  }
+  mStream.DropInput();
+}
+
+void server_connection::NoteAbandoned(const char* aReason)
+{
+  ++mOwner.ConnectionCounters().mAbandoned;
+  log_line(log_severity::kWarning, "responses_abandoned")
+    .Add("peer", mPeerHost)
+    .Add("port", uint64_t{ mPeerPort })
+    .Add("reason", aReason)
+    .Add("unacknowledged", uint64_t{ mStream.Unacknowledged() })
+    .Add("unsent", uint64_t{ mStream.Unsent() })
+    .Add("owed", uint64_t{ mOwed.size() });
 }
 
 server_connection::owed_response& server_connection::Find(exchange_id aExchange)
@@ -472,7 +584,7 @@
   const owed_response& first = mOwed.front();
   const bool isLast = mOwed.size() == 1 && !mRefusal;
   const bool close = first.mEndsConnection || (mClosesAfterResponses && isLast);
-  mStream.Write(AnswerText(aAnswer, close, first.mHeadOnly));
+  Write(AnswerText(aAnswer, close, first.mHeadOnly));
   FinishFirst(close);
   CountBytes();
 }
@@ -480,16 +592,15 @@
 void server_connection::WriteStream(owed_response& aStream)
 {
   if (aStream.mStreamHead) {
-    mStream.Write(
-      StreamHeadText(*aStream.mStreamHead, aStream.mEndsConnection));
+    Write(StreamHeadText(*aStream.mStreamHead, aStream.mEndsConnection));
     aStream.mStreamHead.reset();
   }
   if (!aStream.mChunks.empty()) {
-    mStream.Write(aStream.mChunks);
+    Write(aStream.mChunks);
     std::string().swap(aStream.mChunks);
   }
   if (aStream.mIsStreamEnded) {
-    mStream.Write("0\r\n\r\n");
+    Write("0\r\n\r\n");
   }
 }
 
@@ -509,18 +620,22 @@
 
 void server_connection::HandleTimeout()
 {
-  if (mClosing || !mRequestStarted) {
-    // A client that still reads a long answer is not idle.
-    if (HasUnsentOutput() &&
-        mStream.Unacknowledged() < mUnacknowledgedAtTimerStart) {
-      StartSendTimer(mClosing ? kLingerTime : mSettings.mIdleTimeout);
-      return;
-    }
-    mOwner.HandleGone(mId);
+  if (mRequestStarted && !mClosing) {
+    Refuse(kRequestTimeout, "the request took too long to arrive");
+    Process();
     return;
   }
-  Refuse(kRequestTimeout, "the request took too long to arrive");
-  Process();
+  const time_point now = MonotonicNow();
+  SampleProgress(now);
+  const duration delay = NextCheck(now);
+  if (delay > duration::zero()) {
+    mStream.StartTimer(delay);
+    return;
+  }
+  if (!mProgress.IsTaken()) {
+    NoteAbandoned("not_read");
+  }
+  mOwner.HandleGone(mId);
 }
 
 } // namespace parsleystair
--- a/Parsleystair/Http/ServerConnection.h
+++ b/Parsleystair/Http/ServerConnection.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "Parsleystair/Http/ClientProgress.h"
 #include "Parsleystair/Http/HttpServer.h"
+#include "Parsleystair/Http/LossDetector.h"
 #include "Parsleystair/Http/MessageParser.h"
 #include "Parsleystair/Http/SocketStream.h"
 
@@ -71,10 +73,23 @@
   /// Exchanges without a response that complete responses wait for.
   [[nodiscard]] std::vector<exchange_id> BlockingExchanges() const;
 
-  /// Tells if no request is open, none has started to arrive, and all answers
-  /// have been sent.
-  [[nodiscard]] bool IsIdle() const;
-  [[nodiscard]] bool HasUnsentOutput() const { return mStream.Unsent() > 0; }
+  /// Checks how far the client has taken the answers. Called again and again
+  /// while a shutdown waits for it.
+  void CheckDelivery(time_point aNow);
+
+  /// Tells if a client that isn't lost may still need this connection to get
+  /// the answers that were written, as of the last `CheckDelivery`.
+  [[nodiscard]] bool IsDelivering(time_point aNow) const;
+
+  /// Ends a connection on which no request has started to arrive and no answer
+  /// is owed. Returns whether it is to be removed now. A client that has been
+  /// slow gets the end of the stream first, and the connection stays until the
+  /// client closes it.
+  [[nodiscard]] bool CloseIdle();
+
+  /// The process ends. Logs what the client has not got, and leaves no unread
+  /// bytes that would reset the connection.
+  void Abandon();
 
   /// Address of the client.
   void SetPeer(std::string aHost, uint16_t aPort);
@@ -151,9 +166,19 @@
   void FinishFirst(bool aClose);
   void Refuse(uint32_t aStatus, const std::string& aReason);
   void CloseWhenFlushed();
-  /// Starts the timer that ends the connection unless the client has read
-  /// output by then.
-  void StartSendTimer(duration aDelay);
+  [[nodiscard]] bool HasUnsentOutput() const { return mStream.Unsent() > 0; }
+  /// Tells if no request is open, none has started to arrive, and all answers
+  /// have been handed to the system.
+  [[nodiscard]] bool IsIdle() const;
+  void Write(std::string_view aBytes);
+  void SampleProgress(time_point aNow);
+  /// Starts the timer after which the client is checked for the first time.
+  void StartProgressTimer();
+  /// Time until the client is checked again; zero if the connection ends now.
+  [[nodiscard]] duration NextCheck(time_point aNow) const;
+  /// Time since the client last did anything on a connection that closes.
+  [[nodiscard]] duration Lingering(time_point aNow) const;
+  void NoteAbandoned(const char* aReason);
 
   connection_id mId;
   event_loop& mLoop;
@@ -167,7 +192,9 @@
   size_t mInputStart = 0;
   std::string mPeerHost;
   uint16_t mPeerPort = 0;
-  size_t mUnacknowledgedAtTimerStart = 0;
+  client_progress mProgress;
+  loss_detector mLossDetector;
+  bool mIsLost = false;
   std::deque<owed_response> mOwed;
   /// Complete request that is not handed over yet.
   std::optional<read_request> mNext;
@@ -180,7 +207,10 @@
   bool mReadsNoMore = false;
   bool mSaidContinue = false;
   bool mRequestStarted = false;
+  /// The last answer is written, and input is dropped.
   bool mClosing = false;
+  time_point mClosingSince;
+  time_point mLastInputAt;
   bool mIsReading = true;
   /// A bound has stopped the connection and is counted.
   bool mIsStopped = false;
--- a/Parsleystair/Http/SocketStream.cpp
+++ b/Parsleystair/Http/SocketStream.cpp
@@ -441,6 +441,24 @@
          QueuedBytes(mState->mDescriptor) == size_t{ 0 };
 }
 
+bool socket_stream::IsLost(loss_detector& aDetector, time_point aNow) const
+{
+  const auto signs = ReadPeerSigns(mState->mDescriptor);
+  return signs && aDetector.Check(*signs, aNow);
+}
+
+void socket_stream::DropInput()
+{
+  constexpr size_t kMaxReads = 64;
+  std::array<char, read_share::kMaxBytes> buffer; // NOLINT: filled by recv
+  for (size_t reads = 0; reads < kMaxReads; ++reads) {
+    if (recv(mState->mDescriptor, buffer.data(), buffer.size(), MSG_DONTWAIT) <=
+        0) {
+      return;
+    }
+  }
+}
+
 bool socket_stream::HasInput() const
 {
   return mState->PeekInput() != input_state::kNone;
--- a/Parsleystair/Http/SocketStream.h
+++ b/Parsleystair/Http/SocketStream.h
@@ -10,6 +10,8 @@
 
 namespace parsleystair {
 
+class loss_detector;
+
 /// Why a stream ended.
 enum class stream_end
 {
@@ -93,6 +95,14 @@
   /// this system can't tell.
   [[nodiscard]] bool IsAllAcknowledged() const;
 
+  /// Checks if the peer is lost while bytes written are not acknowledged.
+  /// Returns false if this system can't tell.
+  [[nodiscard]] bool IsLost(loss_detector& aDetector, time_point aNow) const;
+
+  /// Reads and drops what has arrived, up to a bound. A close with unread bytes
+  /// would reset the connection, and the peer could lose what was sent to it.
+  void DropInput();
+
   /// Tells if bytes, or the end of the stream, have arrived and are not read
   /// yet.
   [[nodiscard]] bool HasInput() const;
--- a/UnitTests/Gateway/ShutdownTest.cpp
+++ b/UnitTests/Gateway/ShutdownTest.cpp
@@ -1,6 +1,8 @@
 #include "GatewayFixture.h"
 #include "UnitTests/Support/SlowReader.h"
 
+#include <list>
+
 namespace parsleystair {
 
 namespace {
@@ -16,25 +18,34 @@
   std::optional<http_result> mResult;
 };
 
-/// Target whose responses have a body of `kBodyBytes`.
+/// Target whose responses have a body of the given length, after the given
+/// time.
 class large_response_target
 {
 public:
-  static constexpr size_t kBodyBytes = 6 * 1024 * 1024;
-
-  explicit large_response_target(event_loop& aLoop)
-    : mServer(
+  large_response_target(event_loop& aLoop,
+                        size_t aBodyBytes,
+                        duration aWork = {})
+    : mLoop(aLoop)
+    , mBodyBytes(aBodyBytes)
+    , mWork(aWork)
+    , mServer(
         aLoop,
         {},
         [this](exchange_id aExchange, const http_request& aRequest) {
           ++mRequests;
-          mServer.Respond(
-            aExchange,
-            { 200,
-              { { "X-Request-Id",
-                  FindHeader(aRequest.mHeaders, "X-Request-Id").value_or("") },
-                { "X-Response-Signature", "signed" } },
-              std::string(kBodyBytes, 'b') });
+          mTimers.emplace_back().StartOnce(
+            mLoop,
+            mWork,
+            [this,
+             aExchange,
+             id = FindHeader(aRequest.mHeaders, "X-Request-Id").value_or("")] {
+              mServer.Respond(aExchange,
+                              { 200,
+                                { { "X-Request-Id", id },
+                                  { "X-Response-Signature", "signed" } },
+                                std::string(mBodyBytes, 'b') });
+            });
         })
   {
     mServer.Listen("127.0.0.1", 0);
@@ -44,6 +55,10 @@
   [[nodiscard]] size_t Requests() const { return mRequests; }
 
 private:
+  event_loop& mLoop;
+  size_t mBodyBytes;
+  duration mWork;
+  std::list<timer> mTimers;
   http_server mServer;
   size_t mRequests = 0;
 };
@@ -70,6 +85,30 @@
     }
   }
 
+  /// Makes one target with 4 slots the only one of the service "plain".
+  void ReplacePlainTargets(uint16_t aPort)
+  {
+    mKv.Remove(TargetKey("plain-1"));
+    mKv.Remove(TargetKey("plain-2"));
+    mKv.Put(TargetKey("large"),
+            nlohmann::json{ { "service", "plain" },
+                            { "address", "127.0.0.1:" + std::to_string(aPort) },
+                            { "zone", "asti-a" },
+                            { "version", "v1" },
+                            { "slots", 4 },
+                            { "state", "ready" },
+                            { "seq", 1 },
+                            { "slow_start_s_time", 0 } }
+              .dump());
+  }
+
+  static std::string SlowRequest(const std::string& aId)
+  {
+    return "GET /read/x HTTP/1.1\r\nHost: shop.example\r\n"
+           "X-Request-Id: " +
+           aId + "\r\nX-Deadline-Ms: 8000\r\n\r\n";
+  }
+
   /// Lets the gateway observe responses of each service.
   void WarmUp(const gateway_instance& aGateway)
   {
@@ -206,24 +245,11 @@
 // rest of a response waits for a slow client.
 TEST_F(shutdown_test, SlowClientsGetWholeResponses)
 {
-  large_response_target target(mLoop);
-  mKv.Remove(TargetKey("plain-1"));
-  mKv.Remove(TargetKey("plain-2"));
-  mKv.Put(
-    TargetKey("large"),
-    nlohmann::json{ { "service", "plain" },
-                    { "address", "127.0.0.1:" + std::to_string(target.Port()) },
-                    { "zone", "asti-a" },
-                    { "version", "v1" },
-                    { "slots", 4 },
-                    { "state", "ready" },
-                    { "seq", 1 },
-                    { "slow_start_s_time", 0 } }
-      .dump());
+  constexpr size_t kBodyBytes = 6 * 1024 * 1024;
+  large_response_target target(mLoop, kBodyBytes);
+  ReplacePlainTargets(target.Port());
   const gateway_instance& gateway = StartGateway("a");
-  const std::string request = "GET /read/x HTTP/1.1\r\nHost: shop.example\r\n"
-                              "X-Request-Id: r-1\r\n"
-                              "X-Deadline-Ms: 8000\r\n\r\n";
+  const std::string request = SlowRequest("r-1");
   // The response to the first one is complete before the shutdown starts.
   slow_reader first(gateway.mSettings.mCallers.mPort, request);
   EXPECT_TRUE(RunUntil([&] { return target.Requests() == 1; }));
@@ -240,8 +266,84 @@
   mLoop.Run();
   StopGateway("a");
   EXPECT_TRUE(RunUntil([&] { return first.IsClosed() && second.IsClosed(); }));
-  EXPECT_GT(first.Bytes(), large_response_target::kBodyBytes);
-  EXPECT_GT(second.Bytes(), large_response_target::kBodyBytes);
+  EXPECT_GT(first.Bytes(), kBodyBytes);
+  EXPECT_GT(second.Bytes(), kBodyBytes);
+}
+
+// Guards against a process that ends while the system still delivers its
+// responses to slow clients. The next request of a client resets the connection
+// then, and the rest of the responses is lost.
+TEST_F(shutdown_test, SlowClientsThatSendOnGetWholeResponses)
+{
+  constexpr size_t kBodyBytes = 300'000;
+  constexpr size_t kRate = 120'000;
+  large_response_target target(mLoop, kBodyBytes, 400ms);
+  ReplacePlainTargets(target.Port());
+  const gateway_instance& gateway = StartGateway("a");
+  gateway_settings settings = gateway.mSettings;
+  settings.mShutdownGrace = 6s;
+  gateway.mTask->ApplySettings(settings);
+  const uint16_t port = gateway.mSettings.mCallers.mPort;
+  // Both responses to the first client begin before the shutdown, so that none
+  // of them can announce the end of the connection.
+  slow_reader first(port, SlowRequest("r-1") + SlowRequest("r-2"));
+  first.ReadSlowly(mLoop, kRate);
+  EXPECT_TRUE(RunUntil([&] { return target.Requests() == 2; }));
+  RunFor(600ms);
+  slow_reader second(port, SlowRequest("r-3") + SlowRequest("r-4"));
+  second.ReadSlowly(mLoop, kRate);
+  EXPECT_TRUE(RunUntil([&] { return target.Requests() == 4; }));
+  gateway.mTask->Shutdown();
+  timer further;
+  further.StartOnce(mLoop, 3s, [&] {
+    first.Send(SlowRequest("r-5"));
+    second.Send(SlowRequest("r-6"));
+  });
+  mLoop.Run();
+  StopGateway("a");
+  EXPECT_TRUE(RunUntil([&] { return first.IsClosed() && second.IsClosed(); }));
+  EXPECT_GT(first.Bytes(), 2 * kBodyBytes);
+  EXPECT_GT(second.Bytes(), 2 * kBodyBytes);
+  EXPECT_NE(first.Text().find("HTTP/1.1 503 ", 2 * kBodyBytes),
+            std::string::npos);
+  EXPECT_EQ(target.Requests(), 4U);
+}
+
+// Guards against a shutdown that waits for clients to which nothing is owed,
+// such as one that leaves its connection open after the last response.
+TEST_F(shutdown_test, ClientsThatHaveTheirResponsesDoNotDelayTheEnd)
+{
+  SetWork(20ms);
+  const gateway_instance& gateway = StartGateway("a");
+  const uint16_t port = gateway.mSettings.mCallers.mPort;
+  slow_reader kept(port, SlowRequest("r-1"));
+  kept.ReadAll(mLoop);
+  EXPECT_TRUE(RunUntil([&] { return kept.Bytes() > 0; }));
+  const time_point start = MonotonicNow();
+  gateway.mTask->Shutdown();
+  slow_reader closing(port, SlowRequest("r-2"));
+  closing.ReadAll(mLoop);
+  mLoop.Run();
+  // The time in which the platform stops to send new connections is 2.5 s.
+  EXPECT_LT(MonotonicNow() - start, 2800ms);
+  EXPECT_NE(closing.Text().find("Connection: close"), std::string::npos);
+}
+
+// Guards against a client that doesn't read its response and keeps the process
+// beyond the grace period.
+TEST_F(shutdown_test, ClientThatDoesNotReadIsGivenUpBeforeTheGraceEnds)
+{
+  constexpr size_t kBodyBytes = 1'000'000;
+  large_response_target target(mLoop, kBodyBytes);
+  ReplacePlainTargets(target.Port());
+  const gateway_instance& gateway = StartGateway("a");
+  const slow_reader client(gateway.mSettings.mCallers.mPort,
+                           SlowRequest("r-1"));
+  EXPECT_TRUE(RunUntil([&] { return target.Requests() == 1; }));
+  const time_point start = MonotonicNow();
+  gateway.mTask->Shutdown();
+  mLoop.Run();
+  EXPECT_LT(MonotonicNow() - start, 6s);
 }
 
 } // namespace parsleystair
--- a/UnitTests/Support/SlowReader.h
+++ b/UnitTests/Support/SlowReader.h
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
@@ -46,28 +47,45 @@
   slow_reader(const slow_reader&) = delete;
   slow_reader& operator=(const slow_reader&) = delete;
 
-  /// Reads about 400 kB per second from now on.
-  void ReadSlowly(event_loop& aLoop)
+  /// Reads at most `aRate` bytes per second from now on.
+  void ReadSlowly(event_loop& aLoop, size_t aRate = 400'000)
   {
-    mTimer.StartRepeating(aLoop, 10ms, [this] { Read(1); });
+    constexpr size_t kTurnsPerSecond = 100;
+    mTimer.StartRepeating(
+      aLoop, 10ms, [this, aRate] { Read(1, aRate / kTurnsPerSecond); });
   }
 
   /// Reads as fast as data arrives from now on.
   void ReadAll(event_loop& aLoop)
   {
     constexpr size_t kMaxReads = 1000;
-    mTimer.StartRepeating(aLoop, 1ms, [this] { Read(kMaxReads); });
+    mTimer.StartRepeating(aLoop, 1ms, [this] { Read(kMaxReads, kReadBytes); });
   }
 
-  [[nodiscard]] size_t Bytes() const { return mBytes; }
+  /// Returns whether the system has taken the text. It refuses what is sent on
+  /// a connection that was reset.
+  bool Send(const std::string& aText)
+  {
+    return send(mDescriptor, aText.data(), aText.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(aText.size());
+  }
+
+  void EndSending() { shutdown(mDescriptor, SHUT_WR); }
+
+  /// Number of bytes read.
+  [[nodiscard]] size_t Bytes() const { return mText.size(); }
+  [[nodiscard]] const std::string& Text() const { return mText; }
   [[nodiscard]] bool IsClosed() const { return mIsClosed; }
 
 private:
-  void Read(size_t aMaxReads)
+  static constexpr size_t kReadBytes = 4096;
+
+  void Read(size_t aMaxReads, size_t aMaxBytes)
   {
-    std::array<char, 4096> buffer; // NOLINT: filled by recv
+    std::array<char, kReadBytes> buffer; // NOLINT: filled by recv
     for (size_t reads = 0; reads < aMaxReads; ++reads) {
-      const ssize_t count = recv(mDescriptor, buffer.data(), buffer.size(), 0);
+      const ssize_t count =
+        recv(mDescriptor, buffer.data(), std::min(aMaxBytes, buffer.size()), 0);
       if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
       }
@@ -76,13 +94,13 @@
         mTimer.Cancel();
         return;
       }
-      mBytes += static_cast<size_t>(count);
+      mText.append(buffer.data(), static_cast<size_t>(count));
     }
   }
 
   int mDescriptor;
   timer mTimer;
-  size_t mBytes = 0;
+  std::string mText;
   bool mIsClosed = false;
 };
 
