parsleystaird waits for clients that still read when it is drained

Callers saw: a worker counted as drained once no request was open, whatever its clients had still to read, so that the process ended under them.

Change: a worker is drained once no client may need its connection to get its answers. shutdownLimitMs bounds the wait as before.

Evidence: worker_test.IsNotDrainedBeforeSlowClientsHaveTheirAnswers passes. It was not run without the change.

--- a/Parsleystair/Tasks/Worker.cpp
+++ b/Parsleystair/Tasks/Worker.cpp
@@ -316,14 +316,22 @@
   mDraining = true;
   mServer.StopListening();
   mServer.CloseAfterResponses();
+  mServer.CheckDelivery(MonotonicNow());
 }
 
 void worker::Apply(const report_order& /*aOrder*/)
 {
+  const time_point now = MonotonicNow();
+  if (mDraining) {
+    mServer.CheckDelivery(now);
+    mServer.CloseIdle();
+  }
   worker_report report;
   report.mWorker = mIndex;
   report.mOpenRequests = mFlows.size();
-  report.mDrained = mDraining && mFlows.empty();
+  // A client that still reads an answer would lose the rest of it with the
+  // process, at its next request.
+  report.mDrained = mDraining && mFlows.empty() && !mServer.IsDelivering(now);
   report.mCounters = mCounters;
   report.mCounters.mLatency = mLatency.Buckets();
   mControl.Send(std::move(report));
@@ -331,6 +339,7 @@
 
 void worker::Apply(const stop_order& /*aOrder*/)
 {
+  mServer.Abandon();
   mLoop.Stop();
 }
 
--- a/UnitTests/Tasks/WorkerTest.cpp
+++ b/UnitTests/Tasks/WorkerTest.cpp
@@ -3,6 +3,7 @@
 #include "Parsleystair/Http/HttpConnection.h"
 #include "Parsleystair/Request/Problem.h"
 #include "StandIns/standin_target/TargetServer.h"
+#include "UnitTests/Support/SlowReader.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -214,4 +215,38 @@
   EXPECT_EQ(mTarget.TotalExecutions(), 0U);
 }
 
+// Guards against a shutdown that ends while the system still delivers an answer
+// to a client that reads slowly.
+TEST_F(worker_test, IsNotDrainedBeforeSlowClientsHaveTheirAnswers)
+{
+  http_server target(mLoop, {}, [&](exchange_id aExchange, const auto&) {
+    target.Respond(aExchange, { 200, {}, std::string(1'000'000, 'b') });
+  });
+  target.Listen("127.0.0.1", 0);
+  mWorker.Handle(snapshot_update{ Snapshot(target.Port()) });
+  slow_reader client(mWorker.Port(),
+                     "GET /orders/elm HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto run = [&](duration aTime) {
+    timer end;
+    end.StartOnce(mLoop, aTime, [&] { mLoop.Stop(); });
+    mLoop.Run();
+  };
+  run(300ms);
+  const auto isDrained = [&] {
+    mWorker.Handle(report_order{});
+    return std::get<worker_report>(mControl.mMessages.back()).mDrained;
+  };
+  mWorker.Handle(drain_order{});
+  EXPECT_FALSE(isDrained());
+  run(300ms);
+  EXPECT_FALSE(isDrained());
+  client.ReadAll(mLoop);
+  run(300ms);
+  EXPECT_GT(client.Bytes(), 1'000'000U);
+  EXPECT_FALSE(isDrained()) << "the client may still read what its system has";
+  client.EndSending();
+  run(100ms);
+  EXPECT_TRUE(isDrained());
+}
+
 } // namespace parsleystair
