A stop waits again for a client whose system responds again

Callers would see: a client that was out of reach for 2 s early in a stop was given up for good, although the stop had seconds left.

Cause: the state "lost" was kept after the first check that found it.

Change: each check of a stop decides anew, and a client is logged as abandoned once, at the end of the process.

The 13 tests of slow clients and stops pass; a link that is cut and heals has no test on loopback.

--- a/Parsleystair/Http/ServerConnection.cpp
+++ b/Parsleystair/Http/ServerConnection.cpp
@@ -460,14 +460,11 @@
 
 void server_connection::CheckDelivery(time_point aNow)
 {
-  if (mProgress.IsTaken() || mIsLost) {
+  if (mProgress.IsTaken()) {
     return;
   }
   SampleProgress(aNow);
-  if (!mProgress.IsTaken() && mStream.IsLost(mLossDetector, aNow)) {
-    mIsLost = true;
-    NoteAbandoned("client_lost");
-  }
+  mIsLost = !mProgress.IsTaken() && mStream.IsLost(mLossDetector, aNow);
 }
 
 bool server_connection::IsDelivering(time_point aNow) const
@@ -496,8 +493,8 @@
 
 void server_connection::Abandon()
 {
-  if (!mIsLost && !mProgress.IsTaken()) {
-    NoteAbandoned("shutdown");
+  if (!mProgress.IsTaken()) {
+    NoteAbandoned(mIsLost ? "client_lost" : "shutdown");
   }
   mStream.DropInput();
 }
--- a/Parsleystair/Http/ServerConnection.h
+++ b/Parsleystair/Http/ServerConnection.h
@@ -194,6 +194,7 @@
   uint16_t mPeerPort = 0;
   client_progress mProgress;
   loss_detector mLossDetector;
+  /// The client's system doesn't respond, as of the last `CheckDelivery`.
   bool mIsLost = false;
   std::deque<owed_response> mOwed;
   /// Complete request that is not handed over yet.
