Crashes of a content are stored before it is refused

Cause: the store had refused contents only, so that a kill of all routers set the count of a suspected content back to 0.

Change: the leader stores contents from the second crash on, which is when other routers are told of them, at most every 2 s as before.

--- a/Parsleystair/Gateway/GatewayTaskCrashes.cpp
+++ b/Parsleystair/Gateway/GatewayTaskCrashes.cpp
@@ -4,9 +4,11 @@
 #include "Parsleystair/Gateway/CrashMessages.h"
 #include "Parsleystair/Gateway/GatewayTask.h"
 
+#include <algorithm>
+
 // Contents that crash targets: the leader's records, which come from the
-// reports of all routers and go back in the responses. Contents that are
-// refused are also in the store.
+// reports of all routers and go back in the responses. They are also in the
+// store, where they outlast all routers.
 
 namespace parsleystair {
 
@@ -24,12 +26,12 @@
 /// Each write wakes all routers that watch the leader key.
 constexpr duration kStoreInterval = 2s;
 
-crash_records RefusedOnly(crash_records aRecords)
+size_t CountRefused(const crash_records& aRecords)
 {
-  std::erase_if(aRecords, [](const crash_record& aRecord) {
-    return aRecord.mIncarnations.size() < kCrashesToRefuse;
-  });
-  return aRecords;
+  return static_cast<size_t>(std::count_if(
+    aRecords.begin(), aRecords.end(), [](const crash_record& aRecord) {
+      return aRecord.mIncarnations.size() >= kCrashesToRefuse;
+    }));
 }
 
 } // namespace
@@ -68,15 +70,18 @@
 
 void gateway_task::StoreCrashRecords(time_point aNow)
 {
-  const crash_records refused = RefusedOnly(mPublishedCrashes);
-  const uint64_t digest = CrashRecordsDigest(refused);
+  // Suspected contents are stored before they are refused: without the earlier
+  // crashes, each restart of all routers would allow some more.
+  const uint64_t digest = CrashRecordsDigest(mPublishedCrashes);
   if (digest == mStoredCrashesDigest || aNow < mNextCrashesWrite) {
     return;
   }
   mNextCrashesWrite = aNow + kStoreInterval;
   conditional_write write;
   write.mConditions = { mElection.Condition() };
-  write.mWrites = { { kCrashesKey, EncodeCrashRecords(refused), lease_id(0) } };
+  write.mWrites = {
+    { kCrashesKey, EncodeCrashRecords(mPublishedCrashes), lease_id(0) }
+  };
   mPlatform.mStore.Write(write, [this, digest](const write_reply& aReply) {
     if (aReply.mOutcome == call_outcome::kDone) {
       mStoredCrashesDigest = digest;
@@ -116,7 +121,7 @@
   if (digest != mCrashesDigest) {
     log_line(log_severity::kInfo, "crash_records_changed")
       .Add("contents", uint64_t{ aRecords.size() })
-      .Add("refused", uint64_t{ RefusedOnly(aRecords).size() });
+      .Add("refused", uint64_t{ CountRefused(aRecords) });
     mCrashesDigest = digest;
   }
   mForwarder.CrashGuard().SetRecords(aRecords, aNow);
--- a/UnitTests/Gateway/CrashingRequestTest.cpp
+++ b/UnitTests/Gateway/CrashingRequestTest.cpp
@@ -292,6 +292,24 @@
   ExpectRefused();
 }
 
+// Guards against crashes that are too few for a refusal and are forgotten when
+// all routers end, so that the content crashes more targets than are allowed
+// before it is refused.
+TEST_F(crashing_request_test, CountsCrashesBeforeAndAfterALossOfAllRouters)
+{
+  StartGateway("a");
+  StartGateway("b");
+  KeepSending({ "POST", "/order/crash", "" }, 2 * kAgainInterval);
+  EXPECT_EQ(mArrivals.size(), 2U);
+  RunFor(1s);
+  StopGateway("a");
+  StopGateway("b");
+  StartGateway("c");
+  KeepSending({ "POST", "/order/crash", "" }, 6s);
+  EXPECT_EQ(mArrivals.size(), kCrashes);
+  ExpectRefused();
+}
+
 // Guards against crashes that are forgotten with the leader, which alone knew
 // those of all routers.
 TEST_F(crashing_request_test, CountsCrashesBeforeAndAfterALossOfTheLeader)
